--- a/apps/test/EndpointWatchTest.cpp
+++ b/apps/test/EndpointWatchTest.cpp
@@ -14,9 +14,9 @@
     public:
         explicit Rounds(std::uint16_t engines)
         {
-            std::vector<platform::ListedEndpoint> listed;
+            std::vector<backing::ListedEndpoint> listed;
             for (std::uint16_t port = 1; port <= engines; ++port) {
-                platform::ListedEndpoint& engine = listed.emplace_back();
+                backing::ListedEndpoint& engine = listed.emplace_back();
                 engine.name.value = "engine-" + std::to_string(port);
                 engine.address = { "127.0.0.1", port };
             }
--- a/apps/whinyardd/Administration.cpp
+++ b/apps/whinyardd/Administration.cpp
@@ -1,7 +1,7 @@
 #include "Administration.h"
 
 #include "whinyard/ledger/UsageReader.h"
-#include "whinyard/platform/HttpPlatform.h"
+#include "whinyard/backing/HttpPlatform.h"
 
 namespace whinyard::daemon {
 
@@ -20,7 +20,7 @@
 
 }
 
-StoredBill::StoredBill(platform::KeyValueStore& store, std::uint32_t partitions, Peering& peering)
+StoredBill::StoredBill(backing::KeyValueStore& store, std::uint32_t partitions, Peering& peering)
     : m_store(store)
     , m_partitions(partitions)
     , m_peering(peering)
@@ -102,7 +102,7 @@
 bool Administration::openOnDuty(admin::OwnStatus own, std::vector<admin::Operator> operators, Failure& failure)
 {
     m_client = net::HttpClient::create(m_duty);
-    m_store = platform::makeHttpKeyValueStore(*m_client, { .address = m_shared.settings.platform });
+    m_store = backing::makeHttpKeyValueStore(*m_client, { .address = m_shared.settings.platform });
     m_repository = std::make_unique<admin::ConfigurationRepository>(*m_store, m_shared.clock, m_waiter);
     m_fleet = std::make_unique<admin::PeersFleetView>(&m_peering.service(), std::move(own));
     m_traces = std::make_unique<admin::PeersTraceSource>(&m_peering.service(), m_shared.events.store());
--- a/apps/whinyardd/Administration.h
+++ b/apps/whinyardd/Administration.h
@@ -8,7 +8,7 @@
 #include "whinyard/admin/FleetSources.h"
 #include "whinyard/net/HttpClient.h"
 #include "whinyard/net/HttpServer.h"
-#include "whinyard/platform/KeyValueStore.h"
+#include "whinyard/backing/KeyValueStore.h"
 
 #include <memory>
 
@@ -18,7 +18,7 @@
 // lines. An instance that doesn't confirm that is named as a fault of the bill.
 class StoredBill final : public admin::BillSource {
 public:
-    StoredBill(platform::KeyValueStore& store, std::uint32_t partitions, Peering& peering);
+    StoredBill(backing::KeyValueStore& store, std::uint32_t partitions, Peering& peering);
 
     std::optional<admin::Bill> bill(const CustomerName& customer, Failure& failure) override;
     std::optional<std::vector<ledger::UsageLine>> lines(const CustomerName& customer, Failure& failure) override;
@@ -26,7 +26,7 @@
 private:
     std::vector<std::string> flushAll();
 
-    platform::KeyValueStore& m_store;
+    backing::KeyValueStore& m_store;
     const std::uint32_t m_partitions;
     Peering& m_peering;
 };
@@ -65,7 +65,7 @@
     admin::LogAudit m_audit;
     PeerConfirmations m_confirmations;
     std::unique_ptr<net::HttpClient> m_client;
-    std::unique_ptr<platform::KeyValueStore> m_store;
+    std::unique_ptr<backing::KeyValueStore> m_store;
     std::unique_ptr<admin::ConfigurationRepository> m_repository;
     std::unique_ptr<admin::PeersFleetView> m_fleet;
     std::unique_ptr<admin::PeersTraceSource> m_traces;
--- a/apps/whinyardd/Daemon.cpp
+++ b/apps/whinyardd/Daemon.cpp
@@ -60,7 +60,7 @@
     if (!serving->open(failure) || !administration->open(ownStatus(), failure))
         return false;
     peering.calls().connect(storing.get(), serving.get());
-    storing->start([this](const std::vector<platform::ListedEndpoint>& listed) {
+    storing->start([this](const std::vector<backing::ListedEndpoint>& listed) {
         serving->takeList(listed);
         peering.takeList(listed);
     });
--- a/apps/whinyardd/EndpointWatch.cpp
+++ b/apps/whinyardd/EndpointWatch.cpp
@@ -14,14 +14,14 @@
 
 void EndpointWatch::askLoads()
 {
-    const std::vector<platform::ListedEndpoint> engines = m_directory.engines();
+    const std::vector<backing::ListedEndpoint> engines = m_directory.engines();
     const std::size_t count = std::min(engines.size(), mostAtOnce);
     for (std::size_t asked = 0; asked < count; ++asked)
         askLoad(engines[(m_next + asked) % engines.size()]);
     m_next = engines.empty() ? 0 : (m_next + count) % engines.size();
 }
 
-void EndpointWatch::askLoad(const platform::ListedEndpoint& engine)
+void EndpointWatch::askLoad(const backing::ListedEndpoint& engine)
 {
     m_serve.spawn([this, name = engine.name, address = engine.address] {
         Failure failure;
--- a/apps/whinyardd/EndpointWatch.h
+++ b/apps/whinyardd/EndpointWatch.h
@@ -20,7 +20,7 @@
     static constexpr std::size_t mostAtOnce = 20;
 
 private:
-    void askLoad(const platform::ListedEndpoint& engine);
+    void askLoad(const backing::ListedEndpoint& engine);
 
     net::Duty& m_serve;
     const Clock& m_clock;
--- a/apps/whinyardd/FleetNews.cpp
+++ b/apps/whinyardd/FleetNews.cpp
@@ -46,11 +46,11 @@
 {
 }
 
-void FleetNews::takeList(const std::vector<platform::ListedEndpoint>& listed)
+void FleetNews::takeList(const std::vector<backing::ListedEndpoint>& listed)
 {
     m_listed.clear();
-    for (const platform::ListedEndpoint& entry : listed) {
-        if (entry.kind == platform::ListedKind::instance && entry.name.value != m_shared.settings.instance.value)
+    for (const backing::ListedEndpoint& entry : listed) {
+        if (entry.kind == backing::ListedKind::instance && entry.name.value != m_shared.settings.instance.value)
             m_listed.push_back({ entry.name.value });
     }
     m_limits.replacePeers(m_listed, m_shared.clock.now());
--- a/apps/whinyardd/FleetNews.h
+++ b/apps/whinyardd/FleetNews.h
@@ -24,7 +24,7 @@
     FleetNews(Shared& shared, peer::Peers& peers, endpoint::EndpointDirectory& directory, policy::CustomerLimits& limits, policy::RolloutJudge& judge);
 
     // Takes the instances of the platform's list.
-    void takeList(const std::vector<platform::ListedEndpoint>& listed);
+    void takeList(const std::vector<backing::ListedEndpoint>& listed);
 
     // Takes in the others' news and tells this instance's own. `storeReachable` is what the judge of
     // roll-outs goes by. Call it about ten times a second.
--- a/apps/whinyardd/Peering.cpp
+++ b/apps/whinyardd/Peering.cpp
@@ -129,11 +129,11 @@
     net::runOn(m_duty, [this] { m_mirroring->flush(); });
 }
 
-void Peering::takeList(const std::vector<platform::ListedEndpoint>& listed)
+void Peering::takeList(const std::vector<backing::ListedEndpoint>& listed)
 {
     std::vector<peer::Contact> contacts;
-    for (const platform::ListedEndpoint& endpoint : listed) {
-        if (endpoint.kind == platform::ListedKind::instance)
+    for (const backing::ListedEndpoint& endpoint : listed) {
+        if (endpoint.kind == backing::ListedKind::instance)
             contacts.push_back({ { endpoint.name.value }, endpoint.address });
     }
     m_service->setInstances(std::move(contacts));
--- a/apps/whinyardd/Peering.h
+++ b/apps/whinyardd/Peering.h
@@ -5,7 +5,7 @@
 #include "Shared.h"
 
 #include "whinyard/peer/PeerService.h"
-#include "whinyard/platform/InstanceList.h"
+#include "whinyard/backing/InstanceList.h"
 #include "whinyard/router/ConfigurationSource.h"
 
 #include <atomic>
@@ -55,7 +55,7 @@
     PeerCalls& calls() { return m_calls; }
 
     // Takes the platform's list.
-    void takeList(const std::vector<platform::ListedEndpoint>& listed);
+    void takeList(const std::vector<backing::ListedEndpoint>& listed);
 
     std::shared_ptr<const config::Configuration> newest() const override { return m_service->configuration(); }
     bool mayServe(Failure& failure) const override { return m_service->mayServe(failure); }
--- a/apps/whinyardd/Serving.cpp
+++ b/apps/whinyardd/Serving.cpp
@@ -1,6 +1,6 @@
 #include "Serving.h"
 
-#include "whinyard/platform/HttpPlatform.h"
+#include "whinyard/backing/HttpPlatform.h"
 
 namespace whinyard::daemon {
 
@@ -104,7 +104,7 @@
     m_client = net::HttpClient::create(m_duty);
     m_engines = endpoint::makeHttpEngineClient(*m_client);
     m_services = endpoint::makeHttpServiceClient(*m_client);
-    m_ratings = platform::makeHttpRatingService(*m_client, { .address = m_shared.settings.platform });
+    m_ratings = backing::makeHttpRatingService(*m_client, { .address = m_shared.settings.platform });
     m_endpointWatch = std::make_unique<EndpointWatch>(m_duty, m_shared.clock, m_directory, *m_engines);
     m_news = std::make_unique<FleetNews>(m_shared, m_peering.service(), m_directory, m_limits, m_judge);
     const router::RouterParts parts { m_shared.clock, m_shared.hybridClock, m_shared.events, m_shared.metrics, m_peering, m_directory, *m_engines, *m_services, m_storing.intents(), m_storing.usage(), *m_ratings, m_sessionPins, m_judge, m_limits, m_fibers, &m_peering.service() };
@@ -119,7 +119,7 @@
     return true;
 }
 
-void Serving::takeList(const std::vector<platform::ListedEndpoint>& listed)
+void Serving::takeList(const std::vector<backing::ListedEndpoint>& listed)
 {
     m_duty.post([this, listed] {
         m_directory.replace(listed);
--- a/apps/whinyardd/Serving.h
+++ b/apps/whinyardd/Serving.h
@@ -38,7 +38,7 @@
     net::Address address() const { return m_server->address(); }
 
     // Takes the platform's list. Callable from any thread.
-    void takeList(const std::vector<platform::ListedEndpoint>& listed);
+    void takeList(const std::vector<backing::ListedEndpoint>& listed);
 
     // Runs a keyed call that another instance forwarded. Called on a fiber of another duty.
     std::optional<peer::ForwardCallAnswer> runForwarded(const peer::ForwardCall& call, Failure& failure);
@@ -69,7 +69,7 @@
     std::unique_ptr<net::HttpClient> m_client;
     std::unique_ptr<endpoint::EngineClient> m_engines;
     std::unique_ptr<endpoint::ServiceClient> m_services;
-    std::unique_ptr<platform::RatingService> m_ratings;
+    std::unique_ptr<backing::RatingService> m_ratings;
     std::unique_ptr<EndpointWatch> m_endpointWatch;
     std::unique_ptr<FleetNews> m_news;
     std::unique_ptr<router::Router> m_router;
--- a/apps/whinyardd/Storing.cpp
+++ b/apps/whinyardd/Storing.cpp
@@ -1,7 +1,7 @@
 #include "Storing.h"
 
 #include "whinyard/base/Log.h"
-#include "whinyard/platform/HttpPlatform.h"
+#include "whinyard/backing/HttpPlatform.h"
 
 namespace whinyard::daemon {
 
@@ -43,8 +43,8 @@
     const settings::DaemonSettings& settings = m_shared.settings;
     const ledger::Writer self { settings.instance, m_shared.incarnation };
     m_client = net::HttpClient::create(m_duty);
-    m_store = platform::makeHttpKeyValueStore(*m_client, { .address = settings.platform });
-    m_list = platform::makeHttpInstanceList(*m_client, { .address = settings.platform });
+    m_store = backing::makeHttpKeyValueStore(*m_client, { .address = settings.platform });
+    m_list = backing::makeHttpInstanceList(*m_client, { .address = settings.platform });
     m_intents = std::make_unique<ledger::StoredIntentLedger>(m_duty, *m_store, self, intentOptions(settings), m_shared.clock, m_liveWriters);
     m_usage = std::make_unique<ledger::StoredUsageLedger>(m_duty, *m_store, m_mirrorChannel, self, usageOptions(settings), m_shared.clock, m_liveWriters);
     m_intentsOnDuty = std::make_unique<IntentLedgerOnDuty>(m_duty, *m_intents);
@@ -77,7 +77,7 @@
     OutageLog outage("the instance list at " + net::toText(m_shared.settings.platform));
     while (!m_shared.stopping) {
         Failure failure;
-        const std::optional<std::vector<platform::ListedEndpoint>> listed = m_list->fetch(failure);
+        const std::optional<std::vector<backing::ListedEndpoint>> listed = m_list->fetch(failure);
         outage.note(listed.has_value(), failure);
         m_storeReachable = listed.has_value();
         if (listed) {
--- a/apps/whinyardd/Storing.h
+++ b/apps/whinyardd/Storing.h
@@ -9,8 +9,8 @@
 #include "whinyard/ledger/StoredUsageLedger.h"
 #include "whinyard/net/HttpClient.h"
 #include "whinyard/peer/PeerService.h"
-#include "whinyard/platform/InstanceList.h"
-#include "whinyard/platform/KeyValueStore.h"
+#include "whinyard/backing/InstanceList.h"
+#include "whinyard/backing/KeyValueStore.h"
 
 #include <functional>
 #include <memory>
@@ -18,7 +18,7 @@
 namespace whinyard::daemon {
 
 // Takes each list that was fetched; called on the store duty.
-using ListObserver = std::function<void(const std::vector<platform::ListedEndpoint>&)>;
+using ListObserver = std::function<void(const std::vector<backing::ListedEndpoint>&)>;
 
 class Storing {
 public:
@@ -65,8 +65,8 @@
     ledger::PeerMirrorChannel m_mirrorChannel;
     net::Duty m_duty { "store" };
     std::unique_ptr<net::HttpClient> m_client;
-    std::unique_ptr<platform::KeyValueStore> m_store;
-    std::unique_ptr<platform::InstanceList> m_list;
+    std::unique_ptr<backing::KeyValueStore> m_store;
+    std::unique_ptr<backing::InstanceList> m_list;
     std::unique_ptr<ledger::StoredIntentLedger> m_intents;
     std::unique_ptr<ledger::StoredUsageLedger> m_usage;
     std::unique_ptr<IntentLedgerOnDuty> m_intentsOnDuty;
--- /dev/null
+++ b/apps/whinyardd/entry/EntryDaemon.cpp
@@ -0,0 +1,70 @@
+#include "entry/EntryDaemon.h"
+
+#include "entry/StoreDuty.h"
+#include "whinyard/base/Log.h"
+
+namespace whinyard::daemon {
+
+namespace {
+
+    // What is left of the time to stop for closing and for the process to end.
+    constexpr std::chrono::milliseconds endingTime { 500 };
+
+}
+
+struct EntryDaemon::State {
+    explicit State(const settings::EntrySettings& settings)
+        : shared(settings)
+        , serving(shared)
+        , storing(shared, serving)
+    {
+    }
+
+    EntryShared shared;
+    ServeDuty serving;
+    StoreDuty storing;
+};
+
+EntryDaemon::EntryDaemon(std::unique_ptr<State> state)
+    : m_state(std::move(state))
+{
+}
+
+EntryDaemon::~EntryDaemon()
+{
+    stop();
+}
+
+std::unique_ptr<EntryDaemon> EntryDaemon::start(const settings::EntrySettings& settings, Failure& failure)
+{
+    std::unique_ptr<EntryDaemon> daemon(new EntryDaemon(std::make_unique<State>(settings)));
+    State& state = *daemon->m_state;
+    if (!state.serving.open(failure) || !state.storing.open(failure))
+        return nullptr;
+    log::info("started", { { "instance", settings.instance.value }, { "zone", settings.zone.value }, { "callers", net::toText(settings.callers) }, { "store", net::toText(settings.store.address) } });
+    return daemon;
+}
+
+bool EntryDaemon::drain()
+{
+    State& state = *m_state;
+    state.shared.draining = true;
+    log::info("draining", { { "instance", state.shared.settings.instance.value } });
+    return state.serving.drain(state.shared.settings.bounds.stopGrace - endingTime);
+}
+
+void EntryDaemon::reload(const settings::EntrySettings& settings)
+{
+    const bool same = m_state->shared.settings.sameAddresses(settings);
+    log::info("settings read again", { { "instance", settings.instance.value }, { "outcome", same ? "nothing to change" : "addresses change at the next start only" } });
+}
+
+void EntryDaemon::stop()
+{
+    if (m_state->shared.stopping.exchange(true))
+        return;
+    m_state->serving.stop();
+    m_state->storing.stop();
+}
+
+}
--- /dev/null
+++ b/apps/whinyardd/entry/OperatorWatch.cpp
@@ -0,0 +1,97 @@
+#include "entry/OperatorWatch.h"
+
+#include "platform/Configuration.h"
+#include "platform/Rollouts.h"
+#include "whinyard/base/Log.h"
+
+namespace whinyard::daemon {
+
+OperatorWatch::OperatorWatch(EntryShared& shared, ServeDuty& serving)
+    : m_shared(shared)
+    , m_serving(serving)
+    , m_outage("the store at " + net::toText(shared.settings.store.address))
+{
+}
+
+void OperatorWatch::replaced(const std::vector<backing::Record>& records)
+{
+    std::set<ServiceName> gone = m_ordered;
+    for (const backing::Record& record : records) {
+        if (const auto service = platform::orderedService(record.key))
+            gone.erase(*service);
+        take(record);
+    }
+    for (const ServiceName& service : gone)
+        dropOrder(service);
+}
+
+void OperatorWatch::changed(const std::vector<backing::RecordChange>& changes)
+{
+    for (const backing::RecordChange& change : changes) {
+        const auto service = platform::orderedService(change.record.key);
+        if (!change.deleted)
+            take(change.record);
+        else if (service)
+            dropOrder(*service);
+    }
+}
+
+void OperatorWatch::take(const backing::Record& record)
+{
+    if (record.key == platform::configurationKey)
+        takeConfiguration(record);
+    else if (platform::orderedService(record.key))
+        takeOrder(record);
+}
+
+void OperatorWatch::takeConfiguration(const backing::Record& record)
+{
+    Failure failure;
+    std::optional<config::Routing> routing = platform::parseConfiguration(record.value, failure);
+    if (!routing) {
+        log::error("configuration not taken", { { "revision", std::to_string(record.revision) }, { "reason", failure.reason } });
+        return;
+    }
+    const std::uint64_t version = routing->version;
+    const config::CallerLimits limits = routing->limits;
+    const std::string counts = std::to_string(routing->routes.size()) + " routes, " + std::to_string(routing->customers.size()) + " customers";
+    if (!m_shared.routing.take(std::move(*routing)))
+        return;
+    m_serving.takeLimits(limits);
+    m_shared.metrics.set("whinyard_configuration_version", static_cast<double>(version));
+    log::info("configuration in force", { { "configuration", std::to_string(version) }, { "revision", std::to_string(record.revision) }, { "holds", counts } });
+}
+
+void OperatorWatch::takeOrder(const backing::Record& record)
+{
+    Failure failure;
+    const std::optional<policy::ShiftOrder> order = platform::parseOrder(record, failure);
+    if (!order) {
+        log::error("roll-out order not taken", { { "key", record.key }, { "reason", failure.reason } });
+        return;
+    }
+    m_ordered.insert(order->service);
+    log::info("roll-out ordered", { { "service", order->service.value }, { "target", order->target }, { "periodMs", std::to_string(order->period.count()) }, { "revision", std::to_string(order->revision) } });
+    m_serving.postToShifts([order = *order, now = m_shared.clock.now()](policy::VersionShifts& shifts) { shifts.takeOrder(order, now); });
+}
+
+void OperatorWatch::dropOrder(const ServiceName& service)
+{
+    if (m_ordered.erase(service) == 0)
+        return;
+    log::info("roll-out order taken back", { { "service", service.value } });
+    m_serving.postToShifts([service](policy::VersionShifts& shifts) { shifts.dropOrder(service); });
+}
+
+void OperatorWatch::proven(SteadyTime startedAt)
+{
+    m_shared.routing.prove(startedAt);
+    m_outage.note(true, {});
+}
+
+void OperatorWatch::failed(const Failure& failure)
+{
+    m_outage.note(false, failure);
+}
+
+}
--- /dev/null
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -0,0 +1,182 @@
+#include "entry/ServeDuty.h"
+
+#include "Shared.h"
+#include "whinyard/base/Log.h"
+
+#include <algorithm>
+
+namespace whinyard::daemon {
+
+namespace {
+
+    constexpr std::chrono::milliseconds refreshInterval { 200 };
+    constexpr std::chrono::milliseconds drainPoll { 50 };
+
+    // The site asks for readiness once a second and takes an instance out after two misses; until then, and a moment
+    // longer for what is on its way, new connections still come and are served.
+    constexpr std::chrono::milliseconds rotationNotice { 2'600 };
+
+    // Callers use connections again that were idle for up to four fifths of the limit; ours is longer by a quarter, so
+    // that a request never meets our close.
+    constexpr int idleQuarters = 5;
+
+    policy::EndpointTableSettings tableSettings()
+    {
+        policy::EndpointTableSettings settings;
+        // Where one answer in seven is a failure by itself, three in a row come once in 350; an endpoint that is gone
+        // costs each instance three attempts.
+        settings.failuresToEject = 3;
+        settings.baseEjection = std::chrono::milliseconds(1'000);
+        settings.maximumEjection = std::chrono::milliseconds(8'000);
+        settings.successesToReturn = 2;
+        return settings;
+    }
+
+    policy::WaitSelectorSettings selectorSettings()
+    {
+        policy::WaitSelectorSettings settings;
+        settings.probeShare = 0.2; // An instance of a small site sees ten requests a second.
+        return settings;
+    }
+
+    policy::ShiftSettings shiftSettings(const settings::ServiceBounds& bounds)
+    {
+        policy::ShiftSettings settings;
+        settings.sessionGap = bounds.sessionGap;
+        return settings;
+    }
+
+    router::ForwarderSettings forwarderSettings(const settings::ServiceBounds& bounds)
+    {
+        // A tenth of the bound stays unused, for windows that don't begin when ours do.
+        constexpr double usedPart = 0.9;
+        router::ForwarderSettings settings;
+        settings.repeatRatio = usedPart * bounds.repeatRatio;
+        return settings;
+    }
+
+    net::HttpServerLimits serverLimits(const config::CallerLimits& limits)
+    {
+        net::HttpServerLimits taken;
+        taken.headerBytes = limits.headerBytes;
+        taken.bodyBytes = limits.bodyBytes;
+        taken.receiveTimeout = limits.headerTimeout;
+        taken.idleTimeout = limits.idleTimeout * idleQuarters / 4;
+        return taken;
+    }
+
+}
+
+ServeDuty::ServeDuty(EntryShared& shared)
+    : m_shared(shared)
+    , m_directory(shared.settings.zone, seededRandom(), tableSettings(), selectorSettings())
+    , m_shifts(shiftSettings(shared.settings.bounds))
+{
+}
+
+bool ServeDuty::open(Failure& failure)
+{
+    return net::callOn(m_duty, [&] { return openOnDuty(failure); }).value_or(false);
+}
+
+bool ServeDuty::openOnDuty(Failure& failure)
+{
+    m_client = net::HttpClient::create(m_duty);
+    const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, *m_client, m_fibers };
+    m_forwarder = std::make_unique<router::Forwarder>(parts, forwarderSettings(m_shared.settings.bounds), seededRandom());
+    const net::HttpHandler forward = [this](const net::HttpRequest& request, net::HttpResponder& responder) { m_forwarder->handle(request, responder); };
+    const net::HttpHandler tellReadiness = [this](const net::HttpRequest&, net::HttpResponder& responder) {
+        constexpr int ready = 200;
+        constexpr int notReady = 503;
+        responder.send({ .status = isReady() ? ready : notReady, .fields = {}, .body = {} });
+    };
+    m_server = net::HttpServer::open(m_duty, m_shared.settings.callers, serverLimits({}), forward, failure);
+    if (m_server)
+        m_readiness = net::HttpServer::open(m_duty, m_shared.settings.readiness, {}, tellReadiness, failure);
+    if (!m_readiness)
+        return false;
+    m_duty.spawn([this] { refreshDirectory(); });
+    return true;
+}
+
+bool ServeDuty::isReady() const
+{
+    Failure ignored;
+    return !m_shared.draining && m_shared.endpointsKnown && m_shared.routing.mayServe(ignored);
+}
+
+void ServeDuty::refreshDirectory()
+{
+    while (!m_shared.stopping) {
+        m_directory.refresh(m_shared.clock.now());
+        net::sleepFor(refreshInterval);
+    }
+}
+
+void ServeDuty::takeLimits(const config::CallerLimits& limits)
+{
+    m_duty.post([this, limits] { m_server->useLimits(serverLimits(limits)); });
+}
+
+void ServeDuty::takeEndpoints(std::vector<backing::ListedEndpoint> listed)
+{
+    m_duty.post([this, listed = std::move(listed)]() mutable {
+        std::map<ServiceName, std::vector<std::string>> present;
+        for (backing::ListedEndpoint& endpoint : listed) {
+            const std::string version = endpoint.versions.front().value;
+            endpoint.versions = { router::targetName(endpoint.service, version) };
+            std::vector<std::string>& versions = present[endpoint.service];
+            if (!endpoint.leaving && std::find(versions.begin(), versions.end(), version) == versions.end())
+                versions.push_back(version);
+        }
+        m_directory.replace(listed);
+        for (auto& [service, versions] : present) {
+            std::vector<std::string>& known = m_versions[service];
+            std::erase_if(known, [&](const std::string& version) { return std::find(versions.begin(), versions.end(), version) == versions.end(); });
+            for (const std::string& version : versions) {
+                if (std::find(known.begin(), known.end(), version) == known.end())
+                    known.push_back(version);
+            }
+            m_forwarder->useVersions(service, known);
+        }
+    });
+}
+
+void ServeDuty::postToShifts(std::function<void(policy::VersionShifts&)> use)
+{
+    m_duty.post([this, use = std::move(use)] { use(m_shifts); });
+}
+
+bool ServeDuty::drain(std::chrono::milliseconds bound)
+{
+    const SteadyTime end = m_shared.clock.now() + bound;
+    return net::callOn(m_duty, [&] { return drainOnDuty(end); }).value_or(false);
+}
+
+bool ServeDuty::drainOnDuty(SteadyTime end)
+{
+    const SteadyTime closing = std::min(m_shared.clock.now() + rotationNotice, end);
+    m_server->announceClose();
+    while (m_shared.clock.now() < closing)
+        net::sleepFor(drainPoll);
+    m_server->drain();
+    while (m_forwarder->active() > 0 || m_server->active() > 0) {
+        if (m_shared.clock.now() >= end)
+            return false;
+        net::sleepFor(drainPoll);
+    }
+    return true;
+}
+
+void ServeDuty::stop()
+{
+    net::runOn(m_duty, [this] {
+        if (m_server)
+            m_server->close();
+        if (m_readiness)
+            m_readiness->close();
+    });
+    m_duty.stop();
+}
+
+}
--- /dev/null
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -0,0 +1,72 @@
+// The serve duty of an entry daemon: callers' requests, the forwarding path, and the site's question for readiness.
+#pragma once
+
+#include "Serving.h"
+#include "entry/EntryShared.h"
+#include "platform/HttpCodec.h"
+#include "whinyard/endpoint/EndpointDirectory.h"
+#include "whinyard/net/Duty.h"
+#include "whinyard/net/HttpServer.h"
+#include "whinyard/policy/ModelChoice.h"
+#include "whinyard/policy/VersionShift.h"
+#include "whinyard/router/Forwarder.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace whinyard::daemon {
+
+class ServeDuty {
+public:
+    // `shared` must outlive the object.
+    explicit ServeDuty(EntryShared& shared);
+
+    // Opens the callers' address and the one for readiness.
+    bool open(Failure& failure);
+
+    // Takes the limits of a new configuration. Callable from any thread, as are the functions up to drain().
+    void takeLimits(const config::CallerLimits& limits);
+
+    // Takes the list of endpoints.
+    void takeEndpoints(std::vector<backing::ListedEndpoint> listed);
+
+    // Runs `use` on the duty's thread, where the version shifts belong, in the order of the calls.
+    void postToShifts(std::function<void(policy::VersionShifts&)> use);
+
+    // Runs `use` on the duty's thread and returns its value; nothing when the duty is overloaded or has stopped.
+    template <typename Use>
+    auto askShifts(Use use)
+    {
+        return net::callOn(m_duty, [&] { return use(m_shifts); });
+    }
+
+    // Answers what arrives and lets every connection end, never longer than `bound`. Returns whether all have ended.
+    bool drain(std::chrono::milliseconds bound);
+
+    // Closes the addresses at once and ends the duty.
+    void stop();
+
+private:
+    bool openOnDuty(Failure& failure);
+    bool drainOnDuty(SteadyTime end);
+    bool isReady() const;
+    void refreshDirectory();
+
+    EntryShared& m_shared;
+    endpoint::EndpointDirectory m_directory;
+    policy::VersionShifts m_shifts;
+    policy::ModelChoice m_models;
+    const platform::HttpCodec m_codec;
+    std::map<ServiceName, std::vector<std::string>> m_versions; // With endpoints, in the order in which they appeared.
+    net::Duty m_duty { "serve" };
+    DutyFibers m_fibers { m_duty };
+    std::unique_ptr<net::HttpClient> m_client;
+    std::unique_ptr<router::Forwarder> m_forwarder;
+    std::unique_ptr<net::HttpServer> m_server;
+    std::unique_ptr<net::HttpServer> m_readiness;
+};
+
+}
--- /dev/null
+++ b/apps/whinyardd/entry/ShiftKeeper.cpp
@@ -0,0 +1,134 @@
+#include "entry/ShiftKeeper.h"
+
+#include "platform/Rollouts.h"
+#include "whinyard/base/Log.h"
+
+#include <algorithm>
+
+namespace whinyard::daemon {
+
+namespace {
+
+    constexpr std::string_view recordPrefix = "whinyard/shift/";
+    constexpr std::string_view evidencePrefix = "whinyard/shift-evidence/";
+
+    // One write by each instance: at 360 instances 180 a second while a roll-out runs. A version that answers a third
+    // of its requests badly is found by the counts of single instances within about this time.
+    constexpr std::chrono::milliseconds evidenceInterval { 2'000 };
+
+}
+
+ShiftKeeper::ShiftKeeper(EntryShared& shared, ServeDuty& serving, backing::WatchableStore& store)
+    : m_shared(shared)
+    , m_serving(serving)
+    , m_store(store)
+{
+}
+
+void ShiftKeeper::replaced(const std::vector<backing::Record>& records)
+{
+    m_read = true;
+    for (const backing::Record& record : records)
+        take(record);
+}
+
+void ShiftKeeper::changed(const std::vector<backing::RecordChange>& changes)
+{
+    for (const backing::RecordChange& change : changes) {
+        if (!change.deleted)
+            take(change.record);
+    }
+}
+
+void ShiftKeeper::proven(SteadyTime)
+{
+}
+
+void ShiftKeeper::failed(const Failure&)
+{
+}
+
+void ShiftKeeper::take(const backing::Record& record)
+{
+    const std::string_view key = record.key;
+    if (key.starts_with(recordPrefix)) {
+        const ServiceName service { std::string(key.substr(recordPrefix.size())) };
+        m_revisions[service] = record.revision;
+        const std::optional<policy::ShiftRecord> read = policy::readShiftRecord(record.value);
+        if (!read) {
+            log::error("roll-out record not taken", { { "key", record.key } });
+            return;
+        }
+        log::info("roll-out record", { { "service", service.value }, { "state", std::string(toText(read->state)) }, { "elapsedMs", std::to_string(read->elapsed.count()) }, { "reason", read->reason }, { "revision", std::to_string(record.revision) } });
+        m_serving.postToShifts([service, read = *read, now = m_shared.clock.now()](policy::VersionShifts& shifts) { shifts.takeRecord(service, read, now); });
+        return;
+    }
+    if (!key.starts_with(evidencePrefix))
+        return;
+    const std::string_view rest = key.substr(evidencePrefix.size());
+    const std::size_t slash = std::min(rest.find('/'), rest.size());
+    const ServiceName service { std::string(rest.substr(0, slash)) };
+    const InstanceName instance { std::string(rest.substr(std::min(slash + 1, rest.size()))) };
+    const std::optional<policy::ShiftEvidence> evidence = policy::readShiftEvidence(record.value);
+    if (!evidence || instance == m_shared.settings.instance)
+        return;
+    m_serving.postToShifts([service, instance, evidence = *evidence](policy::VersionShifts& shifts) { shifts.takeEvidence(service, instance, evidence); });
+}
+
+void ShiftKeeper::turn()
+{
+    struct Due {
+        policy::ShiftOrder order;
+        std::optional<policy::ShiftRecord> record;
+        std::optional<policy::ShiftEvidence> evidence;
+    };
+    if (!m_read)
+        return;
+    const SteadyTime now = m_shared.clock.now();
+    const auto due = m_serving.askShifts([now](policy::VersionShifts& shifts) {
+        std::vector<Due> list;
+        for (const ServiceName& service : shifts.services())
+            list.push_back({ *shifts.order(service), shifts.due(service, now), shifts.evidence(service) });
+        return list;
+    });
+    if (!due)
+        return;
+    const bool tellsEvidence = now >= m_nextEvidence;
+    if (tellsEvidence)
+        m_nextEvidence = now + evidenceInterval;
+    for (const Due& one : *due) {
+        if (one.record)
+            writeRecord(one.order, *one.record);
+        const auto written = m_written.find(one.order.service);
+        const bool isNews = one.evidence && (written == m_written.end() || !(written->second == *one.evidence));
+        if (tellsEvidence && isNews && one.evidence->target.total() > 0)
+            writeEvidence(one.order.service, *one.evidence);
+    }
+}
+
+void ShiftKeeper::writeRecord(const policy::ShiftOrder& order, const policy::ShiftRecord& record)
+{
+    const std::string key = std::string(recordPrefix) + order.service.value;
+    const auto known = m_revisions.find(order.service);
+    backing::Transaction transaction;
+    transaction.preconditions = { { key, known == m_revisions.end() ? 0 : known->second } };
+    transaction.puts = { { key, policy::writeShiftRecord(record) }, { platform::statusKey(order.service), platform::writeStatus(order, record.state) } };
+    Failure failure;
+    const std::optional<backing::Revision> revision = m_store.transact(transaction, failure);
+    log::info(revision ? "roll-out record written" : "roll-out record not written", { { "service", order.service.value }, { "state", std::string(toText(record.state)) }, { "elapsedMs", std::to_string(record.elapsed.count()) }, { "reason", revision ? record.reason : failure.reason } });
+    if (!revision)
+        return; // A conflict is resolved by the record that the watch brings.
+    m_revisions[order.service] = *revision;
+    m_serving.postToShifts([service = order.service, record, now = m_shared.clock.now()](policy::VersionShifts& shifts) { shifts.takeRecord(service, record, now); });
+}
+
+void ShiftKeeper::writeEvidence(const ServiceName& service, const policy::ShiftEvidence& evidence)
+{
+    const std::string key = std::string(evidencePrefix) + service.value + "/" + m_shared.settings.instance.value;
+    Failure failure;
+    if (!m_store.transact({ .preconditions = {}, .puts = { { key, policy::writeShiftEvidence(evidence) } }, .deletes = {} }, failure))
+        return log::warning("roll-out evidence not written", { { "service", service.value }, { "reason", failure.reason } });
+    m_written[service] = evidence;
+}
+
+}
--- /dev/null
+++ b/apps/whinyardd/entry/ShiftKeeper.h
@@ -0,0 +1,49 @@
+// Keeps how far roll-outs are in the store, where it survives every instance: reads the shared record and the other
+// instances' evidence, and writes what this instance's version shifts ask for.
+//
+// A record is written under the condition that it is still the one that was read, so of several instances that come
+// to the same step one writes it and the others learn of it.
+#pragma once
+
+#include "entry/EntryShared.h"
+#include "entry/ServeDuty.h"
+#include "whinyard/backing/PrefixFollower.h"
+#include "whinyard/policy/ShiftRecords.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace whinyard::daemon {
+
+class ShiftKeeper final : public backing::PrefixObserver {
+public:
+    // The prefix of the instances' own records about roll-outs.
+    static constexpr std::string_view prefix = "whinyard/shift";
+
+    // All must outlive the object.
+    ShiftKeeper(EntryShared& shared, ServeDuty& serving, backing::WatchableStore& store);
+
+    void replaced(const std::vector<backing::Record>& records) override;
+    void changed(const std::vector<backing::RecordChange>& changes) override;
+    void proven(SteadyTime startedAt) override;
+    void failed(const Failure& failure) override;
+
+    // Writes what is due. Call it several times a second while there are orders, from one fiber of the store duty.
+    void turn();
+
+private:
+    void take(const backing::Record& record);
+    void writeRecord(const policy::ShiftOrder& order, const policy::ShiftRecord& record);
+    void writeEvidence(const ServiceName& service, const policy::ShiftEvidence& evidence);
+
+    EntryShared& m_shared;
+    ServeDuty& m_serving;
+    backing::WatchableStore& m_store;
+    std::map<ServiceName, backing::Revision> m_revisions; // Of the shared records.
+    std::map<ServiceName, policy::ShiftEvidence> m_written;
+    SteadyTime m_nextEvidence {};
+    bool m_read = false; // The records were read at least once: an absent one is known to be absent.
+};
+
+}
--- /dev/null
+++ b/apps/whinyardd/entry/StoreDuty.h
@@ -0,0 +1,54 @@
+// The store duty of an entry daemon: follows the operators' and the endpoints' records in the site's store, keeps
+// roll-outs there, and serves the metrics.
+#pragma once
+
+#include "entry/EntryShared.h"
+#include "entry/OperatorWatch.h"
+#include "entry/RosterWatch.h"
+#include "entry/ServeDuty.h"
+#include "entry/ShiftKeeper.h"
+#include "whinyard/backing/PrefixFollower.h"
+#include "whinyard/net/Duty.h"
+#include "whinyard/net/HttpClient.h"
+#include "whinyard/net/HttpServer.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace whinyard::daemon {
+
+class StoreDuty {
+public:
+    // Both must outlive the object.
+    StoreDuty(EntryShared& shared, ServeDuty& serving);
+
+    // Opens the metrics address, if there is one, and begins to follow.
+    bool open(Failure& failure);
+
+    void stop();
+
+private:
+    bool openOnDuty(Failure& failure);
+    void followOperators();
+    void followEndpoints();
+    void followShifts();
+    void writeShifts();
+    void settleRoster();
+
+    // Makes one call; pauses after it, longer when it failed.
+    void turn(backing::PrefixFollower& follower, std::chrono::milliseconds pause);
+
+    EntryShared& m_shared;
+    ServeDuty& m_serving;
+    Random m_random;
+    net::Duty m_duty { "store" };
+    std::unique_ptr<net::HttpClient> m_client;
+    std::unique_ptr<backing::WatchableStore> m_store;
+    std::unique_ptr<OperatorWatch> m_operators;
+    std::unique_ptr<RosterWatch> m_roster;
+    std::unique_ptr<ShiftKeeper> m_shifts;
+    std::unique_ptr<net::HttpServer> m_metricsServer;
+};
+
+}
--- a/apps/whinyardd/main.cpp
+++ b/apps/whinyardd/main.cpp
@@ -1,12 +1,16 @@
 // whinyardd: the daemon of an entry instance.
 #include "Daemon.h"
 
+#include "entry/EntryDaemon.h"
+#include "platform/SettingsFile.h"
 #include "whinyard/base/Log.h"
 
 #include <CLI/CLI.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <ctime>
+#include <functional>
 #include <iostream>
 
 namespace {
@@ -24,6 +28,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return signals;
@@ -42,20 +47,33 @@
     return true;
 }
 
+// Waits for the request to end, and calls `reload` whenever the settings have changed before.
+void awaitEnd(const sigset_t& signals, const std::function<void()>& reload)
+{
+    int signal = 0;
+    while (sigwait(&signals, &signal) != 0 || signal == SIGHUP) {
+        if (signal == SIGHUP)
+            reload();
+    }
+}
+
+int failStart(const Failure& failure)
+{
+    log::error("can't start", { { "reason", failure.reason } });
+    log::stop();
+    std::cerr << "whinyardd: " << failure.reason << '\n';
+    return failure.kind == ErrorKind::invalidSettings ? exitInvalidSettings : exitFailure;
+}
+
 int serve(const settings::DaemonSettings& settings)
 {
     const sigset_t signals = blockSignals();
     log::start("whinyardd", settings.logLevel);
     Failure failure;
     const std::unique_ptr<daemon::Daemon> process = daemon::Daemon::start(settings, failure);
-    if (!process) {
-        log::error("can't start", { { "reason", failure.reason } });
-        log::stop();
-        std::cerr << "whinyardd: " << failure.reason << '\n';
-        return failure.kind == ErrorKind::invalidSettings ? exitInvalidSettings : exitFailure;
-    }
-    int signal = 0;
-    sigwait(&signals, &signal);
+    if (!process)
+        return failStart(failure);
+    awaitEnd(signals, [] { log::info("settings are read at the next start only"); });
     process->beginDrain();
     const bool drained = waitForDrain(*process, signals, settings.timing.shutdownBound);
     if (!drained)
@@ -66,27 +84,85 @@
     return drained ? 0 : exitFailure;
 }
 
+// Reads the settings of a platform's entry instance, with what the command line adds to them.
+std::optional<settings::EntrySettings> loadEntrySettings(const std::string& file, const std::string& metrics, Failure& failure)
+{
+    std::optional<settings::EntrySettings> settings = platform::loadSettings(file, failure);
+    if (!settings || metrics.empty())
+        return settings;
+    settings->metrics = net::parseAddress(metrics, failure);
+    if (settings->metrics)
+        return settings;
+    failure = { .kind = ErrorKind::invalidSettings, .reason = "--metrics: found " + metrics + ", allowed is an address such as 10.1.0.40:9464" };
+    return std::nullopt;
+}
+
+int serveEntry(const settings::EntrySettings& settings, const std::function<std::optional<settings::EntrySettings>(Failure&)>& readAgain)
+{
+    const sigset_t signals = blockSignals();
+    log::start("whinyardd", settings.logLevel);
+    Failure failure;
+    const std::unique_ptr<daemon::EntryDaemon> process = daemon::EntryDaemon::start(settings, failure);
+    if (!process)
+        return failStart(failure);
+    awaitEnd(signals, [&] {
+        Failure reason;
+        if (const std::optional<settings::EntrySettings> changed = readAgain(reason))
+            process->reload(*changed);
+        else
+            log::error("settings not taken, the old ones hold", { { "reason", reason.reason } });
+    });
+    const bool drained = process->drain();
+    if (!drained)
+        log::warning("ending with requests still running");
+    process->stop();
+    log::info("stopped", { { "drained", drained ? "true" : "false" } });
+    log::stop();
+    // Destructors of duties whose fibers still wait would only delay the end.
+    std::_Exit(drained ? 0 : exitFailure);
+}
+
+int report(const std::string& file, bool valid, const Failure& failure)
+{
+    if (!valid) {
+        std::cerr << failure.reason << '\n';
+        return exitInvalidSettings;
+    }
+    std::cout << file << ": valid\n";
+    return 0;
+}
+
 }
 
 int main(int argc, char** argv)
 {
     CLI::App app("whinyardd: the daemon of a whinyard entry instance", "whinyardd");
     std::string file;
+    std::string platformFile;
+    std::string metrics;
     bool check = false;
-    app.add_option("--settings", file, "settings file, JSON with comments")->required();
+    auto* own = app.add_option("--settings", file, "settings file, JSON with comments");
+    auto* ofPlatform = app.add_option("--platform-settings", platformFile, "settings file of the users' platform: forward requests by its store's configuration")->envname("WHINYARD_SETTINGS");
+    own->excludes(ofPlatform);
+    app.add_option("--metrics", metrics, "address on which metrics are read, with --platform-settings");
     app.add_flag("--check", check, "check the settings and exit: 0 if they are valid, 2 if not");
     app.set_version_flag("--version", "whinyardd " WHINYARD_VERSION);
     CLI11_PARSE(app, argc, argv);
 
     Failure failure;
-    const std::optional<settings::DaemonSettings> settings = settings::loadDaemonSettings(file, failure);
-    if (!settings) {
-        std::cerr << failure.reason << '\n';
-        return exitInvalidSettings;
+    if (!platformFile.empty()) {
+        const auto read = [&](Failure& reason) { return loadEntrySettings(platformFile, metrics, reason); };
+        const std::optional<settings::EntrySettings> settings = read(failure);
+        if (check || !settings)
+            return report(platformFile, settings.has_value(), failure);
+        return serveEntry(*settings, read);
     }
-    if (check) {
-        std::cout << file << ": valid\n";
-        return 0;
+    if (file.empty()) {
+        std::cerr << "whinyardd: --settings or --platform-settings is required\n";
+        return exitInvalidSettings;
     }
+    const std::optional<settings::DaemonSettings> settings = settings::loadDaemonSettings(file, failure);
+    if (check || !settings)
+        return report(file, settings.has_value(), failure);
     return serve(*settings);
 }
--- a/cmake/WhinyardPackage.cmake
+++ b/cmake/WhinyardPackage.cmake
@@ -40,7 +40,7 @@
         target_link_libraries(${target}_testing INTERFACE whinyard_${dependency}_testing)
     endforeach()
 
-    if(tests)
+    if(tests AND WHINYARD_TESTS)
         add_executable(${target}_test ${tests})
         target_compile_options(${target}_test PRIVATE ${WHINYARD_WARNINGS})
         target_include_directories(${target}_test PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/src)
--- a/packages/admin/include/whinyard/admin/ConfigurationRepository.h
+++ b/packages/admin/include/whinyard/admin/ConfigurationRepository.h
@@ -8,7 +8,7 @@
 #include "whinyard/base/Clock.h"
 #include "whinyard/config/Diff.h"
 #include "whinyard/config/Document.h"
-#include "whinyard/platform/KeyValueStore.h"
+#include "whinyard/backing/KeyValueStore.h"
 
 #include <chrono>
 #include <cstdint>
@@ -68,7 +68,7 @@
 class ConfigurationRepository {
 public:
     // The store, clock and waiter must outlive the repository.
-    ConfigurationRepository(platform::KeyValueStore& store, const Clock& clock, Waiter& waiter, RepositoryOptions options = {});
+    ConfigurationRepository(backing::KeyValueStore& store, const Clock& clock, Waiter& waiter, RepositoryOptions options = {});
 
     // Returns the configuration in force; revision 0 with an empty document before the first.
     // Failures: storeUnavailable, corruptRecord with the record's key.
@@ -93,7 +93,7 @@
     // The configuration in force with its place in the store.
     struct Held {
         config::Configuration configuration;
-        platform::Revision storeRevision = 0;
+        backing::Revision storeRevision = 0;
     };
 
     std::optional<Held> readHeld(Failure& failure);
@@ -106,7 +106,7 @@
     bool writtenLongAgo(const Submission& submission, const config::Configuration& current);
     bool pause(SteadyTime deadline);
 
-    platform::KeyValueStore& m_store;
+    backing::KeyValueStore& m_store;
     const Clock& m_clock;
     Waiter& m_waiter;
     const RepositoryOptions m_options;
--- a/packages/admin/src/ConfigurationRepository.cpp
+++ b/packages/admin/src/ConfigurationRepository.cpp
@@ -67,7 +67,7 @@
         return faults;
     }
 
-    std::optional<Configuration> parseNamed(const platform::Record& record, Failure& failure)
+    std::optional<Configuration> parseNamed(const backing::Record& record, Failure& failure)
     {
         auto configuration = config::parseRecord(record.value, failure);
         if (!configuration)
@@ -77,7 +77,7 @@
 
 }
 
-ConfigurationRepository::ConfigurationRepository(platform::KeyValueStore& store, const Clock& clock, Waiter& waiter, RepositoryOptions options)
+ConfigurationRepository::ConfigurationRepository(backing::KeyValueStore& store, const Clock& clock, Waiter& waiter, RepositoryOptions options)
     : m_store(store)
     , m_clock(clock)
     , m_waiter(waiter)
@@ -150,7 +150,7 @@
     const auto records = m_store.list(std::string(config::historyPrefix), config::historyKey(before), limit, failure);
     if (!records)
         return std::nullopt;
-    for (const platform::Record& record : *records) {
+    for (const backing::Record& record : *records) {
         auto configuration = parseNamed(record, failure);
         if (!configuration)
             return std::nullopt;
@@ -227,9 +227,9 @@
 std::optional<SubmitAnswer> ConfigurationRepository::write(const Submission& submission, const Held& base, SteadyTime deadline, Failure& failure)
 {
     const Configuration next = nextConfiguration(submission, base.configuration, m_clock.wallNow());
-    const platform::Swap swap { currentKeyText(), config::toRecord(next), base.storeRevision };
-    if (swap.value.size() > platform::largestValue)
-        return invalid({ { "", "the record has " + std::to_string(swap.value.size()) + " bytes; allowed: at most " + std::to_string(platform::largestValue) } });
+    const backing::Swap swap { currentKeyText(), config::toRecord(next), base.storeRevision };
+    if (swap.value.size() > backing::largestValue)
+        return invalid({ { "", "the record has " + std::to_string(swap.value.size()) + " bytes; allowed: at most " + std::to_string(backing::largestValue) } });
     if (base.configuration.revision != 0 && !keepInHistory(base.configuration, deadline, failure))
         return std::nullopt;
     bool mayHaveLanded = false;
@@ -262,7 +262,7 @@
 
 bool ConfigurationRepository::keepInHistory(const Configuration& configuration, SteadyTime deadline, Failure& failure)
 {
-    const platform::Swap swap { config::historyKey(configuration.revision), config::toRecord(configuration), 0 };
+    const backing::Swap swap { config::historyKey(configuration.revision), config::toRecord(configuration), 0 };
     while (true) {
         if (m_store.swap(swap, failure) || failure.kind == ErrorKind::swapConflict)
             return true;
--- a/packages/admin/test/ConfigurationRepositoryTest.cpp
+++ b/packages/admin/test/ConfigurationRepositoryTest.cpp
@@ -59,7 +59,7 @@
 
         FakeClock clock;
         ClockWaiter waiter { clock };
-        platform::FakeStore store { clock };
+        backing::FakeStore store { clock };
         ConfigurationRepository repository { store, clock, waiter };
         Failure failure;
     };
--- a/packages/admin/testing/whinyard/admin/FakeParts.h
+++ b/packages/admin/testing/whinyard/admin/FakeParts.h
@@ -4,7 +4,7 @@
 
 #include "whinyard/admin/AdminParts.h"
 #include "whinyard/base/FakeClock.h"
-#include "whinyard/platform/FakeStore.h"
+#include "whinyard/backing/FakeStore.h"
 
 namespace whinyard::admin {
 
@@ -85,7 +85,7 @@
 struct FakeParts {
     FakeClock clock;
     FakeWaiter waiter { clock };
-    platform::FakeStore store { clock };
+    backing::FakeStore store { clock };
     ConfigurationRepository repository { store, clock, waiter };
     FakeFleet fleet;
     FakeTraces traces;
--- a/packages/admin/testing/whinyard/admin/RacingStore.h
+++ b/packages/admin/testing/whinyard/admin/RacingStore.h
@@ -6,7 +6,7 @@
 
 #include "whinyard/base/Random.h"
 #include "whinyard/config/Document.h"
-#include "whinyard/platform/FakeStore.h"
+#include "whinyard/backing/FakeStore.h"
 
 #include <boost/fiber/operations.hpp>
 
@@ -29,7 +29,7 @@
     std::size_t outages = 0;
 };
 
-class RacingStore final : public platform::KeyValueStore {
+class RacingStore final : public backing::KeyValueStore {
 public:
     RacingStore(const Clock& clock, Random& random, PlantedFault planted)
         : m_store(clock)
@@ -41,7 +41,7 @@
     // Every configuration that stood in the current record, in order.
     const std::vector<config::Configuration>& versions() const { return m_versions; }
     const RacingCounts& counts() const { return m_counts; }
-    platform::MemoryStore& memory() { return m_store.memory(); }
+    backing::MemoryStore& memory() { return m_store.memory(); }
 
     // Lets all delayed writes land.
     void settle()
@@ -51,7 +51,7 @@
         observe();
     }
 
-    std::optional<platform::Record> read(const std::string& key, Failure& failure) override
+    std::optional<backing::Record> read(const std::string& key, Failure& failure) override
     {
         disturb();
         auto record = m_store.read(key, failure);
@@ -60,7 +60,7 @@
         return record;
     }
 
-    std::optional<platform::Revision> swap(const platform::Swap& swap, Failure& failure) override
+    std::optional<backing::Revision> swap(const backing::Swap& swap, Failure& failure) override
     {
         disturb();
         const bool isHistory = swap.key != config::currentKey;
@@ -80,17 +80,17 @@
         return revision;
     }
 
-    bool erase(const std::string& key, platform::Revision expected, Failure& failure) override { return m_store.erase(key, expected, failure); }
+    bool erase(const std::string& key, backing::Revision expected, Failure& failure) override { return m_store.erase(key, expected, failure); }
 
-    std::optional<std::vector<platform::Record>> list(const std::string& prefix, const std::string& after, std::size_t limit, Failure& failure) override
+    std::optional<std::vector<backing::Record>> list(const std::string& prefix, const std::string& after, std::size_t limit, Failure& failure) override
     {
         disturb();
         return m_store.list(prefix, after, limit, failure);
     }
 
-    std::optional<platform::Record> watch(const std::string& key, platform::Revision known, std::chrono::milliseconds timeout, Failure& failure) override { return m_store.watch(key, known, timeout, failure); }
-    std::optional<platform::LeaseId> grantLease(std::chrono::milliseconds timeToLive, Failure& failure) override { return m_store.grantLease(timeToLive, failure); }
-    bool keepLease(platform::LeaseId lease, Failure& failure) override { return m_store.keepLease(lease, failure); }
+    std::optional<backing::Record> watch(const std::string& key, backing::Revision known, std::chrono::milliseconds timeout, Failure& failure) override { return m_store.watch(key, known, timeout, failure); }
+    std::optional<backing::LeaseId> grantLease(std::chrono::milliseconds timeToLive, Failure& failure) override { return m_store.grantLease(timeToLive, failure); }
+    bool keepLease(backing::LeaseId lease, Failure& failure) override { return m_store.keepLease(lease, failure); }
 
 private:
     bool chance(double probability) { return uniform(m_random) < probability; }
@@ -142,11 +142,11 @@
         return config::toRecord(configuration);
     }
 
-    platform::FakeStore m_store;
+    backing::FakeStore m_store;
     Random& m_random;
     const PlantedFault m_planted;
     RacingCounts m_counts;
-    platform::Revision m_lastRevision = 0;
+    backing::Revision m_lastRevision = 0;
     std::vector<config::Configuration> m_versions;
 };
 
--- a/packages/platform/include/whinyard/platform/HttpPlatform.h
+++ b/packages/backing/include/whinyard/backing/HttpPlatform.h
@@ -14,20 +14,16 @@
 // An answer 503 says that the call had no effect.
 #pragma once
 
-#include "whinyard/net/HttpClient.h"
-#include "whinyard/platform/InstanceList.h"
-#include "whinyard/platform/KeyValueStore.h"
-#include "whinyard/platform/RatingService.h"
+#include "whinyard/backing/InstanceList.h"
+#include "whinyard/backing/JsonCalls.h"
+#include "whinyard/backing/KeyValueStore.h"
+#include "whinyard/backing/RatingService.h"
 
 #include <memory>
 
-namespace whinyard::platform {
+namespace whinyard::backing {
 
-// How the adapter calls the platform.
-struct HttpPlatformOptions {
-    net::Address address;
-    std::chrono::milliseconds callTimeout { 500 };
-};
+using HttpPlatformOptions = JsonCallOptions;
 
 // Each object uses `client`, which must outlive it, on the client's duty.
 std::unique_ptr<KeyValueStore> makeHttpKeyValueStore(net::HttpClient& client, const HttpPlatformOptions& options);
--- a/packages/platform/include/whinyard/platform/InstanceList.h
+++ b/packages/backing/include/whinyard/backing/InstanceList.h
@@ -5,11 +5,12 @@
 #include "whinyard/base/Identity.h"
 #include "whinyard/net/Address.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
-namespace whinyard::platform {
+namespace whinyard::backing {
 
 // What an entry of the list is.
 enum class ListedKind : std::uint8_t {
@@ -27,6 +28,7 @@
     std::vector<VersionName> versions; // The versions that an engine has loaded.
     ServiceName service; // The service of a plain service's process.
     bool leaving = false;
+    std::uint32_t slots = 0; // Requests that it runs at once; 0 if it doesn't say.
 
     bool operator==(const ListedEndpoint&) const = default;
 };
--- a/packages/platform/include/whinyard/platform/KeyValueStore.h
+++ b/packages/backing/include/whinyard/backing/KeyValueStore.h
@@ -13,7 +13,7 @@
 #include <string_view>
 #include <vector>
 
-namespace whinyard::platform {
+namespace whinyard::backing {
 
 // The revision of a record: it rises with every write to the record's key, also over a deletion.
 // Zero stands for an absent record.
--- /dev/null
+++ b/packages/backing/include/whinyard/backing/PrefixFollower.h
@@ -0,0 +1,57 @@
+// Follows all records under a prefix of a store: reads them once, then watches, and reads them anew when the watch
+// has lost its place.
+//
+// The daemon runs one for each prefix that it needs, in a fiber of the store duty; the observer carries the changes
+// to where they are used.
+#pragma once
+
+#include "whinyard/backing/WatchableStore.h"
+#include "whinyard/base/Clock.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace whinyard::backing {
+
+// Is told of the records under a prefix.
+class PrefixObserver {
+public:
+    virtual ~PrefixObserver() = default;
+
+    // All records as they are now. Comes first, and again after changes may have been missed.
+    virtual void replaced(const std::vector<Record>& records) = 0;
+
+    virtual void changed(const std::vector<RecordChange>& changes) = 0;
+
+    // Everything that the store had accepted when a call that began at `startedAt` reached it has been told.
+    virtual void proven(SteadyTime startedAt) = 0;
+
+    // A call failed.
+    virtual void failed(const Failure& failure) = 0;
+};
+
+class PrefixFollower {
+public:
+    // All must outlive the object. `wait` bounds one watch: it adds to the time after which a lost connection is
+    // noticed.
+    PrefixFollower(WatchableStore& store, const Clock& clock, std::string prefix, std::chrono::milliseconds wait, PrefixObserver& observer);
+
+    // Makes one call, or one for each page of a range, and tells the observer. Returns whether it succeeded; after a
+    // failure the caller pauses before the next one.
+    bool turn();
+
+private:
+    bool readAll();
+    bool watchOnce();
+
+    WatchableStore& m_store;
+    const Clock& m_clock;
+    const std::string m_prefix;
+    const std::chrono::milliseconds m_wait;
+    PrefixObserver& m_observer;
+    bool m_placed = false; // A range was read, and no change after it was missed.
+    Revision m_revision = 0; // Up to which the observer knows everything.
+};
+
+}
--- a/packages/platform/include/whinyard/platform/RatingService.h
+++ b/packages/backing/include/whinyard/backing/RatingService.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace whinyard::platform {
+namespace whinyard::backing {
 
 // The rating of one answer.
 struct Rating {
--- /dev/null
+++ b/packages/backing/include/whinyard/backing/WatchableStore.h
@@ -0,0 +1,84 @@
+// A key-value service with one revision counter over all keys, as an interface: reads by prefix, watches from a
+// revision on, transactions over several keys, and leases.
+//
+// Instances that keep their shared state in a store of this kind use it; PrefixFollower keeps a copy of a prefix up
+// to date through it. The adapter to a real service and the fakes of the tests implement it.
+#pragma once
+
+#include "whinyard/backing/KeyValueStore.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace whinyard::backing {
+
+// A part of the records under a prefix, in the order of their keys.
+struct RecordPage {
+    std::vector<Record> records;
+    bool hasMore = false; // Further pages begin after the last key of this one. Pages are no snapshot.
+    Revision storeRevision = 0; // Of the store when the page was read.
+};
+
+// A record as it was written, or its deletion.
+struct RecordChange {
+    Record record; // Without a value when it was deleted.
+    bool deleted = false;
+};
+
+// What happened under a prefix after a revision.
+struct ChangePage {
+    std::vector<RecordChange> changes; // In the order of their revisions.
+    Revision storeRevision = 0; // Where the next watch continues.
+};
+
+// A write that is part of a transaction.
+struct Put {
+    std::string key;
+    std::string value;
+    LeaseId lease {}; // Number zero: the record lasts.
+};
+
+// What a record's revision must be for a transaction to happen; zero: the record is absent.
+struct Precondition {
+    std::string key;
+    Revision revision = 0;
+};
+
+struct Transaction {
+    std::vector<Precondition> preconditions;
+    std::vector<Put> puts;
+    std::vector<std::string> deletes;
+};
+
+// The service. A call suspends the calling fiber in production and returns at once in tests.
+//
+// Failures: storeUnavailable (definitely no effect), storeUncertain (a write whose reply is missing: it may have taken
+// effect, or may still do so), corruptRecord (the reply can't be understood).
+class WatchableStore {
+public:
+    virtual ~WatchableStore() = default;
+
+    // Reads the records whose keys start with `prefix` and come after `after`. Linearizable.
+    virtual std::optional<RecordPage> range(const std::string& prefix, const std::string& after, Failure& failure) = 0;
+
+    // Waits for changes under `prefix` after revision `after`, at most for `wait`; without any the page is empty.
+    // Fails with notFound when the service has dropped the history that it would take: read the range again.
+    virtual std::optional<ChangePage> watch(const std::string& prefix, Revision after, std::chrono::milliseconds wait, Failure& failure) = 0;
+
+    // Does all of a transaction or nothing, and returns its revision. Fails with swapConflict when a precondition
+    // doesn't hold, and with notFound when a lease has ended.
+    virtual std::optional<Revision> transact(const Transaction& transaction, Failure& failure) = 0;
+
+    virtual std::optional<LeaseId> grantLease(std::chrono::milliseconds timeToLive, Failure& failure) = 0;
+
+    // Returns false with notFound when the lease has ended.
+    virtual bool keepLease(LeaseId lease, Failure& failure) = 0;
+
+    // Ends a lease; its records vanish at once.
+    virtual bool endLease(LeaseId lease, Failure& failure) = 0;
+};
+
+}
--- a/packages/platform/src/HttpPlatform.cpp
+++ b/packages/backing/src/HttpPlatform.cpp
@@ -1,8 +1,8 @@
-#include "whinyard/platform/HttpPlatform.h"
+#include "whinyard/backing/HttpPlatform.h"
 
-#include "internal/PlatformCalls.h"
+#include "whinyard/backing/JsonCalls.h"
 
-namespace whinyard::platform {
+namespace whinyard::backing {
 
 namespace {
 
@@ -132,7 +132,7 @@
 
     private:
         // Returns the reply to a write that took effect.
-        std::optional<PlatformReply> write(const std::string& target, const json& body, Failure& failure)
+        std::optional<JsonReply> write(const std::string& target, const json& body, Failure& failure)
         {
             auto reply = m_calls.post(target, body, CallEffect::write, m_calls.callTimeout(), failure);
             if (!reply || reply->status == ok)
@@ -144,7 +144,7 @@
             return std::nullopt;
         }
 
-        static std::optional<Record> decodedRecord(const std::string& key, const PlatformReply& reply, Failure& failure)
+        static std::optional<Record> decodedRecord(const std::string& key, const JsonReply& reply, Failure& failure)
         {
             auto record = reply.status == ok ? recordFrom(key, reply.body) : std::nullopt;
             if (!record)
@@ -152,7 +152,7 @@
             return record;
         }
 
-        PlatformCalls m_calls;
+        JsonCalls m_calls;
     };
 
     std::optional<ListedKind> kindNamed(const std::string& name)
@@ -224,7 +224,7 @@
         }
 
     private:
-        PlatformCalls m_calls;
+        JsonCalls m_calls;
     };
 
     class HttpRatingService final : public RatingService {
@@ -250,7 +250,7 @@
         }
 
     private:
-        PlatformCalls m_calls;
+        JsonCalls m_calls;
     };
 
 }
--- a/packages/platform/src/internal/PlatformCalls.cpp
+++ b/packages/backing/src/JsonCalls.cpp
@@ -1,15 +1,17 @@
-#include "internal/PlatformCalls.h"
+#include "whinyard/backing/JsonCalls.h"
 
 #include <array>
 
-namespace whinyard::platform {
+namespace whinyard::backing {
 
 namespace {
 
+    // Both say that the service did nothing.
     constexpr int unavailableStatus = 503;
+    constexpr int overRateStatus = 429;
 
     // A list of values up to their largest size; the limit only guards memory.
-    constexpr std::size_t largestReply = 256 * largestValue;
+    constexpr std::size_t largestReply = 256 * 1'000'000;
 
     Failure missingReply(CallEffect effect, const net::HttpCallProgress& progress, const Failure& cause)
     {
@@ -36,18 +38,18 @@
 
 }
 
-PlatformCalls::PlatformCalls(net::HttpClient& client, const HttpPlatformOptions& options)
+JsonCalls::JsonCalls(net::HttpClient& client, const JsonCallOptions& options)
     : m_client(client)
     , m_options(options)
 {
 }
 
-std::optional<PlatformReply> PlatformCalls::get(const std::string& target, std::chrono::milliseconds timeout, Failure& failure) const
+std::optional<JsonReply> JsonCalls::get(const std::string& target, std::chrono::milliseconds timeout, Failure& failure) const
 {
     return call({ .method = "GET", .target = target, .fields = {}, .body = {} }, CallEffect::none, timeout, failure);
 }
 
-std::optional<PlatformReply> PlatformCalls::post(const std::string& target, const nlohmann::json& body, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure) const
+std::optional<JsonReply> JsonCalls::post(const std::string& target, const nlohmann::json& body, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure) const
 {
     net::HttpRequest request { .method = "POST", .target = target, .fields = { { "Content-Type", "application/json" } }, .body = {} };
     try {
@@ -59,7 +61,12 @@
     return call(request, effect, timeout, failure);
 }
 
-std::optional<PlatformReply> PlatformCalls::call(const net::HttpRequest& request, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure) const
+std::optional<JsonReply> JsonCalls::remove(const std::string& target, std::chrono::milliseconds timeout, Failure& failure) const
+{
+    return call({ .method = "DELETE", .target = target, .fields = {}, .body = {} }, CallEffect::write, timeout, failure);
+}
+
+std::optional<JsonReply> JsonCalls::call(const net::HttpRequest& request, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure) const
 {
     const net::HttpCallOptions options {
         .connectTimeout = std::min(timeout, m_options.callTimeout),
@@ -75,14 +82,14 @@
         failure = missingReply(effect, progress, cause);
         return std::nullopt;
     }
-    if (response->status == unavailableStatus) {
-        failure = { .kind = ErrorKind::storeUnavailable, .reason = "the platform refused the call without effect" };
+    if (response->status == unavailableStatus || response->status == overRateStatus) {
+        failure = { .kind = ErrorKind::storeUnavailable, .reason = "the service refused the call without effect, status " + std::to_string(response->status) };
         return std::nullopt;
     }
-    return PlatformReply { response->status, parsedObject(response->body) };
+    return JsonReply { response->status, parsedObject(response->body) };
 }
 
-void failUnforeseen(const PlatformReply& reply, CallEffect effect, Failure& failure)
+void failUnforeseen(const JsonReply& reply, CallEffect effect, Failure& failure)
 {
     failure = {
         .kind = effect == CallEffect::write ? ErrorKind::storeUncertain : ErrorKind::corruptRecord,
--- /dev/null
+++ b/packages/backing/src/PrefixFollower.cpp
@@ -0,0 +1,72 @@
+#include "whinyard/backing/PrefixFollower.h"
+
+#include <algorithm>
+
+namespace whinyard::backing {
+
+PrefixFollower::PrefixFollower(WatchableStore& store, const Clock& clock, std::string prefix, std::chrono::milliseconds wait, PrefixObserver& observer)
+    : m_store(store)
+    , m_clock(clock)
+    , m_prefix(std::move(prefix))
+    , m_wait(wait)
+    , m_observer(observer)
+{
+}
+
+bool PrefixFollower::turn()
+{
+    return m_placed ? watchOnce() : readAll();
+}
+
+bool PrefixFollower::readAll()
+{
+    const SteadyTime startedAt = m_clock.now();
+    std::vector<Record> records;
+    std::string after;
+    std::optional<Revision> first;
+    while (true) {
+        Failure failure;
+        std::optional<RecordPage> page = m_store.range(m_prefix, after, failure);
+        if (!page) {
+            m_observer.failed(failure);
+            return false;
+        }
+        // Pages are no snapshot: what changes between them is told by a watch from the first one's revision on.
+        first = first.value_or(page->storeRevision);
+        for (Record& record : page->records)
+            records.push_back(std::move(record));
+        if (!page->hasMore || records.empty())
+            break;
+        after = records.back().key;
+    }
+    m_revision = *first;
+    m_placed = true;
+    m_observer.replaced(records);
+    m_observer.proven(startedAt);
+    return true;
+}
+
+bool PrefixFollower::watchOnce()
+{
+    const SteadyTime startedAt = m_clock.now();
+    Failure failure;
+    const std::optional<ChangePage> page = m_store.watch(m_prefix, m_revision, m_wait, failure);
+    if (!page) {
+        if (failure.kind == ErrorKind::notFound) {
+            m_placed = false;
+            return readAll();
+        }
+        m_observer.failed(failure);
+        return false;
+    }
+    // The place is the last change told, not the store's revision: a watch that was silent over changes whose history
+    // was then dropped is found out by that, at the price of one range read for each span of history without a change.
+    for (const RecordChange& change : page->changes)
+        m_revision = std::max(m_revision, change.record.revision);
+    if (!page->changes.empty())
+        m_observer.changed(page->changes);
+    m_observer.proven(startedAt);
+    return true;
+}
+
+}
--- a/packages/platform/test/FakeStoreTest.cpp
+++ b/packages/backing/test/FakeStoreTest.cpp
@@ -1,10 +1,10 @@
-#include "whinyard/platform/FakeStore.h"
+#include "whinyard/backing/FakeStore.h"
 
 #include "whinyard/base/FakeClock.h"
 
 #include <gtest/gtest.h>
 
-namespace whinyard::platform {
+namespace whinyard::backing {
 
 namespace {
 
--- a/packages/platform/test/HttpPlatformTest.cpp
+++ b/packages/backing/test/HttpPlatformTest.cpp
@@ -1,10 +1,10 @@
-#include "whinyard/platform/HttpPlatform.h"
+#include "whinyard/backing/HttpPlatform.h"
 
 #include <deque>
 
 #include <gtest/gtest.h>
 
-namespace whinyard::platform {
+namespace whinyard::backing {
 
 namespace {
 
--- a/packages/platform/testing/whinyard/platform/FakeInstanceList.h
+++ b/packages/backing/testing/whinyard/backing/FakeInstanceList.h
@@ -1,9 +1,9 @@
 // An instance list that a test sets.
 #pragma once
 
-#include "whinyard/platform/InstanceList.h"
+#include "whinyard/backing/InstanceList.h"
 
-namespace whinyard::platform {
+namespace whinyard::backing {
 
 class FakeInstanceList final : public InstanceList {
 public:
--- a/packages/platform/testing/whinyard/platform/FakeRatingService.h
+++ b/packages/backing/testing/whinyard/backing/FakeRatingService.h
@@ -1,11 +1,11 @@
 // A rating service whose scores a test sets.
 #pragma once
 
-#include "whinyard/platform/RatingService.h"
+#include "whinyard/backing/RatingService.h"
 
 #include <map>
 
-namespace whinyard::platform {
+namespace whinyard::backing {
 
 class FakeRatingService final : public RatingService {
 public:
--- a/packages/platform/testing/whinyard/platform/FakeStore.h
+++ b/packages/backing/testing/whinyard/backing/FakeStore.h
@@ -3,13 +3,13 @@
 // Tests of the ledger, the configuration and the daemon use it. Several objects under test may share one.
 #pragma once
 
-#include "whinyard/platform/MemoryStore.h"
+#include "whinyard/backing/MemoryStore.h"
 
 #include <deque>
 #include <functional>
 #include <utility>
 
-namespace whinyard::platform {
+namespace whinyard::backing {
 
 // How often each call was made, refused ones included.
 struct StoreCalls {
--- a/packages/platform/testing/whinyard/platform/MemoryStore.h
+++ b/packages/backing/testing/whinyard/backing/MemoryStore.h
@@ -5,12 +5,12 @@
 #pragma once
 
 #include "whinyard/base/Clock.h"
-#include "whinyard/platform/KeyValueStore.h"
+#include "whinyard/backing/KeyValueStore.h"
 
 #include <algorithm>
 #include <map>
 
-namespace whinyard::platform {
+namespace whinyard::backing {
 
 class MemoryStore {
 public:
--- a/packages/base/include/whinyard/base/Log.h
+++ b/packages/base/include/whinyard/base/Log.h
@@ -1,4 +1,4 @@
-// Structured logs: JSON lines on standard error through spdlog, written by a thread of its own.
+// Structured logs: JSON lines on standard output through spdlog, written by a thread of its own.
 //
 // Every line has "time", "level", "process" and "message"; further fields come from the caller. A
 // key or secret never goes into a log line.
--- a/packages/base/src/Log.cpp
+++ b/packages/base/src/Log.cpp
@@ -40,7 +40,7 @@
     stop();
     processName = process;
     spdlog::init_thread_pool(queueLength, 1);
-    auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
     // When the queue is full the oldest line is overwritten: logging never holds a request back.
     auto logger = std::make_shared<spdlog::async_logger>(loggerName, std::move(sink), spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
     logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%fZ","level":"%l",%v)", spdlog::pattern_time_type::utc);
--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -8,7 +8,7 @@
 #include "whinyard/base/Clock.h"
 #include "whinyard/base/Random.h"
 #include "whinyard/endpoint/EngineClient.h"
-#include "whinyard/platform/InstanceList.h"
+#include "whinyard/backing/InstanceList.h"
 #include "whinyard/policy/Cascade.h"
 #include "whinyard/policy/EndpointChoice.h"
 
@@ -47,10 +47,10 @@
 class EndpointDirectory {
 public:
     // `zone` is the instance's own.
-    EndpointDirectory(ZoneName zone, Random random);
+    EndpointDirectory(ZoneName zone, Random random, const policy::EndpointTableSettings& table = {}, const policy::WaitSelectorSettings& selector = {});
 
     // Takes the platform's list. Entries of other instances are ignored.
-    void replace(const std::vector<platform::ListedEndpoint>& listed);
+    void replace(const std::vector<backing::ListedEndpoint>& listed);
 
     // Takes the endpoint out of all choices at once. It stays out until the list shows it anew: it
     // was absent, or listed as leaving, and is then listed as live again.
@@ -74,7 +74,7 @@
     std::vector<EndpointName> takeRefusals();
 
     // Returns the engines that are listed and not leaving, in the order of their names.
-    std::vector<platform::ListedEndpoint> engines() const;
+    std::vector<backing::ListedEndpoint> engines() const;
 
     // Returns how many endpoints are listed and not leaving.
     std::size_t size() const;
@@ -90,14 +90,14 @@
     policy::CascadeStep expectation(const VersionName& version, SteadyTime now, std::uint32_t promptTokens = 0);
 
 private:
-    bool isLive(const platform::ListedEndpoint& endpoint) const;
+    bool isLive(const backing::ListedEndpoint& endpoint) const;
     std::optional<policy::TargetIndex> targetOf(const EndpointWish& wish) const;
 
     ZoneName m_zone;
     Random m_random;
     policy::EndpointTable m_table;
     std::unique_ptr<policy::EndpointSelector> m_selector;
-    std::map<EndpointName, platform::ListedEndpoint> m_listed;
+    std::map<EndpointName, backing::ListedEndpoint> m_listed;
     std::vector<EndpointName> m_refusals;
 };
 
--- /dev/null
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointRoster.h
@@ -0,0 +1,60 @@
+// The endpoints that a store lists, over the times at which the store itself was away.
+//
+// Endpoints keep their entries under leases, which may lapse while the store is away although the endpoints live. So
+// an entry that vanishes around such a time is kept for a moment; one that vanishes at any other time is gone.
+// The daemon feeds it what a store's watch tells and hands its list to EndpointDirectory. Pure.
+#pragma once
+
+#include "whinyard/backing/InstanceList.h"
+#include "whinyard/base/Clock.h"
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace whinyard::endpoint {
+
+struct RosterSettings {
+    // Endpoints that live are listed again about two seconds after the store's return; one that isn't is gone.
+    std::chrono::milliseconds returnWithin { 2'200 };
+};
+
+class EndpointRoster {
+public:
+    explicit EndpointRoster(const RosterSettings& settings = {});
+
+    // Takes all entries as they are now.
+    void replace(const std::vector<backing::ListedEndpoint>& listed, SteadyTime now);
+
+    // Takes one entry that was written, or vanished.
+    void put(const backing::ListedEndpoint& endpoint);
+    void remove(const EndpointName& endpoint, SteadyTime now);
+
+    // Notes that a call to the store failed, or succeeded.
+    void storeFailed();
+    void storeAnswered(SteadyTime now);
+
+    // Drops the entries that were kept for long enough. Returns whether the list has changed, for any reason, since
+    // the last call.
+    bool settle(SteadyTime now);
+
+    // Returns the endpoints in the order of their names.
+    std::vector<backing::ListedEndpoint> list() const;
+
+private:
+    struct Entry {
+        backing::ListedEndpoint endpoint;
+        std::optional<SteadyTime> goneAt; // When it is dropped unless it is listed again.
+    };
+
+    void drop(std::map<EndpointName, Entry>::iterator entry, SteadyTime now);
+
+    const RosterSettings m_settings;
+    std::map<EndpointName, Entry> m_entries;
+    bool m_storeFails = false;
+    std::optional<SteadyTime> m_backSince; // Since when the store has answered again.
+    bool m_changed = false;
+};
+
+}
--- a/packages/endpoint/src/EndpointDirectory.cpp
+++ b/packages/endpoint/src/EndpointDirectory.cpp
@@ -7,16 +7,17 @@
 
 namespace {
 
-    policy::EndpointMember memberOf(const platform::ListedEndpoint& listed)
+    policy::EndpointMember memberOf(const backing::ListedEndpoint& listed)
     {
         policy::EndpointMember member;
         member.name = listed.name;
         member.zone = listed.zone;
-        if (listed.kind == platform::ListedKind::engine)
+        if (listed.kind == backing::ListedKind::engine)
             member.versions = listed.versions;
         else
             member.services = { listed.service };
         member.leaving = listed.leaving;
+        member.slots = listed.slots;
         return member;
     }
 
@@ -35,19 +36,20 @@
 
 }
 
-EndpointDirectory::EndpointDirectory(ZoneName zone, Random random)
+EndpointDirectory::EndpointDirectory(ZoneName zone, Random random, const policy::EndpointTableSettings& table, const policy::WaitSelectorSettings& selector)
     : m_zone(std::move(zone))
     , m_random(random)
-    , m_selector(policy::makeWaitSelector())
+    , m_table(table)
+    , m_selector(policy::makeWaitSelector(selector))
 {
 }
 
-void EndpointDirectory::replace(const std::vector<platform::ListedEndpoint>& listed)
+void EndpointDirectory::replace(const std::vector<backing::ListedEndpoint>& listed)
 {
     std::vector<policy::EndpointMember> members;
     m_listed.clear();
-    for (const platform::ListedEndpoint& endpoint : listed) {
-        if (endpoint.kind == platform::ListedKind::instance)
+    for (const backing::ListedEndpoint& endpoint : listed) {
+        if (endpoint.kind == backing::ListedKind::instance)
             continue;
         members.push_back(memberOf(endpoint));
         m_listed.insert_or_assign(endpoint.name, endpoint);
@@ -178,7 +180,7 @@
     return step;
 }
 
-bool EndpointDirectory::isLive(const platform::ListedEndpoint& endpoint) const
+bool EndpointDirectory::isLive(const backing::ListedEndpoint& endpoint) const
 {
     const std::optional<policy::EndpointIndex> index = m_table.find(endpoint.name);
     return index && !m_table.row(*index).leaving;
@@ -189,11 +191,11 @@
     return std::exchange(m_refusals, {});
 }
 
-std::vector<platform::ListedEndpoint> EndpointDirectory::engines() const
+std::vector<backing::ListedEndpoint> EndpointDirectory::engines() const
 {
-    std::vector<platform::ListedEndpoint> engines;
+    std::vector<backing::ListedEndpoint> engines;
     for (const auto& [name, listed] : m_listed) {
-        if (listed.kind == platform::ListedKind::engine && isLive(listed))
+        if (listed.kind == backing::ListedKind::engine && isLive(listed))
             engines.push_back(listed);
     }
     return engines;
--- /dev/null
+++ b/packages/endpoint/src/EndpointRoster.cpp
@@ -0,0 +1,80 @@
+#include "whinyard/endpoint/EndpointRoster.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace whinyard::endpoint {
+
+EndpointRoster::EndpointRoster(const RosterSettings& settings)
+    : m_settings(settings)
+{
+}
+
+void EndpointRoster::replace(const std::vector<backing::ListedEndpoint>& listed, SteadyTime now)
+{
+    for (const backing::ListedEndpoint& endpoint : listed)
+        put(endpoint);
+    for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+        const auto next = std::next(entry);
+        const bool isListed = std::any_of(listed.begin(), listed.end(), [&](const auto& endpoint) { return endpoint.name == entry->first; });
+        if (!isListed && !entry->second.goneAt)
+            drop(entry, now);
+        entry = next;
+    }
+}
+
+void EndpointRoster::put(const backing::ListedEndpoint& endpoint)
+{
+    Entry& entry = m_entries[endpoint.name];
+    entry.goneAt.reset();
+    if (entry.endpoint == endpoint)
+        return;
+    entry.endpoint = endpoint;
+    m_changed = true;
+}
+
+void EndpointRoster::remove(const EndpointName& endpoint, SteadyTime now)
+{
+    const auto entry = m_entries.find(endpoint);
+    if (entry != m_entries.end() && !entry->second.goneAt)
+        drop(entry, now);
+}
+
+void EndpointRoster::drop(std::map<EndpointName, Entry>::iterator entry, SteadyTime now)
+{
+    const bool storeIsDisturbed = m_storeFails || (m_backSince && now < *m_backSince + m_settings.returnWithin);
+    if (storeIsDisturbed && !entry->second.endpoint.leaving) {
+        entry->second.goneAt = m_backSince.value_or(now) + m_settings.returnWithin;
+        return;
+    }
+    m_entries.erase(entry);
+    m_changed = true;
+}
+
+void EndpointRoster::storeFailed()
+{
+    m_storeFails = true;
+}
+
+void EndpointRoster::storeAnswered(SteadyTime now)
+{
+    if (std::exchange(m_storeFails, false))
+        m_backSince = now;
+}
+
+bool EndpointRoster::settle(SteadyTime now)
+{
+    const std::size_t gone = std::erase_if(m_entries, [&](const auto& entry) { return entry.second.goneAt && now >= *entry.second.goneAt; });
+    return std::exchange(m_changed, false) || gone > 0;
+}
+
+std::vector<backing::ListedEndpoint> EndpointRoster::list() const
+{
+    std::vector<backing::ListedEndpoint> endpoints;
+    for (const auto& [name, entry] : m_entries)
+        endpoints.push_back(entry.endpoint);
+    return endpoints;
+}
+
+}
--- a/packages/endpoint/test/EndpointDirectoryTest.cpp
+++ b/packages/endpoint/test/EndpointDirectoryTest.cpp
@@ -7,9 +7,9 @@
 
     class EndpointDirectoryTest : public testing::Test {
     protected:
-        static platform::ListedEndpoint engine(const std::string& name, bool leaving = false)
+        static backing::ListedEndpoint engine(const std::string& name, bool leaving = false)
         {
-            return { .name = { name }, .kind = platform::ListedKind::engine, .address = { "127.0.0.1", 1 }, .zone = { "a" }, .versions = { { "v1" } }, .service = {}, .leaving = leaving };
+            return { .name = { name }, .kind = backing::ListedKind::engine, .address = { "127.0.0.1", 1 }, .zone = { "a" }, .versions = { { "v1" } }, .service = {}, .leaving = leaving };
         }
 
         std::string choose(std::vector<EndpointName> excluded = {})
--- /dev/null
+++ b/packages/endpoint/test/EndpointRosterTest.cpp
@@ -0,0 +1,87 @@
+#include "whinyard/endpoint/EndpointRoster.h"
+
+#include "whinyard/base/FakeClock.h"
+
+#include <gtest/gtest.h>
+
+namespace whinyard::endpoint {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    backing::ListedEndpoint listed(const std::string& name, bool leaving = false)
+    {
+        backing::ListedEndpoint endpoint;
+        endpoint.name.value = name;
+        endpoint.leaving = leaving;
+        return endpoint;
+    }
+
+    class EndpointRosterTest : public ::testing::Test {
+    protected:
+        EndpointRosterTest()
+        {
+            m_roster.replace({ listed("a"), listed("b"), listed("c", true) }, m_clock.now());
+            m_roster.settle(m_clock.now());
+        }
+
+        bool has(const std::string& name)
+        {
+            m_roster.settle(m_clock.now());
+            for (const backing::ListedEndpoint& endpoint : m_roster.list()) {
+                if (endpoint.name.value == name)
+                    return true;
+            }
+            return false;
+        }
+
+        FakeClock m_clock;
+        EndpointRoster m_roster;
+    };
+
+    TEST_F(EndpointRosterTest, DropsAnEntryThatVanishesAtOnce)
+    {
+        m_roster.remove({ "a" }, m_clock.now());
+        EXPECT_FALSE(has("a"));
+        EXPECT_TRUE(has("b"));
+    }
+
+    TEST_F(EndpointRosterTest, KeepsEntriesThatLapsedWhileTheStoreWasAway)
+    {
+        m_roster.storeFailed();
+        m_clock.advance(4s);
+        m_roster.storeAnswered(m_clock.now());
+        m_roster.replace({ listed("b") }, m_clock.now());
+        EXPECT_TRUE(has("a"));
+        EXPECT_FALSE(has("c")) << "it was leaving already";
+        m_clock.advance(1s);
+        m_roster.put(listed("a"));
+        m_clock.advance(5s);
+        EXPECT_TRUE(has("a"));
+    }
+
+    TEST_F(EndpointRosterTest, DropsWhatDoesNotReturnWithTheStore)
+    {
+        m_roster.storeFailed();
+        m_clock.advance(4s);
+        m_roster.storeAnswered(m_clock.now());
+        m_clock.advance(500ms);
+        m_roster.remove({ "a" }, m_clock.now());
+        EXPECT_TRUE(has("a"));
+        m_clock.advance(1'800ms);
+        EXPECT_FALSE(has("a"));
+        m_roster.remove({ "b" }, m_clock.now());
+        EXPECT_FALSE(has("b")) << "the store has been back for long enough";
+    }
+
+    TEST_F(EndpointRosterTest, TellsOnlyOfRealChanges)
+    {
+        m_roster.put(listed("a"));
+        EXPECT_FALSE(m_roster.settle(m_clock.now()));
+        m_roster.put(listed("a", true));
+        EXPECT_TRUE(m_roster.settle(m_clock.now()));
+        EXPECT_FALSE(m_roster.settle(m_clock.now()));
+    }
+
+}
+}
--- a/packages/ledger/include/whinyard/ledger/PartitionLog.h
+++ b/packages/ledger/include/whinyard/ledger/PartitionLog.h
@@ -54,7 +54,7 @@
 
 struct OutcomeResult {
     std::optional<Failure> failure; // Nothing: the outcome is durable.
-    platform::Revision revision = 0;
+    backing::Revision revision = 0;
 };
 
 // What the log has done so far, for metrics and figures.
@@ -167,7 +167,7 @@
     // A swap of the head whose effect isn't known yet.
     struct PendingSwap {
         std::string value;
-        platform::Revision expected = 0;
+        backing::Revision expected = 0;
         IntentHead head;
         std::vector<PendingIntent> intents;
         std::vector<LogTicket> outcomes;
@@ -219,7 +219,7 @@
     struct Erasing {
         Erasure erasure;
         std::deque<std::string> keys;
-        platform::Revision revision = 0; // Of the first key, once read.
+        backing::Revision revision = 0; // Of the first key, once read.
         bool listed = false;
     };
 
@@ -283,9 +283,9 @@
     void listDropped(const StoreReply& reply);
     void stopMaintenance(const std::string& reason);
     void known();
-    void swapLanded(platform::Revision revision);
+    void swapLanded(backing::Revision revision);
     void resolveSwap();
-    void intentDurable(const PendingIntent& intent, platform::Revision revision);
+    void intentDurable(const PendingIntent& intent, backing::Revision revision);
     void dissolveSwap();
     void becomeCorrupt(const std::string& reason);
     void lostRecord(const std::string& key);
--- a/packages/ledger/include/whinyard/ledger/PartitionState.h
+++ b/packages/ledger/include/whinyard/ledger/PartitionState.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "whinyard/ledger/IntentRecord.h"
-#include "whinyard/platform/KeyValueStore.h"
+#include "whinyard/backing/KeyValueStore.h"
 
 #include <optional>
 #include <set>
@@ -35,14 +35,14 @@
     PartitionState(std::uint32_t partition, Writer own);
 
     const IntentHead& head() const { return m_head; }
-    platform::Revision revision() const { return m_revision; }
+    backing::Revision revision() const { return m_revision; }
 
     // Takes a head that was read. Returns false with corruptRecord when it contradicts what is known;
     // the state is unchanged then. Afterwards missingSegment() tells what to load.
-    bool adopt(IntentHead head, platform::Revision revision, Failure& failure);
+    bool adopt(IntentHead head, backing::Revision revision, Failure& failure);
 
     // Takes the head that this instance has just written over the one that it knew.
-    void advance(IntentHead head, platform::Revision revision);
+    void advance(IntentHead head, backing::Revision revision);
 
     // Returns the first segment of the head that isn't indexed yet.
     std::optional<std::uint64_t> missingSegment() const;
@@ -89,7 +89,7 @@
         std::uint64_t position = 0;
     };
 
-    bool contradicts(const IntentHead& head, platform::Revision revision) const;
+    bool contradicts(const IntentHead& head, backing::Revision revision) const;
     void apply(const IntentEntry& entry);
     void applyOutcome(const IntentEntry& entry, const KeySlot& slot);
     void applyHead();
@@ -101,7 +101,7 @@
     std::set<std::uint64_t> m_ownOutcomes;
     std::uint64_t m_oldest = 0; // Slots of segments below it are dropped.
     IntentHead m_head;
-    platform::Revision m_revision = 0;
+    backing::Revision m_revision = 0;
     Cursor m_next; // The next entry to apply.
     std::unordered_map<ShortDigest, KeySlot> m_index;
     std::unordered_map<ShortDigest, IntentEntry> m_open;
--- a/packages/ledger/include/whinyard/ledger/StoreCall.h
+++ b/packages/ledger/include/whinyard/ledger/StoreCall.h
@@ -4,7 +4,7 @@
 // The state machines of this package return StoreCalls; their drivers and the tests carry them out.
 #pragma once
 
-#include "whinyard/platform/KeyValueStore.h"
+#include "whinyard/backing/KeyValueStore.h"
 
 #include <cstdint>
 #include <optional>
@@ -23,19 +23,19 @@
     StoreCallKind kind = StoreCallKind::read;
     std::string key;
     std::string value; // Only for swap.
-    platform::Revision expected = 0; // For swap and erase.
+    backing::Revision expected = 0; // For swap and erase.
 };
 
 // What came of a call. `failure` stands for all that is not a success.
 struct StoreReply {
-    std::optional<platform::Record> record; // Of a read that succeeded.
-    platform::Revision revision = 0; // Of a swap that succeeded.
+    std::optional<backing::Record> record; // Of a read that succeeded.
+    backing::Revision revision = 0; // Of a swap that succeeded.
     std::optional<Failure> failure;
 
     bool failedWith(ErrorKind kind) const { return failure && failure->kind == kind; }
 };
 
 // Carries out `call`; suspends the fiber as the store does.
-StoreReply execute(platform::KeyValueStore& store, const StoreCall& call);
+StoreReply execute(backing::KeyValueStore& store, const StoreCall& call);
 
 }
--- a/packages/ledger/include/whinyard/ledger/StoredIntentLedger.h
+++ b/packages/ledger/include/whinyard/ledger/StoredIntentLedger.h
@@ -25,7 +25,7 @@
 class StoredIntentLedger final : public IntentLedger {
 public:
     // All references must outlive the object. `live` is asked on the store duty.
-    StoredIntentLedger(net::Duty& duty, platform::KeyValueStore& store, const Writer& self, const StoredIntentLedgerOptions& options, const Clock& clock, const LiveWriters& live);
+    StoredIntentLedger(net::Duty& duty, backing::KeyValueStore& store, const Writer& self, const StoredIntentLedgerOptions& options, const Clock& clock, const LiveWriters& live);
     ~StoredIntentLedger() override;
 
     std::optional<AdmissionAnswer> admit(const CallIdentity& call, const RequestId& request, Failure& failure) override;
@@ -54,7 +54,7 @@
     void waitForChange(Partition& partition);
 
     net::Duty& m_duty;
-    platform::KeyValueStore& m_store;
+    backing::KeyValueStore& m_store;
     const Writer m_self;
     const StoredIntentLedgerOptions m_options;
     const Clock& m_clock;
--- a/packages/ledger/include/whinyard/ledger/StoredUsageLedger.h
+++ b/packages/ledger/include/whinyard/ledger/StoredUsageLedger.h
@@ -28,7 +28,7 @@
 class StoredUsageLedger final : public UsageLedger {
 public:
     // All references must outlive the object. Made on the store duty, whose fibers it starts.
-    StoredUsageLedger(net::Duty& duty, platform::KeyValueStore& store, MirrorChannel& channel, const Writer& self, const StoredUsageLedgerOptions& options, const Clock& clock, const LiveWriters& live);
+    StoredUsageLedger(net::Duty& duty, backing::KeyValueStore& store, MirrorChannel& channel, const Writer& self, const StoredUsageLedgerOptions& options, const Clock& clock, const LiveWriters& live);
     ~StoredUsageLedger() override;
 
     std::optional<std::string> record(const UsageLine& line, Failure& failure) override;
--- a/packages/ledger/include/whinyard/ledger/UsageReader.h
+++ b/packages/ledger/include/whinyard/ledger/UsageReader.h
@@ -7,7 +7,7 @@
 #include "whinyard/base/Clock.h"
 #include "whinyard/ledger/IntentRecord.h"
 #include "whinyard/ledger/UsageLine.h"
-#include "whinyard/platform/KeyValueStore.h"
+#include "whinyard/backing/KeyValueStore.h"
 
 #include <compare>
 #include <cstdint>
@@ -56,7 +56,7 @@
 class UsageReader {
 public:
     // `store` must outlive the reader; `partitions` is that of the intent ledger.
-    UsageReader(platform::KeyValueStore& store, std::uint32_t partitions);
+    UsageReader(backing::KeyValueStore& store, std::uint32_t partitions);
 
     // Reads all records and adds up. Without every answer of the store there is no total: returns nothing with
     // storeUnavailable then. A corrupt record is listed and doesn't stop the others.
@@ -76,7 +76,7 @@
     bool collectSegments(std::uint32_t partition, const std::vector<SegmentInfo>& segments, const UsageQuery& query, Union& all, bool& changed, Failure& failure);
     bool collectUsage(const UsageQuery& query, Union& all, Failure& failure);
 
-    platform::KeyValueStore& m_store;
+    backing::KeyValueStore& m_store;
     const std::uint32_t m_partitions;
 };
 
--- a/packages/ledger/src/PartitionLogCalls.cpp
+++ b/packages/ledger/src/PartitionLogCalls.cpp
@@ -182,7 +182,7 @@
     takeMaintenance(swap.head);
     const bool maintains = swap.head.erasing != m_state.head().erasing;
     const std::size_t used = entryBytes(swap.head) + headerReserve + bytesPerSegmentInfo * swap.head.segments.size();
-    std::size_t budget = used < platform::largestValue ? std::min(m_options.batchBytes, platform::largestValue - used) : 0;
+    std::size_t budget = used < backing::largestValue ? std::min(m_options.batchBytes, backing::largestValue - used) : 0;
     addOutcomes(swap, budget);
     addIntents(swap, budget);
     if (swap.intents.empty() && swap.outcomes.empty() && !maintains)
--- a/packages/ledger/src/PartitionLogReplies.cpp
+++ b/packages/ledger/src/PartitionLogReplies.cpp
@@ -103,7 +103,7 @@
             return becomeCorrupt(failure.reason);
         head = std::move(*parsed);
     }
-    const platform::Revision revision = reply.record ? reply.record->revision : 0;
+    const backing::Revision revision = reply.record ? reply.record->revision : 0;
     const bool listsMissing = m_missing && std::any_of(head.segments.begin(), head.segments.end(), [&](const SegmentInfo& segment) { return recordKeyOf(m_partition, segment) == *m_missing; });
     if (listsMissing) {
         const std::string key = *m_missing;
@@ -267,7 +267,7 @@
     m_swap.reset();
 }
 
-void PartitionLog::swapLanded(platform::Revision revision)
+void PartitionLog::swapLanded(backing::Revision revision)
 {
     PendingSwap swap = std::move(*m_swap);
     m_swap.reset();
@@ -309,7 +309,7 @@
     }
 }
 
-void PartitionLog::intentDurable(const PendingIntent& intent, platform::Revision revision)
+void PartitionLog::intentDurable(const PendingIntent& intent, backing::Revision revision)
 {
     if (m_waiting.contains(intent.ticket)) {
         AdmissionAnswer result;
--- a/packages/ledger/src/PartitionState.cpp
+++ b/packages/ledger/src/PartitionState.cpp
@@ -31,7 +31,7 @@
     m_head.partition = partition;
 }
 
-bool PartitionState::contradicts(const IntentHead& head, platform::Revision revision) const
+bool PartitionState::contradicts(const IntentHead& head, backing::Revision revision) const
 {
     if (revision < m_revision || head.nextSegment < m_head.nextSegment || !segmentsFollowEachOther(head))
         return true;
@@ -42,7 +42,7 @@
     return !std::equal(m_head.entries.begin(), m_head.entries.end(), head.entries.begin(), [](const EncodedEntry& known, const EncodedEntry& read) { return known.text == read.text; });
 }
 
-bool PartitionState::adopt(IntentHead head, platform::Revision revision, Failure& failure)
+bool PartitionState::adopt(IntentHead head, backing::Revision revision, Failure& failure)
 {
     if (contradicts(head, revision)) {
         failure = { .kind = ErrorKind::corruptRecord, .reason = headKey(m_partition) + ": the head contradicts revision " + std::to_string(m_revision) + " that was read before" };
@@ -56,7 +56,7 @@
     return true;
 }
 
-void PartitionState::advance(IntentHead head, platform::Revision revision)
+void PartitionState::advance(IntentHead head, backing::Revision revision)
 {
     const std::uint64_t sealedBefore = m_head.nextSegment;
     m_head = std::move(head);
--- a/packages/ledger/src/StoreCall.cpp
+++ b/packages/ledger/src/StoreCall.cpp
@@ -2,7 +2,7 @@
 
 namespace whinyard::ledger {
 
-StoreReply execute(platform::KeyValueStore& store, const StoreCall& call)
+StoreReply execute(backing::KeyValueStore& store, const StoreCall& call)
 {
     StoreReply reply;
     Failure failure;
--- a/packages/ledger/src/StoredIntentLedger.cpp
+++ b/packages/ledger/src/StoredIntentLedger.cpp
@@ -25,7 +25,7 @@
     bool stopping = false;
 };
 
-StoredIntentLedger::StoredIntentLedger(net::Duty& duty, platform::KeyValueStore& store, const Writer& self, const StoredIntentLedgerOptions& options, const Clock& clock, const LiveWriters& live)
+StoredIntentLedger::StoredIntentLedger(net::Duty& duty, backing::KeyValueStore& store, const Writer& self, const StoredIntentLedgerOptions& options, const Clock& clock, const LiveWriters& live)
     : m_duty(duty)
     , m_store(store)
     , m_self(self)
--- a/packages/ledger/src/StoredUsageLedger.cpp
+++ b/packages/ledger/src/StoredUsageLedger.cpp
@@ -18,7 +18,7 @@
 }
 
 struct StoredUsageLedger::State {
-    State(net::Duty& usedDuty, platform::KeyValueStore& usedStore, MirrorChannel& usedChannel, const Writer& self, const StoredUsageLedgerOptions& chosen, const Clock& usedClock, const LiveWriters& live)
+    State(net::Duty& usedDuty, backing::KeyValueStore& usedStore, MirrorChannel& usedChannel, const Writer& self, const StoredUsageLedgerOptions& chosen, const Clock& usedClock, const LiveWriters& live)
         : duty(usedDuty)
         , store(usedStore)
         , channel(usedChannel)
@@ -31,7 +31,7 @@
     }
 
     net::Duty& duty;
-    platform::KeyValueStore& store;
+    backing::KeyValueStore& store;
     MirrorChannel& channel;
     const StoredUsageLedgerOptions options;
     const Clock& clock;
@@ -43,7 +43,7 @@
     bool stopping = false;
 };
 
-StoredUsageLedger::StoredUsageLedger(net::Duty& duty, platform::KeyValueStore& store, MirrorChannel& channel, const Writer& self, const StoredUsageLedgerOptions& options, const Clock& clock, const LiveWriters& live)
+StoredUsageLedger::StoredUsageLedger(net::Duty& duty, backing::KeyValueStore& store, MirrorChannel& channel, const Writer& self, const StoredUsageLedgerOptions& options, const Clock& clock, const LiveWriters& live)
     : m_state(std::make_shared<State>(duty, store, channel, self, options, clock, live))
 {
     duty.spawn([state = m_state] { writeSegments(state); });
--- a/packages/ledger/src/UsageReader.cpp
+++ b/packages/ledger/src/UsageReader.cpp
@@ -45,7 +45,7 @@
             known->second = line;
     }
 
-    std::optional<std::vector<UsageLine>> parseUsageRecord(const platform::Record& record, Failure& failure)
+    std::optional<std::vector<UsageLine>> parseUsageRecord(const backing::Record& record, Failure& failure)
     {
         auto body = unwrapRecord(usageFormat, record.value, failure);
         if (!body) {
@@ -71,7 +71,7 @@
 
 }
 
-UsageReader::UsageReader(platform::KeyValueStore& store, std::uint32_t partitions)
+UsageReader::UsageReader(backing::KeyValueStore& store, std::uint32_t partitions)
     : m_store(store)
     , m_partitions(partitions)
 {
@@ -148,7 +148,7 @@
         const auto page = m_store.list("usage/", after, pageLimit, failure);
         if (!page)
             return false;
-        for (const platform::Record& record : *page) {
+        for (const backing::Record& record : *page) {
             const auto lines = parseUsageRecord(record, failure);
             if (!lines)
                 all.totals.corrupt.push_back(failure.reason);
--- a/packages/ledger/test/PartitionLogTest.cpp
+++ b/packages/ledger/test/PartitionLogTest.cpp
@@ -2,7 +2,7 @@
 #include "whinyard/ledger/PartitionLog.h"
 #include "whinyard/base/FakeClock.h"
 #include "whinyard/ledger/FakeLiveWriters.h"
-#include "whinyard/platform/FakeStore.h"
+#include "whinyard/backing/FakeStore.h"
 
 #include <gtest/gtest.h>
 
@@ -73,7 +73,7 @@
 
         FakeClock clock;
         FakeLiveWriters live;
-        platform::FakeStore store { clock };
+        backing::FakeStore store { clock };
         PartitionLogOptions m_options;
         std::uint64_t m_requests = 0;
     };
--- a/packages/ledger/test/StoredLedgerTest.cpp
+++ b/packages/ledger/test/StoredLedgerTest.cpp
@@ -4,7 +4,7 @@
 #include "whinyard/ledger/StoredIntentLedger.h"
 #include "whinyard/ledger/StoredUsageLedger.h"
 #include "whinyard/ledger/UsageReader.h"
-#include "whinyard/platform/FakeStore.h"
+#include "whinyard/backing/FakeStore.h"
 
 #include <gtest/gtest.h>
 
@@ -45,7 +45,7 @@
 
         SystemClock clock;
         FakeLiveWriters live;
-        platform::FakeStore store { clock };
+        backing::FakeStore store { clock };
         net::Duty duty { "store" };
     };
 
--- a/packages/ledger/testing/whinyard/ledger/SlowStore.h
+++ b/packages/ledger/testing/whinyard/ledger/SlowStore.h
@@ -5,7 +5,7 @@
 #include "whinyard/base/Random.h"
 #include "whinyard/ledger/EventQueue.h"
 #include "whinyard/ledger/StoreCall.h"
-#include "whinyard/platform/FakeStore.h"
+#include "whinyard/backing/FakeStore.h"
 
 namespace whinyard::ledger {
 
@@ -33,10 +33,10 @@
     std::uint64_t reads = 0;
     std::uint64_t writes = 0;
 
-    platform::MemoryStore& memory() { return m_store.memory(); }
+    backing::MemoryStore& memory() { return m_store.memory(); }
 
     // The same contents without time and faults, for readers.
-    platform::KeyValueStore& contents() { return m_store; }
+    backing::KeyValueStore& contents() { return m_store; }
 
     // Carries out `call` and tells `answer` after a drawn time.
     void call(const StoreCall& call, const Answer& answer)
@@ -95,7 +95,7 @@
 
     EventQueue& m_events;
     Random& m_random;
-    platform::FakeStore m_store;
+    backing::FakeStore m_store;
 };
 
 }
--- a/packages/net/include/whinyard/net/HttpClient.h
+++ b/packages/net/include/whinyard/net/HttpClient.h
@@ -46,6 +46,7 @@
     std::chrono::milliseconds timeout { 30'000 }; // For the whole call; for a stream, until its head.
     std::chrono::milliseconds pieceTimeout { 30'000 }; // For each further piece of a stream.
     bool freshConnection = false; // Never reuse a connection: for calls that may not be repeated.
+    bool lastRequest = false; // Asks the server to close after its answer, and closes.
     std::size_t bodyLimit = 16 * 1024 * 1024;
     HttpCancellation* cancellation = nullptr; // Must outlive the call, for a stream until its head.
 };
@@ -69,6 +70,9 @@
     // the reason, when the connection ended before that, the time ran out or cancel() was called.
     virtual std::optional<std::string> read(Failure& failure) = 0;
 
+    // Bounds the wait of each further read() in place of HttpCallOptions::pieceTimeout.
+    virtual void usePieceTimeout(std::chrono::milliseconds timeout) { static_cast<void>(timeout); }
+
     // Closes the connection; a fiber that waits in read() returns. Callable from another fiber.
     virtual void cancel() = 0;
 };
--- a/packages/net/include/whinyard/net/HttpServer.h
+++ b/packages/net/include/whinyard/net/HttpServer.h
@@ -49,6 +49,11 @@
 
     // Returns whether the peer has closed its connection, also while the handler waits.
     virtual bool peerGone() const = 0;
+
+    // Calls `observer` once, on the duty's thread and from outside the handler's fiber, when the peer closes its
+    // connection before the answer has ended. Costs nothing while nothing happens, unlike repeated calls of
+    // peerGone(). An implementation that can't tell never calls it.
+    virtual void whenPeerGone(std::function<void()> observer) { static_cast<void>(observer); }
 };
 
 // Handles one request on a fiber of the server's duty. A handler that sends nothing is answered
@@ -70,6 +75,12 @@
     // Returns how many requests are being handled now.
     virtual std::size_t active() const = 0;
 
+    // Takes other limits. They hold from the next request of each connection on; `connections` stays as it was.
+    virtual void useLimits(const HttpServerLimits& limits) = 0;
+
+    // Asks every connection to close after its next answer. New connections are still accepted.
+    virtual void announceClose() = 0;
+
     // Stops accepting, and asks every kept connection to close after its current answer.
     virtual void drain() = 0;
 
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -181,17 +181,33 @@
         beast::flat_buffer m_buffer;
     };
 
+    class HttpServerImpl final : public internal::ServerOver<HttpServer> {
+    public:
+        HttpServerImpl(std::shared_ptr<TcpServer> server, std::shared_ptr<HttpServerLimits> limits)
+            : ServerOver(std::move(server))
+            , m_limits(std::move(limits))
+        {
+        }
+
+        void useLimits(const HttpServerLimits& limits) override { *m_limits = limits; }
+        void announceClose() override { server().announceClose(); }
+
+    private:
+        const std::shared_ptr<HttpServerLimits> m_limits; // Shared with the connections' fibers.
+    };
+
 }
 
 std::unique_ptr<HttpServer> HttpServer::open(Duty& duty, const Address& address, const HttpServerLimits& limits, HttpHandler handler, Failure& failure)
 {
-    auto serve = [limits, handler = std::move(handler)](TcpServer& server, ServerConnection& connection) {
-        Session(server, connection, limits, handler).run();
+    const auto current = std::make_shared<HttpServerLimits>(limits);
+    auto serve = [current, handler = std::move(handler)](TcpServer& server, ServerConnection& connection) {
+        Session(server, connection, *current, handler).run();
     };
     auto server = TcpServer::open(duty, address, limits.connections, std::move(serve), failure);
     if (!server)
         return nullptr;
-    return std::make_unique<internal::ServerOver<HttpServer>>(std::move(server));
+    return std::make_unique<HttpServerImpl>(std::move(server), current);
 }
 
 }
--- a/packages/net/src/internal/BeastMessage.cpp
+++ b/packages/net/src/internal/BeastMessage.cpp
@@ -1,5 +1,7 @@
 #include "internal/BeastMessage.h"
 
+#include <boost/beast/http/rfc7230.hpp>
+
 #include <algorithm>
 
 namespace whinyard::net::internal {
@@ -45,9 +47,10 @@
 
 std::vector<HttpField> plainFields(const http::fields& fields)
 {
+    http::token_list named(fields[http::field::connection]);
     std::vector<HttpField> plain;
     for (const auto& field : fields) {
-        if (!belongsToConnection(field.name()))
+        if (!belongsToConnection(field.name()) && !named.exists(field.name_string()))
             plain.push_back(HttpField { std::string(field.name_string()), std::string(field.value()) });
     }
     return plain;
--- a/packages/net/src/internal/ConnectionPool.cpp
+++ b/packages/net/src/internal/ConnectionPool.cpp
@@ -59,6 +59,8 @@
 {
     const SteadyTime now = std::chrono::steady_clock::now();
     dropOld(now);
+    if (connection->requestCut)
+        return;
     Kept& kept = m_kept[address];
     if (kept.size() >= maximumKept)
         return;
--- a/packages/net/src/internal/ConnectionPool.h
+++ b/packages/net/src/internal/ConnectionPool.h
@@ -27,6 +27,7 @@
     FiberSocket socket;
     boost::beast::flat_buffer buffer;
     bool reused = false;
+    bool requestCut = false; // The server answered before it took the whole request: the rest can't be sent any more.
     SteadyTime idleSince;
 };
 
--- a/packages/net/src/internal/FiberSocket.cpp
+++ b/packages/net/src/internal/FiberSocket.cpp
@@ -17,6 +17,21 @@
     // After so many calls that didn't block, a fiber lets the others run.
     constexpr int callsBeforeYield = 32;
 
+    // How often a connection with unread bytes is looked at for its close: half of the half second within which
+    // work for a caller that left has to be cancelled.
+    constexpr std::chrono::milliseconds peerLookInterval { 250 };
+
+    bool polled(tcp::socket& socket, short events, short wanted)
+    {
+        pollfd descriptor { socket.native_handle(), events, 0 };
+        return ::poll(&descriptor, 1, 0) > 0 && (descriptor.revents & wanted) != 0;
+    }
+
+    bool hasPeerClosed(tcp::socket& socket)
+    {
+        return !socket.is_open() || polled(socket, POLLRDHUP, POLLRDHUP | POLLHUP | POLLERR);
+    }
+
 }
 
 FiberSocket::Core::Core(tcp::socket connected)
@@ -146,10 +161,35 @@
         countCall();
         return false;
     }
-    await(error, [&](auto handler) { m_core->socket.async_wait(asio::socket_base::wait_write, std::move(handler)); });
+    if (m_heedsAnswer)
+        awaitWriteOrAnswer(error);
+    else
+        await(error, [&](auto handler) { m_core->socket.async_wait(asio::socket_base::wait_write, std::move(handler)); });
     return !error;
 }
 
+void FiberSocket::awaitWriteOrAnswer(error_code& error)
+{
+    // The wait that comes second finds its race over and touches nothing of the fiber that has gone on.
+    struct Race {
+        bool over = false;
+        bool answered = false;
+    };
+    const auto race = std::make_shared<Race>();
+    await(error, [&](auto handler) {
+        auto finish = [race, handler](const error_code& result, bool answered) mutable {
+            if (std::exchange(race->over, true))
+                return;
+            race->answered = answered;
+            handler(result);
+        };
+        m_core->socket.async_wait(asio::socket_base::wait_write, [finish](const error_code& result) mutable { finish(result, false); });
+        m_core->socket.async_wait(asio::socket_base::wait_read, [finish](const error_code& result) mutable { finish(result, true); });
+    });
+    if (!error && race->answered)
+        error = asio::error::try_again;
+}
+
 void FiberSocket::countCall()
 {
     if (++m_callsWithoutWait < callsBeforeYield)
@@ -158,20 +198,41 @@
     boost::this_fiber::yield();
 }
 
-bool FiberSocket::polled(short events, short wanted) const
+std::shared_ptr<PeerWatch> FiberSocket::watchPeer(std::function<void()> observer)
 {
-    pollfd descriptor { m_core->socket.native_handle(), events, 0 };
-    return ::poll(&descriptor, 1, 0) > 0 && (descriptor.revents & wanted) != 0;
+    auto watch = std::make_shared<PeerWatch>(PeerWatch { std::move(observer) });
+    m_core->watchPeer(watch);
+    return watch;
+}
+
+void FiberSocket::Core::watchPeer(std::shared_ptr<PeerWatch> watch)
+{
+    socket.async_wait(asio::socket_base::wait_read, [core = shared_from_this(), watch = std::move(watch)](const error_code& error) mutable {
+        if (!error)
+            core->lookAtPeer(std::move(watch));
+    });
+}
+
+void FiberSocket::Core::lookAtPeer(std::shared_ptr<PeerWatch> watch)
+{
+    if (!watch->observer)
+        return;
+    if (hasPeerClosed(socket)) {
+        std::exchange(watch->observer, nullptr)();
+        return;
+    }
+    auto pause = std::make_shared<asio::steady_timer>(socket.get_executor(), peerLookInterval);
+    pause->async_wait([core = shared_from_this(), watch = std::move(watch), pause](const error_code&) mutable { core->lookAtPeer(std::move(watch)); });
 }
 
 bool FiberSocket::peerClosed() const
 {
-    return !isOpen() || polled(POLLRDHUP, POLLRDHUP | POLLHUP | POLLERR);
+    return hasPeerClosed(m_core->socket);
 }
 
 bool FiberSocket::isReadable() const
 {
-    return !isOpen() || polled(POLLIN | POLLRDHUP, POLLIN | POLLRDHUP | POLLHUP | POLLERR);
+    return !isOpen() || polled(m_core->socket, POLLIN | POLLRDHUP, POLLIN | POLLRDHUP | POLLHUP | POLLERR);
 }
 
 void FiberSocket::shutdownSend()
--- a/packages/net/src/internal/FiberSocket.h
+++ b/packages/net/src/internal/FiberSocket.h
@@ -13,10 +13,16 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <memory>
 
 namespace whinyard::net::internal {
 
+// A running watch of FiberSocket::watchPeer(). Without an observer it ends unheard.
+struct PeerWatch {
+    std::function<void()> observer;
+};
+
 // A connected or unconnected socket. It belongs to the duty of its event loop.
 class FiberSocket {
 public:
@@ -80,6 +86,10 @@
         }
     }
 
+    // While `heeds` is set, a write that the peer doesn't take ends with try_again as soon as the peer sends or closes:
+    // a server may answer before it has read the whole request, and then read no further.
+    void heedAnswerWhileWriting(bool heeds) { m_heedsAnswer = heeds; }
+
     // Returns how many bytes the system took from write_some() since the last call of resetBytesWritten().
     std::size_t bytesWritten() const { return m_bytesWritten; }
     void resetBytesWritten() { m_bytesWritten = 0; }
@@ -87,6 +97,11 @@
     // Returns whether the peer has closed its side, without reading.
     bool peerClosed() const;
 
+    // Calls the observer from the event loop once the peer has closed its side; the watch ends when its observer is
+    // emptied. Bytes that arrive while the watch runs, such as a pipelined request, make it look again at intervals,
+    // as no event tells of a close behind unread bytes.
+    std::shared_ptr<PeerWatch> watchPeer(std::function<void()> observer);
+
     // Returns whether a read would return something now: bytes, the peer's close or an error.
     bool isReadable() const;
 
@@ -108,6 +123,8 @@
 
         void schedule();
         void expire();
+        void watchPeer(std::shared_ptr<PeerWatch> watch);
+        void lookAtPeer(std::shared_ptr<PeerWatch> watch);
 
         boost::asio::ip::tcp::socket socket;
         boost::asio::steady_timer timer;
@@ -122,6 +139,9 @@
     // Returns whether the write must be tried again; it has waited until then.
     bool mustWaitToWrite(boost::system::error_code& error);
 
+    // Waits until the socket takes bytes again or, with try_again, has some to read.
+    void awaitWriteOrAnswer(boost::system::error_code& error);
+
     // Lets other fibers run after many calls that didn't wait.
     void countCall();
 
@@ -129,12 +149,12 @@
     template <typename Start>
     std::size_t await(boost::system::error_code& error, Start start);
 
-    bool polled(short events, short wanted) const;
 
     std::shared_ptr<Core> m_core;
     std::size_t m_bytesWritten = 0;
     int m_callsWithoutWait = 0;
     bool m_moreExpected = false; // The last read filled its buffer.
+    bool m_heedsAnswer = false;
 };
 
 }
--- a/packages/net/src/internal/HttpExchange.cpp
+++ b/packages/net/src/internal/HttpExchange.cpp
@@ -18,7 +18,7 @@
 
     using RequestMessage = http::request<http::span_body<const char>>;
 
-    RequestMessage toBeast(const HttpRequest& request, const Address& address)
+    RequestMessage toBeast(const HttpRequest& request, const Address& address, const HttpCallOptions& options)
     {
         RequestMessage message;
         message.version(version11);
@@ -31,6 +31,8 @@
         if (isBodyMethod || !request.body.empty())
             message.content_length(request.body.size());
         message.body() = { request.body.data(), request.body.size() };
+        if (options.lastRequest)
+            message.keep_alive(false);
         return message;
     }
 
@@ -114,9 +116,12 @@
 
 bool HttpExchange::send(error_code& error)
 {
-    const RequestMessage message = toBeast(m_request, m_address);
+    const RequestMessage message = toBeast(m_request, m_address, m_options);
     http::request_serializer<http::span_body<const char>> serializer(message);
+    m_connection->socket.heedAnswerWhileWriting(true);
     http::write(m_connection->socket, serializer, error);
+    m_connection->socket.heedAnswerWhileWriting(false);
+    m_connection->requestCut = static_cast<bool>(error);
     return !error;
 }
 
--- a/packages/net/src/internal/HttpResponderImpl.cpp
+++ b/packages/net/src/internal/HttpResponderImpl.cpp
@@ -22,6 +22,17 @@
 
 }
 
+HttpResponderImpl::~HttpResponderImpl()
+{
+    if (m_watch)
+        m_watch->observer = nullptr;
+}
+
+void HttpResponderImpl::whenPeerGone(std::function<void()> observer)
+{
+    m_watch = m_socket.watchPeer(std::move(observer));
+}
+
 HttpResponderImpl::HttpResponderImpl(FiberSocket& socket, AnswerMode mode)
     : m_socket(socket)
     , m_mode(std::move(mode))
--- a/packages/net/src/internal/HttpResponderImpl.h
+++ b/packages/net/src/internal/HttpResponderImpl.h
@@ -21,6 +21,7 @@
 class HttpResponderImpl final : public HttpResponder {
 public:
     HttpResponderImpl(FiberSocket& socket, AnswerMode mode);
+    ~HttpResponderImpl() override;
 
     bool send(const HttpResponse& response) override;
     bool begin(const HttpResponse& head) override;
@@ -28,6 +29,7 @@
     bool end() override;
     void abort() override;
     bool peerGone() const override;
+    void whenPeerGone(std::function<void()> observer) override;
 
     bool started() const { return m_state != State::fresh; }
 
@@ -50,6 +52,7 @@
     bool finish(const boost::system::error_code& error, State next);
 
     FiberSocket& m_socket;
+    std::shared_ptr<PeerWatch> m_watch;
     const AnswerMode m_mode;
     State m_state = State::fresh;
     bool m_keepAlive = false;
--- a/packages/net/src/internal/HttpStreamImpl.h
+++ b/packages/net/src/internal/HttpStreamImpl.h
@@ -24,6 +24,7 @@
 
     const HttpResponse& head() const override { return m_head; }
     std::optional<std::string> read(Failure& failure) override;
+    void usePieceTimeout(std::chrono::milliseconds timeout) override { m_pieceTimeout = timeout; }
     void cancel() override;
 
 private:
@@ -38,7 +39,7 @@
     const Address m_address;
     std::unique_ptr<ClientConnection> m_connection;
     std::unique_ptr<StreamParser> m_parser;
-    const std::chrono::milliseconds m_pieceTimeout;
+    std::chrono::milliseconds m_pieceTimeout;
     HttpResponse m_head;
     bool m_finished = false;
     bool m_cancelled = false;
--- a/packages/net/src/internal/TcpServer.h
+++ b/packages/net/src/internal/TcpServer.h
@@ -39,7 +39,7 @@
     TcpServer(Duty& duty, std::size_t maximumConnections, Serve serve);
 
     const Address& address() const { return m_address; }
-    bool isDraining() const { return m_draining; }
+    bool isDraining() const { return m_draining || m_closeAnnounced; }
     std::size_t active() const { return m_active; }
 
     // Waits for the first bytes of a request, which `buffer` takes. Returns false when the connection is to be
@@ -62,6 +62,7 @@
         TcpServer& m_server;
     };
 
+    void announceClose() { m_closeAnnounced = true; }
     void drain();
     void close();
 
@@ -79,11 +80,12 @@
     std::unordered_set<ServerConnection*> m_connections;
     std::size_t m_active = 0;
     bool m_draining = false;
+    bool m_closeAnnounced = false;
 };
 
 // The control functions that every server interface of this package has, over a TcpServer.
 template <typename Interface>
-class ServerOver final : public Interface {
+class ServerOver : public Interface {
 public:
     explicit ServerOver(std::shared_ptr<TcpServer> server)
         : m_server(std::move(server))
@@ -96,6 +98,9 @@
     void drain() override { m_server->drain(); }
     void close() override { m_server->close(); }
 
+protected:
+    TcpServer& server() { return *m_server; }
+
 private:
     std::shared_ptr<TcpServer> m_server;
 };
--- a/packages/peer/include/whinyard/peer/StoreWatch.h
+++ b/packages/peer/include/whinyard/peer/StoreWatch.h
@@ -5,7 +5,7 @@
 #include "whinyard/base/Clock.h"
 #include "whinyard/base/Error.h"
 #include "whinyard/config/Document.h"
-#include "whinyard/platform/KeyValueStore.h"
+#include "whinyard/backing/KeyValueStore.h"
 
 #include <chrono>
 #include <cstdint>
@@ -45,7 +45,7 @@
     };
 
     // All three must outlive the object.
-    StoreWatch(platform::KeyValueStore& store, ConfigurationKeeper& keeper, const Clock& clock);
+    StoreWatch(backing::KeyValueStore& store, ConfigurationKeeper& keeper, const Clock& clock);
 
     // Makes the call that is due, if one is. It waits for a change at most for `timeout`, which adds to
     // the age of every proof: half a second is a good choice. A record that can't be read is reported with
@@ -53,12 +53,12 @@
     Turn turn(std::chrono::milliseconds timeout, Failure& failure);
 
 private:
-    bool take(const platform::Record& record, SteadyTime startedAt, Failure& failure);
+    bool take(const backing::Record& record, SteadyTime startedAt, Failure& failure);
 
-    platform::KeyValueStore& m_store;
+    backing::KeyValueStore& m_store;
     ConfigurationKeeper& m_keeper;
     const Clock& m_clock;
-    platform::Revision m_knownRecord = 0;
+    backing::Revision m_knownRecord = 0;
     std::uint64_t m_revision = 0; // Of the configuration in the record that is known.
 };
 
--- a/packages/peer/src/StoreWatch.cpp
+++ b/packages/peer/src/StoreWatch.cpp
@@ -5,7 +5,7 @@
 
 namespace whinyard::peer {
 
-StoreWatch::StoreWatch(platform::KeyValueStore& store, ConfigurationKeeper& keeper, const Clock& clock)
+StoreWatch::StoreWatch(backing::KeyValueStore& store, ConfigurationKeeper& keeper, const Clock& clock)
     : m_store(store)
     , m_keeper(keeper)
     , m_clock(clock)
@@ -17,7 +17,7 @@
     if (!m_keeper.takeStoreCall())
         return Turn::idle;
     const SteadyTime startedAt = m_clock.now();
-    const std::optional<platform::Record> record = m_store.watch(configurationKey, m_knownRecord, timeout, failure);
+    const std::optional<backing::Record> record = m_store.watch(configurationKey, m_knownRecord, timeout, failure);
     if (record && take(*record, startedAt, failure))
         return Turn::reached;
     if (!record && failure.kind == ErrorKind::deadlineExceeded) {
@@ -28,7 +28,7 @@
     return Turn::failed;
 }
 
-bool StoreWatch::take(const platform::Record& record, SteadyTime startedAt, Failure& failure)
+bool StoreWatch::take(const backing::Record& record, SteadyTime startedAt, Failure& failure)
 {
     std::optional<config::Configuration> parsed = config::parseRecord(record.value, failure);
     if (!parsed) {
--- a/packages/peer/test/StoreWatchTest.cpp
+++ b/packages/peer/test/StoreWatchTest.cpp
@@ -1,7 +1,7 @@
 #include "whinyard/peer/StoreWatch.h"
 
 #include "whinyard/base/FakeClock.h"
-#include "whinyard/platform/FakeStore.h"
+#include "whinyard/backing/FakeStore.h"
 
 #include <gtest/gtest.h>
 #include <optional>
@@ -37,7 +37,7 @@
         }
 
         FakeClock m_clock;
-        platform::FakeStore m_store { m_clock };
+        backing::FakeStore m_store { m_clock };
         FakeKeeper m_keeper;
         StoreWatch m_watch { m_store, m_keeper, m_clock };
         Failure m_failure;
--- a/packages/policy/include/whinyard/policy/EndpointTable.h
+++ b/packages/policy/include/whinyard/policy/EndpointTable.h
@@ -53,6 +53,7 @@
     std::vector<VersionName> versions;
     std::vector<ServiceName> services;
     bool leaving = false;
+    std::uint32_t slots = 0; // Requests that it runs at once; 0 if it didn't say.
 };
 
 // A load report of an engine. It counts the requests of all instances.
--- a/packages/policy/include/whinyard/policy/RetryPolicy.h
+++ b/packages/policy/include/whinyard/policy/RetryPolicy.h
@@ -32,11 +32,12 @@
 
     explicit RetryBudget(const RetrySettings& settings = {});
 
-    // `ratio` attempts for each success of the window, and `minimumPerSecond` without any.
+    // `ratio` attempts for each request that earned in the window, and `minimumPerSecond` without any.
     RetryBudget(double ratio, double minimumPerSecond);
 
-    // Counts a request that was answered, however many attempts it took.
-    void recordSuccess(SteadyTime now);
+    // Counts a request that earns budget: one that was answered, however many attempts it took, or, where a site
+    // bounds repeats by the requests themselves, one that arrived.
+    void earn(SteadyTime now);
 
     // Takes one retry out of the budget; returns false when none is left.
     bool take(SteadyTime now);
--- /dev/null
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -0,0 +1,197 @@
+// Moves a service's requests from the versions in use to a new one, under an order of the operators: a small share
+// first, more once the new version has proved itself, everything at last, and back at once when it is bad.
+//
+// The forwarding path asks for the version of each request and reports each outcome; the daemon feeds orders, what
+// the store holds and what other instances counted, and writes what due() returns. Pure: no I/O, no clock of its own.
+// Nothing here must survive the process: the stage reached and the verdict stand in the store.
+#pragma once
+
+#include "whinyard/base/Clock.h"
+#include "whinyard/base/Identity.h"
+#include "whinyard/policy/SequentialTest.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace whinyard::policy {
+
+// The operators' order.
+struct ShiftOrder {
+    ServiceName service;
+    std::string target; // Of the versions of the service's endpoints.
+    std::chrono::milliseconds period { 0 }; // Within which everything is to be moved.
+    std::uint64_t revision = 0; // Of the order in the store; a later order has a higher one.
+
+    bool operator==(const ShiftOrder&) const = default;
+};
+
+enum class ShiftState : std::uint8_t {
+    running,
+    completed, // The other versions' endpoints end at once.
+    rolledBack, // The target gets nothing any more.
+};
+
+// Returns the enumerator's name.
+std::string_view toText(ShiftState state);
+
+// What all instances share of one order, as one record in the store.
+struct ShiftRecord {
+    std::uint64_t order = 0; // ShiftOrder::revision.
+    ShiftState state = ShiftState::running;
+    std::chrono::milliseconds elapsed { 0 }; // Of the period, when the record was written.
+    std::string reason; // Of the state, for a person.
+
+    bool operator==(const ShiftRecord&) const = default;
+};
+
+// How a request ended at a version, as far as the version is concerned.
+struct VersionOutcome {
+    bool failed = false;
+    std::string measure; // Groups requests whose times are comparable, such as route and model.
+    std::chrono::microseconds time { 0 }; // To the answer or the first event; 0 if there was none.
+    std::chrono::microseconds pause { 0 }; // Mean between the events of a stream; 0 for fewer than minimumPauses.
+};
+
+// The numbers that a shift is run with. Shares are of new sessions; times are parts of the order's period.
+struct ShiftSettings {
+    // The trial's share: its requests, over half a period, stay at a third of the exposure that sites allow (0.0975 to
+    // 0.15 of all requests of the period), so that the moves after it have room until a late fault is seen.
+    double trialShare = 0.08;
+    double growAt = 0.52; // The new version may get more, and sessions may move, after half of the period.
+    double allAt = 0.68;
+    double completeAt = 0.84; // Leaves the longest streams, and a store that is away for some seconds, their time.
+    double growShare = 0.4;
+    double slowFactor = 3; // An answer is bad when it takes this many times the mean of the other versions.
+    std::chrono::milliseconds slowMinimum { 40 }; // A time or pause below this is never slow.
+    std::uint32_t baselineSamples = 5; // Of the other versions, before slowness is judged.
+    double background = 0.02; // Share of bad answers that any version may give.
+    double backgroundFactor = 1.5; // By which the other versions' share of bad answers is allowed for.
+    double badExcess = 0.2; // Above the two, the share from which a version is bad.
+    double stopAt = 4.6; // Log likelihood ratio: one false stop in about 100 shifts.
+    std::chrono::milliseconds sessionGap { 5'000 }; // A session is remembered so long after its last request.
+    std::chrono::milliseconds backgroundMemory { 6'000 }; // Time constant of the other versions' share of bad answers.
+};
+
+// Counts of one version under an order, by one instance; they only grow.
+struct ShiftEvidence {
+    std::uint64_t order = 0;
+    RatedCounts target;
+    RatedCounts others;
+
+    bool operator==(const ShiftEvidence&) const = default;
+};
+
+// Which versions a request may go to, the first one preferred.
+struct VersionPreference {
+    std::vector<std::string> versions;
+    std::string reason;
+};
+
+class VersionShifts {
+public:
+    static constexpr std::uint32_t minimumPauses = 3;
+
+    explicit VersionShifts(const ShiftSettings& settings = {});
+
+    // Takes an order; one with the revision that is known changes nothing.
+    void takeOrder(const ShiftOrder& order, SteadyTime now);
+
+    // The order was taken back: every version may serve.
+    void dropOrder(const ServiceName& service);
+
+    // Takes what the store holds of an order. An older order's record, or one that is behind what is known, is ignored.
+    void takeRecord(const ServiceName& service, const ShiftRecord& record, SteadyTime now);
+
+    // Takes what another instance counted.
+    void takeEvidence(const ServiceName& service, const InstanceName& instance, const ShiftEvidence& evidence);
+
+    // Chooses among the versions that `available` names. `session` is empty for a request without one.
+    VersionPreference prefer(const ServiceName& service, const std::string& session, std::uint64_t draw, const std::vector<std::string>& available, SteadyTime now);
+
+    // Notes on which version a request of a session was sent.
+    void noteSession(const ServiceName& service, const std::string& session, const std::string& version, SteadyTime now);
+
+    void recordOutcome(const ServiceName& service, const std::string& version, const VersionOutcome& outcome, SteadyTime now);
+
+    // Returns the record that should stand in the store now, if it differs from the one that is known: the state has
+    // changed, or the elapsed time has grown by `progressStep` since.
+    std::optional<ShiftRecord> due(const ServiceName& service, SteadyTime now);
+
+    // Returns this instance's counts under the running order; nothing when there is none.
+    std::optional<ShiftEvidence> evidence(const ServiceName& service) const;
+
+    // Returns the services that have an order.
+    std::vector<ServiceName> services() const;
+
+    const ShiftOrder* order(const ServiceName& service) const;
+
+    // Elapsed time is written so often, as a part of the period.
+    static constexpr double progressStep = 0.12;
+
+private:
+    // A mean of the times of one measure.
+    struct Baseline {
+        double mean = 0; // Microseconds.
+        std::uint32_t samples = 0;
+    };
+
+    // Whether one party's answers of the target are worse than those of the other versions.
+    struct Detector {
+        RatedCounts seen;
+        double sum = 0;
+    };
+
+    struct Shift {
+        ShiftOrder order;
+        ShiftRecord known; // In the store, as far as this instance knows.
+        bool isStored = false;
+        ShiftState state = ShiftState::running; // As this instance judges; never behind `known`.
+        std::string reason;
+        SteadyTime since; // When `elapsedBefore` was taken over.
+        std::chrono::milliseconds elapsedBefore { 0 };
+        ShiftEvidence own;
+        std::map<InstanceName, ShiftEvidence> others;
+        Detector ownDetector;
+        Detector fleetDetector;
+    };
+
+    struct Session {
+        std::string version;
+        SteadyTime lastSeen;
+    };
+
+    // The other versions' bad answers of late, decaying.
+    struct Background {
+        double good = 0;
+        double bad = 0;
+        SteadyTime at;
+    };
+
+    struct ServiceMemory {
+        std::unordered_map<std::string, Session> sessions;
+        std::map<std::string, Baseline> times;
+        std::map<std::string, Baseline> pauses;
+        Background background;
+        SteadyTime nextSweep;
+    };
+
+    double progress(const Shift& shift, SteadyTime now) const;
+    double shareAt(double progress) const;
+    bool isSlow(const std::map<std::string, Baseline>& baselines, const std::string& measure, std::chrono::microseconds time) const;
+    static void learn(std::map<std::string, Baseline>& baselines, const std::string& measure, std::chrono::microseconds time);
+    BadShares sharesNow(const ServiceMemory& memory) const;
+    void judge(Shift& shift, const ServiceMemory& memory);
+    bool update(Detector& detector, const RatedCounts& totals, const BadShares& shares) const;
+    void sweepSessions(ServiceMemory& memory, SteadyTime now) const;
+
+    const ShiftSettings m_settings;
+    std::map<ServiceName, Shift> m_shifts;
+    std::map<ServiceName, ServiceMemory> m_memories;
+};
+
+}
--- a/packages/policy/src/EndpointTable.cpp
+++ b/packages/policy/src/EndpointTable.cpp
@@ -82,6 +82,8 @@
         m_saidLeaving[at(endpoint)] = 0;
     EndpointRow& row = rowAt(endpoint);
     row.present = true;
+    if (member.slots > 0)
+        row.slots = member.slots;
     row.leaving = member.leaving || m_saidLeaving[at(endpoint)] != 0;
     const ZoneIndex zone = zoneFor(member.zone);
     if (row.zone != zone)
--- a/packages/policy/src/RetryPolicy.cpp
+++ b/packages/policy/src/RetryPolicy.cpp
@@ -60,7 +60,7 @@
     m_current = std::max(m_current, second);
 }
 
-void RetryBudget::recordSuccess(SteadyTime now)
+void RetryBudget::earn(SteadyTime now)
 {
     advance(now);
     ++m_seconds[static_cast<std::size_t>(m_current % window.count())].successes;
--- /dev/null
+++ b/packages/policy/src/VersionShift.cpp
@@ -0,0 +1,294 @@
+#include "whinyard/policy/VersionShift.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace whinyard::policy {
+
+namespace {
+
+    // Weight of a new sample in a mean of times.
+    constexpr double timeWeight = 0.1;
+
+    // Never takes a share of bad answers for certain.
+    constexpr double largestShare = 0.95;
+
+    bool contains(const std::vector<std::string>& list, const std::string& wanted)
+    {
+        return std::find(list.begin(), list.end(), wanted) != list.end();
+    }
+
+    // Maps a draw to [0, 1).
+    double unit(std::uint64_t draw)
+    {
+        return static_cast<double>(draw >> 11) * 0x1.0p-53;
+    }
+
+}
+
+std::string_view toText(ShiftState state)
+{
+    switch (state) {
+    case ShiftState::running:
+        return "running";
+    case ShiftState::completed:
+        return "completed";
+    case ShiftState::rolledBack:
+        return "rolledBack";
+    }
+    return "";
+}
+
+VersionShifts::VersionShifts(const ShiftSettings& settings)
+    : m_settings(settings)
+{
+}
+
+void VersionShifts::takeOrder(const ShiftOrder& order, SteadyTime now)
+{
+    const auto known = m_shifts.find(order.service);
+    if (known != m_shifts.end() && known->second.order.revision >= order.revision)
+        return;
+    Shift shift;
+    shift.order = order;
+    shift.since = now;
+    shift.own.order = order.revision;
+    m_shifts[order.service] = std::move(shift);
+}
+
+void VersionShifts::dropOrder(const ServiceName& service)
+{
+    m_shifts.erase(service);
+}
+
+void VersionShifts::takeRecord(const ServiceName& service, const ShiftRecord& record, SteadyTime now)
+{
+    const auto found = m_shifts.find(service);
+    if (found == m_shifts.end() || found->second.order.revision != record.order)
+        return;
+    Shift& shift = found->second;
+    shift.isStored = true;
+    shift.known = record;
+    if (record.state != ShiftState::running && shift.state != record.state) {
+        shift.state = record.state;
+        shift.reason = record.reason;
+    }
+    const auto elapsed = shift.elapsedBefore + std::chrono::duration_cast<std::chrono::milliseconds>(now - shift.since);
+    if (record.elapsed > elapsed) {
+        shift.elapsedBefore = record.elapsed;
+        shift.since = now;
+    }
+}
+
+void VersionShifts::takeEvidence(const ServiceName& service, const InstanceName& instance, const ShiftEvidence& evidence)
+{
+    const auto found = m_shifts.find(service);
+    if (found == m_shifts.end() || found->second.order.revision != evidence.order)
+        return;
+    found->second.others[instance] = evidence;
+    judge(found->second, m_memories[service]);
+}
+
+double VersionShifts::progress(const Shift& shift, SteadyTime now) const
+{
+    if (shift.order.period.count() <= 0)
+        return 1;
+    const auto elapsed = shift.elapsedBefore + std::chrono::duration_cast<std::chrono::milliseconds>(now - shift.since);
+    return static_cast<double>(elapsed.count()) / static_cast<double>(shift.order.period.count());
+}
+
+double VersionShifts::shareAt(double progress) const
+{
+    if (progress >= m_settings.allAt)
+        return 1;
+    return progress >= m_settings.growAt ? m_settings.growShare : m_settings.trialShare;
+}
+
+VersionPreference VersionShifts::prefer(const ServiceName& service, const std::string& session, std::uint64_t draw, const std::vector<std::string>& available, SteadyTime now)
+{
+    VersionPreference preference;
+    const auto found = m_shifts.find(service);
+    if (found == m_shifts.end()) {
+        preference.versions = available;
+        preference.reason = "no order";
+        return preference;
+    }
+    const Shift& shift = found->second;
+    const std::string& target = shift.order.target;
+    std::vector<std::string> others;
+    std::copy_if(available.begin(), available.end(), std::back_inserter(others), [&](const std::string& version) { return version != target; });
+    const bool hasTarget = contains(available, target);
+    if (shift.state == ShiftState::rolledBack || !hasTarget) {
+        preference.versions = others;
+        preference.reason = hasTarget ? "rolled back" : "no endpoint of the new version";
+        return preference;
+    }
+    if (shift.state == ShiftState::completed || others.empty()) {
+        preference.versions = { target };
+        preference.versions.insert(preference.versions.end(), others.begin(), others.end());
+        preference.reason = "completed";
+        return preference;
+    }
+    const double share = shareAt(progress(shift, now));
+    bool takesTarget = unit(draw) < share;
+    preference.reason = "drawn";
+    ServiceMemory& memory = m_memories[service];
+    const auto remembered = memory.sessions.find(session);
+    if (!session.empty() && remembered != memory.sessions.end() && now - remembered->second.lastSeen <= m_settings.sessionGap) {
+        const bool wasTarget = remembered->second.version == target;
+        takesTarget = wasTarget || share >= 1;
+        preference.reason = "session";
+    }
+    if (takesTarget) {
+        preference.versions = { target };
+        preference.versions.insert(preference.versions.end(), others.begin(), others.end());
+        return preference;
+    }
+    preference.versions = others;
+    return preference;
+}
+
+void VersionShifts::noteSession(const ServiceName& service, const std::string& session, const std::string& version, SteadyTime now)
+{
+    if (session.empty())
+        return;
+    ServiceMemory& memory = m_memories[service];
+    memory.sessions[session] = { version, now };
+    sweepSessions(memory, now);
+}
+
+void VersionShifts::sweepSessions(ServiceMemory& memory, SteadyTime now) const
+{
+    if (now < memory.nextSweep)
+        return;
+    memory.nextSweep = now + m_settings.sessionGap;
+    std::erase_if(memory.sessions, [&](const auto& entry) { return now - entry.second.lastSeen > 2 * m_settings.sessionGap; });
+}
+
+bool VersionShifts::isSlow(const std::map<std::string, Baseline>& baselines, const std::string& measure, std::chrono::microseconds time) const
+{
+    const auto found = baselines.find(measure);
+    if (found == baselines.end() || found->second.samples < m_settings.baselineSamples || time < m_settings.slowMinimum)
+        return false;
+    return static_cast<double>(time.count()) > m_settings.slowFactor * found->second.mean;
+}
+
+void VersionShifts::learn(std::map<std::string, Baseline>& baselines, const std::string& measure, std::chrono::microseconds time)
+{
+    Baseline& baseline = baselines[measure];
+    ++baseline.samples;
+    const double weight = std::max(timeWeight, 1.0 / baseline.samples);
+    baseline.mean += weight * (static_cast<double>(time.count()) - baseline.mean);
+}
+
+void VersionShifts::recordOutcome(const ServiceName& service, const std::string& version, const VersionOutcome& outcome, SteadyTime now)
+{
+    ServiceMemory& memory = m_memories[service];
+    const auto found = m_shifts.find(service);
+    const bool isTarget = found != m_shifts.end() && found->second.state == ShiftState::running && found->second.order.target == version;
+    const bool isSlowAnswer = isTarget && (isSlow(memory.times, outcome.measure, outcome.time) || isSlow(memory.pauses, outcome.measure, outcome.pause));
+    const bool isBad = outcome.failed || isSlowAnswer;
+    if (!isTarget) {
+        if (!outcome.failed && outcome.time.count() > 0)
+            learn(memory.times, outcome.measure, outcome.time);
+        if (!outcome.failed && outcome.pause.count() > 0)
+            learn(memory.pauses, outcome.measure, outcome.pause);
+        Background& background = memory.background;
+        const double kept = std::exp(-std::chrono::duration<double>(now - background.at) / m_settings.backgroundMemory);
+        background.good = background.good * kept + (isBad ? 0 : 1);
+        background.bad = background.bad * kept + (isBad ? 1 : 0);
+        background.at = now;
+    }
+    if (found == m_shifts.end() || found->second.state != ShiftState::running)
+        return;
+    RatedCounts& counts = isTarget ? found->second.own.target : found->second.own.others;
+    ++(isBad ? counts.bad : counts.good);
+    if (isTarget)
+        judge(found->second, memory);
+}
+
+BadShares VersionShifts::sharesNow(const ServiceMemory& memory) const
+{
+    const Background& background = memory.background;
+    const double share = background.bad / (background.good + background.bad + 1);
+    BadShares shares;
+    shares.tolerable = std::min(m_settings.background + m_settings.backgroundFactor * share, largestShare - m_settings.badExcess);
+    shares.unacceptable = shares.tolerable + m_settings.badExcess;
+    return shares;
+}
+
+// A cumulative sum test (Page, Biometrika 41, 1954): what a version answered well before it turned bad doesn't count
+// in its favour.
+bool VersionShifts::update(Detector& detector, const RatedCounts& totals, const BadShares& shares) const
+{
+    const RatedCounts added { totals.good - std::min(totals.good, detector.seen.good), totals.bad - std::min(totals.bad, detector.seen.bad) };
+    detector.seen = { std::max(totals.good, detector.seen.good), std::max(totals.bad, detector.seen.bad) };
+    detector.sum = std::max(0.0, detector.sum + logLikelihoodRatio(added, shares));
+    return detector.sum >= m_settings.stopAt;
+}
+
+void VersionShifts::judge(Shift& shift, const ServiceMemory& memory)
+{
+    if (shift.state != ShiftState::running)
+        return;
+    const BadShares shares = sharesNow(memory);
+    RatedCounts fleet = shift.own.target;
+    for (const auto& [instance, evidence] : shift.others) {
+        fleet.good += evidence.target.good;
+        fleet.bad += evidence.target.bad;
+    }
+    const bool ownSaysBad = update(shift.ownDetector, shift.own.target, shares);
+    const bool fleetSaysBad = update(shift.fleetDetector, fleet, shares);
+    if (!ownSaysBad && !fleetSaysBad)
+        return;
+    shift.state = ShiftState::rolledBack;
+    shift.reason = std::to_string(fleet.bad) + " of " + std::to_string(fleet.total()) + " answers of " + shift.order.target + " were bad; "
+        + std::to_string(static_cast<int>(shares.tolerable * 100)) + " in 100 are tolerable now";
+}
+
+std::optional<ShiftRecord> VersionShifts::due(const ServiceName& service, SteadyTime now)
+{
+    const auto found = m_shifts.find(service);
+    if (found == m_shifts.end())
+        return std::nullopt;
+    Shift& shift = found->second;
+    if (shift.isStored && shift.known.state != ShiftState::running)
+        return std::nullopt;
+    const double reached = progress(shift, now);
+    if (shift.state == ShiftState::running && reached >= m_settings.completeAt) {
+        shift.state = ShiftState::completed;
+        shift.reason = "the whole traffic runs on " + shift.order.target;
+    }
+    ShiftRecord record;
+    record.order = shift.order.revision;
+    record.state = shift.state;
+    record.elapsed = std::chrono::milliseconds(static_cast<std::int64_t>(reached * static_cast<double>(shift.order.period.count())));
+    record.reason = shift.reason;
+    const double stored = shift.order.period.count() > 0 ? static_cast<double>(shift.known.elapsed.count()) / static_cast<double>(shift.order.period.count()) : 0;
+    const bool changed = !shift.isStored || record.state != shift.known.state;
+    return changed || reached - stored >= progressStep ? std::optional(record) : std::nullopt;
+}
+
+std::optional<ShiftEvidence> VersionShifts::evidence(const ServiceName& service) const
+{
+    const auto found = m_shifts.find(service);
+    if (found == m_shifts.end() || found->second.state != ShiftState::running)
+        return std::nullopt;
+    return found->second.own;
+}
+
+std::vector<ServiceName> VersionShifts::services() const
+{
+    std::vector<ServiceName> services;
+    for (const auto& [service, shift] : m_shifts)
+        services.push_back(service);
+    return services;
+}
+
+const ShiftOrder* VersionShifts::order(const ServiceName& service) const
+{
+    const auto found = m_shifts.find(service);
+    return found == m_shifts.end() ? nullptr : &found->second.order;
+}
+
+}
--- a/packages/policy/test/RetryPolicyTest.cpp
+++ b/packages/policy/test/RetryPolicyTest.cpp
@@ -81,7 +81,7 @@
             for (failed.attempt = 1;; ++failed.attempt) {
                 ++attempts;
                 if (uniform(random) >= failingShare) {
-                    budget.recordSuccess(now);
+                    budget.earn(now);
                     break;
                 }
                 if (!planRetry(settings, failed, budget, now, random))
--- a/packages/replay/src/internal/ProductStrategy.cpp
+++ b/packages/replay/src/internal/ProductStrategy.cpp
@@ -224,8 +224,8 @@
     entry.table.attemptEnded(call, outcome);
     if (outcome != policy::EndpointOutcome::succeeded)
         return;
-    entry.budget.recordSuccess(m_world.events.now());
-    entry.redispatchBudget.recordSuccess(m_world.events.now());
+    entry.budget.earn(m_world.events.now());
+    entry.redispatchBudget.earn(m_world.events.now());
     entry.planner.learnCompletion(m_world.trace.applications[call.request->application], call.request->completionTokens);
 }
 
--- /dev/null
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -0,0 +1,66 @@
+// The path of a forwarded request: authentication, route, version, model and endpoint, attempts and their verdicts,
+// and the answer back to the caller, whole or as a stream that is resumed where it breaks.
+//
+// The daemon gives it the requests of its callers' address. All of it runs on the serve duty; varying parts are
+// interfaces that tests replace.
+#pragma once
+
+#include "whinyard/base/Clock.h"
+#include "whinyard/base/Metrics.h"
+#include "whinyard/base/Random.h"
+#include "whinyard/endpoint/EndpointDirectory.h"
+#include "whinyard/net/HttpClient.h"
+#include "whinyard/net/HttpServer.h"
+#include "whinyard/policy/ModelChoice.h"
+#include "whinyard/policy/VersionShift.h"
+#include "whinyard/router/Fibers.h"
+#include "whinyard/router/ForwardedRequest.h"
+#include "whinyard/router/RoutingSource.h"
+
+#include <memory>
+
+namespace whinyard::router {
+
+// What the forwarder works with; everything must outlive it.
+struct ForwarderParts {
+    const Clock& clock;
+    Metrics& metrics;
+    const RoutingSource& routing;
+    const ForwardCodec& codec;
+    endpoint::EndpointDirectory& directory;
+    policy::VersionShifts& shifts;
+    policy::ModelChoice& models;
+    net::HttpClient& client;
+    Fibers& fibers;
+};
+
+struct ForwarderSettings {
+    double repeatRatio = 0.8; // Attempts beyond the first, for each request of the same service.
+    double repeatsPerSecond = 0.2; // That are allowed without any request.
+    std::chrono::milliseconds connectTimeout { 300 }; // Many times the longest way within a region.
+    std::chrono::milliseconds comeBackAfter { 150 }; // Told with a refusal when nothing better is known.
+};
+
+// Returns the name under which the endpoints of a service's version stand in the directory.
+VersionName targetName(const ServiceName& service, const std::string& version);
+
+class Forwarder {
+public:
+    Forwarder(const ForwarderParts& parts, const ForwarderSettings& settings, Random random);
+    ~Forwarder();
+
+    // Handles a caller's request and sends its answer.
+    void handle(const net::HttpRequest& request, net::HttpResponder& responder);
+
+    // Tells which versions of a service have endpoints, in the order in which they appeared.
+    void useVersions(const ServiceName& service, std::vector<std::string> versions);
+
+    // Returns how many requests are running.
+    std::size_t active() const;
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+}
--- a/packages/router/include/whinyard/router/Router.h
+++ b/packages/router/include/whinyard/router/Router.h
@@ -17,7 +17,7 @@
 #include "whinyard/ledger/UsageLedger.h"
 #include "whinyard/net/HttpServer.h"
 #include "whinyard/peer/Peers.h"
-#include "whinyard/platform/RatingService.h"
+#include "whinyard/backing/RatingService.h"
 #include "whinyard/policy/Cascade.h"
 #include "whinyard/policy/CustomerLimits.h"
 #include "whinyard/policy/Redispatch.h"
@@ -43,7 +43,7 @@
     endpoint::ServiceClient& services;
     ledger::IntentLedger& intents;
     ledger::UsageLedger& usage;
-    platform::RatingService& ratings;
+    backing::RatingService& ratings;
     const policy::SessionPins& sessionPins;
     policy::RolloutJudge& judge;
     policy::CustomerLimits& limits;
--- /dev/null
+++ b/packages/router/include/whinyard/router/RoutingSource.h
@@ -0,0 +1,25 @@
+// Where the forwarding path reads the operators' routing: always the newest one that this instance knows.
+//
+// The daemon implements it; tests put a settable one in its place.
+#pragma once
+
+#include "whinyard/base/Error.h"
+#include "whinyard/config/Routing.h"
+
+#include <memory>
+
+namespace whinyard::router {
+
+class RoutingSource {
+public:
+    virtual ~RoutingSource() = default;
+
+    // Returns the newest routing that this instance knows; null before the first.
+    virtual std::shared_ptr<const config::RoutingTable> newest() const = 0;
+
+    // Returns whether this instance may act on it: it can know what is in force now. Fills `failure` with
+    // configurationStale otherwise.
+    virtual bool mayServe(Failure& failure) const = 0;
+};
+
+}
--- a/packages/router/src/internal/ChatPath.cpp
+++ b/packages/router/src/internal/ChatPath.cpp
@@ -111,8 +111,8 @@
 void ChatPath::answered(const VersionName& version, bool delivered, std::optional<std::string> text)
 {
     m_context.record(delivered ? EventKind::answerCompleted : EventKind::callerGone, { .version = version, .amount = m_delivered });
-    m_context.core.retryBudget.recordSuccess(m_context.now());
-    m_context.core.redispatchBudget.recordSuccess(m_context.now());
+    m_context.core.retryBudget.earn(m_context.now());
+    m_context.core.redispatchBudget.earn(m_context.now());
     m_context.core.parts.judge.recordExposure(version, m_context.id, m_context.now());
     if (text)
         rateLater(m_context, { version, m_application, m_chat.prompt, std::move(*text) });
--- /dev/null
+++ b/packages/router/src/internal/EndpointUse.cpp
@@ -0,0 +1,36 @@
+#include "internal/EndpointUse.h"
+
+namespace whinyard::router {
+
+EndpointUse::EndpointUse(endpoint::EndpointDirectory& directory, const Clock& clock, const EndpointName& endpoint, const std::vector<std::uint64_t>& prefix)
+    : m_directory(directory)
+    , m_clock(clock)
+    , m_endpoint(endpoint)
+    , m_began(clock.now())
+{
+    m_directory.recordDispatch(m_endpoint, prefix, m_began);
+}
+
+EndpointUse::~EndpointUse()
+{
+    end(endpoint::EndpointOutcome::cancelled);
+}
+
+void EndpointUse::firstByte()
+{
+    if (m_sawFirstByte)
+        return;
+    m_sawFirstByte = true;
+    m_directory.recordFirstByte(m_endpoint, m_clock.now() - m_began);
+}
+
+void EndpointUse::end(endpoint::EndpointOutcome outcome)
+{
+    if (m_ended)
+        return;
+    m_ended = true;
+    const SteadyTime now = m_clock.now();
+    m_directory.recordEnd(m_endpoint, outcome, now - m_began, now);
+}
+
+}
--- /dev/null
+++ b/packages/router/src/internal/EndpointUse.h
@@ -0,0 +1,36 @@
+// Counts one attempt at its endpoint, and its end exactly once.
+#pragma once
+
+#include "whinyard/base/Clock.h"
+#include "whinyard/endpoint/EndpointDirectory.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace whinyard::router {
+
+class EndpointUse {
+public:
+    // Begins an attempt now. The directory and the clock must outlive the object.
+    EndpointUse(endpoint::EndpointDirectory& directory, const Clock& clock, const EndpointName& endpoint, const std::vector<std::uint64_t>& prefix);
+
+    // Ends it as cancelled, unless end() was called.
+    ~EndpointUse();
+    EndpointUse(const EndpointUse&) = delete;
+    EndpointUse& operator=(const EndpointUse&) = delete;
+
+    void firstByte();
+    void end(endpoint::EndpointOutcome outcome);
+
+    SteadyTime began() const { return m_began; }
+
+private:
+    endpoint::EndpointDirectory& m_directory;
+    const Clock& m_clock;
+    const EndpointName m_endpoint;
+    const SteadyTime m_began;
+    bool m_sawFirstByte = false;
+    bool m_ended = false;
+};
+
+}
--- a/packages/router/src/internal/EngineDispatch.cpp
+++ b/packages/router/src/internal/EngineDispatch.cpp
@@ -6,36 +6,6 @@
 
 namespace whinyard::router {
 
-EndpointUse::EndpointUse(RequestContext& context, const EndpointName& endpoint, const std::vector<std::uint64_t>& prefix)
-    : m_context(context)
-    , m_endpoint(endpoint)
-    , m_began(context.now())
-{
-    m_context.core.parts.directory.recordDispatch(m_endpoint, prefix, m_began);
-}
-
-EndpointUse::~EndpointUse()
-{
-    end(endpoint::EndpointOutcome::cancelled);
-}
-
-void EndpointUse::firstByte()
-{
-    if (m_sawFirstByte)
-        return;
-    m_sawFirstByte = true;
-    m_context.core.parts.directory.recordFirstByte(m_endpoint, m_context.now() - m_began);
-}
-
-void EndpointUse::end(endpoint::EndpointOutcome outcome)
-{
-    if (m_ended)
-        return;
-    m_ended = true;
-    const SteadyTime now = m_context.now();
-    m_context.core.parts.directory.recordEnd(m_endpoint, outcome, now - m_began, now);
-}
-
 bool awaitServable(RequestContext& context, Failure& failure)
 {
     constexpr std::chrono::milliseconds moment { 100 }; // A time to come back up to this is worth waiting for.
@@ -190,7 +160,7 @@
 
 std::optional<endpoint::EngineAnswer> EngineDispatch::once(const Attempt& attempt, Failure& failure)
 {
-    EndpointUse use(m_context, attempt.endpoint, m_work.prefix);
+    EndpointUse use(m_context.core.parts.directory, m_context.core.parts.clock, attempt.endpoint, m_work.prefix);
     endpoint::AttemptAccount account;
     net::HttpCancellation cancellation;
     endpoint::EngineCall call = attempt.call;
--- a/packages/router/src/internal/EngineDispatch.h
+++ b/packages/router/src/internal/EngineDispatch.h
@@ -2,6 +2,7 @@
 // one, the account of each, and retries where they are allowed.
 #pragma once
 
+#include "internal/EndpointUse.h"
 #include "internal/RequestContext.h"
 #include "whinyard/router/ChatRequest.h"
 
@@ -23,25 +24,6 @@
     endpoint::EndpointWish elsewhere; // What another endpoint would be chosen by.
 };
 
-// Counts one attempt at its endpoint, and its end exactly once.
-class EndpointUse {
-public:
-    EndpointUse(RequestContext& context, const EndpointName& endpoint, const std::vector<std::uint64_t>& prefix);
-    ~EndpointUse();
-    EndpointUse(const EndpointUse&) = delete;
-    EndpointUse& operator=(const EndpointUse&) = delete;
-
-    void firstByte();
-    void end(endpoint::EndpointOutcome outcome);
-
-private:
-    RequestContext& m_context;
-    EndpointName m_endpoint;
-    SteadyTime m_began;
-    bool m_sawFirstByte = false;
-    bool m_ended = false;
-};
-
 // Passes the gate with the newest configuration, as every dispatch must. Records its verdict.
 bool passGate(RequestContext& context, const VersionName& version, Failure& failure);
 
--- /dev/null
+++ b/packages/router/src/internal/ForwardAttempt.cpp
@@ -0,0 +1,88 @@
+#include "internal/ForwardAttempt.h"
+
+namespace whinyard::router {
+
+namespace {
+
+    // The largest whole answer that is read into memory.
+    constexpr std::size_t largestAnswer = 8 * 1024 * 1024;
+
+    constexpr int firstFailureStatus = 300;
+
+}
+
+ForwardAttempt::ForwardAttempt(ForwardCore& core, const ForwardedRequest& request, AttemptTarget target)
+    : m_core(core)
+    , m_request(request)
+    , m_target(std::move(target))
+    , m_use(core.parts.directory, core.parts.clock, m_target.endpoint.name, m_target.prefix)
+{
+}
+
+HeadVerdict ForwardAttempt::open(const AttemptHead& head, std::chrono::milliseconds patience)
+{
+    net::HttpCallOptions options;
+    options.connectTimeout = std::min(m_core.settings.connectTimeout, patience);
+    options.timeout = patience;
+    // A connection of its own for each attempt costs about a millisecond. It spares what a kept one may bring: bytes
+    // that belong to an earlier answer, and a reset that leaves open whether the request has run.
+    options.freshConnection = true;
+    options.lastRequest = true;
+    options.cancellation = &m_cancellation;
+    m_stream = m_core.parts.client.open(m_target.endpoint.address, m_core.parts.codec.encodeAttempt(m_request, head), options, m_progress, m_failure);
+    if (m_stream)
+        return judgeHead();
+    return wasSent() ? HeadVerdict::broken : HeadVerdict::notRun;
+}
+
+HeadVerdict ForwardAttempt::judgeHead()
+{
+    m_reply = m_core.parts.codec.decodeReply(m_stream->head());
+    const int status = m_stream->head().status;
+    if (m_reply.notRun)
+        return fail(HeadVerdict::notRun, ErrorKind::overloaded, "the endpoint didn't take the request, status " + std::to_string(status));
+    if (!m_reply.requestId.empty() && m_reply.requestId != m_request.id)
+        return fail(HeadVerdict::broken, ErrorKind::endpointFailed, "the endpoint sent the answer of another request");
+    if (m_reply.isEncoded || !m_reply.isSigned)
+        return fail(HeadVerdict::broken, ErrorKind::endpointFailed, "what came, status " + std::to_string(status) + ", isn't the endpoint's own answer");
+    return status >= firstFailureStatus ? HeadVerdict::failedAnswer : HeadVerdict::answer;
+}
+
+HeadVerdict ForwardAttempt::fail(HeadVerdict verdict, ErrorKind kind, std::string reason)
+{
+    m_failure = { .kind = kind, .reason = std::move(reason), .runState = verdict == HeadVerdict::notRun ? RunState::notRun : RunState::unknown };
+    return verdict;
+}
+
+std::optional<net::HttpResponse> ForwardAttempt::readWhole(SteadyTime deadline)
+{
+    net::HttpResponse response = m_stream->head();
+    while (true) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - m_core.parts.clock.now());
+        std::optional<std::string> piece = read(std::max(left, std::chrono::milliseconds(0)));
+        if (!piece)
+            return std::nullopt;
+        if (piece->empty())
+            return response;
+        response.body += *piece;
+        if (response.body.size() > largestAnswer) {
+            m_failure = { .kind = ErrorKind::bodyTooLarge, .reason = "the endpoint's answer is over " + std::to_string(largestAnswer) + " bytes", .runState = RunState::unknown };
+            return std::nullopt;
+        }
+    }
+}
+
+std::optional<std::string> ForwardAttempt::read(std::chrono::milliseconds patience)
+{
+    m_stream->usePieceTimeout(patience);
+    return m_stream->read(m_failure);
+}
+
+void ForwardAttempt::cancel()
+{
+    m_cancellation.cancel();
+    if (m_stream)
+        m_stream->cancel();
+}
+
+}
--- /dev/null
+++ b/packages/router/src/internal/ForwardAttempt.h
@@ -0,0 +1,72 @@
+// One attempt of a forwarded request: its endpoint, the call, and what its answer's head says.
+#pragma once
+
+#include "internal/EndpointUse.h"
+#include "internal/ForwardCore.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace whinyard::router {
+
+// Where an attempt goes.
+struct AttemptTarget {
+    ServiceName service;
+    std::string version;
+    endpoint::ChosenEndpoint endpoint;
+    std::vector<std::uint64_t> prefix; // Digests of the prompt's parts for the model.
+};
+
+// What is known when the head of the answer is there, or can't come.
+enum class HeadVerdict : std::uint8_t {
+    answer, // A signed success for this request.
+    failedAnswer, // A signed failure for this request.
+    notRun, // The request has not run at this endpoint and won't.
+    broken, // The request may have run; nothing that came can be shown.
+};
+
+class ForwardAttempt {
+public:
+    // All must outlive the object.
+    ForwardAttempt(ForwardCore& core, const ForwardedRequest& request, AttemptTarget target);
+
+    // Sends the request and waits for the head of the answer, at most for `patience`.
+    HeadVerdict open(const AttemptHead& head, std::chrono::milliseconds patience);
+
+    // Reads the rest of a whole answer. Returns nothing when it broke off.
+    std::optional<net::HttpResponse> readWhole(SteadyTime deadline);
+
+    // Returns the next bytes of the body, empty at its end; nothing when it broke off or nothing came within `patience`.
+    std::optional<std::string> read(std::chrono::milliseconds patience);
+
+    // Ends the attempt from outside its fiber: its connection is closed, and a wait for it returns.
+    void cancel();
+
+    void end(endpoint::EndpointOutcome outcome) { m_use.end(outcome); }
+    void firstByte() { m_use.firstByte(); }
+
+    const AttemptTarget& target() const { return m_target; }
+    const EndpointReply& reply() const { return m_reply; }
+    const net::HttpResponse& head() const { return m_stream->head(); }
+    const Failure& failure() const { return m_failure; }
+    bool timedOut() const { return m_failure.kind == ErrorKind::deadlineExceeded; }
+    bool wasSent() const { return m_progress.bytesWritten > 0; }
+    std::chrono::nanoseconds age() const { return m_core.parts.clock.now() - m_use.began(); }
+
+private:
+    HeadVerdict judgeHead();
+    HeadVerdict fail(HeadVerdict verdict, ErrorKind kind, std::string reason);
+
+    ForwardCore& m_core;
+    const ForwardedRequest& m_request;
+    const AttemptTarget m_target;
+    EndpointUse m_use;
+    net::HttpCancellation m_cancellation;
+    net::HttpCallProgress m_progress;
+    std::unique_ptr<net::HttpStream> m_stream;
+    EndpointReply m_reply;
+    Failure m_failure;
+};
+
+}
--- /dev/null
+++ b/packages/router/src/internal/ForwardCore.h
@@ -0,0 +1,29 @@
+// The forwarder's parts and settings with its state, as the requests on the path share them.
+#pragma once
+
+#include "whinyard/policy/RetryPolicy.h"
+#include "whinyard/router/Forwarder.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace whinyard::router {
+
+struct ForwardCore {
+    // Repeats are bounded for each service by the requests for it that this instance got: such shares add up to no
+    // more than the bound over all instances, whichever of them live, without a word between them.
+    policy::RetryBudget& budgetOf(const ServiceName& service)
+    {
+        return budgets.try_emplace(service, settings.repeatRatio, settings.repeatsPerSecond).first->second;
+    }
+
+    ForwarderParts parts;
+    ForwarderSettings settings;
+    Random random;
+    std::map<ServiceName, policy::RetryBudget> budgets {};
+    std::map<ServiceName, std::vector<std::string>> versions {};
+    std::size_t active = 0;
+};
+
+}
--- /dev/null
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -0,0 +1,493 @@
+#include "internal/ForwardRun.h"
+
+#include "whinyard/base/Log.h"
+
+#include <algorithm>
+
+namespace whinyard::router {
+
+namespace {
+
+    // Attempts that no endpoint began, beyond which a request is refused: every endpoint is full, or the list is wrong.
+    constexpr std::uint32_t mostRefusals = 4;
+
+    // A shorter rest of the deadline is not worth another attempt.
+    constexpr std::chrono::milliseconds shortestAttempt { 20 };
+
+    // An attempt that can be repeated waits so many times the objective for its first event, then another endpoint is
+    // asked: the request is late by then, and a second reading of its prompt costs less than its whole worth.
+    constexpr int patienceObjectives = 2;
+
+    // A stream whose events pause for so many times the objective for pauses is taken for broken.
+    constexpr int stallObjectives = 2;
+
+    std::string text(std::chrono::nanoseconds duration)
+    {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    }
+
+    // Returns whether callers take an answer of this status for the promise that the request has not run.
+    bool promisesNotRun(int status)
+    {
+        return status == 408 || status == 421 || status == 429 || status == 503;
+    }
+
+    bool promisesNotRun(ErrorKind kind)
+    {
+        return promisesNotRun(answerFor(kind).httpStatus);
+    }
+
+    // What a page of 300 or more says of an endpoint: its own failures count, a caller's mistake doesn't.
+    bool isEndpointFault(int status)
+    {
+        return status >= 500;
+    }
+
+}
+
+std::optional<Admission> admit(const RoutingSource& source, const ForwardedRequest& request, Failure& failure)
+{
+    Admission admission;
+    if (!source.mayServe(failure))
+        return std::nullopt;
+    admission.table = source.newest();
+    if (!admission.table) {
+        failure = { .kind = ErrorKind::configurationStale, .reason = "no configuration is known yet" };
+        return std::nullopt;
+    }
+    admission.route = admission.table->findRoute(request.host, request.path);
+    if (!admission.route) {
+        failure = { .kind = ErrorKind::unknownRoute, .reason = "no route of configuration " + std::to_string(admission.table->version()) + " takes this host and path" };
+        return std::nullopt;
+    }
+    admission.priority = admission.route->priority;
+    if (!admission.table->routing().knowsCustomers || !admission.route->needsKey)
+        return admission;
+    const config::RoutedCustomer* customer = admission.table->findCustomer(request.key);
+    if (!customer) {
+        failure = { .kind = ErrorKind::unauthenticated, .reason = "no customer of configuration " + std::to_string(admission.table->version()) + " holds this key" };
+        return std::nullopt;
+    }
+    admission.customer = customer->name;
+    admission.priority = customer->priority.value_or(admission.priority);
+    return admission;
+}
+
+ForwardRun::ForwardRun(ForwardCore& core, const ForwardedRequest& request, Admission admission, net::HttpResponder& caller)
+    : m_core(core)
+    , m_request(request)
+    , m_admission(std::move(admission))
+    , m_caller(caller)
+    , m_arrived(core.parts.clock.now())
+    , m_lastEvent(request.resumeAfter)
+{
+    const std::chrono::milliseconds wait = std::min(request.timeLeft.value_or(m_admission.route->timeout), m_admission.route->timeout);
+    m_deadline = m_arrived + wait;
+    m_service = drawService();
+}
+
+std::chrono::milliseconds ForwardRun::timeLeft() const
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now());
+    return std::max(left, std::chrono::milliseconds(0));
+}
+
+void ForwardRun::run()
+{
+    log::info("request admitted", { { "request", m_request.id }, { "route", m_admission.route->name }, { "customer", m_admission.customer.value }, { "configuration", std::to_string(m_admission.table->version()) }, { "timeLeftMs", text(timeLeft()) } });
+    m_core.budgetOf(m_service).earn(now());
+    m_caller.whenPeerGone([this] { callerLeft(); });
+    chooseModel();
+    while (!m_callerLeft && prepare()) {
+        const AttemptEnd end = attempt();
+        if (end == AttemptEnd::answered)
+            return;
+        if (!mayGoOn(end))
+            break;
+    }
+    conclude();
+}
+
+void ForwardRun::callerLeft()
+{
+    m_callerLeft = true;
+    // What can't be repeated runs to its end: its outcome is then known, and the engine's work isn't left half done.
+    if (m_current && (repeatable() || streams()))
+        m_current->cancel();
+}
+
+// The gate before every attempt: the newest configuration decides. A stream that the caller already reads goes on as
+// it was admitted.
+bool ForwardRun::passGate()
+{
+    if (m_streaming)
+        return true;
+    std::optional<Admission> admission = admit(m_core.parts.routing, m_request, m_failure);
+    if (!admission)
+        return false;
+    const bool changed = admission->table->version() != m_admission.table->version();
+    m_admission = std::move(*admission);
+    if (changed)
+        m_service = drawService();
+    return true;
+}
+
+const ServiceName& ForwardRun::drawService() const
+{
+    const std::vector<config::WeightedService>& services = m_admission.route->services;
+    std::uint64_t total = 0;
+    for (const config::WeightedService& service : services)
+        total += service.weight;
+    if (services.size() == 1 || total == 0)
+        return services.front().service;
+    // Requests of a session go to the same service.
+    std::uint64_t point = stableHash(m_request.session.empty() ? m_request.id : m_request.session) % total;
+    for (const config::WeightedService& service : services) {
+        if (point < service.weight)
+            return service.service;
+        point -= service.weight;
+    }
+    return services.back().service;
+}
+
+bool ForwardRun::prepare()
+{
+    if (timeLeft() < shortestAttempt) {
+        m_failure = { .kind = ErrorKind::deadlineExceeded, .reason = "the deadline passed" };
+        return false;
+    }
+    if (!passGate())
+        return false;
+    Failure failure;
+    m_target = chooseTarget(failure);
+    if (m_target)
+        return true;
+    // After an attempt its own reason says more than that no other endpoint is left.
+    if (m_sent + m_refused == 0)
+        m_failure = failure;
+    return false;
+}
+
+endpoint::EndpointWish ForwardRun::wishFor(const ServiceName&) const
+{
+    endpoint::EndpointWish wish;
+    wish.prefix = prefixFor(model());
+    // The shared parts decide where a prompt's memory is; the last part is this request's own.
+    if (wish.prefix.size() > 1)
+        wish.affinity = wish.prefix[wish.prefix.size() - 2];
+    wish.promptTokens = m_request.promptTokens;
+    wish.mayProbe = repeatable();
+    wish.excluded = m_tried;
+    return wish;
+}
+
+std::optional<AttemptTarget> ForwardRun::chooseTarget(Failure& failure)
+{
+    const auto known = m_core.versions.find(m_service);
+    const std::vector<std::string> available = known == m_core.versions.end() ? std::vector<std::string> {} : known->second;
+    const std::uint64_t draw = stableHash(m_request.session.empty() ? m_request.id : m_request.session);
+    const policy::VersionPreference preference = m_core.parts.shifts.prefer(m_service, m_request.session, draw, available, now());
+    failure = { .kind = ErrorKind::noEndpoint, .reason = "no endpoint of " + m_service.value + " is known", .retryAfter = m_core.settings.comeBackAfter };
+    endpoint::EndpointWish wish = wishFor(m_service);
+    for (const std::string& version : preference.versions) {
+        wish.version = targetName(m_service, version);
+        std::optional<endpoint::ChosenEndpoint> chosen = m_core.parts.directory.choose(wish, now(), failure);
+        if (chosen)
+            return AttemptTarget { m_service, version, std::move(*chosen), wish.prefix };
+    }
+    return std::nullopt;
+}
+
+std::vector<std::uint64_t> ForwardRun::prefixFor(const ModelName& model) const
+{
+    std::vector<std::uint64_t> prefix;
+    std::uint64_t digest = stableHash(model.value);
+    for (const PromptPart& part : m_request.promptParts) {
+        digest = stableHash({ reinterpret_cast<const char*>(&part.digest), sizeof part.digest }, digest);
+        prefix.push_back(digest);
+    }
+    return prefix;
+}
+
+const ModelName& ForwardRun::model() const
+{
+    return m_model ? m_admission.route->models[*m_model] : m_request.model;
+}
+
+policy::ModelQuestion ForwardRun::modelQuestion() const
+{
+    const config::Route& route = *m_admission.route;
+    policy::ModelQuestion question;
+    question.route = route.name;
+    const config::RoutedService* service = m_admission.table->findService(m_service);
+    for (const ModelName& name : route.models) {
+        double cost = 1;
+        if (service) {
+            const auto priced = std::find_if(service->models.begin(), service->models.end(), [&](const config::PricedModel& model) { return model.name == name; });
+            cost = priced == service->models.end() ? 1 : priced->costPerThousandTokens;
+        }
+        question.costs.push_back(cost);
+    }
+    question.promptTokens = m_request.promptTokens;
+    question.answerTokens = m_request.expectedTokens > 0 ? m_request.expectedTokens : m_request.answerTokens;
+    question.attemptsLeft = route.maximumAttempts - std::min(route.maximumAttempts, m_sent);
+    question.timeToFirstEvent = std::chrono::duration_cast<std::chrono::milliseconds>(m_arrived + route.objective - now());
+    return question;
+}
+
+void ForwardRun::chooseModel()
+{
+    if (m_request.leavesModelOpen && !m_admission.route->models.empty())
+        m_model = m_core.parts.models.first(modelQuestion());
+}
+
+AttemptHead ForwardRun::headFor(const AttemptTarget& target) const
+{
+    AttemptHead head;
+    head.endpoint = target.endpoint.name;
+    head.customer = m_admission.customer;
+    if (m_model)
+        head.model = model();
+    head.timeLeft = timeLeft();
+    head.priority = m_admission.priority;
+    head.resumeAfter = m_lastEvent;
+    return head;
+}
+
+std::chrono::milliseconds ForwardRun::firstPatience() const
+{
+    const bool isLast = !repeatable() || m_sent + 1 >= m_admission.route->maximumAttempts;
+    if (isLast)
+        return timeLeft();
+    const std::chrono::milliseconds half = timeLeft() / 2;
+    return streams() ? std::min(half, patienceObjectives * m_admission.route->objective) : half;
+}
+
+ForwardRun::AttemptEnd ForwardRun::attempt()
+{
+    ForwardAttempt attempt(m_core, m_request, *m_target);
+    const AttemptTarget& target = attempt.target();
+    m_tried.push_back(target.endpoint.name);
+    m_current = &attempt;
+    m_events = 0;
+    m_firstEventAt.reset();
+    log::info("attempt sent", { { "request", m_request.id }, { "attempt", std::to_string(m_sent + m_refused + 1) }, { "endpoint", target.endpoint.name.value }, { "version", target.version }, { "model", model().value }, { "reason", target.endpoint.reason }, { "expectedWaitMs", text(target.endpoint.plan.expectedWait) }, { "timeLeftMs", text(timeLeft()) } });
+    m_core.parts.shifts.noteSession(target.service, m_request.session, target.version, now());
+    const HeadVerdict verdict = attempt.open(headFor(target), firstPatience());
+    AttemptEnd end = AttemptEnd::broken;
+    switch (verdict) {
+    case HeadVerdict::notRun:
+        ++m_refused;
+        attempt.end(attempt.wasSent() ? endpoint::EndpointOutcome::succeeded : endpoint::EndpointOutcome::failed);
+        m_failure = attempt.failure();
+        end = AttemptEnd::notRun;
+        break;
+    case HeadVerdict::failedAnswer:
+        ++m_sent;
+        end = keepFailure(attempt);
+        break;
+    case HeadVerdict::broken:
+        ++m_sent;
+        end = breakOff(attempt);
+        break;
+    case HeadVerdict::answer:
+        ++m_sent;
+        if (stepsUp(attempt))
+            end = AttemptEnd::steppedUp;
+        else
+            end = streams() ? answerStream(attempt) : answerWhole(attempt);
+        break;
+    }
+    m_current = nullptr;
+    return end;
+}
+
+bool ForwardRun::stepsUp(const ForwardAttempt& attempt)
+{
+    if (!m_model || m_streaming || m_request.resumeAfter)
+        return false;
+    const std::optional<std::size_t> larger = m_core.parts.models.stepUp(modelQuestion(), *m_model, attempt.reply().confidence);
+    if (!larger || !m_core.budgetOf(m_service).take(now()))
+        return false;
+    log::info("larger model asked", { { "request", m_request.id }, { "confidence", std::to_string(attempt.reply().confidence.value_or(0)) }, { "from", model().value }, { "to", m_admission.route->models[*larger].value }, { "elapsedMs", text(now() - m_arrived) } });
+    m_core.parts.metrics.add("whinyard_model_steps_total");
+    m_model = *larger;
+    m_runState = RunState::unknown;
+    return true;
+}
+
+ForwardRun::AttemptEnd ForwardRun::answerWhole(ForwardAttempt& attempt)
+{
+    attempt.firstByte();
+    const std::optional<net::HttpResponse> response = attempt.readWhole(m_deadline);
+    if (!response)
+        return breakOff(attempt);
+    attempt.end(endpoint::EndpointOutcome::succeeded);
+    noteOutcome(attempt, false);
+    m_runState = RunState::ran;
+    const bool delivered = m_caller.send(*response);
+    m_core.parts.metrics.add("whinyard_answers_total");
+    m_core.parts.metrics.observe("whinyard_answer_seconds", now() - m_arrived);
+    log::info(delivered ? "answered" : "caller left", { { "request", m_request.id }, { "status", std::to_string(response->status) }, { "bytes", std::to_string(response->body.size()) }, { "elapsedMs", text(now() - m_arrived) } });
+    return AttemptEnd::answered;
+}
+
+ForwardRun::AttemptEnd ForwardRun::keepFailure(ForwardAttempt& attempt)
+{
+    std::optional<net::HttpResponse> response = attempt.readWhole(m_deadline);
+    if (!response)
+        return breakOff(attempt);
+    const bool isFault = isEndpointFault(response->status);
+    attempt.end(isFault ? endpoint::EndpointOutcome::failed : endpoint::EndpointOutcome::succeeded);
+    noteOutcome(attempt, isFault);
+    log::info("attempt failed", { { "request", m_request.id }, { "endpoint", attempt.target().endpoint.name.value }, { "status", std::to_string(response->status) }, { "reason", "the endpoint answered with a failure" }, { "elapsedMs", text(attempt.age()) } });
+    m_failure = { .kind = ErrorKind::endpointFailed, .reason = "the endpoint answered with status " + std::to_string(response->status) };
+    m_runState = RunState::ran;
+    m_failedAnswer = std::move(*response);
+    return AttemptEnd::failedAnswer;
+}
+
+ForwardRun::AttemptEnd ForwardRun::breakOff(ForwardAttempt& attempt)
+{
+    m_failure = attempt.failure();
+    m_runState = std::max(m_runState, RunState::unknown);
+    if (m_callerLeft) {
+        attempt.end(endpoint::EndpointOutcome::cancelled);
+        return AttemptEnd::broken;
+    }
+    // Silence until the caller's own deadline says little about an endpoint that had no time left.
+    const bool isFault = !attempt.timedOut() || timeLeft() >= shortestAttempt;
+    attempt.end(isFault ? endpoint::EndpointOutcome::failed : endpoint::EndpointOutcome::cancelled);
+    noteOutcome(attempt, true);
+    log::info("attempt failed", { { "request", m_request.id }, { "endpoint", attempt.target().endpoint.name.value }, { "reason", m_failure.reason }, { "elapsedMs", text(attempt.age()) }, { "events", std::to_string(m_events) } });
+    return AttemptEnd::broken;
+}
+
+ForwardRun::AttemptEnd ForwardRun::answerStream(ForwardAttempt& attempt)
+{
+    endpoint::EventFramer framer(m_lastEvent);
+    const std::chrono::milliseconds stall = stallObjectives * m_admission.route->pauseObjective;
+    const bool mayMove = repeatable() && m_sent < m_admission.route->maximumAttempts;
+    while (true) {
+        const std::chrono::milliseconds patience = m_events == 0 ? firstPatience() : stall;
+        const std::optional<std::string> bytes = attempt.read(mayMove ? std::min(patience, timeLeft()) : timeLeft());
+        if (!bytes)
+            return breakOff(attempt);
+        if (bytes->empty())
+            break;
+        if (!relay(attempt, framer, *bytes))
+            return breakOff(attempt);
+    }
+    if (!framer.isWhole()) {
+        m_failure = { .kind = ErrorKind::endpointFailed, .reason = "the stream ended within an event", .runState = RunState::unknown };
+        return breakOff(attempt);
+    }
+    if (!m_streaming) {
+        m_streaming = true;
+        m_caller.begin(attempt.head());
+    }
+    attempt.end(endpoint::EndpointOutcome::succeeded);
+    noteOutcome(attempt, false);
+    m_runState = RunState::ran;
+    const bool delivered = m_caller.end();
+    m_core.parts.metrics.add("whinyard_answers_total");
+    m_core.parts.metrics.observe("whinyard_answer_seconds", now() - m_arrived);
+    log::info(delivered ? "answered" : "caller left", { { "request", m_request.id }, { "lastEvent", std::to_string(m_lastEvent.value_or(0)) }, { "firstEventMs", m_firstEventAt ? text(*m_firstEventAt - m_arrived) : "" }, { "elapsedMs", text(now() - m_arrived) } });
+    return AttemptEnd::answered;
+}
+
+// Passes on the events that `bytes` complete. Returns false when the stream can't go on.
+bool ForwardRun::relay(ForwardAttempt& attempt, endpoint::EventFramer& framer, std::string_view bytes)
+{
+    const endpoint::FramedEvents events = framer.feed(bytes);
+    if (events.count > 0) {
+        m_latestEventAt = now();
+        if (!m_firstEventAt) {
+            m_firstEventAt = m_latestEventAt;
+            attempt.firstByte();
+        }
+        if (!m_streaming) {
+            m_streaming = true;
+            m_core.parts.metrics.observe("whinyard_first_event_seconds", now() - m_arrived);
+            m_caller.begin(attempt.head());
+        }
+        m_events += events.count;
+        m_caller.write(events.bytes);
+        m_lastEvent = events.lastId;
+    }
+    return !events.outOfOrder && !m_callerLeft;
+}
+
+void ForwardRun::noteOutcome(const ForwardAttempt& attempt, bool failed)
+{
+    policy::VersionOutcome outcome;
+    outcome.failed = failed;
+    outcome.measure = m_admission.route->name + "/" + model().value;
+    const SteadyTime end = m_firstEventAt.value_or(now());
+    const auto began = now() - attempt.age();
+    outcome.time = std::chrono::duration_cast<std::chrono::microseconds>(end - began);
+    if (m_events > policy::VersionShifts::minimumPauses)
+        outcome.pause = std::chrono::duration_cast<std::chrono::microseconds>(*m_latestEventAt - *m_firstEventAt) / (m_events - 1);
+    m_core.parts.shifts.recordOutcome(attempt.target().service, attempt.target().version, outcome, now());
+}
+
+bool ForwardRun::mayGoOn(AttemptEnd end)
+{
+    if (m_callerLeft)
+        return false;
+    if (end == AttemptEnd::steppedUp)
+        return true;
+    const bool mayHaveRun = end != AttemptEnd::notRun;
+    if (mayHaveRun && (!repeatable() || m_sent >= m_admission.route->maximumAttempts))
+        return false;
+    if (!mayHaveRun && m_refused >= mostRefusals)
+        return false;
+    if (timeLeft() < shortestAttempt)
+        return false;
+    // An attempt that never reached its endpoint is no arrival there.
+    const bool reached = mayHaveRun || m_failure.kind != ErrorKind::peerUnreachable;
+    const bool granted = !reached || m_core.budgetOf(m_service).take(now());
+    log::info(granted ? "attempt repeated" : "repeats are spent", { { "request", m_request.id }, { "service", m_service.value }, { "after", m_failure.reason }, { "attempts", std::to_string(m_sent + m_refused) }, { "timeLeftMs", text(timeLeft()) } });
+    if (granted && reached)
+        m_core.parts.metrics.add("whinyard_repeats_total");
+    return granted;
+}
+
+void ForwardRun::conclude()
+{
+    if (m_callerLeft) {
+        log::info("caller left", { { "request", m_request.id }, { "elapsedMs", text(now() - m_arrived) }, { "attempts", std::to_string(m_sent + m_refused) } });
+        m_core.parts.metrics.add("whinyard_callers_left_total");
+        m_caller.abort();
+        return;
+    }
+    if (m_streaming) {
+        log::info("answer cut", { { "request", m_request.id }, { "reason", m_failure.reason }, { "lastEvent", std::to_string(m_lastEvent.value_or(0)) }, { "elapsedMs", text(now() - m_arrived) } });
+        m_core.parts.metrics.add("whinyard_answers_cut_total");
+        m_caller.abort();
+        return;
+    }
+    if (m_failedAnswer && !promisesNotRun(m_failedAnswer->status)) {
+        log::info("answered", { { "request", m_request.id }, { "status", std::to_string(m_failedAnswer->status) }, { "elapsedMs", text(now() - m_arrived) } });
+        m_caller.send(*m_failedAnswer);
+        return;
+    }
+    refuse(m_failure);
+}
+
+void ForwardRun::refuse(Failure failure)
+{
+    failure.runState = m_runState;
+    if (m_runState != RunState::notRun && promisesNotRun(failure.kind))
+        failure.kind = ErrorKind::endpointFailed;
+    // Nothing was begun, whatever kept it from being sent: the caller may try again.
+    if (m_runState == RunState::notRun && !promisesNotRun(failure.kind) && failure.kind != ErrorKind::unknownRoute && failure.kind != ErrorKind::unauthenticated)
+        failure.kind = ErrorKind::overloaded;
+    if (m_runState == RunState::notRun && failure.retryAfter.count() == 0)
+        failure.retryAfter = m_core.settings.comeBackAfter;
+    log::info("refused", { { "request", m_request.id }, { "kind", std::string(answerFor(failure.kind).name) }, { "notRun", failure.runState == RunState::notRun ? "true" : "false" }, { "reason", failure.reason }, { "retryAfterMs", text(failure.retryAfter) }, { "elapsedMs", text(now() - m_arrived) } });
+    m_core.parts.metrics.add("whinyard_refusals_total{kind=\"" + std::string(answerFor(failure.kind).name) + "\"}");
+    m_caller.send(m_core.parts.codec.encodeFailure(m_request.id, failure));
+}
+
+}
--- /dev/null
+++ b/packages/router/src/internal/ForwardRun.h
@@ -0,0 +1,100 @@
+// One forwarded request on its way: attempts until one is answered, within the route's bounds, and the answer.
+#pragma once
+
+#include "internal/ForwardAttempt.h"
+#include "whinyard/config/Routing.h"
+#include "whinyard/endpoint/EventFramer.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace whinyard::router {
+
+// A request that passed the gate: what the configuration says of it.
+struct Admission {
+    std::shared_ptr<const config::RoutingTable> table;
+    const config::Route* route = nullptr;
+    CustomerName customer; // Empty where no key is asked for.
+    std::uint8_t priority = 1;
+};
+
+// Finds the route and the customer of a request. Fails with configurationStale, unknownRoute or unauthenticated.
+std::optional<Admission> admit(const RoutingSource& source, const ForwardedRequest& request, Failure& failure);
+
+class ForwardRun {
+public:
+    // All must outlive the object.
+    ForwardRun(ForwardCore& core, const ForwardedRequest& request, Admission admission, net::HttpResponder& caller);
+
+    // Answers the request, or refuses it.
+    void run();
+
+private:
+    // How an attempt ended.
+    enum class AttemptEnd : std::uint8_t {
+        answered, // The caller has the whole answer, or as much of it as he took.
+        notRun,
+        failedAnswer, // The endpoint's own failure, kept to be shown if no attempt does better.
+        broken,
+        steppedUp, // A larger model is to answer.
+    };
+
+    bool prepare();
+    bool passGate();
+    const ServiceName& drawService() const;
+    std::optional<AttemptTarget> chooseTarget(Failure& failure);
+    endpoint::EndpointWish wishFor(const ServiceName& service) const;
+    void chooseModel();
+    policy::ModelQuestion modelQuestion() const;
+    const ModelName& model() const;
+
+    AttemptEnd attempt();
+    AttemptEnd answerWhole(ForwardAttempt& attempt);
+    AttemptEnd answerStream(ForwardAttempt& attempt);
+    bool relay(ForwardAttempt& attempt, endpoint::EventFramer& framer, std::string_view bytes);
+    AttemptEnd keepFailure(ForwardAttempt& attempt);
+    AttemptEnd breakOff(ForwardAttempt& attempt);
+    bool stepsUp(const ForwardAttempt& attempt);
+    AttemptHead headFor(const AttemptTarget& target) const;
+    std::chrono::milliseconds firstPatience() const;
+
+    bool mayGoOn(AttemptEnd end);
+    void conclude();
+    void refuse(Failure failure);
+    void noteOutcome(const ForwardAttempt& attempt, bool failed);
+    void callerLeft();
+
+    std::chrono::milliseconds timeLeft() const;
+    SteadyTime now() const { return m_core.parts.clock.now(); }
+    bool streams() const { return m_admission.route->kind == config::RequestKind::streaming; }
+    bool repeatable() const { return m_admission.route->repeatable(); }
+    std::vector<std::uint64_t> prefixFor(const ModelName& model) const;
+
+    ForwardCore& m_core;
+    const ForwardedRequest& m_request;
+    Admission m_admission;
+    net::HttpResponder& m_caller;
+    const SteadyTime m_arrived;
+    SteadyTime m_deadline;
+
+    ServiceName m_service;
+    std::optional<std::size_t> m_model; // Index into the route's models, where the router chooses.
+    std::vector<EndpointName> m_tried;
+    ForwardAttempt* m_current = nullptr; // While an attempt runs.
+    std::optional<AttemptTarget> m_target;
+    std::uint32_t m_sent = 0; // Attempts that an endpoint may have begun.
+    std::uint32_t m_refused = 0; // Attempts that no endpoint began.
+    RunState m_runState = RunState::notRun;
+    Failure m_failure; // The last reason.
+    std::optional<net::HttpResponse> m_failedAnswer;
+    std::optional<std::uint64_t> m_lastEvent; // That the caller has.
+    bool m_streaming = false; // The caller has the head of the answer.
+    bool m_callerLeft = false;
+    std::optional<SteadyTime> m_firstEventAt; // Of the present attempt.
+    std::optional<SteadyTime> m_latestEventAt;
+    std::uint32_t m_events = 0; // Of the present attempt.
+};
+
+}
--- a/packages/router/src/internal/ServiceDispatch.cpp
+++ b/packages/router/src/internal/ServiceDispatch.cpp
@@ -47,7 +47,7 @@
         const std::size_t before = m_context.accounts.size();
         std::optional<net::HttpResponse> response = attempt(failure);
         if (response) {
-            m_context.core.retryBudget.recordSuccess(m_context.now());
+            m_context.core.retryBudget.earn(m_context.now());
             return response;
         }
         const bool dispatched = m_context.accounts.size() > before;
@@ -88,7 +88,7 @@
     const std::uint32_t number = call.attempt.number;
     m_context.record(EventKind::planMade, { .attempt = number, .endpoint = chosen->name, .reason = chosen->reason });
     m_context.record(EventKind::attemptDispatched, { .attempt = number, .endpoint = chosen->name });
-    EndpointUse use(m_context, chosen->name, {});
+    EndpointUse use(m_context.core.parts.directory, m_context.core.parts.clock, chosen->name, {});
     endpoint::AttemptAccount account;
     std::optional<net::HttpResponse> response = m_context.core.parts.services.call(call, account, failure);
     m_context.accounts.back() = account;
--- a/packages/router/src/internal/StreamReader.cpp
+++ b/packages/router/src/internal/StreamReader.cpp
@@ -53,7 +53,7 @@
     m_next = 0;
     m_resumes = 0;
     m_opening = {};
-    m_use = std::make_unique<EndpointUse>(m_context, m_attempt->endpoint, m_work.prefix);
+    m_use = std::make_unique<EndpointUse>(m_context.core.parts.directory, m_context.core.parts.clock, m_attempt->endpoint, m_work.prefix);
     m_watch = std::make_unique<AttemptWatch>(m_context, &m_attempt->elsewhere, m_attempt->unqueuedWait, [this] { closeStream(); });
     m_attempt->call.cancellation = &m_opening;
     endpoint::AttemptAccount account;
--- a/packages/router/testing/whinyard/router/RouterFakes.h
+++ b/packages/router/testing/whinyard/router/RouterFakes.h
@@ -8,7 +8,7 @@
 #include "whinyard/endpoint/FakeEngineClient.h"
 #include "whinyard/endpoint/FakeServiceClient.h"
 #include "whinyard/peer/FakePeers.h"
-#include "whinyard/platform/FakeRatingService.h"
+#include "whinyard/backing/FakeRatingService.h"
 #include "whinyard/router/Router.h"
 
 #include <algorithm>
@@ -232,14 +232,14 @@
         return document;
     }
 
-    static std::vector<platform::ListedEndpoint> endpoints()
+    static std::vector<backing::ListedEndpoint> endpoints()
     {
-        std::vector<platform::ListedEndpoint> listed;
+        std::vector<backing::ListedEndpoint> listed;
         for (const char* name : { "engine-1", "engine-2" })
-            listed.push_back({ .name = { name }, .kind = platform::ListedKind::engine, .address = { "127.0.0.1", 1 }, .zone = { "a" }, .versions = { { "cheap-1" }, { "strong-1" } }, .service = {}, .leaving = false });
+            listed.push_back({ .name = { name }, .kind = backing::ListedKind::engine, .address = { "127.0.0.1", 1 }, .zone = { "a" }, .versions = { { "cheap-1" }, { "strong-1" } }, .service = {}, .leaving = false });
         for (const char* service : { "match", "stock" }) {
             for (const char* suffix : { "-1", "-2" })
-                listed.push_back({ .name = { std::string(service) + suffix }, .kind = platform::ListedKind::service, .address = { "127.0.0.1", 2 }, .zone = { "a" }, .versions = {}, .service = { service }, .leaving = false });
+                listed.push_back({ .name = { std::string(service) + suffix }, .kind = backing::ListedKind::service, .address = { "127.0.0.1", 2 }, .zone = { "a" }, .versions = {}, .service = { service }, .leaving = false });
         }
         return listed;
     }
@@ -315,7 +315,7 @@
     endpoint::FakeServiceClient services;
     FakeIntentLedger intents;
     FakeUsageLedger usage;
-    platform::FakeRatingService ratings;
+    backing::FakeRatingService ratings;
     policy::SessionPins sessionPins { { { 1, "0123456789abcdef" } } };
     policy::RolloutJudge judge { { "entry-1" }, { 1 } };
     policy::CustomerLimits limits { { "entry-1" }, { 1 } };
--- a/standins/PlatformStandIn.cpp
+++ b/standins/PlatformStandIn.cpp
@@ -11,7 +11,7 @@
 #include "whinyard/base/Clock.h"
 #include "whinyard/base/Identity.h"
 #include "whinyard/base/Log.h"
-#include "whinyard/platform/MemoryStore.h"
+#include "whinyard/backing/MemoryStore.h"
 
 #include <charconv>
 #include <deque>
@@ -71,7 +71,7 @@
         return number;
     }
 
-    json toJson(const platform::Record& record)
+    json toJson(const backing::Record& record)
     {
         return { { "key", record.key }, { "value", record.value }, { "revision", record.revision } };
     }
@@ -180,13 +180,13 @@
         void swap(const net::HttpRequest& request, net::HttpResponder& responder, const Call& call)
         {
             const json body = bodyOf(request);
-            const platform::Swap swap {
+            const backing::Swap swap {
                 .key = body.at("key").get<std::string>(),
                 .value = body.at("value").get<std::string>(),
                 .expected = body.at("expected").get<std::uint64_t>(),
                 .lease = { body.value("lease", std::uint64_t { 0 }) },
             };
-            if (swap.value.size() > platform::largestValue) {
+            if (swap.value.size() > backing::largestValue) {
                 replyError(responder, 413, "the value is too large");
                 return;
             }
@@ -223,7 +223,7 @@
             if (!admitted(responder, call))
                 return;
             const std::string key = net::queryValue(request.target, "key");
-            const platform::Revision known = numberParameter(request, "known");
+            const backing::Revision known = numberParameter(request, "known");
             const SteadyTime end = m_clock.now() + std::chrono::milliseconds(numberParameter(request, "timeoutMs"));
             while (!responder.peerGone()) {
                 if (m_faults.strike(FaultMode::down)) {
@@ -254,7 +254,7 @@
 
         void keep(const net::HttpRequest& request, net::HttpResponder& responder, const Call& call)
         {
-            const platform::LeaseId lease { bodyOf(request).at("lease").get<std::uint64_t>() };
+            const backing::LeaseId lease { bodyOf(request).at("lease").get<std::uint64_t>() };
             if (!admitted(responder, call))
                 return;
             answer(responder, m_store.keepLease(lease) ? 200 : 404, json::object());
@@ -325,7 +325,7 @@
         };
 
         SystemClock m_clock;
-        platform::MemoryStore m_store { m_clock };
+        backing::MemoryStore m_store { m_clock };
         net::Signal m_changed; // A record, or the faults.
         std::chrono::milliseconds m_listLag;
         std::uint64_t m_seed;
