--- a/standins/ProveMain.cpp
+++ b/standins/ProveMain.cpp
@@ -7,7 +7,7 @@
 
 #include "whinyard/base/Log.h"
 #include "whinyard/ledger/UsageReader.h"
-#include "whinyard/platform/HttpPlatform.h"
+#include "whinyard/backing/HttpPlatform.h"
 
 #include <CLI/CLI.hpp>
 
@@ -84,7 +84,7 @@
         std::optional<std::vector<ledger::UsageLine>> lines;
         net::runOn(duty, [&] {
             const auto client = net::HttpClient::create(duty);
-            const auto store = platform::makeHttpKeyValueStore(*client, { .address = *platform, .callTimeout = std::chrono::seconds(10) });
+            const auto store = backing::makeHttpKeyValueStore(*client, { .address = *platform, .callTimeout = std::chrono::seconds(10) });
             lines = ledger::UsageReader(*store, options.partitions).lines({}, failure);
         });
         duty.stop();
