Read no request long after a drain began; try engines of their own for long prompts

A connection whose answer had begun before the signal to stop stayed open for another request, which came up to 7 s after it and couldn't be finished. Test: ReadsNoRequestThatComesLongAfterTheDrainBegan. Change: the grace of a drain counts from its begin (0.3 s), not from the end of each answer. Cause 2: a prompt of 12,000 tokens holds up short ones: answers of the smallest model took 20 ms in the middle and 4 s at the 99th of 100. Tried: a band of the engines for prompts of 4,096 tokens and more, as large as their part of the work times a weight. Tests of the forwarding path with scripted endpoints: each way an attempt ends, by kind.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -14,7 +14,7 @@
 
     // The site asks for readiness once a second and takes an instance out after two misses; until then, and a moment
     // longer for what is on its way, new connections still come and are served.
-    constexpr std::chrono::milliseconds rotationNotice { 2'600 };
+    constexpr std::chrono::milliseconds rotationNotice { 2'500 };
 
     // Callers use connections again that were idle for up to four fifths of the limit; ours is longer by a quarter, so
     // that a request never meets our close.
@@ -43,6 +43,7 @@
         settings.zoneFactor = tuning.zoneFactor;
         settings.affinityCachedShare = tuning.affinityCachedShare;
         settings.randomChoices = tuning.randomChoices;
+        settings.fullScanLimit = tuning.fullScanLimit;
         settings.probeShare = 0.2; // An instance of a small site sees ten requests a second.
         return settings;
     }
@@ -54,12 +55,14 @@
         return settings;
     }
 
-    router::ForwarderSettings forwarderSettings(const settings::ServiceBounds& bounds)
+    router::ForwarderSettings forwarderSettings(const settings::ServiceBounds& bounds, const settings::EntryTuning& tuning)
     {
         // A tenth of the bound stays unused, for windows that don't begin when ours do.
         constexpr double usedPart = 0.9;
         router::ForwarderSettings settings;
         settings.repeatRatio = usedPart * bounds.repeatRatio;
+        settings.sizeBands.longPrompt = tuning.longPrompt;
+        settings.sizeBands.longWeight = tuning.longWeight;
         return settings;
     }
 
@@ -92,7 +95,7 @@
 {
     m_client = net::HttpClient::create(m_duty);
     const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, *m_client, m_fibers };
-    m_forwarder = std::make_unique<router::Forwarder>(parts, forwarderSettings(m_shared.settings.bounds), seededRandom());
+    m_forwarder = std::make_unique<router::Forwarder>(parts, forwarderSettings(m_shared.settings.bounds, m_shared.settings.tuning), seededRandom());
     const net::HttpHandler forward = [this](const net::HttpRequest& request, net::HttpResponder& responder) { m_forwarder->handle(request, responder); };
     const net::HttpHandler tellReadiness = [this](const net::HttpRequest&, net::HttpResponder& responder) {
         constexpr int ready = 200;
--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -31,6 +31,7 @@
     std::uint8_t priority = 1; // 0 is served first.
     bool mayProbe = true; // False for calls that may not be repeated.
     SteadyTime deadline = SteadyTime::max();
+    policy::EndpointBand band {}; // Preferred endpoints; the others are chosen where none of these can be.
     std::vector<EndpointName> excluded; // Tried already.
 };
 
--- a/packages/endpoint/src/EndpointDirectory.cpp
+++ b/packages/endpoint/src/EndpointDirectory.cpp
@@ -89,7 +89,12 @@
         request.mayProbe = wish.mayProbe;
         request.deadline = wish.deadline;
         request.excluded = excluded;
+        request.band = wish.band;
         plan = m_selector->choose(m_table, request, now, m_random);
+        if (!plan && !wish.band.isWhole()) {
+            request.band = {};
+            plan = m_selector->choose(m_table, request, now, m_random);
+        }
     }
     const auto listed = plan ? m_listed.find(m_table.name(plan.endpoint)) : m_listed.end();
     if (listed != m_listed.end())
--- a/packages/endpoint/testing/whinyard/endpoint/FakeHttpClient.h
+++ b/packages/endpoint/testing/whinyard/endpoint/FakeHttpClient.h
@@ -4,6 +4,8 @@
 #include "whinyard/net/HttpClient.h"
 
 #include <deque>
+#include <functional>
+#include <utility>
 #include <vector>
 
 namespace whinyard::endpoint {
@@ -21,6 +23,7 @@
     std::deque<FakeExchange> exchanges;
     std::vector<net::HttpRequest> requests;
     std::vector<net::HttpCallOptions> options;
+    std::function<void()> onCall; // Runs once, during the next call.
 
     std::optional<net::HttpResponse> call(const net::Address&, const net::HttpRequest& request, const net::HttpCallOptions& callOptions, net::HttpCallProgress& progress, Failure& failure) override
     {
@@ -80,8 +83,14 @@
     {
         requests.push_back(request);
         options.push_back(callOptions);
-        FakeExchange exchange = exchanges.front();
-        exchanges.pop_front();
+        if (onCall)
+            std::exchange(onCall, nullptr)();
+        // A call that no test has scripted is lost after its first byte.
+        FakeExchange exchange { .bytesWritten = 1, .connectionLost = true, .head = {}, .pieces = {} };
+        if (!exchanges.empty()) {
+            exchange = exchanges.front();
+            exchanges.pop_front();
+        }
         progress.bytesWritten = exchange.bytesWritten;
         progress.responseStarted = !exchange.connectionLost || !exchange.pieces.empty();
         return exchange;
--- a/packages/net/src/internal/TcpServer.cpp
+++ b/packages/net/src/internal/TcpServer.cpp
@@ -13,9 +13,10 @@
 
 namespace {
 
-    // While the server drains, a kept connection stays open this much longer, so that a request that is on
-    // its way is still answered.
-    constexpr std::chrono::milliseconds drainGrace { 500 };
+    // From the begin of the drain kept connections stay open this much longer, so that a request that is on its way
+    // is still answered. Later ones aren't read: there may be no time left to answer them, and a caller whose request
+    // wasn't read can send it elsewhere.
+    constexpr std::chrono::milliseconds drainGrace { 300 };
 
     // Most requests fit into their first read.
     constexpr std::size_t firstReadBytes = 4 * 1024;
@@ -112,7 +113,10 @@
     if (buffer.size() > 0)
         return true;
     connection.idle = true;
-    connection.socket.expireAfter(m_draining ? std::min<std::chrono::nanoseconds>(drainGrace, idleTimeout) : idleTimeout);
+    if (m_draining)
+        connection.socket.expireAt(m_drainGraceEnd);
+    else
+        connection.socket.expireAfter(idleTimeout);
     error_code error;
     buffer.commit(connection.socket.read_some(buffer.prepare(firstReadBytes), error));
     connection.idle = false;
@@ -122,11 +126,12 @@
 void TcpServer::drain()
 {
     m_draining = true;
+    m_drainGraceEnd = std::chrono::steady_clock::now() + drainGrace;
     error_code ignored;
     m_acceptor.close(ignored);
     for (ServerConnection* connection : m_connections) {
         if (connection->idle)
-            connection->socket.expireAfter(drainGrace);
+            connection->socket.expireAt(m_drainGraceEnd);
     }
 }
 
--- a/packages/net/src/internal/TcpServer.h
+++ b/packages/net/src/internal/TcpServer.h
@@ -81,6 +81,7 @@
     std::size_t m_active = 0;
     bool m_draining = false;
     bool m_closeAnnounced = false;
+    SteadyTime m_drainGraceEnd;
 };
 
 // The control functions that every server interface of this package has, over a TcpServer.
--- a/packages/net/test/HttpPeerTest.cpp
+++ b/packages/net/test/HttpPeerTest.cpp
@@ -86,6 +86,26 @@
         EXPECT_NE(peer.readAll().find("Connection: close"), std::string::npos);
     }
 
+    TEST_F(HttpPeerTest, ReadsNoRequestThatComesLongAfterTheDrainBegan)
+    {
+        std::atomic<int> handled = 0;
+        const Address address = serve([&handled](const HttpRequest&, HttpResponder& responder) {
+            ++handled;
+            responder.begin({}); // The head can't announce a close that nobody knows of yet.
+            sleepFor(700ms);
+            responder.write("done");
+            responder.end();
+        });
+        RawConnection peer(address);
+        peer.write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+        std::this_thread::sleep_for(50ms);
+        runOn(m_duty, [this] { m_server->drain(); });
+        EXPECT_NE(peer.readUntil("0\r\n\r\n").find("done"), std::string::npos);
+        peer.write("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+        peer.readAll();
+        EXPECT_EQ(handled, 1);
+    }
+
     TEST_F(HttpPeerTest, PassesNoFieldOnThatTheConnectionFieldNames)
     {
         std::string seen = "unset";
--- a/packages/policy/include/whinyard/policy/EndpointChoice.h
+++ b/packages/policy/include/whinyard/policy/EndpointChoice.h
@@ -16,6 +16,15 @@
 
 namespace whinyard::policy {
 
+// A part of a target's endpoints, by their positions: from `from` up to, not including, `to`.
+struct EndpointBand {
+    double from = 0;
+    double to = 1;
+
+    bool contains(double position) const { return from <= position && position < to; }
+    bool isWhole() const { return from <= 0 && to >= 1; }
+};
+
 // What a choice needs to know about a request.
 struct EndpointRequest {
     TargetIndex target {}; // The version or plain service.
@@ -26,6 +35,7 @@
     std::uint8_t priority = 1; // 0 is served first, 2 last.
     bool mayProbe = true; // False for non-idempotent calls: they never try out a failed endpoint.
     SteadyTime deadline = SteadyTime::max();
+    EndpointBand band {}; // The endpoints that may be chosen.
     std::span<const EndpointIndex> excluded; // Endpoints that this request has tried already.
 };
 
--- a/packages/policy/include/whinyard/policy/EndpointTable.h
+++ b/packages/policy/include/whinyard/policy/EndpointTable.h
@@ -103,6 +103,7 @@
     SteadyTime healthySince;
     SteadyTime ejectedUntil;
     SteadyTime comeBackAt; // The endpoint asked for no new work before this.
+    double position = 0; // 0 to 1: its place in an order of its target's endpoints that is the same on all instances.
 };
 
 // What is believed of the requests at an endpoint now.
@@ -202,6 +203,7 @@
     void takeMember(const EndpointMember& member, std::vector<std::uint8_t>& listed);
     void placeInTargets(EndpointIndex endpoint, std::vector<TargetIndex> targets);
     void removeFromTargets(EndpointIndex endpoint);
+    void orderMembers(const TargetMembers& target);
     void addToRing(TargetMembers& target, EndpointIndex endpoint);
     void addToHealthList(TargetMembers& target, EndpointIndex endpoint);
     void removeFromHealthList(TargetMembers& target, EndpointIndex endpoint);
--- a/packages/policy/src/EndpointTable.cpp
+++ b/packages/policy/src/EndpointTable.cpp
@@ -70,6 +70,22 @@
         rowAt(endpoint).present = false;
         freeIfGone(endpoint);
     }
+    for (const TargetMembers& target : m_targets)
+        orderMembers(target);
+}
+
+// The order follows from the names alone, so that instances agree on it without a word; it differs from the names' own,
+// which may follow zones or age.
+void EndpointTable::orderMembers(const TargetMembers& target)
+{
+    std::vector<std::pair<std::uint64_t, EndpointIndex>> order;
+    for (const std::vector<EndpointIndex>* list : { &target.healthy, &target.probing, &target.ejected }) {
+        for (const EndpointIndex endpoint : *list)
+            order.emplace_back(stableHash(m_names[at(endpoint)].value), endpoint);
+    }
+    std::sort(order.begin(), order.end());
+    for (std::size_t place = 0; place < order.size(); ++place)
+        rowAt(order[place].second).position = (static_cast<double>(place) + 0.5) / static_cast<double>(order.size());
 }
 
 void EndpointTable::takeMember(const EndpointMember& member, std::vector<std::uint8_t>& listed)
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -12,6 +12,7 @@
 #include "whinyard/net/HttpClient.h"
 #include "whinyard/net/HttpServer.h"
 #include "whinyard/policy/ModelChoice.h"
+#include "whinyard/policy/SizeBands.h"
 #include "whinyard/policy/VersionShift.h"
 #include "whinyard/router/Fibers.h"
 #include "whinyard/router/ForwardedRequest.h"
@@ -38,6 +39,7 @@
     double repeatRatio = 0.8; // Attempts beyond the first, for each request of the same service.
     double repeatsPerSecond = 0.2; // That are allowed without any request.
     std::chrono::milliseconds connectTimeout { 300 }; // Many times the longest way within a region.
+    policy::SizeBandSettings sizeBands {};
     std::chrono::milliseconds comeBackAfter { 150 }; // Told with a refusal when nothing better is known.
 };
 
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "whinyard/policy/RetryPolicy.h"
+#include "whinyard/policy/SizeBands.h"
 #include "whinyard/router/Forwarder.h"
 
 #include <map>
@@ -18,10 +19,16 @@
         return budgets.try_emplace(service, settings.repeatRatio, settings.repeatsPerSecond).first->second;
     }
 
+    policy::SizeBands& bandsOf(const ServiceName& service)
+    {
+        return bands.try_emplace(service, settings.sizeBands).first->second;
+    }
+
     ForwarderParts parts;
     ForwarderSettings settings;
     Random random;
     std::map<ServiceName, policy::RetryBudget> budgets {};
+    std::map<ServiceName, policy::SizeBands> bands {};
     std::map<ServiceName, std::vector<std::string>> versions {};
     std::size_t active = 0;
 };
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -168,7 +168,7 @@
     return false;
 }
 
-endpoint::EndpointWish ForwardRun::wishFor(const ServiceName&) const
+endpoint::EndpointWish ForwardRun::wish()
 {
     endpoint::EndpointWish wish;
     wish.prefix = prefixFor(model());
@@ -176,6 +176,8 @@
     if (wish.prefix.size() > 1)
         wish.affinity = wish.prefix[wish.prefix.size() - 2];
     wish.promptTokens = m_request.promptTokens;
+    if (m_admission.route->isGenerative)
+        wish.band = m_core.bandsOf(m_service).bandFor(m_request.promptTokens);
     wish.mayProbe = repeatable();
     wish.excluded = m_tried;
     return wish;
@@ -188,12 +190,12 @@
     const std::uint64_t draw = stableHash(m_request.session.empty() ? m_request.id : m_request.session);
     const policy::VersionPreference preference = m_core.parts.shifts.prefer(m_service, m_request.session, draw, available, now());
     failure = { .kind = ErrorKind::noEndpoint, .reason = "no endpoint of " + m_service.value + " is known", .retryAfter = m_core.settings.comeBackAfter };
-    endpoint::EndpointWish wish = wishFor(m_service);
+    endpoint::EndpointWish wished = wish();
     for (const std::string& version : preference.versions) {
-        wish.version = targetName(m_service, version);
-        std::optional<endpoint::ChosenEndpoint> chosen = m_core.parts.directory.choose(wish, now(), failure);
+        wished.version = targetName(m_service, version);
+        std::optional<endpoint::ChosenEndpoint> chosen = m_core.parts.directory.choose(wished, now(), failure);
         if (chosen)
-            return AttemptTarget { m_service, version, std::move(*chosen), wish.prefix };
+            return AttemptTarget { m_service, version, std::move(*chosen), wished.prefix };
     }
     return std::nullopt;
 }
@@ -214,20 +216,22 @@
     return m_model ? m_admission.route->models[*m_model] : m_request.model;
 }
 
+double ForwardRun::costOf(const ModelName& name) const
+{
+    const config::RoutedService* service = m_admission.table->findService(m_service);
+    if (!service)
+        return 1;
+    const auto priced = std::find_if(service->models.begin(), service->models.end(), [&](const config::PricedModel& model) { return model.name == name; });
+    return priced == service->models.end() ? 1 : priced->costPerThousandTokens;
+}
+
 policy::ModelQuestion ForwardRun::modelQuestion() const
 {
     const config::Route& route = *m_admission.route;
     policy::ModelQuestion question;
     question.route = route.name;
-    const config::RoutedService* service = m_admission.table->findService(m_service);
-    for (const ModelName& name : route.models) {
-        double cost = 1;
-        if (service) {
-            const auto priced = std::find_if(service->models.begin(), service->models.end(), [&](const config::PricedModel& model) { return model.name == name; });
-            cost = priced == service->models.end() ? 1 : priced->costPerThousandTokens;
-        }
-        question.costs.push_back(cost);
-    }
+    for (const ModelName& name : route.models)
+        question.costs.push_back(costOf(name));
     question.promptTokens = m_request.promptTokens;
     question.answerTokens = m_request.expectedTokens > 0 ? m_request.expectedTokens : m_request.answerTokens;
     question.attemptsLeft = route.maximumAttempts - std::min(route.maximumAttempts, m_sent);
@@ -271,6 +275,8 @@
     m_current = &attempt;
     m_events = 0;
     m_firstEventAt.reset();
+    if (m_admission.route->isGenerative)
+        m_core.bandsOf(m_service).note(m_request.promptTokens, m_request.promptTokens * costOf(model()), now());
     log::info("attempt sent", { { "request", m_request.id }, { "attempt", std::to_string(m_sent + m_refused + 1) }, { "endpoint", target.endpoint.name.value }, { "version", target.version }, { "model", model().value }, { "reason", target.endpoint.reason }, { "expectedWaitMs", text(target.endpoint.plan.expectedWait) }, { "timeLeftMs", text(timeLeft()) } });
     m_core.parts.shifts.noteSession(target.service, m_request.session, target.version, now());
     const HeadVerdict verdict = attempt.open(headFor(target), firstPatience());
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -45,7 +45,8 @@
     bool passGate();
     const ServiceName& drawService() const;
     std::optional<AttemptTarget> chooseTarget(Failure& failure);
-    endpoint::EndpointWish wishFor(const ServiceName& service) const;
+    endpoint::EndpointWish wish();
+    double costOf(const ModelName& name) const;
     void chooseModel();
     policy::ModelQuestion modelQuestion() const;
     const ModelName& model() const;
--- /dev/null
+++ b/packages/router/test/ForwarderTest.cpp
@@ -0,0 +1,230 @@
+// What a caller sees, and what endpoints get, for each way in which an attempt can end.
+#include "whinyard/router/Forwarder.h"
+
+#include "whinyard/router/ForwarderFakes.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+
+namespace whinyard::router {
+namespace {
+
+    using config::RequestKind;
+
+    class ForwarderTest : public ::testing::Test {
+    protected:
+        ForwarderBench m_bench;
+    };
+
+    TEST_F(ForwarderTest, ForwardsAWholeAnswerUnchanged)
+    {
+        m_bench.answer(201, { "he", "llo" });
+        const FakeResponder caller = m_bench.send();
+        EXPECT_EQ(caller.response.status, 201);
+        EXPECT_EQ(caller.response.body, "hello");
+        EXPECT_EQ(caller.field("signed"), "s");
+        EXPECT_EQ(m_bench.client.requests.at(0).body, "body");
+        EXPECT_EQ(m_bench.sent(0, "customer"), "school");
+        EXPECT_EQ(m_bench.sent(0, "timeLeft"), "2000");
+        EXPECT_TRUE(m_bench.client.options.at(0).freshConnection);
+    }
+
+    // How one attempt can end, and what that proves.
+    struct AttemptCase {
+        const char* name;
+        std::function<void(ForwarderBench&)> script;
+        bool certainlyNotRun;
+        int shown; // The status that a caller whose request can't be repeated sees.
+    };
+
+    const std::vector<AttemptCase>& attemptCases()
+    {
+        static const std::vector<AttemptCase> cases {
+            { "no connection", [](ForwarderBench& bench) { bench.lose(0); }, true, 503 },
+            { "lost after the first byte", [](ForwarderBench& bench) { bench.lose(1); }, false, 502 },
+            { "refused by the endpoint", [](ForwarderBench& bench) { bench.script(503, { { "not-run", "1" } }, {}); }, true, 503 },
+            { "another endpoint has the address", [](ForwarderBench& bench) { bench.script(421, { { "not-run", "1" } }, {}); }, true, 503 },
+            { "503 without a statement", [](ForwarderBench& bench) { bench.script(503, {}, {}); }, false, 502 },
+            { "signed 503 without a statement", [](ForwarderBench& bench) { bench.answer(503, { "x" }); }, false, 502 },
+            { "signed 429 without a statement", [](ForwarderBench& bench) { bench.answer(429, { "x" }); }, false, 502 },
+            { "signed 500", [](ForwarderBench& bench) { bench.answer(500, { "x" }); }, false, 500 },
+            { "unsigned 200", [](ForwarderBench& bench) { bench.script(200, { { "id", "q" } }, { "x" }); }, false, 502 },
+            { "answer of another request", [](ForwarderBench& bench) { bench.script(200, { { "id", "other" }, { "signed", "s" } }, { "x" }); }, false, 502 },
+            { "encoded answer", [](ForwarderBench& bench) { bench.script(200, { { "id", "q" }, { "signed", "s" }, { "encoded", "1" } }, { "x" }); }, false, 502 },
+            { "answer that breaks off", [](ForwarderBench& bench) { bench.answer(200, { "x" }, true); }, false, 502 },
+            { "failure that breaks off", [](ForwarderBench& bench) { bench.answer(500, { "x" }, true); }, false, 502 },
+        };
+        return cases;
+    }
+
+    TEST(ForwarderVerdictTest, NeverRepeatsWhatMayHaveRunAndSaysSo)
+    {
+        for (const AttemptCase& one : attemptCases()) {
+            ForwarderBench bench;
+            bench.useRoute(RequestKind::nonIdempotent);
+            one.script(bench);
+            if (one.certainlyNotRun)
+                bench.answer(200, { "second" });
+            const FakeResponder caller = bench.send();
+            EXPECT_EQ(bench.client.requests.size(), one.certainlyNotRun ? 2U : 1U) << one.name;
+            EXPECT_EQ(caller.response.status, one.certainlyNotRun ? 200 : one.shown) << one.name;
+            EXPECT_TRUE(caller.ended) << one.name;
+        }
+    }
+
+    TEST(ForwarderVerdictTest, RepeatsWhatMayBeRepeated)
+    {
+        for (const AttemptCase& one : attemptCases()) {
+            ForwarderBench bench;
+            one.script(bench);
+            bench.answer(200, { "second" });
+            const FakeResponder caller = bench.send();
+            EXPECT_EQ(caller.response.status, 200) << one.name;
+            EXPECT_EQ(caller.response.body, "second") << one.name;
+            EXPECT_NE(bench.sent(0, "endpoint"), bench.sent(1, "endpoint")) << one.name;
+        }
+    }
+
+    TEST(ForwarderVerdictTest, PromisesNotRunOnlyWhereItIsTrue)
+    {
+        for (const AttemptCase& one : attemptCases()) {
+            ForwarderBench bench;
+            bench.useRoute(RequestKind::nonIdempotent);
+            bench.listEndpoints({ "e1" });
+            one.script(bench);
+            const FakeResponder caller = bench.send();
+            EXPECT_EQ(caller.response.status, one.shown) << one.name;
+            const bool saysWhen = caller.field("retry-after") != "0" && !caller.field("retry-after").empty();
+            EXPECT_EQ(saysWhen, one.certainlyNotRun) << one.name;
+        }
+    }
+
+    TEST_F(ForwarderTest, ShowsTheEndpointsFailureWhenNoAttemptDoesBetter)
+    {
+        for (int i = 0; i < 2; ++i)
+            m_bench.answer(500, { "sorry" });
+        const FakeResponder caller = m_bench.send();
+        EXPECT_EQ(caller.response.status, 500);
+        EXPECT_EQ(caller.response.body, "sorry");
+        EXPECT_EQ(caller.field("signed"), "s");
+    }
+
+    TEST_F(ForwarderTest, RefusesUnknownRoutesAndKeys)
+    {
+        net::HttpRequest request { .method = "GET", .target = "/q/x", .fields = { { "id", "q" }, { "host", "a.example" }, { "key", "k1" } }, .body = {} };
+        FakeResponder noRoute;
+        m_bench.forwarder.handle(request, noRoute);
+        EXPECT_EQ(noRoute.response.status, 404);
+        request.target = "/p/x";
+        request.fields[2].value = "wrong";
+        FakeResponder noKey;
+        m_bench.forwarder.handle(request, noKey);
+        EXPECT_EQ(noKey.response.status, 401);
+        m_bench.source.table = nullptr;
+        FakeResponder noConfiguration;
+        m_bench.forwarder.handle(request, noConfiguration);
+        EXPECT_EQ(noConfiguration.response.status, 503) << "without a configuration nothing is known of keys";
+        EXPECT_TRUE(m_bench.client.requests.empty());
+    }
+
+    TEST_F(ForwarderTest, PassesTheGateAnewBeforeEachAttempt)
+    {
+        m_bench.answer(500, { "x" });
+        m_bench.client.onCall = [this] {
+            m_bench.routing.version = 2;
+            m_bench.routing.customers.clear();
+            m_bench.publish();
+        };
+        const FakeResponder caller = m_bench.send();
+        EXPECT_EQ(m_bench.client.requests.size(), 1U) << "the key was taken away meanwhile";
+        EXPECT_EQ(caller.response.status, 500);
+    }
+
+    std::string event(int id)
+    {
+        return "id: " + std::to_string(id) + "\ndata: d\n\n";
+    }
+
+    TEST_F(ForwarderTest, ResumesABrokenStreamAfterItsLastWholeEvent)
+    {
+        m_bench.useRoute(RequestKind::streaming, true);
+        m_bench.answer(200, { event(1) + event(2), "id: 3\nda" }, true);
+        m_bench.answer(200, { event(3), event(4) });
+        const FakeResponder caller = m_bench.send();
+        EXPECT_EQ(caller.response.body, event(1) + event(2) + event(3) + event(4));
+        EXPECT_TRUE(caller.ended);
+        EXPECT_EQ(m_bench.sent(0, "resume"), "");
+        EXPECT_EQ(m_bench.sent(1, "resume"), "2");
+        EXPECT_NE(m_bench.sent(0, "endpoint"), m_bench.sent(1, "endpoint"));
+    }
+
+    TEST_F(ForwarderTest, CutsAStreamThatCanNotBeResumed)
+    {
+        m_bench.useRoute(RequestKind::streaming, false);
+        m_bench.answer(200, { event(1) }, true);
+        const FakeResponder caller = m_bench.send();
+        EXPECT_EQ(caller.response.body, event(1));
+        EXPECT_FALSE(caller.ended);
+        EXPECT_EQ(m_bench.client.requests.size(), 1U);
+    }
+
+    TEST_F(ForwarderTest, TakesAStreamThatEndsWithinAnEventForBroken)
+    {
+        m_bench.useRoute(RequestKind::streaming, true);
+        m_bench.answer(200, { event(1), "id: 2\n" });
+        m_bench.answer(200, { event(2) });
+        const FakeResponder caller = m_bench.send();
+        EXPECT_EQ(caller.response.body, event(1) + event(2));
+        EXPECT_TRUE(caller.ended);
+    }
+
+    TEST_F(ForwarderTest, DropsEventsThatComeTwice)
+    {
+        m_bench.useRoute(RequestKind::streaming, true);
+        m_bench.answer(200, { event(1), event(1) });
+        m_bench.answer(200, { event(2) });
+        const FakeResponder caller = m_bench.send();
+        EXPECT_EQ(caller.response.body, event(1) + event(2));
+    }
+
+    TEST_F(ForwarderTest, AsksALargerModelWhenTheSmallOneIsUnsure)
+    {
+        config::Route& route = m_bench.useRoute(RequestKind::streaming, true);
+        route.models = { { "small" }, { "large" } };
+        m_bench.publish();
+        m_bench.script(200, { { "id", "q" }, { "signed", "s" }, { "confidence", "20" } }, { event(1) });
+        m_bench.script(200, { { "id", "q" }, { "signed", "t" }, { "confidence", "90" } }, { event(1) });
+        const FakeResponder caller = m_bench.send({ { "model", "any" } });
+        EXPECT_EQ(m_bench.sent(0, "model"), "small");
+        EXPECT_EQ(m_bench.sent(1, "model"), "large");
+        EXPECT_EQ(caller.field("signed"), "t");
+        EXPECT_EQ(caller.response.body, event(1));
+    }
+
+    TEST_F(ForwarderTest, ShowsASmallModelsAnswerThatIsSure)
+    {
+        config::Route& route = m_bench.useRoute(RequestKind::streaming, true);
+        route.models = { { "small" }, { "large" } };
+        m_bench.publish();
+        m_bench.script(200, { { "id", "q" }, { "signed", "s" }, { "confidence", "80" } }, { event(1) });
+        EXPECT_EQ(m_bench.send({ { "model", "any" } }).field("signed"), "s");
+        EXPECT_EQ(m_bench.client.requests.size(), 1U);
+    }
+
+    TEST_F(ForwarderTest, StopsRepeatingWhenTheBudgetIsSpent)
+    {
+        Forwarder thrifty({ m_bench.clock, m_bench.metrics, m_bench.source, m_bench.codec, m_bench.directory, m_bench.shifts, m_bench.models, m_bench.client, m_bench.fibers }, { .repeatRatio = 0.1, .repeatsPerSecond = 0 }, Random(2));
+        thrifty.useVersions({ "svc" }, { "v1" });
+        const net::HttpRequest request { .method = "GET", .target = "/p/x", .fields = { { "id", "q" }, { "host", "a.example" }, { "key", "k1" } }, .body = {} };
+        for (int i = 0; i < 100; ++i)
+            m_bench.answer(500, { "x" });
+        for (int i = 0; i < 50; ++i) {
+            FakeResponder caller;
+            thrifty.handle(request, caller);
+        }
+        EXPECT_LE(m_bench.client.requests.size(), 55U);
+    }
+
+}
+}
--- /dev/null
+++ b/packages/router/testing/whinyard/router/ForwarderFakes.h
@@ -0,0 +1,179 @@
+// Hand-written fakes for tests of the forwarding path, and a bench that holds one forwarder among them.
+//
+// A test scripts what each call of an endpoint meets, sends a request, and reads what the caller saw and what was sent.
+#pragma once
+
+#include "whinyard/base/FakeClock.h"
+#include "whinyard/endpoint/FakeHttpClient.h"
+#include "whinyard/router/Forwarder.h"
+#include "whinyard/router/RouterFakes.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace whinyard::router {
+
+// Spells every field as its name in the types says.
+class FakeCodec final : public ForwardCodec {
+public:
+    std::optional<ForwardedRequest> decodeRequest(const net::HttpRequest& message, Failure& failure) const override
+    {
+        const auto field = [&](std::string_view name) { return std::string(net::fieldValue(message.fields, name)); };
+        ForwardedRequest request;
+        request.id = field("id");
+        if (request.id.empty()) {
+            failure = { .kind = ErrorKind::malformedRequest, .reason = "no id" };
+            return std::nullopt;
+        }
+        request.host = field("host");
+        request.path = net::pathOf(message.target);
+        request.key = field("key");
+        request.session = field("session");
+        request.leavesModelOpen = field("model") == "any";
+        if (!field("resume").empty())
+            request.resumeAfter = std::stoull(field("resume"));
+        if (!field("wait").empty())
+            request.timeLeft = std::chrono::milliseconds(std::stoll(field("wait")));
+        request.message = message;
+        return request;
+    }
+
+    net::HttpRequest encodeAttempt(const ForwardedRequest& request, const AttemptHead& head) const override
+    {
+        net::HttpRequest message = request.message;
+        message.fields = { { "id", request.id }, { "endpoint", head.endpoint.value }, { "customer", head.customer.value }, { "model", head.model.value }, { "timeLeft", std::to_string(head.timeLeft.count()) } };
+        if (head.resumeAfter)
+            message.fields.push_back({ "resume", std::to_string(*head.resumeAfter) });
+        return message;
+    }
+
+    EndpointReply decodeReply(const net::HttpResponse& head) const override
+    {
+        const auto field = [&](std::string_view name) { return std::string(net::fieldValue(head.fields, name)); };
+        EndpointReply reply;
+        reply.requestId = field("id");
+        reply.isSigned = !field("signed").empty();
+        reply.notRun = !field("not-run").empty();
+        reply.isEncoded = !field("encoded").empty();
+        if (!field("confidence").empty())
+            reply.confidence = static_cast<std::uint32_t>(std::stoul(field("confidence")));
+        return reply;
+    }
+
+    net::HttpResponse encodeFailure(const std::string& requestId, const Failure& failure) const override
+    {
+        return { .status = answerFor(failure.kind).httpStatus, .fields = { { "id", requestId }, { "retry-after", std::to_string(failure.retryAfter.count()) } }, .body = {} };
+    }
+};
+
+class FakeRoutingSource final : public RoutingSource {
+public:
+    std::shared_ptr<const config::RoutingTable> table;
+    bool stale = false;
+
+    std::shared_ptr<const config::RoutingTable> newest() const override { return table; }
+
+    bool mayServe(Failure& failure) const override
+    {
+        if (stale)
+            failure = { .kind = ErrorKind::configurationStale, .reason = "cut off" };
+        return !stale;
+    }
+};
+
+// One forwarder with two endpoints of one service.
+class ForwarderBench {
+public:
+    ForwarderBench()
+    {
+        routing.services = { { { "svc" }, 100, 0, 0, 1, { { { "small" }, 0.1 }, { { "large" }, 1.0 } } } };
+        routing.customers = { { { "school" }, { "k1" }, std::nullopt } };
+        routing.knowsCustomers = true;
+        routing.version = 1;
+        useRoute(config::RequestKind::idempotent);
+        listEndpoints({ "e1", "e2" });
+    }
+
+    // Makes the only route one of this kind.
+    config::Route& useRoute(config::RequestKind kind, bool resumable = false)
+    {
+        config::Route route;
+        route.name = "r";
+        route.host = "a.example";
+        route.prefix = "/p/";
+        route.kind = kind;
+        route.resumable = resumable;
+        route.timeout = std::chrono::seconds(2);
+        route.maximumAttempts = 3;
+        route.services = { { { "svc" }, 1 } };
+        routing.routes = { route };
+        publish();
+        return routing.routes.front();
+    }
+
+    void publish() { source.table = std::make_shared<const config::RoutingTable>(routing); }
+
+    void listEndpoints(const std::vector<std::string>& names)
+    {
+        std::vector<backing::ListedEndpoint> listed;
+        for (const std::string& name : names) {
+            backing::ListedEndpoint endpoint;
+            endpoint.name.value = name;
+            endpoint.versions = { targetName({ "svc" }, "v1") };
+            endpoint.address = { "10.0.0.1", 80 };
+            listed.push_back(endpoint);
+        }
+        directory.replace(listed);
+        forwarder.useVersions({ "svc" }, { "v1" });
+    }
+
+    // Scripts the next call: a head with these marks, then the pieces of the body.
+    endpoint::FakeExchange& script(int status, std::vector<net::HttpField> fields, std::vector<std::string> pieces, bool lost = false)
+    {
+        endpoint::FakeExchange exchange;
+        exchange.head = { .status = status, .fields = std::move(fields), .body = {} };
+        exchange.pieces = std::move(pieces);
+        exchange.connectionLost = lost;
+        client.exchanges.push_back(std::move(exchange));
+        return client.exchanges.back();
+    }
+
+    // An answer of the endpoint itself to request "q".
+    endpoint::FakeExchange& answer(int status, std::vector<std::string> pieces, bool lost = false)
+    {
+        return script(status, { { "id", "q" }, { "signed", "s" } }, std::move(pieces), lost);
+    }
+
+    // A connection that is lost without an answer, after so many bytes were written.
+    void lose(std::size_t bytesWritten)
+    {
+        script(0, {}, {}, true).bytesWritten = bytesWritten;
+    }
+
+    FakeResponder send(std::vector<net::HttpField> more = {})
+    {
+        net::HttpRequest request { .method = "POST", .target = "/p/x", .fields = { { "id", "q" }, { "host", "a.example" }, { "key", "k1" } }, .body = "body" };
+        for (net::HttpField& field : more)
+            request.fields.push_back(std::move(field));
+        FakeResponder responder;
+        forwarder.handle(request, responder);
+        return responder;
+    }
+
+    std::string sent(std::size_t attempt, std::string_view field) const { return std::string(net::fieldValue(client.requests.at(attempt).fields, field)); }
+
+    FakeClock clock;
+    Metrics metrics;
+    config::Routing routing;
+    FakeRoutingSource source;
+    FakeCodec codec;
+    endpoint::EndpointDirectory directory { { "z" }, Random(1) };
+    policy::VersionShifts shifts;
+    policy::ModelChoice models { { .acceptFrom = 50, .cheapFirstBelow = 1 } };
+    endpoint::FakeHttpClient client;
+    FakeFibers fibers { clock };
+    Forwarder forwarder { { clock, metrics, source, codec, directory, shifts, models, client, fibers }, { .repeatRatio = 1, .repeatsPerSecond = 10 }, Random(2) };
+};
+
+}
