--- a/apps/whinyardd/entry/OperatorWatch.cpp
+++ b/apps/whinyardd/entry/OperatorWatch.cpp
@@ -9,7 +9,6 @@
 OperatorWatch::OperatorWatch(EntryShared& shared, ServeDuty& serving)
     : m_shared(shared)
     , m_serving(serving)
-    , m_outage("the store at " + net::toText(shared.settings.store.address))
 {
 }
 
@@ -86,12 +85,10 @@
 void OperatorWatch::proven(SteadyTime startedAt)
 {
     m_shared.routing.prove(startedAt);
-    m_outage.note(true, {});
 }
 
-void OperatorWatch::failed(const Failure& failure)
+void OperatorWatch::failed(const Failure&)
 {
-    m_outage.note(false, failure);
 }
 
 }
--- a/apps/whinyardd/entry/OperatorWatch.h
+++ b/apps/whinyardd/entry/OperatorWatch.h
@@ -1,7 +1,6 @@
 // Takes in what operators write: the configuration and the roll-out orders.
 #pragma once
 
-#include "Shared.h"
 #include "entry/EntryShared.h"
 #include "entry/ServeDuty.h"
 #include "whinyard/backing/PrefixFollower.h"
@@ -32,7 +31,6 @@
 
     EntryShared& m_shared;
     ServeDuty& m_serving;
-    OutageLog m_outage;
     std::set<ServiceName> m_ordered; // Services with an order.
 };
 
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -10,6 +10,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds refreshInterval { 200 };
+    constexpr std::chrono::milliseconds tickInterval { 50 };
     constexpr std::chrono::milliseconds drainPoll { 50 };
 
     // The site asks for readiness once a second and takes an instance out after two misses; until then, and a moment
@@ -55,14 +56,12 @@
         return settings;
     }
 
-    router::ForwarderSettings forwarderSettings(const settings::ServiceBounds& bounds, const settings::EntryTuning& tuning)
+    router::ForwarderSettings forwarderSettings(const settings::ServiceBounds& bounds)
     {
         // A tenth of the bound stays unused, for windows that don't begin when ours do.
         constexpr double usedPart = 0.9;
         router::ForwarderSettings settings;
         settings.repeatRatio = usedPart * bounds.repeatRatio;
-        settings.sizeBands.longPrompt = tuning.longPrompt;
-        settings.sizeBands.longWeight = tuning.longWeight;
         return settings;
     }
 
@@ -83,6 +82,7 @@
     , m_directory(shared.settings.zone, seededRandom(), tableSettings(), selectorSettings(shared.settings.tuning))
     , m_shifts(shiftSettings(shared.settings.bounds))
     , m_models(modelSettings(shared.settings.tuning))
+    , m_notices(shared, m_directory)
 {
 }
 
@@ -94,8 +94,8 @@
 bool ServeDuty::openOnDuty(Failure& failure)
 {
     m_client = net::HttpClient::create(m_duty);
-    const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, *m_client, m_fibers };
-    m_forwarder = std::make_unique<router::Forwarder>(parts, forwarderSettings(m_shared.settings.bounds, m_shared.settings.tuning), seededRandom());
+    const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, *m_client, m_fibers, &m_notices };
+    m_forwarder = std::make_unique<router::Forwarder>(parts, forwarderSettings(m_shared.settings.bounds), seededRandom());
     const net::HttpHandler forward = [this](const net::HttpRequest& request, net::HttpResponder& responder) { m_forwarder->handle(request, responder); };
     const net::HttpHandler tellReadiness = [this](const net::HttpRequest&, net::HttpResponder& responder) {
         constexpr int ready = 200;
@@ -105,9 +105,10 @@
     m_server = net::HttpServer::open(m_duty, m_shared.settings.callers, serverLimits({}), forward, failure);
     if (m_server)
         m_readiness = net::HttpServer::open(m_duty, m_shared.settings.readiness, {}, tellReadiness, failure);
-    if (!m_readiness)
+    if (!m_readiness || !m_notices.open(m_duty, failure))
         return false;
     m_duty.spawn([this] { refreshDirectory(); });
+    m_duty.spawn([this] { tickForwarder(); });
     return true;
 }
 
@@ -125,6 +126,14 @@
     }
 }
 
+void ServeDuty::tickForwarder()
+{
+    while (!m_shared.stopping) {
+        m_forwarder->tick();
+        net::sleepFor(tickInterval);
+    }
+}
+
 void ServeDuty::takeLimits(const config::CallerLimits& limits)
 {
     m_duty.post([this, limits] { m_server->useLimits(serverLimits(limits)); });
@@ -154,6 +163,11 @@
     });
 }
 
+void ServeDuty::takePeers(std::vector<net::Address> peers)
+{
+    m_duty.post([this, peers = std::move(peers)]() mutable { m_notices.usePeers(std::move(peers)); });
+}
+
 void ServeDuty::postToShifts(std::function<void(policy::VersionShifts&)> use)
 {
     m_duty.post([this, use = std::move(use)] { use(m_shifts); });
@@ -187,6 +201,7 @@
             m_server->close();
         if (m_readiness)
             m_readiness->close();
+        m_notices.close();
     });
     m_duty.stop();
 }
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -3,6 +3,7 @@
 
 #include "Serving.h"
 #include "entry/EntryShared.h"
+#include "entry/PeerNotices.h"
 #include "platform/HttpCodec.h"
 #include "whinyard/endpoint/EndpointDirectory.h"
 #include "whinyard/net/Duty.h"
@@ -33,6 +34,9 @@
     // Takes the list of endpoints.
     void takeEndpoints(std::vector<backing::ListedEndpoint> listed);
 
+    // Takes the addresses of the other instances.
+    void takePeers(std::vector<net::Address> peers);
+
     // Runs `use` on the duty's thread, where the version shifts belong, in the order of the calls.
     void postToShifts(std::function<void(policy::VersionShifts&)> use);
 
@@ -54,6 +58,7 @@
     bool drainOnDuty(SteadyTime end);
     bool isReady() const;
     void refreshDirectory();
+    void tickForwarder();
 
     EntryShared& m_shared;
     endpoint::EndpointDirectory m_directory;
@@ -61,6 +66,7 @@
     policy::ModelChoice m_models;
     const platform::HttpCodec m_codec;
     std::map<ServiceName, std::vector<std::string>> m_versions; // With endpoints, in the order in which they appeared.
+    PeerNotices m_notices;
     net::Duty m_duty { "serve" };
     DutyFibers m_fibers { m_duty };
     std::unique_ptr<net::HttpClient> m_client;
--- a/apps/whinyardd/entry/ShiftKeeper.cpp
+++ b/apps/whinyardd/entry/ShiftKeeper.cpp
@@ -12,9 +12,10 @@
     constexpr std::string_view recordPrefix = "whinyard/shift/";
     constexpr std::string_view evidencePrefix = "whinyard/shift-evidence/";
 
-    // One write by each instance: at 360 instances 180 a second while a roll-out runs. A version that answers a third
-    // of its requests badly is found by the counts of single instances within about this time.
-    constexpr std::chrono::milliseconds evidenceInterval { 2'000 };
+    // Bad answers are told soon; without new ones the counts are told at leisure, so that the others know of good answers
+    // too. At 360 instances these are 60 writes a second while a good version is rolled out.
+    constexpr std::chrono::milliseconds badEvidenceInterval { 1'500 };
+    constexpr std::chrono::milliseconds evidenceInterval { 6'000 };
 
 }
 
@@ -93,19 +94,24 @@
     });
     if (!due)
         return;
-    const bool tellsEvidence = now >= m_nextEvidence;
-    if (tellsEvidence)
-        m_nextEvidence = now + evidenceInterval;
     for (const Due& one : *due) {
         if (one.record)
             writeRecord(one.order, *one.record);
-        const auto written = m_written.find(one.order.service);
-        const bool isNews = one.evidence && (written == m_written.end() || !(written->second == *one.evidence));
-        if (tellsEvidence && isNews && one.evidence->target.total() > 0)
-            writeEvidence(one.order.service, *one.evidence);
+        if (one.evidence && isWorthTelling(one.order.service, *one.evidence, now))
+            writeEvidence(one.order.service, *one.evidence, now);
     }
 }
 
+bool ShiftKeeper::isWorthTelling(const ServiceName& service, const policy::ShiftEvidence& evidence, SteadyTime now) const
+{
+    const auto told = m_told.find(service);
+    if (told == m_told.end() || told->second.evidence.order != evidence.order)
+        return evidence.target.total() > 0;
+    const auto age = now - told->second.at;
+    const bool isBad = evidence.target.bad > told->second.evidence.target.bad;
+    return age >= (isBad ? badEvidenceInterval : evidenceInterval) && !(told->second.evidence == evidence);
+}
+
 void ShiftKeeper::writeRecord(const policy::ShiftOrder& order, const policy::ShiftRecord& record)
 {
     const std::string key = std::string(recordPrefix) + order.service.value;
@@ -122,13 +128,13 @@
     m_serving.postToShifts([service = order.service, record, now = m_shared.clock.now()](policy::VersionShifts& shifts) { shifts.takeRecord(service, record, now); });
 }
 
-void ShiftKeeper::writeEvidence(const ServiceName& service, const policy::ShiftEvidence& evidence)
+void ShiftKeeper::writeEvidence(const ServiceName& service, const policy::ShiftEvidence& evidence, SteadyTime now)
 {
     const std::string key = std::string(evidencePrefix) + service.value + "/" + m_shared.settings.instance.value;
     Failure failure;
     if (!m_store.transact({ .preconditions = {}, .puts = { { key, policy::writeShiftEvidence(evidence) } }, .deletes = {} }, failure))
         return log::warning("roll-out evidence not written", { { "service", service.value }, { "reason", failure.reason } });
-    m_written[service] = evidence;
+    m_told[service] = { evidence, now };
 }
 
 }
--- a/apps/whinyardd/entry/ShiftKeeper.h
+++ b/apps/whinyardd/entry/ShiftKeeper.h
@@ -35,14 +35,20 @@
 private:
     void take(const backing::Record& record);
     void writeRecord(const policy::ShiftOrder& order, const policy::ShiftRecord& record);
-    void writeEvidence(const ServiceName& service, const policy::ShiftEvidence& evidence);
+    bool isWorthTelling(const ServiceName& service, const policy::ShiftEvidence& evidence, SteadyTime now) const;
+    void writeEvidence(const ServiceName& service, const policy::ShiftEvidence& evidence, SteadyTime now);
+
+    // What this instance has told last.
+    struct Told {
+        policy::ShiftEvidence evidence;
+        SteadyTime at;
+    };
 
     EntryShared& m_shared;
     ServeDuty& m_serving;
     backing::WatchableStore& m_store;
     std::map<ServiceName, backing::Revision> m_revisions; // Of the shared records.
-    std::map<ServiceName, policy::ShiftEvidence> m_written;
-    SteadyTime m_nextEvidence {};
+    std::map<ServiceName, Told> m_told;
     bool m_read = false; // The records were read at least once: an absent one is known to be absent.
 };
 
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -9,17 +9,23 @@
 
 namespace {
 
-    // One watch of the operators' records waits so long. With the slack of a call it bounds the time after which a
-    // connection that a partition has silenced is given up, which must end before the instance counts as in touch again.
-    constexpr std::chrono::milliseconds operatorWait { 1'500 };
-    constexpr std::chrono::milliseconds endpointWait { 1'500 };
+    // One watch waits so long. Every call of the store has its price, so watches are long, and a probe, which costs a
+    // tenth, finds out when a partition or an outage has silenced them: 0.8 instead of 3.1 full calls a second.
+    constexpr std::chrono::milliseconds watchWait { 20'000 };
+
+    // Must be so short that an outage is noticed, and watches begin anew, before the instance counts as in touch again.
+    constexpr std::chrono::milliseconds probeInterval { 1'000 };
 
     // Every endpoint writes its entry about once a second, so a watch without a pause would return at each of them. The
-    // pause adds to the time after which a leaving endpoint gets no new work.
-    constexpr std::chrono::milliseconds endpointPause { 400 };
-    constexpr std::chrono::milliseconds shiftPause { 400 };
+    // pause adds to the time after which a leaving endpoint gets no new work, and is this part of the time allowed.
+    constexpr double endpointPausePart = 0.5;
+    constexpr std::chrono::milliseconds shiftPause { 1'000 };
     constexpr std::chrono::milliseconds noPause { 0 };
 
+    // Other instances reach this one by a record that lapses so long after its end.
+    constexpr std::chrono::milliseconds instanceTimeToLive { 6'000 };
+    constexpr std::chrono::milliseconds instanceRenewal { 2'000 };
+
     // Between calls while the store fails, with as much again at random, so that instances don't return in step.
     constexpr std::chrono::milliseconds failurePause { 150 };
 
@@ -31,6 +37,7 @@
 StoreDuty::StoreDuty(EntryShared& shared, ServeDuty& serving)
     : m_shared(shared)
     , m_serving(serving)
+    , m_outage("the store at " + net::toText(shared.settings.store.address))
     , m_random(seededRandom())
 {
 }
@@ -47,6 +54,7 @@
     m_operators = std::make_unique<OperatorWatch>(m_shared, m_serving);
     m_roster = std::make_unique<RosterWatch>(m_shared, m_serving);
     m_shifts = std::make_unique<ShiftKeeper>(m_shared, m_serving, *m_store);
+    m_instances = std::make_unique<InstanceWatch>(m_shared, m_serving);
     if (m_shared.settings.metrics) {
         const net::HttpHandler handler = [this](const net::HttpRequest&, net::HttpResponder& responder) {
             responder.send({ .status = 200, .fields = { { "Content-Type", "text/plain; version=0.0.4" } }, .body = m_shared.metrics.render() });
@@ -60,6 +68,11 @@
     m_duty.spawn([this] { followShifts(); });
     m_duty.spawn([this] { writeShifts(); });
     m_duty.spawn([this] { settleRoster(); });
+    m_duty.spawn([this] { probeStore(); });
+    if (m_shared.settings.peers) {
+        m_duty.spawn([this] { followInstances(); });
+        m_duty.spawn([this] { keepOwnRecord(); });
+    }
     return true;
 }
 
@@ -73,25 +86,60 @@
 
 void StoreDuty::followOperators()
 {
-    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::operatorPrefix), operatorWait, *m_operators);
+    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::operatorPrefix), watchWait, *m_operators);
     while (!m_shared.stopping)
         turn(follower, noPause);
 }
 
 void StoreDuty::followEndpoints()
 {
-    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::endpointPrefix), endpointWait, *m_roster);
+    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::endpointPrefix), watchWait, *m_roster);
+    const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(m_shared.settings.bounds.drain * endpointPausePart);
     while (!m_shared.stopping) {
         const bool reached = follower.turn();
         m_roster->settle();
-        net::sleepFor(reached ? endpointPause : failurePause);
+        net::sleepFor(reached ? pause : failurePause);
+    }
+}
+
+void StoreDuty::followInstances()
+{
+    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(InstanceWatch::prefix), watchWait, *m_instances);
+    while (!m_shared.stopping)
+        turn(follower, shiftPause);
+}
+
+void StoreDuty::keepOwnRecord()
+{
+    backing::LeasedRecord record(*m_store, std::string(InstanceWatch::prefix) + m_shared.settings.instance.value, net::toText(*m_shared.settings.peers), instanceTimeToLive);
+    while (!m_shared.stopping) {
+        Failure failure; // The probe tells of an outage.
+        record.turn(failure);
+        net::sleepFor(instanceRenewal);
+    }
+}
+
+// After an outage every watch that still waits may have lost its connection without a word.
+void StoreDuty::probeStore()
+{
+    bool answered = true;
+    while (!m_shared.stopping) {
+        Failure failure;
+        const bool answers = m_store->answers(failure);
+        m_outage.note(answers, failure);
+        if (!answers)
+            m_roster->failed(failure);
+        if (answers && !answered)
+            m_store->interruptWatches();
+        answered = answers;
+        net::sleepFor(answers ? probeInterval : failurePause);
     }
 }
 
 // Instances' own records are read only while there is an order: they say nothing else.
 void StoreDuty::followShifts()
 {
-    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(ShiftKeeper::prefix), operatorWait, *m_shifts);
+    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(ShiftKeeper::prefix), watchWait, *m_shifts);
     while (!m_shared.stopping) {
         if (m_operators->hasOrders())
             turn(follower, shiftPause);
--- a/apps/whinyardd/entry/StoreDuty.h
+++ b/apps/whinyardd/entry/StoreDuty.h
@@ -3,10 +3,12 @@
 #pragma once
 
 #include "entry/EntryShared.h"
+#include "entry/InstanceWatch.h"
 #include "entry/OperatorWatch.h"
 #include "entry/RosterWatch.h"
 #include "entry/ServeDuty.h"
 #include "entry/ShiftKeeper.h"
+#include "whinyard/backing/LeasedRecord.h"
 #include "whinyard/backing/PrefixFollower.h"
 #include "whinyard/net/Duty.h"
 #include "whinyard/net/HttpClient.h"
@@ -34,6 +36,9 @@
     void followEndpoints();
     void followShifts();
     void writeShifts();
+    void followInstances();
+    void keepOwnRecord();
+    void probeStore();
     void settleRoster();
 
     // Makes one call; pauses after it, longer when it failed.
@@ -41,6 +46,7 @@
 
     EntryShared& m_shared;
     ServeDuty& m_serving;
+    OutageLog m_outage;
     Random m_random;
     net::Duty m_duty { "store" };
     std::unique_ptr<net::HttpClient> m_client;
@@ -48,6 +54,7 @@
     std::unique_ptr<OperatorWatch> m_operators;
     std::unique_ptr<RosterWatch> m_roster;
     std::unique_ptr<ShiftKeeper> m_shifts;
+    std::unique_ptr<InstanceWatch> m_instances;
     std::unique_ptr<net::HttpServer> m_metricsServer;
 };
 
--- a/packages/backing/include/whinyard/backing/JsonCalls.h
+++ b/packages/backing/include/whinyard/backing/JsonCalls.h
@@ -35,14 +35,15 @@
 public:
     JsonCalls(net::HttpClient& client, const JsonCallOptions& options);
 
-    std::optional<JsonReply> get(const std::string& target, std::chrono::milliseconds timeout, Failure& failure) const;
+    // `cancellation` lets another fiber end the call; null: nobody does.
+    std::optional<JsonReply> get(const std::string& target, std::chrono::milliseconds timeout, Failure& failure, net::HttpCancellation* cancellation = nullptr) const;
     std::optional<JsonReply> post(const std::string& target, const nlohmann::json& body, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure) const;
     std::optional<JsonReply> remove(const std::string& target, std::chrono::milliseconds timeout, Failure& failure) const;
 
     std::chrono::milliseconds callTimeout() const { return m_options.callTimeout; }
 
 private:
-    std::optional<JsonReply> call(const net::HttpRequest& request, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure) const;
+    std::optional<JsonReply> call(const net::HttpRequest& request, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure, net::HttpCancellation* cancellation = nullptr) const;
 
     net::HttpClient& m_client;
     JsonCallOptions m_options;
--- /dev/null
+++ b/packages/backing/include/whinyard/backing/LeasedRecord.h
@@ -0,0 +1,37 @@
+// Keeps one record of this process in a store for as long as the process lives.
+//
+// The record stands under a lease that is renewed; when the process is gone the record vanishes by itself. The daemon
+// tells other instances its address by one. It is a hint, never a proof: a paused process still stands in the store.
+#pragma once
+
+#include "whinyard/backing/WatchableStore.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace whinyard::backing {
+
+class LeasedRecord {
+public:
+    // `store` must outlive the object.
+    LeasedRecord(WatchableStore& store, std::string key, std::string value, std::chrono::milliseconds timeToLive);
+
+    // Makes sure that the record stands: writes it under a new lease, or renews the lease. Call it a few times within
+    // the time to live. Returns false with the reason when the store could not be reached or refused.
+    bool turn(Failure& failure);
+
+    // Takes the record back.
+    void end();
+
+private:
+    bool write(Failure& failure);
+
+    WatchableStore& m_store;
+    const std::string m_key;
+    const std::string m_value;
+    const std::chrono::milliseconds m_timeToLive;
+    std::optional<LeaseId> m_lease; // Under which the record stands.
+};
+
+}
--- a/packages/backing/include/whinyard/backing/WatchableStore.h
+++ b/packages/backing/include/whinyard/backing/WatchableStore.h
@@ -68,6 +68,12 @@
     // Fails with notFound when the service has dropped the history that it would take: read the range again.
     virtual std::optional<ChangePage> watch(const std::string& prefix, Revision after, std::chrono::milliseconds wait, Failure& failure) = 0;
 
+    // Ends every watch that waits now, with cancelled.
+    virtual void interruptWatches() = 0;
+
+    // Returns whether the service answers, by its cheapest call.
+    virtual bool answers(Failure& failure) = 0;
+
     // Does all of a transaction or nothing, and returns its revision. Fails with swapConflict when a precondition
     // doesn't hold, and with notFound when a lease has ended.
     virtual std::optional<Revision> transact(const Transaction& transaction, Failure& failure) = 0;
--- a/packages/backing/src/JsonCalls.cpp
+++ b/packages/backing/src/JsonCalls.cpp
@@ -44,9 +44,9 @@
 {
 }
 
-std::optional<JsonReply> JsonCalls::get(const std::string& target, std::chrono::milliseconds timeout, Failure& failure) const
+std::optional<JsonReply> JsonCalls::get(const std::string& target, std::chrono::milliseconds timeout, Failure& failure, net::HttpCancellation* cancellation) const
 {
-    return call({ .method = "GET", .target = target, .fields = {}, .body = {} }, CallEffect::none, timeout, failure);
+    return call({ .method = "GET", .target = target, .fields = {}, .body = {} }, CallEffect::none, timeout, failure, cancellation);
 }
 
 std::optional<JsonReply> JsonCalls::post(const std::string& target, const nlohmann::json& body, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure) const
@@ -66,7 +66,7 @@
     return call({ .method = "DELETE", .target = target, .fields = {}, .body = {} }, CallEffect::write, timeout, failure);
 }
 
-std::optional<JsonReply> JsonCalls::call(const net::HttpRequest& request, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure) const
+std::optional<JsonReply> JsonCalls::call(const net::HttpRequest& request, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure, net::HttpCancellation* cancellation) const
 {
     const net::HttpCallOptions options {
         .connectTimeout = std::min(timeout, m_options.callTimeout),
@@ -74,6 +74,7 @@
         .pieceTimeout = timeout,
         .freshConnection = false,
         .bodyLimit = largestReply,
+        .cancellation = cancellation,
     };
     net::HttpCallProgress progress;
     Failure cause;
--- /dev/null
+++ b/packages/backing/src/LeasedRecord.cpp
@@ -0,0 +1,44 @@
+#include "whinyard/backing/LeasedRecord.h"
+
+namespace whinyard::backing {
+
+LeasedRecord::LeasedRecord(WatchableStore& store, std::string key, std::string value, std::chrono::milliseconds timeToLive)
+    : m_store(store)
+    , m_key(std::move(key))
+    , m_value(std::move(value))
+    , m_timeToLive(timeToLive)
+{
+}
+
+bool LeasedRecord::turn(Failure& failure)
+{
+    if (!m_lease)
+        return write(failure);
+    if (m_store.keepLease(*m_lease, failure))
+        return true;
+    if (failure.kind != ErrorKind::notFound)
+        return false;
+    m_lease.reset();
+    return write(failure);
+}
+
+// The key is this process's own, so an earlier life's record is replaced without a condition. A write whose reply is
+// lost is made again under another lease; the first one lapses without a record.
+bool LeasedRecord::write(Failure& failure)
+{
+    const std::optional<LeaseId> lease = m_store.grantLease(m_timeToLive, failure);
+    if (!lease || !m_store.transact({ .preconditions = {}, .puts = { { m_key, m_value, *lease } }, .deletes = {} }, failure))
+        return false;
+    m_lease = lease;
+    return true;
+}
+
+void LeasedRecord::end()
+{
+    Failure ignored; // It lapses by itself.
+    if (m_lease)
+        m_store.endLease(*m_lease, ignored);
+    m_lease.reset();
+}
+
+}
--- /dev/null
+++ b/packages/backing/test/LeasedRecordTest.cpp
@@ -0,0 +1,54 @@
+#include "whinyard/backing/LeasedRecord.h"
+
+#include "whinyard/backing/FakeWatchableStore.h"
+
+#include <gtest/gtest.h>
+
+namespace whinyard::backing {
+namespace {
+
+    class LeasedRecordTest : public ::testing::Test {
+    protected:
+        FakeWatchableStore m_store;
+        LeasedRecord m_record { m_store, "instance/a", "10.0.0.1:7", std::chrono::seconds(6) };
+        Failure m_failure;
+    };
+
+    TEST_F(LeasedRecordTest, WritesOnceAndRenews)
+    {
+        EXPECT_TRUE(m_record.turn(m_failure));
+        const Revision revision = m_store.find("instance/a")->revision;
+        EXPECT_TRUE(m_record.turn(m_failure));
+        EXPECT_EQ(m_store.find("instance/a")->revision, revision);
+    }
+
+    TEST_F(LeasedRecordTest, WritesAnewWhenItsLeaseHasLapsed)
+    {
+        m_record.turn(m_failure);
+        m_store.lapseLeases();
+        EXPECT_EQ(m_store.find("instance/a"), nullptr);
+        EXPECT_TRUE(m_record.turn(m_failure));
+        EXPECT_NE(m_store.find("instance/a"), nullptr);
+    }
+
+    TEST_F(LeasedRecordTest, TriesAgainWhileTheStoreIsAwayOrLosesReplies)
+    {
+        m_store.isAway = true;
+        EXPECT_FALSE(m_record.turn(m_failure));
+        m_store.isAway = false;
+        m_store.losesReplies = true;
+        EXPECT_FALSE(m_record.turn(m_failure));
+        m_store.losesReplies = false;
+        EXPECT_TRUE(m_record.turn(m_failure));
+        EXPECT_EQ(m_store.find("instance/a")->value, "10.0.0.1:7");
+    }
+
+    TEST_F(LeasedRecordTest, TakesItsRecordBack)
+    {
+        m_record.turn(m_failure);
+        m_record.end();
+        EXPECT_EQ(m_store.find("instance/a"), nullptr);
+    }
+
+}
+}
--- a/packages/backing/testing/whinyard/backing/FakeWatchableStore.h
+++ b/packages/backing/testing/whinyard/backing/FakeWatchableStore.h
@@ -82,6 +82,9 @@
         return page;
     }
 
+    void interruptWatches() override { }
+    bool answers(Failure& failure) override { return reached(failure); }
+
     std::optional<Revision> transact(const Transaction& transaction, Failure& failure) override
     {
         if (beforeTransaction)
--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -31,7 +31,9 @@
     std::uint8_t priority = 1; // 0 is served first.
     bool mayProbe = true; // False for calls that may not be repeated.
     SteadyTime deadline = SteadyTime::max();
-    policy::EndpointBand band {}; // Preferred endpoints; the others are chosen where none of these can be.
+    std::chrono::nanoseconds tokenTime { 0 }; // See policy::EndpointRequest.
+    bool stallsOthers = false;
+    std::vector<float> prefixShares;
     std::vector<EndpointName> excluded; // Tried already.
 };
 
@@ -65,9 +67,16 @@
     // and its end.
     void recordDispatch(const EndpointName& endpoint, const std::vector<std::uint64_t>& prefix, SteadyTime now);
     void recordFirstByte(const EndpointName& endpoint, std::chrono::nanoseconds elapsed);
+    void recordExpectation(const EndpointName& endpoint, std::chrono::nanoseconds elapsed, std::chrono::nanoseconds expected, SteadyTime now);
     void recordQueued(const EndpointName& endpoint, SteadyTime now);
+
+    // Notes that an engine was given a prompt whose reading takes `work`, by this instance or another one.
+    void recordWork(const EndpointName& endpoint, std::chrono::nanoseconds work, SteadyTime now);
     void recordEnd(const EndpointName& endpoint, EndpointOutcome outcome, std::chrono::nanoseconds elapsed, SteadyTime now);
 
+    // Returns the time until the engine has read the prompts that it was given, as far as is known.
+    std::chrono::nanoseconds backlog(const EndpointName& endpoint, SteadyTime now) const;
+
     // Takes a load report. `wallNow` tells how old it is.
     void recordReport(const EndpointName& endpoint, const LoadReport& report, SteadyTime now, WallTime wallNow);
 
--- a/packages/endpoint/src/EndpointDirectory.cpp
+++ b/packages/endpoint/src/EndpointDirectory.cpp
@@ -89,12 +89,10 @@
         request.mayProbe = wish.mayProbe;
         request.deadline = wish.deadline;
         request.excluded = excluded;
-        request.band = wish.band;
+        request.tokenTime = wish.tokenTime;
+        request.stallsOthers = wish.stallsOthers;
+        request.prefixShares = wish.prefixShares;
         plan = m_selector->choose(m_table, request, now, m_random);
-        if (!plan && !wish.band.isWhole()) {
-            request.band = {};
-            plan = m_selector->choose(m_table, request, now, m_random);
-        }
     }
     const auto listed = plan ? m_listed.find(m_table.name(plan.endpoint)) : m_listed.end();
     if (listed != m_listed.end())
@@ -124,6 +122,26 @@
         m_table.recordQueued(*index, now);
 }
 
+void EndpointDirectory::recordWork(const EndpointName& endpoint, std::chrono::nanoseconds work, SteadyTime now)
+{
+    const std::optional<policy::EndpointIndex> index = m_table.find(endpoint);
+    if (index)
+        m_table.recordWork(*index, work, now);
+}
+
+void EndpointDirectory::recordExpectation(const EndpointName& endpoint, std::chrono::nanoseconds elapsed, std::chrono::nanoseconds expected, SteadyTime now)
+{
+    const std::optional<policy::EndpointIndex> index = m_table.find(endpoint);
+    if (index)
+        m_table.recordExpectation(*index, elapsed, expected, now);
+}
+
+std::chrono::nanoseconds EndpointDirectory::backlog(const EndpointName& endpoint, SteadyTime now) const
+{
+    const std::optional<policy::EndpointIndex> index = m_table.find(endpoint);
+    return index ? m_table.backlog(*index, now) : std::chrono::nanoseconds(0);
+}
+
 void EndpointDirectory::recordEnd(const EndpointName& endpoint, EndpointOutcome outcome, std::chrono::nanoseconds elapsed, SteadyTime now)
 {
     if (outcome == EndpointOutcome::leaving)
--- a/packages/policy/include/whinyard/policy/EndpointChoice.h
+++ b/packages/policy/include/whinyard/policy/EndpointChoice.h
@@ -16,15 +16,6 @@
 
 namespace whinyard::policy {
 
-// A part of a target's endpoints, by their positions: from `from` up to, not including, `to`.
-struct EndpointBand {
-    double from = 0;
-    double to = 1;
-
-    bool contains(double position) const { return from <= position && position < to; }
-    bool isWhole() const { return from <= 0 && to >= 1; }
-};
-
 // What a choice needs to know about a request.
 struct EndpointRequest {
     TargetIndex target {}; // The version or plain service.
@@ -35,7 +26,13 @@
     std::uint8_t priority = 1; // 0 is served first, 2 last.
     bool mayProbe = true; // False for non-idempotent calls: they never try out a failed endpoint.
     SteadyTime deadline = SteadyTime::max();
-    EndpointBand band {}; // The endpoints that may be chosen.
+    // For engines that read prompts in turn: the time of reading a token of this prompt. Zero: the selector's own, and
+    // requests in flight stand for the wait.
+    std::chrono::nanoseconds tokenTime { 0 };
+    // Reading this prompt stalls the streams that run beside it. Such requests are kept together, on the few endpoints that
+    // the affinity names, while these aren't too busy.
+    bool stallsOthers = false;
+    std::span<const float> prefixShares; // Of the prompt, up to the end of each part of `prefix`; empty: equal parts.
     std::span<const EndpointIndex> excluded; // Endpoints that this request has tried already.
 };
 
@@ -81,6 +78,8 @@
     std::uint32_t fullScanLimit = 0; // Looks at every endpoint of a target that has at most this many.
     std::uint32_t randomChoices = 2; // Drawn in the own zone, and as many over all zones.
     std::uint32_t affinityChoices = 2; // Taken from the hash ring.
+    double stalledPart = 0.1; // Of the endpoints, that take the requests that stall others; at least affinityChoices.
+    std::chrono::microseconds stallPenalty { 2'000'000 }; // Added to the wait of such a request at any other endpoint.
     double affinityCachedShare = 0.5; // Of a prompt that an affine endpoint is taken to hold.
     double zoneFactor = 1.5; // The own zone is kept while its load is at most this many times the other's.
     std::chrono::microseconds zonePenalty { 1'500 }; // One more way between zones, there and back.
--- a/packages/policy/include/whinyard/policy/EndpointTable.h
+++ b/packages/policy/include/whinyard/policy/EndpointTable.h
@@ -41,7 +41,9 @@
 // How a request ended at an endpoint, as far as the endpoint's health is concerned.
 enum class EndpointOutcome : std::uint8_t {
     succeeded,
-    failed, // Connection refused or lost, timeout, or an error answer of the endpoint's own making.
+    failed, // Connection lost, timeout, or an error answer of the endpoint's own making.
+    stalled, // Silent for much longer than was expected. Counts as two failures.
+    unreachable, // No connection. Ejected at once.
     cancelled, // The caller went away; says nothing about the endpoint.
     leaving, // The endpoint answered that it takes no new work.
 };
@@ -103,7 +105,9 @@
     SteadyTime healthySince;
     SteadyTime ejectedUntil;
     SteadyTime comeBackAt; // The endpoint asked for no new work before this.
-    double position = 0; // 0 to 1: its place in an order of its target's endpoints that is the same on all instances.
+    double slowness = 1; // Moving mean of the time to the first event, as a multiple of what was expected.
+    SteadyTime slownessAt; // When it was last measured.
+    SteadyTime busyUntil; // When the prompts that it was given are read, as far as is known.
 };
 
 // What is believed of the requests at an endpoint now.
@@ -149,10 +153,23 @@
     // Learns the time from dispatch to the first byte of the answer.
     void recordFirstByte(EndpointIndex endpoint, std::chrono::nanoseconds elapsed);
 
+    // Learns how the time to the first event compares with the one that was expected.
+    void recordExpectation(EndpointIndex endpoint, std::chrono::nanoseconds elapsed, std::chrono::nanoseconds expected, SteadyTime now);
+
+    // Returns by how much the endpoint is believed to be slower than expected; what was measured long ago counts little.
+    double slowness(EndpointIndex endpoint, SteadyTime now) const;
+
     // Learns that an attempt has waited longer than it would on a free slot: all slots are taken and requests
     // wait. Reports that were measured earlier say no more than that. Says nothing of endpoints that send none.
     void recordQueued(EndpointIndex endpoint, SteadyTime now);
 
+    // Notes that a prompt whose reading takes `work` was given to an engine, by this instance or another one. Prompts are
+    // read in turn, so the work adds up, and passes as time does.
+    void recordWork(EndpointIndex endpoint, std::chrono::nanoseconds work, SteadyTime now);
+
+    // Returns the time until the engine has read the prompts that it was given.
+    std::chrono::nanoseconds backlog(EndpointIndex endpoint, SteadyTime now) const;
+
     // Counts the end of a request that recordDispatch() counted.
     void recordEnd(EndpointIndex endpoint, EndpointOutcome outcome, std::chrono::nanoseconds elapsed, SteadyTime now);
 
@@ -203,14 +220,13 @@
     void takeMember(const EndpointMember& member, std::vector<std::uint8_t>& listed);
     void placeInTargets(EndpointIndex endpoint, std::vector<TargetIndex> targets);
     void removeFromTargets(EndpointIndex endpoint);
-    void orderMembers(const TargetMembers& target);
     void addToRing(TargetMembers& target, EndpointIndex endpoint);
     void addToHealthList(TargetMembers& target, EndpointIndex endpoint);
     void removeFromHealthList(TargetMembers& target, EndpointIndex endpoint);
     void freeIfGone(EndpointIndex endpoint);
     void noteHistory(EndpointIndex endpoint, SteadyTime now);
     std::uint32_t ownInFlightAt(EndpointIndex endpoint, SteadyTime at) const;
-    void recordFailure(EndpointIndex endpoint, SteadyTime now);
+    void recordFailure(EndpointIndex endpoint, std::uint32_t weight, SteadyTime now);
     void recordSuccess(EndpointIndex endpoint, std::chrono::nanoseconds elapsed, SteadyTime now);
     bool mayEject(EndpointIndex endpoint) const;
     void eject(EndpointIndex endpoint, SteadyTime now);
--- a/packages/policy/include/whinyard/policy/ModelChoice.h
+++ b/packages/policy/include/whinyard/policy/ModelChoice.h
@@ -20,10 +20,12 @@
     std::uint32_t answerTokens = 0;
     std::uint32_t attemptsLeft = 1;
     std::chrono::milliseconds timeToFirstEvent { 0 }; // Left of the objective.
+    std::chrono::milliseconds largestFirstEvent { 0 }; // That the largest model takes to its first event.
 };
 
 struct ModelChoiceSettings {
     std::uint32_t acceptFrom = 60; // Confidence, 0 to 100, from which a smaller model's answer is shown.
+    std::uint32_t acceptLateFrom = 40; // The same where the larger model's answer would be late.
     double cheapFirstBelow = 0; // Ask a smaller model first when it costs less than this share of the largest one.
 };
 
--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -54,6 +54,7 @@
     bool failed = false;
     std::string measure; // Groups requests whose times are comparable, such as route and model.
     std::chrono::microseconds time { 0 }; // To the answer or the first event; 0 if there was none.
+    std::chrono::microseconds expected { 0 }; // The same, as the load and size of the request let expect.
     std::chrono::microseconds pause { 0 }; // Mean between the events of a stream; 0 for fewer than minimumPauses.
 };
 
@@ -66,10 +67,10 @@
     double allAt = 0.68;
     double completeAt = 0.84; // Leaves the longest streams, and a store that is away for some seconds, their time.
     double growShare = 0.4;
-    double slowFactor = 3; // An answer is bad when it takes this many times the mean of the other versions.
-    std::chrono::milliseconds slowMinimum { 40 }; // A time or pause below this is never slow.
+    double slowFactor = 4; // An answer is bad when it takes this many times the mean of the other versions.
+    std::chrono::milliseconds slowMinimum { 80 }; // A time or pause below this is never slow.
     std::uint32_t baselineSamples = 5; // Of the other versions, before slowness is judged.
-    double background = 0.02; // Share of bad answers that any version may give.
+    double background = 0.04; // Share of bad answers that any version may give.
     double backgroundFactor = 1.5; // By which the other versions' share of bad answers is allowed for.
     double badExcess = 0.2; // Above the two, the share from which a version is bad.
     double stopAt = 4.6; // Log likelihood ratio: one false stop in about 100 shifts.
@@ -134,9 +135,9 @@
     static constexpr double progressStep = 0.12;
 
 private:
-    // A mean of the times of one measure.
+    // A mean of one measure: of times as multiples of what was expected, or of pauses in microseconds.
     struct Baseline {
-        double mean = 0; // Microseconds.
+        double mean = 0;
         std::uint32_t samples = 0;
     };
 
@@ -182,8 +183,8 @@
 
     double progress(const Shift& shift, SteadyTime now) const;
     double shareAt(double progress) const;
-    bool isSlow(const std::map<std::string, Baseline>& baselines, const std::string& measure, std::chrono::microseconds time) const;
-    static void learn(std::map<std::string, Baseline>& baselines, const std::string& measure, std::chrono::microseconds time);
+    bool isSlow(const std::map<std::string, Baseline>& baselines, const std::string& measure, std::chrono::microseconds time, double value) const;
+    static void learn(std::map<std::string, Baseline>& baselines, const std::string& measure, double value);
     BadShares sharesNow(const ServiceMemory& memory) const;
     void judge(Shift& shift, const ServiceMemory& memory);
     bool update(Detector& detector, const RatedCounts& totals, const BadShares& shares) const;
--- a/packages/policy/src/EndpointHealth.cpp
+++ b/packages/policy/src/EndpointHealth.cpp
@@ -11,11 +11,11 @@
 
 }
 
-void EndpointTable::recordFailure(EndpointIndex endpoint, SteadyTime now)
+void EndpointTable::recordFailure(EndpointIndex endpoint, std::uint32_t weight, SteadyTime now)
 {
     EndpointRow& changed = rowAt(endpoint);
     changed.consecutiveSuccesses = 0;
-    ++changed.consecutiveFailures;
+    changed.consecutiveFailures += weight;
     if (changed.health == HealthState::probing) {
         eject(endpoint, now);
         return;
--- a/packages/policy/src/EndpointTable.cpp
+++ b/packages/policy/src/EndpointTable.cpp
@@ -1,6 +1,7 @@
 #include "whinyard/policy/EndpointTable.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace whinyard::policy {
 
@@ -12,6 +13,14 @@
     // Free rows that must be ahead of a row before it is reused.
     constexpr std::size_t reuseDistance = 256;
 
+    constexpr std::uint32_t stallWeight = 2; // In failures.
+
+    // An engine that answers at once still takes a step and the way there and back.
+    constexpr std::chrono::milliseconds leastExpected { 15 };
+    constexpr double slownessWeight = 0.2; // Of a new sample.
+    constexpr double largestSlowness = 10;
+    constexpr std::chrono::seconds slownessMemory { 4 }; // Time constant after which a measurement is forgotten.
+
     // Weight of a new sample in the moving means.
     constexpr double sampleWeight = 0.1;
 
@@ -70,22 +79,6 @@
         rowAt(endpoint).present = false;
         freeIfGone(endpoint);
     }
-    for (const TargetMembers& target : m_targets)
-        orderMembers(target);
-}
-
-// The order follows from the names alone, so that instances agree on it without a word; it differs from the names' own,
-// which may follow zones or age.
-void EndpointTable::orderMembers(const TargetMembers& target)
-{
-    std::vector<std::pair<std::uint64_t, EndpointIndex>> order;
-    for (const std::vector<EndpointIndex>* list : { &target.healthy, &target.probing, &target.ejected }) {
-        for (const EndpointIndex endpoint : *list)
-            order.emplace_back(stableHash(m_names[at(endpoint)].value), endpoint);
-    }
-    std::sort(order.begin(), order.end());
-    for (std::size_t place = 0; place < order.size(); ++place)
-        rowAt(order[place].second).position = (static_cast<double>(place) + 0.5) / static_cast<double>(order.size());
 }
 
 void EndpointTable::takeMember(const EndpointMember& member, std::vector<std::uint8_t>& listed)
@@ -249,6 +242,17 @@
         m_prefixes.note(digest, static_cast<std::uint32_t>(endpoint), now);
 }
 
+void EndpointTable::recordWork(EndpointIndex endpoint, std::chrono::nanoseconds work, SteadyTime now)
+{
+    EndpointRow& changed = rowAt(endpoint);
+    changed.busyUntil = std::max(changed.busyUntil, now) + work;
+}
+
+std::chrono::nanoseconds EndpointTable::backlog(EndpointIndex endpoint, SteadyTime now) const
+{
+    return std::max<std::chrono::nanoseconds>(row(endpoint).busyUntil - now, std::chrono::nanoseconds(0));
+}
+
 void EndpointTable::recordFirstByte(EndpointIndex endpoint, std::chrono::nanoseconds elapsed)
 {
     EndpointRow& changed = rowAt(endpoint);
@@ -257,6 +261,22 @@
     ++changed.firstByteSamples;
 }
 
+void EndpointTable::recordExpectation(EndpointIndex endpoint, std::chrono::nanoseconds elapsed, std::chrono::nanoseconds expected, SteadyTime now)
+{
+    EndpointRow& changed = rowAt(endpoint);
+    const double ratio = static_cast<double>(elapsed.count()) / static_cast<double>((expected + leastExpected).count());
+    const double before = slowness(endpoint, now);
+    changed.slowness = before + slownessWeight * (std::min(ratio, largestSlowness) - before);
+    changed.slownessAt = now;
+}
+
+double EndpointTable::slowness(EndpointIndex endpoint, SteadyTime now) const
+{
+    const EndpointRow& read = row(endpoint);
+    const double kept = std::exp(-std::chrono::duration<double>(now - read.slownessAt) / slownessMemory);
+    return std::max(1.0, 1 + kept * (read.slowness - 1));
+}
+
 void EndpointTable::recordEnd(EndpointIndex endpoint, EndpointOutcome outcome, std::chrono::nanoseconds elapsed, SteadyTime now)
 {
     noteHistory(endpoint, now);
@@ -268,7 +288,13 @@
         recordSuccess(endpoint, elapsed, now);
         break;
     case EndpointOutcome::failed:
-        recordFailure(endpoint, now);
+        recordFailure(endpoint, 1, now);
+        break;
+    case EndpointOutcome::stalled:
+        recordFailure(endpoint, stallWeight, now);
+        break;
+    case EndpointOutcome::unreachable:
+        recordFailure(endpoint, m_settings.failuresToEject, now);
         break;
     case EndpointOutcome::leaving:
         markLeaving(endpoint);
--- a/packages/policy/src/ModelChoice.cpp
+++ b/packages/policy/src/ModelChoice.cpp
@@ -19,7 +19,8 @@
 std::optional<std::size_t> ModelChoice::stepUp(const ModelQuestion& question, std::size_t model, std::optional<std::uint32_t> confidence) const
 {
     const std::size_t largest = question.costs.empty() ? 0 : question.costs.size() - 1;
-    const bool isGood = !confidence || *confidence >= m_settings.acceptFrom;
+    const bool wouldBeLate = question.largestFirstEvent > question.timeToFirstEvent;
+    const bool isGood = !confidence || *confidence >= (wouldBeLate ? m_settings.acceptLateFrom : m_settings.acceptFrom);
     if (model >= largest || isGood || question.attemptsLeft <= 1)
         return std::nullopt;
     return largest;
--- a/packages/policy/src/VersionShift.cpp
+++ b/packages/policy/src/VersionShift.cpp
@@ -10,6 +10,15 @@
     // Weight of a new sample in a mean of times.
     constexpr double timeWeight = 0.1;
 
+    // Stands for what no expectation holds: the way to an endpoint and back, and one step of an engine.
+    constexpr std::chrono::microseconds leastExpected { 15'000 };
+
+    // Returns the time as a multiple of what was expected.
+    double relativeTime(const VersionOutcome& outcome)
+    {
+        return static_cast<double>(outcome.time.count()) / static_cast<double>((outcome.expected + leastExpected).count());
+    }
+
     // Never takes a share of bad answers for certain.
     constexpr double largestShare = 0.95;
 
@@ -165,20 +174,20 @@
     std::erase_if(memory.sessions, [&](const auto& entry) { return now - entry.second.lastSeen > 2 * m_settings.sessionGap; });
 }
 
-bool VersionShifts::isSlow(const std::map<std::string, Baseline>& baselines, const std::string& measure, std::chrono::microseconds time) const
+bool VersionShifts::isSlow(const std::map<std::string, Baseline>& baselines, const std::string& measure, std::chrono::microseconds time, double value) const
 {
     const auto found = baselines.find(measure);
     if (found == baselines.end() || found->second.samples < m_settings.baselineSamples || time < m_settings.slowMinimum)
         return false;
-    return static_cast<double>(time.count()) > m_settings.slowFactor * found->second.mean;
+    return value > m_settings.slowFactor * found->second.mean;
 }
 
-void VersionShifts::learn(std::map<std::string, Baseline>& baselines, const std::string& measure, std::chrono::microseconds time)
+void VersionShifts::learn(std::map<std::string, Baseline>& baselines, const std::string& measure, double value)
 {
     Baseline& baseline = baselines[measure];
     ++baseline.samples;
     const double weight = std::max(timeWeight, 1.0 / baseline.samples);
-    baseline.mean += weight * (static_cast<double>(time.count()) - baseline.mean);
+    baseline.mean += weight * (value - baseline.mean);
 }
 
 void VersionShifts::recordOutcome(const ServiceName& service, const std::string& version, const VersionOutcome& outcome, SteadyTime now)
@@ -187,13 +196,15 @@
     const auto found = m_shifts.find(service);
     const bool isTarget = found != m_shifts.end() && found->second.state == ShiftState::running && found->second.order.target == version;
     // Answers of the other versions are judged alike: where load makes many slow, that is no fault of the target.
-    const bool isSlowAnswer = isSlow(memory.times, outcome.measure, outcome.time) || isSlow(memory.pauses, outcome.measure, outcome.pause);
+    const double time = relativeTime(outcome);
+    const auto pause = static_cast<double>(outcome.pause.count());
+    const bool isSlowAnswer = isSlow(memory.times, outcome.measure, outcome.time, time) || isSlow(memory.pauses, outcome.measure, outcome.pause, pause);
     const bool isBad = outcome.failed || isSlowAnswer;
     if (!isTarget) {
         if (!outcome.failed && outcome.time.count() > 0)
-            learn(memory.times, outcome.measure, outcome.time);
+            learn(memory.times, outcome.measure, time);
         if (!outcome.failed && outcome.pause.count() > 0)
-            learn(memory.pauses, outcome.measure, outcome.pause);
+            learn(memory.pauses, outcome.measure, pause);
         Background& background = memory.background;
         const double kept = std::exp(-std::chrono::duration<double>(now - background.at) / m_settings.backgroundMemory);
         background.good = background.good * kept + (isBad ? 0 : 1);
--- a/packages/policy/src/WaitSelector.cpp
+++ b/packages/policy/src/WaitSelector.cpp
@@ -123,6 +123,9 @@
 
         void collect()
         {
+            // The first reason given for an endpoint stays.
+            if (m_request.stallsOthers)
+                addAffine();
             addCached();
             addAffine();
             if (m_members.healthy.size() <= m_settings.fullScanLimit) {
@@ -143,7 +146,7 @@
             for (std::size_t i = 0; i < lookups; ++i) {
                 const std::size_t length = prefix.size() - i;
                 const PrefixIndex::Matches matches = m_table.prefixes().find(prefix[length - 1]);
-                const double share = static_cast<double>(length) / static_cast<double>(prefix.size());
+                const double share = m_request.prefixShares.size() == prefix.size() ? m_request.prefixShares[length - 1] : static_cast<double>(length) / static_cast<double>(prefix.size());
                 for (std::size_t match = 0; match < matches.count; ++match)
                     addIfServing(static_cast<EndpointIndex>(matches.endpoints[match]), share);
                 if (!m_candidates.list().empty())
@@ -165,13 +168,19 @@
                 return;
             const auto isBelow = [](const RingPoint& point, std::uint64_t position) { return point.position < position; };
             auto point = std::lower_bound(m_members.ring.begin(), m_members.ring.end(), m_request.affinity, isBelow);
+            std::uint32_t wanted = m_settings.affinityChoices;
+            if (m_request.stallsOthers)
+                wanted = std::max(wanted, static_cast<std::uint32_t>(m_settings.stalledPart * static_cast<double>(m_members.size())));
             std::uint32_t found = 0;
-            for (std::size_t step = 0; step < maximumRingSteps && found < m_settings.affinityChoices; ++step, ++point) {
+            // An affine endpoint is likely to hold the parts that prompts share, and not the last one.
+            const std::span<const float> shares = m_request.prefixShares;
+            const double shared = shares.size() > 1 ? shares[shares.size() - 2] : 1;
+            for (std::size_t step = 0; step < maximumRingSteps * wanted && found < wanted; ++step, ++point) {
                 if (point == m_members.ring.end())
                     point = m_members.ring.begin();
                 if (m_table.row(point->endpoint).health != HealthState::healthy)
                     continue;
-                m_candidates.add(point->endpoint, ChoiceReason::affinity, m_settings.affinityCachedShare);
+                m_candidates.add(point->endpoint, ChoiceReason::affinity, shared * m_settings.affinityCachedShare);
                 ++found;
             }
         }
@@ -205,7 +214,9 @@
         {
             if (!isEligible(m_table, m_request, candidate.endpoint, m_now))
                 return;
-            const Nanoseconds wait = waitAt(candidate.endpoint, candidate.cachedShare);
+            Nanoseconds wait = waitAt(candidate.endpoint, candidate.cachedShare);
+            if (m_request.stallsOthers && candidate.reason != ChoiceReason::affinity)
+                wait += m_settings.stallPenalty;
             if (wait < best.wait)
                 best = { candidate.endpoint, candidate.reason, wait, candidate.cachedShare };
         }
@@ -216,6 +227,11 @@
             const EndpointRow& row = m_table.row(endpoint);
             const double slots = row.slots;
             const LoadEstimate load = m_table.load(endpoint, m_now);
+            if (m_request.tokenTime.count() > 0) {
+                const double excess = expectedExcess(load, slots - 1);
+                const Nanoseconds reading = Nanoseconds(m_table.backlog(endpoint, m_now)) + unqueuedAt(endpoint, cachedShare);
+                return Nanoseconds(m_table.slotTime(endpoint)) * (excess / slots) + reading * m_table.slowness(endpoint, m_now) + failuresAt(endpoint);
+            }
             // Without reports nothing is known of slots: each request in flight slows the others down.
             const bool hasReports = row.reportAt != SteadyTime();
             const double ahead = hasReports ? expectedExcess(load, slots - 1) : load.mean;
@@ -243,7 +259,8 @@
 
         Nanoseconds unqueuedAt(EndpointIndex endpoint, double cachedShare) const
         {
-            const Nanoseconds prefill = Nanoseconds(m_settings.prefillPerToken) * (m_request.promptTokens * (1 - cachedShare));
+            const Nanoseconds perToken = m_request.tokenTime.count() > 0 ? Nanoseconds(m_request.tokenTime) : Nanoseconds(m_settings.prefillPerToken);
+            const Nanoseconds prefill = perToken * (m_request.promptTokens * (1 - cachedShare));
             return prefill + Nanoseconds(m_table.row(endpoint).step);
         }
 
--- a/packages/policy/src/internal/Eligibility.cpp
+++ b/packages/policy/src/internal/Eligibility.cpp
@@ -12,7 +12,7 @@
 bool isEligible(const EndpointTable& table, const EndpointRequest& request, EndpointIndex endpoint, SteadyTime now)
 {
     const EndpointRow& row = table.row(endpoint);
-    return row.comeBackAt <= now && !row.leaving && request.band.contains(row.position) && !isExcluded(request, endpoint);
+    return row.comeBackAt <= now && !row.leaving && !isExcluded(request, endpoint);
 }
 
 EndpointPlan planForNone(const EndpointTable& table, const EndpointRequest& request, const std::vector<EndpointIndex>& list, SteadyTime now)
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -12,7 +12,6 @@
 #include "whinyard/net/HttpClient.h"
 #include "whinyard/net/HttpServer.h"
 #include "whinyard/policy/ModelChoice.h"
-#include "whinyard/policy/SizeBands.h"
 #include "whinyard/policy/VersionShift.h"
 #include "whinyard/router/Fibers.h"
 #include "whinyard/router/ForwardedRequest.h"
@@ -22,6 +21,15 @@
 
 namespace whinyard::router {
 
+// Is told of the work that this instance gives to engines, so that other instances can learn of it.
+class WorkObserver {
+public:
+    virtual ~WorkObserver() = default;
+
+    // An engine was given a prompt whose reading takes `work`.
+    virtual void gave(const EndpointName& endpoint, std::chrono::nanoseconds work) = 0;
+};
+
 // What the forwarder works with; everything must outlive it.
 struct ForwarderParts {
     const Clock& clock;
@@ -33,13 +41,13 @@
     policy::ModelChoice& models;
     net::HttpClient& client;
     Fibers& fibers;
+    WorkObserver* work = nullptr; // Null: nobody is told.
 };
 
 struct ForwarderSettings {
     double repeatRatio = 0.8; // Attempts beyond the first, for each request of the same service.
     double repeatsPerSecond = 0.2; // That are allowed without any request.
     std::chrono::milliseconds connectTimeout { 300 }; // Many times the longest way within a region.
-    policy::SizeBandSettings sizeBands {};
     std::chrono::milliseconds comeBackAfter { 150 }; // Told with a refusal when nothing better is known.
 };
 
@@ -57,6 +65,10 @@
     // Tells which versions of a service have endpoints, in the order in which they appeared.
     void useVersions(const ServiceName& service, std::vector<std::string> versions);
 
+    // Looks at the attempts that wait, and gives up those that are silent for much longer than was expected. Call it
+    // about every 50 ms.
+    void tick();
+
     // Returns how many requests are running.
     std::size_t active() const;
 
--- a/packages/router/src/Forwarder.cpp
+++ b/packages/router/src/Forwarder.cpp
@@ -74,6 +74,12 @@
     m_state->core.versions[service] = std::move(versions);
 }
 
+void Forwarder::tick()
+{
+    for (ForwardRun* run : m_state->core.runs)
+        run->look();
+}
+
 std::size_t Forwarder::active() const
 {
     return m_state->core.active;
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -1,16 +1,19 @@
 // The forwarder's parts and settings with its state, as the requests on the path share them.
 #pragma once
 
+#include "whinyard/policy/PromptRates.h"
 #include "whinyard/policy/RetryPolicy.h"
-#include "whinyard/policy/SizeBands.h"
 #include "whinyard/router/Forwarder.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace whinyard::router {
 
+class ForwardRun;
+
 struct ForwardCore {
     // Repeats are bounded for each service by the requests for it that this instance got: such shares add up to no
     // more than the bound over all instances, whichever of them live, without a word between them.
@@ -19,17 +22,13 @@
         return budgets.try_emplace(service, settings.repeatRatio, settings.repeatsPerSecond).first->second;
     }
 
-    policy::SizeBands& bandsOf(const ServiceName& service)
-    {
-        return bands.try_emplace(service, settings.sizeBands).first->second;
-    }
-
     ForwarderParts parts;
     ForwarderSettings settings;
     Random random;
     std::map<ServiceName, policy::RetryBudget> budgets {};
-    std::map<ServiceName, policy::SizeBands> bands {};
+    policy::PromptRates rates {};
     std::map<ServiceName, std::vector<std::string>> versions {};
+    std::set<ForwardRun*> runs {}; // With an attempt that may be given up.
     std::size_t active = 0;
 };
 
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -14,12 +14,24 @@
     // A shorter rest of the deadline is not worth another attempt.
     constexpr std::chrono::milliseconds shortestAttempt { 20 };
 
-    // An attempt that can be repeated waits so many times the objective for its first event, then another endpoint is
-    // asked: the request is late by then, and a second reading of its prompt costs less than its whole worth.
-    constexpr int patienceObjectives = 2;
-
-    // A stream whose events pause for so many times the objective for pauses is taken for broken.
-    constexpr int stallObjectives = 2;
+    // An attempt that may be repeated is given up, and another endpoint asked, once it has been silent for so long that
+    // its endpoint must be taken for dead or stuck, and early enough for the second answer to be in time. Parts of the
+    // route's objective; a whole answer that takes longer than this is rare (one in a hundred of those measured).
+    constexpr double wholePatiencePart = 0.6;
+    constexpr double firstPatiencePart = 0.35;
+    constexpr int expectedFactor = 3; // At least so many times the wait that was expected for the first event.
+    constexpr double pausePatiencePart = 0.5; // Of the objective for pauses, where no known work explains a pause.
+    constexpr double stallObjectives = 2; // Objectives for pauses, where some does.
+
+    // A prompt whose reading takes this part of the objective for pauses makes the streams on its engine late: each of
+    // their events takes several steps, and each step a chunk of the prompt.
+    constexpr double stallingPart = 0.75;
+    constexpr std::string_view stallingGroup = "prompts that stall others"; // One place on the hash ring for all of them.
+
+    std::chrono::nanoseconds part(std::chrono::nanoseconds whole, double share)
+    {
+        return std::chrono::duration_cast<std::chrono::nanoseconds>(whole * share);
+    }
 
     std::string text(std::chrono::nanoseconds duration)
     {
@@ -176,8 +188,13 @@
     if (wish.prefix.size() > 1)
         wish.affinity = wish.prefix[wish.prefix.size() - 2];
     wish.promptTokens = m_request.promptTokens;
-    if (m_admission.route->isGenerative)
-        wish.band = m_core.bandsOf(m_service).bandFor(m_request.promptTokens);
+    if (m_admission.route->isGenerative) {
+        wish.tokenTime = m_core.rates.tokenTime(model(), costOf(model()));
+        wish.prefixShares = prefixShares();
+        wish.stallsOthers = wish.tokenTime * m_request.promptTokens > m_admission.route->pauseObjective * stallingPart;
+        if (wish.stallsOthers)
+            wish.affinity = stableHash(stallingGroup);
+    }
     wish.mayProbe = repeatable();
     wish.excluded = m_tried;
     return wish;
@@ -211,6 +228,29 @@
     return prefix;
 }
 
+std::vector<float> ForwardRun::prefixShares() const
+{
+    std::uint64_t total = 0;
+    for (const PromptPart& part : m_request.promptParts)
+        total += part.tokens;
+    std::vector<float> shares;
+    std::uint64_t sum = 0;
+    for (const PromptPart& part : m_request.promptParts) {
+        sum += part.tokens;
+        shares.push_back(total > 0 ? static_cast<float>(sum) / static_cast<float>(total) : 0);
+    }
+    return shares;
+}
+
+// The engine reads what isn't cached before anything that it is given later.
+void ForwardRun::noteWork(const endpoint::ChosenEndpoint& endpoint)
+{
+    const std::chrono::nanoseconds work = endpoint.plan.unqueuedWait;
+    m_core.parts.directory.recordWork(endpoint.name, work, now());
+    if (m_core.parts.work)
+        m_core.parts.work->gave(endpoint.name, work);
+}
+
 const ModelName& ForwardRun::model() const
 {
     return m_model ? m_admission.route->models[*m_model] : m_request.model;
@@ -235,6 +275,10 @@
     question.promptTokens = m_request.promptTokens;
     question.answerTokens = m_request.expectedTokens > 0 ? m_request.expectedTokens : m_request.answerTokens;
     question.attemptsLeft = route.maximumAttempts - std::min(route.maximumAttempts, m_sent);
+    if (m_admission.route->isGenerative && !route.models.empty()) {
+        const std::chrono::nanoseconds reading = m_core.rates.tokenTime(route.models.back(), question.costs.back()) * m_request.promptTokens;
+        question.largestFirstEvent = std::chrono::duration_cast<std::chrono::milliseconds>(reading);
+    }
     question.timeToFirstEvent = std::chrono::duration_cast<std::chrono::milliseconds>(m_arrived + route.objective - now());
     return question;
 }
@@ -258,13 +302,32 @@
     return head;
 }
 
-std::chrono::milliseconds ForwardRun::firstPatience() const
+// Whether another endpoint may answer in place of the present attempt's.
+bool ForwardRun::mayMove() const
 {
-    const bool isLast = !repeatable() || m_sent + 1 >= m_admission.route->maximumAttempts;
-    if (isLast)
-        return timeLeft();
-    const std::chrono::milliseconds half = timeLeft() / 2;
-    return streams() ? std::min(half, patienceObjectives * m_admission.route->objective) : half;
+    return repeatable() && m_sent + 1 < m_admission.route->maximumAttempts && timeLeft() > shortestAttempt;
+}
+
+// How long the present attempt may be silent before another endpoint is asked.
+std::chrono::nanoseconds ForwardRun::patience() const
+{
+    const config::Route& route = *m_admission.route;
+    if (!streams())
+        return part(route.objective, wholePatiencePart);
+    const endpoint::ChosenEndpoint& chosen = m_target->endpoint;
+    // Prompts that the engine was given meanwhile explain a pause, and a larger engine's events take their time.
+    const std::chrono::nanoseconds explained = m_core.parts.directory.backlog(chosen.name, now());
+    if (m_events > 0)
+        return part(route.pauseObjective, explained.count() > 0 ? stallObjectives : pausePatiencePart);
+    return std::max(part(route.objective, firstPatiencePart), expectedFactor * std::max<std::chrono::nanoseconds>(explained, chosen.plan.expectedWait));
+}
+
+void ForwardRun::look()
+{
+    if (!m_current || m_stalled || !mayMove() || now() - m_silentSince < patience())
+        return;
+    m_stalled = true;
+    m_current->cancel();
 }
 
 ForwardRun::AttemptEnd ForwardRun::attempt()
@@ -276,15 +339,26 @@
     m_events = 0;
     m_firstEventAt.reset();
     if (m_admission.route->isGenerative)
-        m_core.bandsOf(m_service).note(m_request.promptTokens, m_request.promptTokens * costOf(model()), now());
+        noteWork(target.endpoint);
     log::info("attempt sent", { { "request", m_request.id }, { "attempt", std::to_string(m_sent + m_refused + 1) }, { "endpoint", target.endpoint.name.value }, { "version", target.version }, { "model", model().value }, { "reason", target.endpoint.reason }, { "expectedWaitMs", text(target.endpoint.plan.expectedWait) }, { "timeLeftMs", text(timeLeft()) } });
     m_core.parts.shifts.noteSession(target.service, m_request.session, target.version, now());
-    const HeadVerdict verdict = attempt.open(headFor(target), firstPatience());
+    m_stalled = false;
+    m_silentSince = now();
+    m_core.runs.insert(this);
+    const AttemptEnd end = conduct(attempt);
+    m_core.runs.erase(this);
+    m_current = nullptr;
+    return end;
+}
+
+ForwardRun::AttemptEnd ForwardRun::conduct(ForwardAttempt& attempt)
+{
+    const HeadVerdict verdict = attempt.open(headFor(attempt.target()), timeLeft());
     AttemptEnd end = AttemptEnd::broken;
     switch (verdict) {
     case HeadVerdict::notRun:
         ++m_refused;
-        attempt.end(attempt.wasSent() ? endpoint::EndpointOutcome::succeeded : endpoint::EndpointOutcome::failed);
+        attempt.end(attempt.wasSent() ? endpoint::EndpointOutcome::succeeded : endpoint::EndpointOutcome::unreachable);
         m_failure = attempt.failure();
         end = AttemptEnd::notRun;
         break;
@@ -298,13 +372,16 @@
         break;
     case HeadVerdict::answer:
         ++m_sent;
-        if (stepsUp(attempt))
+        if (stepsUp(attempt)) {
+            attempt.firstByte();
+            noteOutcome(attempt, false);
+            m_model = m_nextModel;
             end = AttemptEnd::steppedUp;
+        }
         else
             end = streams() ? answerStream(attempt) : answerWhole(attempt);
         break;
     }
-    m_current = nullptr;
     return end;
 }
 
@@ -317,7 +394,7 @@
         return false;
     log::info("larger model asked", { { "request", m_request.id }, { "confidence", std::to_string(attempt.reply().confidence.value_or(0)) }, { "from", model().value }, { "to", m_admission.route->models[*larger].value }, { "elapsedMs", text(now() - m_arrived) } });
     m_core.parts.metrics.add("whinyard_model_steps_total");
-    m_model = *larger;
+    m_nextModel = *larger;
     m_runState = RunState::unknown;
     return true;
 }
@@ -356,6 +433,8 @@
 ForwardRun::AttemptEnd ForwardRun::breakOff(ForwardAttempt& attempt)
 {
     m_failure = attempt.failure();
+    if (m_stalled)
+        m_failure = { .kind = ErrorKind::endpointFailed, .reason = "the endpoint was silent for " + text(now() - m_silentSince) + " ms", .runState = RunState::unknown };
     m_runState = std::max(m_runState, RunState::unknown);
     if (m_callerLeft) {
         attempt.end(endpoint::EndpointOutcome::cancelled);
@@ -363,7 +442,8 @@
     }
     // Silence until the caller's own deadline says little about an endpoint that had no time left.
     const bool isFault = !attempt.timedOut() || timeLeft() >= shortestAttempt;
-    attempt.end(isFault ? endpoint::EndpointOutcome::failed : endpoint::EndpointOutcome::cancelled);
+    const endpoint::EndpointOutcome fault = m_stalled ? endpoint::EndpointOutcome::stalled : endpoint::EndpointOutcome::failed;
+    attempt.end(isFault ? fault : endpoint::EndpointOutcome::cancelled);
     noteOutcome(attempt, true);
     log::info("attempt failed", { { "request", m_request.id }, { "endpoint", attempt.target().endpoint.name.value }, { "reason", m_failure.reason }, { "elapsedMs", text(attempt.age()) }, { "events", std::to_string(m_events) } });
     return AttemptEnd::broken;
@@ -372,11 +452,8 @@
 ForwardRun::AttemptEnd ForwardRun::answerStream(ForwardAttempt& attempt)
 {
     endpoint::EventFramer framer(m_lastEvent);
-    const std::chrono::milliseconds stall = stallObjectives * m_admission.route->pauseObjective;
-    const bool mayMove = repeatable() && m_sent < m_admission.route->maximumAttempts;
     while (true) {
-        const std::chrono::milliseconds patience = m_events == 0 ? firstPatience() : stall;
-        const std::optional<std::string> bytes = attempt.read(mayMove ? std::min(patience, timeLeft()) : timeLeft());
+        const std::optional<std::string> bytes = attempt.read(timeLeft());
         if (!bytes)
             return breakOff(attempt);
         if (bytes->empty())
@@ -408,6 +485,7 @@
     const endpoint::FramedEvents events = framer.feed(bytes);
     if (events.count > 0) {
         m_latestEventAt = now();
+        m_silentSince = now();
         if (!m_firstEventAt) {
             m_firstEventAt = m_latestEventAt;
             attempt.firstByte();
@@ -431,7 +509,12 @@
     outcome.measure = m_admission.route->name + "/" + model().value;
     const SteadyTime end = m_firstEventAt.value_or(now());
     const auto began = now() - attempt.age();
+    if (!failed && m_admission.route->isGenerative && attempt.target().endpoint.plan.reason != policy::ChoiceReason::cachedPrefix)
+        m_core.rates.learn(model(), costOf(model()), m_request.promptTokens, end - began);
     outcome.time = std::chrono::duration_cast<std::chrono::microseconds>(end - began);
+    outcome.expected = attempt.target().endpoint.plan.expectedWait;
+    if (!failed && m_admission.route->isGenerative)
+        m_core.parts.directory.recordExpectation(attempt.target().endpoint.name, outcome.time, outcome.expected, now());
     if (m_events > policy::VersionShifts::minimumPauses)
         outcome.pause = std::chrono::duration_cast<std::chrono::microseconds>(*m_latestEventAt - *m_firstEventAt) / (m_events - 1);
     m_core.parts.shifts.recordOutcome(attempt.target().service, attempt.target().version, outcome, now());
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -31,6 +31,9 @@
     // Answers the request, or refuses it.
     void run();
 
+    // Gives the present attempt up if it is silent for too long. Called on the same duty while the run's fiber waits.
+    void look();
+
 private:
     // How an attempt ended.
     enum class AttemptEnd : std::uint8_t {
@@ -47,11 +50,14 @@
     std::optional<AttemptTarget> chooseTarget(Failure& failure);
     endpoint::EndpointWish wish();
     double costOf(const ModelName& name) const;
+    std::vector<float> prefixShares() const;
+    void noteWork(const endpoint::ChosenEndpoint& endpoint);
     void chooseModel();
     policy::ModelQuestion modelQuestion() const;
     const ModelName& model() const;
 
     AttemptEnd attempt();
+    AttemptEnd conduct(ForwardAttempt& attempt);
     AttemptEnd answerWhole(ForwardAttempt& attempt);
     AttemptEnd answerStream(ForwardAttempt& attempt);
     bool relay(ForwardAttempt& attempt, endpoint::EventFramer& framer, std::string_view bytes);
@@ -59,7 +65,8 @@
     AttemptEnd breakOff(ForwardAttempt& attempt);
     bool stepsUp(const ForwardAttempt& attempt);
     AttemptHead headFor(const AttemptTarget& target) const;
-    std::chrono::milliseconds firstPatience() const;
+    bool mayMove() const;
+    std::chrono::nanoseconds patience() const;
 
     bool mayGoOn(AttemptEnd end);
     void conclude();
@@ -82,6 +89,7 @@
 
     ServiceName m_service;
     std::optional<std::size_t> m_model; // Index into the route's models, where the router chooses.
+    std::optional<std::size_t> m_nextModel; // To ask instead, once the present attempt is over.
     std::vector<EndpointName> m_tried;
     ForwardAttempt* m_current = nullptr; // While an attempt runs.
     std::optional<AttemptTarget> m_target;
@@ -93,6 +101,8 @@
     std::optional<std::uint64_t> m_lastEvent; // That the caller has.
     bool m_streaming = false; // The caller has the head of the answer.
     bool m_callerLeft = false;
+    bool m_stalled = false; // The present attempt was given up for its silence.
+    SteadyTime m_silentSince; // The last sign of the present attempt.
     std::optional<SteadyTime> m_firstEventAt; // Of the present attempt.
     std::optional<SteadyTime> m_latestEventAt;
     std::uint32_t m_events = 0; // Of the present attempt.
--- a/packages/settings/include/whinyard/settings/EntryTuning.h
+++ b/packages/settings/include/whinyard/settings/EntryTuning.h
@@ -24,8 +24,6 @@
     double affinityCachedShare = 0.5;
     std::uint32_t randomChoices = 2;
     std::uint32_t fullScanLimit = 64; // Endpoints up to which all are compared.
-    std::uint32_t longPrompt = 4'096; // Tokens from which prompts get endpoints of their own.
-    double longWeight = 2; // By which their work counts when the endpoints are divided.
     std::string logLevel = "info";
 };
 
--- a/packages/settings/src/EntryTuning.cpp
+++ b/packages/settings/src/EntryTuning.cpp
@@ -22,8 +22,6 @@
         object.number("affinityCachedShare", tuning.affinityCachedShare, Presence::optional, { 0, 1 });
         object.integer<std::uint32_t>("randomChoices", tuning.randomChoices, Presence::optional, { 0, 16 });
         object.integer<std::uint32_t>("fullScanLimit", tuning.fullScanLimit, Presence::optional, { 0, 10'000 });
-        object.integer<std::uint32_t>("longPrompt", tuning.longPrompt, Presence::optional, { 1, 100'000'000 });
-        object.number("longWeight", tuning.longWeight, Presence::optional, { 0, 100 });
         object.text("logLevel", tuning.logLevel, Presence::optional);
         object.finish();
         return tuning;
