Keep a tenth of the requests on the old versions until a shift is nearly done

Change: shares 0.08, 0.4, 0.9, 1 of a shift's period at 0, 0.52, 0.64, 0.8; a slow answer counts only beside three answers of the other versions of late. EntryTuning takes the penalty of another zone.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -42,6 +42,7 @@
     {
         policy::WaitSelectorSettings settings;
         settings.zoneFactor = tuning.zoneFactor;
+        settings.zonePenalty = tuning.zonePenalty;
         settings.affinityCachedShare = tuning.affinityCachedShare;
         settings.randomChoices = tuning.randomChoices;
         settings.fullScanLimit = tuning.fullScanLimit;
--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -64,12 +64,16 @@
     // 0.15 of all requests of the period), so that the moves after it have room until a late fault is seen.
     double trialShare = 0.08;
     double growAt = 0.52; // The new version may get more, and sessions may move, after half of the period.
-    double allAt = 0.68;
-    double completeAt = 0.84; // Leaves the longest streams, and a store that is away for some seconds, their time.
     double growShare = 0.4;
+    // Then nearly all: a tenth stays on the other versions, since the two can only be compared under the same load.
+    double mostAt = 0.64;
+    double mostShare = 0.9;
+    double allAt = 0.8;
+    double completeAt = 0.88; // Leaves running streams, and a store that is away for a second or two, their time.
     double slowFactor = 4; // An answer is bad when it takes this many times the mean of the other versions.
     std::chrono::milliseconds slowMinimum { 80 }; // A time or pause below this is never slow.
     std::uint32_t baselineSamples = 5; // Of the other versions, before slowness is judged.
+    double concurrentSamples = 3; // Of theirs of late; without them a slow answer may be the load's.
     double background = 0.04; // Share of bad answers that any version may give.
     double backgroundFactor = 1.5; // By which the other versions' share of bad answers is allowed for.
     double badExcess = 0.2; // Above the two, the share from which a version is bad.
--- a/packages/policy/src/VersionShift.cpp
+++ b/packages/policy/src/VersionShift.cpp
@@ -110,6 +110,8 @@
 {
     if (progress >= m_settings.allAt)
         return 1;
+    if (progress >= m_settings.mostAt)
+        return m_settings.mostShare;
     return progress >= m_settings.growAt ? m_settings.growShare : m_settings.trialShare;
 }
 
@@ -199,14 +201,15 @@
     const double time = relativeTime(outcome);
     const auto pause = static_cast<double>(outcome.pause.count());
     const bool isSlowAnswer = isSlow(memory.times, outcome.measure, outcome.time, time) || isSlow(memory.pauses, outcome.measure, outcome.pause, pause);
-    const bool isBad = outcome.failed || isSlowAnswer;
+    const double kept = std::exp(-std::chrono::duration<double>(now - memory.background.at) / m_settings.backgroundMemory);
+    const bool isComparable = !isTarget || (memory.background.good + memory.background.bad) * kept >= m_settings.concurrentSamples;
+    const bool isBad = outcome.failed || (isSlowAnswer && isComparable);
     if (!isTarget) {
         if (!outcome.failed && outcome.time.count() > 0)
             learn(memory.times, outcome.measure, time);
         if (!outcome.failed && outcome.pause.count() > 0)
             learn(memory.pauses, outcome.measure, pause);
         Background& background = memory.background;
-        const double kept = std::exp(-std::chrono::duration<double>(now - background.at) / m_settings.backgroundMemory);
         background.good = background.good * kept + (isBad ? 0 : 1);
         background.bad = background.bad * kept + (isBad ? 1 : 0);
         background.at = now;
--- a/packages/settings/include/whinyard/settings/EntryTuning.h
+++ b/packages/settings/include/whinyard/settings/EntryTuning.h
@@ -20,7 +20,7 @@
     std::uint32_t acceptFrom = 50;
     // Load on engines, in running and waiting requests for each slot, for which a zone's own endpoints are preferred.
     double zoneFactor = 1.5;
-    std::chrono::microseconds prefillPerToken { 50 };
+    std::chrono::milliseconds zonePenalty { 2 }; // Added to the wait at an endpoint of another zone.
     double affinityCachedShare = 0.5;
     std::uint32_t randomChoices = 2;
     std::uint32_t fullScanLimit = 64; // Endpoints up to which all are compared.
