--- /dev/null
+++ b/packages/policy/test/VersionShiftTest.cpp
@@ -0,0 +1,195 @@
+#include "whinyard/policy/VersionShift.h"
+
+#include "whinyard/base/FakeClock.h"
+#include "whinyard/base/Random.h"
+#include "whinyard/policy/ShiftRecords.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace whinyard::policy {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    const ServiceName service { "lm" };
+    const std::vector<std::string> bothVersions { "v1", "v2" };
+
+    class VersionShiftTest : public ::testing::Test {
+    protected:
+        VersionShiftTest() { order(m_shifts); }
+
+        void order(VersionShifts& shifts, std::uint64_t revision = 10) { shifts.takeOrder({ service, "v2", 20s, revision }, m_clock.now()); }
+
+        std::string preferred(const std::string& session = "", VersionShifts* shifts = nullptr)
+        {
+            return (shifts ? shifts : &m_shifts)->prefer(service, session, m_random(), bothVersions, m_clock.now()).versions.front();
+        }
+
+        // The share of requests without a session that the target gets now.
+        double shareOfTarget()
+        {
+            constexpr int draws = 4'000;
+            int target = 0;
+            for (int i = 0; i < draws; ++i)
+                target += preferred() == "v2";
+            return static_cast<double>(target) / draws;
+        }
+
+        // Answers of both versions; every `everyNth` of the target is bad.
+        void answer(int count, int everyNth, VersionOutcome bad)
+        {
+            for (int i = 1; i <= count; ++i) {
+                m_shifts.recordOutcome(service, "v1", good(), m_clock.now());
+                m_shifts.recordOutcome(service, "v2", everyNth > 0 && i % everyNth == 0 ? bad : good(), m_clock.now());
+                m_clock.advance(20ms);
+            }
+        }
+
+        static VersionOutcome good() { return { .failed = false, .measure = "r", .time = 50ms, .expected = 40ms, .pause = 100ms }; }
+        static VersionOutcome failure() { return { .failed = true, .measure = "r", .time = 0us, .expected = 40ms, .pause = 0us }; }
+        static VersionOutcome slow() { return { .failed = false, .measure = "r", .time = 400ms, .expected = 40ms, .pause = 100ms }; }
+
+        ShiftState state() { return m_shifts.due(service, m_clock.now()).value_or(ShiftRecord { .order = 0, .state = ShiftState::running, .elapsed = 0ms, .reason = {} }).state; }
+
+        FakeClock m_clock;
+        Random m_random { 3 };
+        VersionShifts m_shifts;
+    };
+
+    TEST_F(VersionShiftTest, MovesRequestsByStages)
+    {
+        EXPECT_NEAR(shareOfTarget(), 0.08, 0.02);
+        m_clock.advance(10s);
+        EXPECT_NEAR(shareOfTarget(), 0.08, 0.02) << "nothing more within half of the period";
+        m_clock.advance(1s);
+        EXPECT_NEAR(shareOfTarget(), 0.4, 0.03);
+        m_clock.advance(2s);
+        EXPECT_NEAR(shareOfTarget(), 0.9, 0.03);
+        m_clock.advance(4s);
+        EXPECT_EQ(shareOfTarget(), 1);
+        EXPECT_EQ(state(), ShiftState::running);
+        m_clock.advance(1s);
+        EXPECT_EQ(state(), ShiftState::completed);
+    }
+
+    TEST_F(VersionShiftTest, KeepsASessionOnItsVersionUntilAllHasMoved)
+    {
+        m_shifts.noteSession(service, "old", "v1", m_clock.now());
+        m_shifts.noteSession(service, "new", "v2", m_clock.now());
+        for (int i = 0; i < 8; ++i) {
+            EXPECT_EQ(preferred("old"), "v1");
+            EXPECT_EQ(preferred("new"), "v2");
+            m_shifts.noteSession(service, "old", "v1", m_clock.now());
+            m_shifts.noteSession(service, "new", "v2", m_clock.now());
+            m_clock.advance(1900ms);
+        }
+        m_clock.advance(1s);
+        EXPECT_EQ(preferred("old"), "v2");
+    }
+
+    TEST_F(VersionShiftTest, RollsAVersionBackThatFails)
+    {
+        answer(30, 3, failure());
+        EXPECT_EQ(state(), ShiftState::rolledBack);
+        EXPECT_EQ(preferred(), "v1");
+        EXPECT_EQ(preferred("s"), "v1");
+    }
+
+    TEST_F(VersionShiftTest, FindsAVersionThatTurnsBadLate)
+    {
+        answer(300, 0, failure());
+        EXPECT_EQ(state(), ShiftState::running);
+        answer(20, 3, failure());
+        EXPECT_EQ(state(), ShiftState::rolledBack);
+    }
+
+    TEST_F(VersionShiftTest, RollsAVersionBackThatIsSlow)
+    {
+        answer(20, 0, slow());
+        answer(20, 2, slow());
+        EXPECT_EQ(state(), ShiftState::rolledBack);
+    }
+
+    TEST_F(VersionShiftTest, TakesFailuresOfAllVersionsForTheEnvironments)
+    {
+        for (int i = 1; i <= 400; ++i) {
+            m_shifts.recordOutcome(service, "v1", i % 4 == 0 ? failure() : good(), m_clock.now());
+            m_shifts.recordOutcome(service, "v2", i % 4 == 0 ? failure() : good(), m_clock.now());
+            m_clock.advance(20ms);
+        }
+        EXPECT_EQ(state(), ShiftState::running);
+    }
+
+    TEST_F(VersionShiftTest, TakesSlownessWithoutComparisonForTheLoads)
+    {
+        answer(20, 0, slow());
+        m_clock.advance(60s);
+        for (int i = 0; i < 50; ++i)
+            m_shifts.recordOutcome(service, "v2", slow(), m_clock.now());
+        EXPECT_NE(state(), ShiftState::rolledBack);
+    }
+
+    TEST_F(VersionShiftTest, AddsUpWhatInstancesCount)
+    {
+        // No instance sees enough by itself.
+        for (int i = 0; i < 6; ++i)
+            m_shifts.takeEvidence(service, { "i" + std::to_string(i) }, { 10, { 1, 1 }, { 20, 0 } });
+        EXPECT_EQ(state(), ShiftState::rolledBack);
+    }
+
+    TEST_F(VersionShiftTest, IgnoresEvidenceOfAnotherOrder)
+    {
+        for (int i = 0; i < 6; ++i)
+            m_shifts.takeEvidence(service, { "i" + std::to_string(i) }, { 9, { 1, 5 }, { 20, 0 } });
+        EXPECT_EQ(state(), ShiftState::running);
+    }
+
+    TEST_F(VersionShiftTest, GoesOnFromTheStoreAfterARestart)
+    {
+        m_clock.advance(12s);
+        const ShiftRecord record = *m_shifts.due(service, m_clock.now());
+        VersionShifts restarted;
+        order(restarted);
+        restarted.takeRecord(service, record, m_clock.now());
+        m_clock.advance(6s);
+        ASSERT_TRUE(restarted.due(service, m_clock.now()));
+        EXPECT_EQ(restarted.due(service, m_clock.now())->state, ShiftState::completed);
+    }
+
+    TEST_F(VersionShiftTest, NeverTakesAVerdictBack)
+    {
+        m_shifts.takeRecord(service, { 10, ShiftState::rolledBack, 5s, "bad" }, m_clock.now());
+        m_clock.advance(30s);
+        EXPECT_FALSE(m_shifts.due(service, m_clock.now()));
+        EXPECT_EQ(preferred(), "v1");
+        m_shifts.takeRecord(service, { 9, ShiftState::completed, 20s, "" }, m_clock.now());
+        EXPECT_EQ(preferred(), "v1") << "an older order's record changes nothing";
+        order(m_shifts, 11);
+        EXPECT_EQ(state(), ShiftState::running) << "a new order begins anew";
+    }
+
+    TEST_F(VersionShiftTest, ServesByTheOtherVersionWhereOneHasNoEndpoint)
+    {
+        const auto only = [this](const std::string& version) { return m_shifts.prefer(service, "", m_random(), { version }, m_clock.now()).versions; };
+        EXPECT_EQ(only("v1"), std::vector<std::string> { "v1" });
+        EXPECT_EQ(only("v2"), std::vector<std::string> { "v2" });
+        m_shifts.takeRecord(service, { 10, ShiftState::rolledBack, 5s, "bad" }, m_clock.now());
+        EXPECT_TRUE(only("v2").empty()) << "a version that was rolled back gets nothing";
+    }
+
+    TEST(ShiftRecordsTest, ReadWhatTheyWrite)
+    {
+        const ShiftRecord record { 7, ShiftState::rolledBack, 1500ms, "3 of 9 were bad" };
+        EXPECT_EQ(readShiftRecord(writeShiftRecord(record)), record);
+        const ShiftEvidence evidence { 7, { 3, 4 }, { 5, 6 } };
+        EXPECT_EQ(readShiftEvidence(writeShiftEvidence(evidence)), evidence);
+        for (const char* text : { "", "[]", "{}", R"({"order": 1, "state": "other", "elapsedMs": 1})", R"({"order": "1"})" }) {
+            EXPECT_FALSE(readShiftRecord(text)) << text;
+            EXPECT_FALSE(readShiftEvidence(text)) << text;
+        }
+    }
+
+}
+}
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -208,7 +208,18 @@
     const policy::VersionPreference preference = m_core.parts.shifts.prefer(m_service, m_request.session, draw, available, now());
     failure = { .kind = ErrorKind::noEndpoint, .reason = "no endpoint of " + m_service.value + " is known", .retryAfter = m_core.settings.comeBackAfter };
     endpoint::EndpointWish wished = wish();
-    for (const std::string& version : preference.versions) {
+    std::optional<AttemptTarget> target = chooseAmong(preference.versions, wished, failure);
+    if (!target && repeatable() && m_tried.size() > 1) {
+        // All were tried. The one that failed first has had the longest time to recover.
+        wished.excluded = { m_tried.back() };
+        target = chooseAmong(preference.versions, wished, failure);
+    }
+    return target;
+}
+
+std::optional<AttemptTarget> ForwardRun::chooseAmong(const std::vector<std::string>& versions, endpoint::EndpointWish& wished, Failure& failure)
+{
+    for (const std::string& version : versions) {
         wished.version = targetName(m_service, version);
         std::optional<endpoint::ChosenEndpoint> chosen = m_core.parts.directory.choose(wished, now(), failure);
         if (chosen)
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -48,6 +48,7 @@
     bool passGate();
     const ServiceName& drawService() const;
     std::optional<AttemptTarget> chooseTarget(Failure& failure);
+    std::optional<AttemptTarget> chooseAmong(const std::vector<std::string>& versions, endpoint::EndpointWish& wished, Failure& failure);
     endpoint::EndpointWish wish();
     double costOf(const ModelName& name) const;
     std::vector<float> prefixShares() const;
