Step up to the largest model that is in time; price tokens that are read again

Change: ModelChoice is told when each model's answer would begin, and asks the largest that is in time; the selector weighs a token that is read again by rereadPenaltyUs beyond the time of reading it.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -44,6 +44,7 @@
         settings.zoneFactor = tuning.zoneFactor;
         settings.zonePenalty = tuning.zonePenalty;
         settings.affinityCachedShare = tuning.affinityCachedShare;
+        settings.rereadPenalty = tuning.rereadPenalty;
         settings.randomChoices = tuning.randomChoices;
         settings.fullScanLimit = tuning.fullScanLimit;
         settings.probeShare = 0.2; // An instance of a small site sees ten requests a second.
--- a/packages/policy/include/whinyard/policy/EndpointChoice.h
+++ b/packages/policy/include/whinyard/policy/EndpointChoice.h
@@ -78,6 +78,9 @@
     std::uint32_t fullScanLimit = 0; // Looks at every endpoint of a target that has at most this many.
     std::uint32_t randomChoices = 2; // Drawn in the own zone, and as many over all zones.
     std::uint32_t affinityChoices = 2; // Taken from the hash ring.
+    // What reading a token again costs beyond the time of it, as a time: memory that other prompts could have used, and
+    // work of the engine. Compares endpoints only; it is no wait.
+    std::chrono::nanoseconds rereadPenalty { 0 };
     double stalledPart = 0.1; // Of the endpoints, that take the requests that stall others; at least affinityChoices.
     std::chrono::microseconds stallPenalty { 2'000'000 }; // Added to the wait of such a request at any other endpoint.
     double affinityCachedShare = 0.5; // Of a prompt that an affine endpoint is taken to hold.
--- a/packages/policy/include/whinyard/policy/ModelChoice.h
+++ b/packages/policy/include/whinyard/policy/ModelChoice.h
@@ -20,12 +20,12 @@
     std::uint32_t answerTokens = 0;
     std::uint32_t attemptsLeft = 1;
     std::chrono::milliseconds timeToFirstEvent { 0 }; // Left of the objective.
-    std::chrono::milliseconds largestFirstEvent { 0 }; // That the largest model takes to its first event.
+    std::vector<std::chrono::milliseconds> firstEvents; // That each model takes to its first event; empty: unknown.
 };
 
 struct ModelChoiceSettings {
     std::uint32_t acceptFrom = 60; // Confidence, 0 to 100, from which a smaller model's answer is shown.
-    std::uint32_t acceptLateFrom = 40; // The same where the larger model's answer would be late.
+    std::uint32_t acceptLateFrom = 40; // The same where the largest model's answer would be late.
     double cheapFirstBelow = 0; // Ask a smaller model first when it costs less than this share of the largest one.
 };
 
@@ -40,6 +40,9 @@
     std::optional<std::size_t> stepUp(const ModelQuestion& question, std::size_t model, std::optional<std::uint32_t> confidence) const;
 
 private:
+    // Returns the largest model whose answer begins within the objective.
+    static std::size_t largestInTime(const ModelQuestion& question);
+
     const ModelChoiceSettings m_settings;
 };
 
--- a/packages/policy/src/WaitSelector.cpp
+++ b/packages/policy/src/WaitSelector.cpp
@@ -230,7 +230,8 @@
             if (m_request.tokenTime.count() > 0) {
                 const double excess = expectedExcess(load, slots - 1);
                 const Nanoseconds reading = Nanoseconds(m_table.backlog(endpoint, m_now)) + unqueuedAt(endpoint, cachedShare);
-                return Nanoseconds(m_table.slotTime(endpoint)) * (excess / slots) + reading * m_table.slowness(endpoint, m_now) + failuresAt(endpoint);
+                const Nanoseconds penalties = failuresAt(endpoint) + rereadingAt(cachedShare);
+                return Nanoseconds(m_table.slotTime(endpoint)) * (excess / slots) + reading * m_table.slowness(endpoint, m_now) + penalties;
             }
             // Without reports nothing is known of slots: each request in flight slows the others down.
             const bool hasReports = row.reportAt != SteadyTime();
@@ -246,6 +247,11 @@
             return Nanoseconds(row.serviceTime) * row.consecutiveFailures;
         }
 
+        Nanoseconds rereadingAt(double cachedShare) const
+        {
+            return Nanoseconds(m_settings.rereadPenalty) * (m_request.promptTokens * (1 - cachedShare));
+        }
+
         // The same from the upper end of what is believed of the load, and of the time until slots are free, which is
         // about Poisson.
         Nanoseconds cautiousWaitAt(EndpointIndex endpoint, double cachedShare) const
@@ -281,7 +287,8 @@
         EndpointPlan planFor(const Best& best) const
         {
             EndpointPlan plan;
-            plan.expectedWait = rounded(best.wait - failuresAt(best.endpoint));
+            const Nanoseconds rereading = m_request.tokenTime.count() > 0 ? rereadingAt(best.cachedShare) : Nanoseconds(0);
+            plan.expectedWait = rounded(best.wait - failuresAt(best.endpoint) - rereading);
             plan.unqueuedWait = rounded(unqueuedAt(best.endpoint, best.cachedShare));
             plan.cautiousWait = std::max(plan.expectedWait, rounded(cautiousWaitAt(best.endpoint, best.cachedShare)));
             if (m_request.deadline != SteadyTime::max() && plan.expectedWait > m_request.deadline - m_now) {
--- a/packages/policy/test/ModelChoiceTest.cpp
+++ b/packages/policy/test/ModelChoiceTest.cpp
@@ -13,7 +13,7 @@
         asked.costs = { 0.02, 0.2, 0.4 };
         asked.attemptsLeft = 3;
         asked.timeToFirstEvent = 2s;
-        asked.largestFirstEvent = 300ms;
+        asked.firstEvents = { 30ms, 80ms, 300ms };
         return asked;
     }
 
@@ -42,11 +42,13 @@
         EXPECT_FALSE(choice.stepUp(question(), 2, 0)) << "there is no larger one";
     }
 
-    TEST(ModelChoiceTest, ShowsALessSureOneWhereALargerWouldBeLate)
+    TEST(ModelChoiceTest, ShowsALessSureOneWhereTheLargestWouldBeLate)
     {
         ModelQuestion late = question();
-        late.largestFirstEvent = 3s;
+        late.firstEvents = { 300ms, 800ms, 3s };
         EXPECT_FALSE(choice.stepUp(late, 0, 45));
+        EXPECT_EQ(choice.stepUp(late, 0, 39), 1U) << "the one between is in time";
+        late.firstEvents = { 1s, 3s, 9s };
         EXPECT_EQ(choice.stepUp(late, 0, 39), 2U);
     }
 
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -281,15 +281,14 @@
     const config::Route& route = *m_admission.route;
     policy::ModelQuestion question;
     question.route = route.name;
-    for (const ModelName& name : route.models)
-        question.costs.push_back(costOf(name));
+    for (const ModelName& name : route.models) {
+        const double cost = costOf(name);
+        question.costs.push_back(cost);
+        question.firstEvents.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(m_core.rates.tokenTime(name, cost) * m_request.promptTokens));
+    }
     question.promptTokens = m_request.promptTokens;
     question.answerTokens = m_request.expectedTokens > 0 ? m_request.expectedTokens : m_request.answerTokens;
     question.attemptsLeft = route.maximumAttempts - std::min(route.maximumAttempts, m_sent);
-    if (m_admission.route->isGenerative && !route.models.empty()) {
-        const std::chrono::nanoseconds reading = m_core.rates.tokenTime(route.models.back(), question.costs.back()) * m_request.promptTokens;
-        question.largestFirstEvent = std::chrono::duration_cast<std::chrono::milliseconds>(reading);
-    }
     question.timeToFirstEvent = std::chrono::duration_cast<std::chrono::milliseconds>(m_arrived + route.objective - now());
     return question;
 }
--- a/packages/settings/include/whinyard/settings/EntryTuning.h
+++ b/packages/settings/include/whinyard/settings/EntryTuning.h
@@ -22,6 +22,7 @@
     double zoneFactor = 1.5;
     std::chrono::milliseconds zonePenalty { 2 }; // Added to the wait at an endpoint of another zone.
     double affinityCachedShare = 0.5;
+    std::chrono::microseconds rereadPenalty { 20 }; // A token that another engine holds, beyond the time of reading it.
     std::uint32_t randomChoices = 2;
     std::uint32_t fullScanLimit = 64; // Endpoints up to which all are compared.
     std::string logLevel = "info";
--- a/packages/settings/src/EntryTuning.cpp
+++ b/packages/settings/src/EntryTuning.cpp
@@ -20,6 +20,9 @@
         object.integer<std::uint32_t>("acceptFrom", tuning.acceptFrom, Presence::optional, { 0, wholeConfidence + 1 });
         object.number("zoneFactor", tuning.zoneFactor, Presence::optional, { 0, 100 });
         object.milliseconds("zonePenaltyMs", tuning.zonePenalty, Presence::optional, { milliseconds(0), milliseconds(10'000) });
+        std::uint32_t rereadPenalty = static_cast<std::uint32_t>(tuning.rereadPenalty.count());
+        object.integer<std::uint32_t>("rereadPenaltyUs", rereadPenalty, Presence::optional, { 0, 10'000 });
+        tuning.rereadPenalty = std::chrono::microseconds(rereadPenalty);
         object.number("affinityCachedShare", tuning.affinityCachedShare, Presence::optional, { 0, 1 });
         object.integer<std::uint32_t>("randomChoices", tuning.randomChoices, Presence::optional, { 0, 16 });
         object.integer<std::uint32_t>("fullScanLimit", tuning.fullScanLimit, Presence::optional, { 0, 10'000 });
