Judge slow answers of a new version apart from failures

Change: failures and slowness have counts, shares and detectors of their own; slowness asks for twice the likelihood.

--- a/apps/whinyardd/entry/ShiftKeeper.cpp
+++ b/apps/whinyardd/entry/ShiftKeeper.cpp
@@ -106,9 +106,10 @@
 {
     const auto told = m_told.find(service);
     if (told == m_told.end() || told->second.evidence.order != evidence.order)
-        return evidence.target.total() > 0;
+        return evidence.failures.total() > 0;
     const auto age = now - told->second.at;
-    const bool isBad = evidence.target.bad > told->second.evidence.target.bad;
+    const policy::ShiftEvidence& before = told->second.evidence;
+    const bool isBad = evidence.failures.bad > before.failures.bad || evidence.slowness.bad > before.slowness.bad;
     return age >= (isBad ? badEvidenceInterval : evidenceInterval) && !(told->second.evidence == evidence);
 }
 
--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -74,19 +74,25 @@
     std::chrono::milliseconds slowMinimum { 80 }; // A time or pause below this is never slow.
     std::uint32_t baselineSamples = 5; // Of the other versions, before slowness is judged.
     double concurrentSamples = 3; // Of theirs of late; without them a slow answer may be the load's.
-    double background = 0.04; // Share of bad answers that any version may give.
     double backgroundFactor = 1.5; // By which the other versions' share of bad answers is allowed for.
-    double badExcess = 0.2; // Above the two, the share from which a version is bad.
-    double stopAt = 4.6; // Log likelihood ratio: one false stop in about 100 shifts.
+    // Failures: the share that any version may give, how far above it a version is bad, and the log likelihood ratio at
+    // which it is stopped: one false stop in about 100 shifts.
+    double failureBackground = 0.03;
+    double failureExcess = 0.2;
+    double failureStopAt = 4.6;
+    // The same for slow answers. They come in clusters, where an engine was given much at once, so more is asked for.
+    double slowBackground = 0.08;
+    double slowExcess = 0.25;
+    double slowStopAt = 9;
     std::chrono::milliseconds sessionGap { 5'000 }; // A session is remembered so long after its last request.
     std::chrono::milliseconds backgroundMemory { 6'000 }; // Time constant of the other versions' share of bad answers.
 };
 
-// Counts of one version under an order, by one instance; they only grow.
+// Counts of the target's answers under an order, by one instance; they only grow.
 struct ShiftEvidence {
     std::uint64_t order = 0;
-    RatedCounts target;
-    RatedCounts others;
+    RatedCounts failures; // Bad ones failed.
+    RatedCounts slowness; // Bad ones were slow; of those that didn't fail and could be compared.
 
     bool operator==(const ShiftEvidence&) const = default;
 };
@@ -161,8 +167,10 @@
         std::chrono::milliseconds elapsedBefore { 0 };
         ShiftEvidence own;
         std::map<InstanceName, ShiftEvidence> others;
-        Detector ownDetector;
-        Detector fleetDetector;
+        Detector ownFailures;
+        Detector fleetFailures;
+        Detector ownSlowness;
+        Detector fleetSlowness;
     };
 
     struct Session {
@@ -170,10 +178,11 @@
         SteadyTime lastSeen;
     };
 
-    // The other versions' bad answers of late, decaying.
+    // The other versions' answers of late, decaying.
     struct Background {
-        double good = 0;
-        double bad = 0;
+        double total = 0;
+        double failed = 0;
+        double slow = 0;
         SteadyTime at;
     };
 
@@ -189,9 +198,10 @@
     double shareAt(double progress) const;
     bool isSlow(const std::map<std::string, Baseline>& baselines, const std::string& measure, std::chrono::microseconds time, double value) const;
     static void learn(std::map<std::string, Baseline>& baselines, const std::string& measure, double value);
-    BadShares sharesNow(const ServiceMemory& memory) const;
+    BadShares sharesOver(double background, double observed, double excess) const;
     void judge(Shift& shift, const ServiceMemory& memory);
-    bool update(Detector& detector, const RatedCounts& totals, const BadShares& shares) const;
+    void rollBack(Shift& shift, const RatedCounts& counts, const BadShares& shares, const char* what);
+    static bool update(Detector& detector, const RatedCounts& totals, const BadShares& shares, double stopAt);
     void sweepSessions(ServiceMemory& memory, SteadyTime now) const;
 
     const ShiftSettings m_settings;
--- a/packages/policy/src/ShiftRecords.cpp
+++ b/packages/policy/src/ShiftRecords.cpp
@@ -58,7 +58,7 @@
 
 std::string writeShiftEvidence(const ShiftEvidence& evidence)
 {
-    return json({ { "order", evidence.order }, { "target", writeCounts(evidence.target) }, { "others", writeCounts(evidence.others) } }).dump();
+    return json({ { "order", evidence.order }, { "failures", writeCounts(evidence.failures) }, { "slowness", writeCounts(evidence.slowness) } }).dump();
 }
 
 std::optional<ShiftEvidence> readShiftEvidence(std::string_view text)
@@ -67,7 +67,7 @@
     if (!object)
         return std::nullopt;
     try {
-        return ShiftEvidence { object->at("order").get<std::uint64_t>(), readCounts(object->at("target")), readCounts(object->at("others")) };
+        return ShiftEvidence { object->at("order").get<std::uint64_t>(), readCounts(object->at("failures")), readCounts(object->at("slowness")) };
     } catch (const json::exception&) {
         return std::nullopt;
     }
--- a/packages/policy/src/VersionShift.cpp
+++ b/packages/policy/src/VersionShift.cpp
@@ -195,70 +195,79 @@
 void VersionShifts::recordOutcome(const ServiceName& service, const std::string& version, const VersionOutcome& outcome, SteadyTime now)
 {
     ServiceMemory& memory = m_memories[service];
+    Background& background = memory.background;
     const auto found = m_shifts.find(service);
-    const bool isTarget = found != m_shifts.end() && found->second.state == ShiftState::running && found->second.order.target == version;
-    // Answers of the other versions are judged alike: where load makes many slow, that is no fault of the target.
+    const bool isRunning = found != m_shifts.end() && found->second.state == ShiftState::running;
     const double time = relativeTime(outcome);
     const auto pause = static_cast<double>(outcome.pause.count());
     const bool isSlowAnswer = isSlow(memory.times, outcome.measure, outcome.time, time) || isSlow(memory.pauses, outcome.measure, outcome.pause, pause);
-    const double kept = std::exp(-std::chrono::duration<double>(now - memory.background.at) / m_settings.backgroundMemory);
-    const bool isComparable = !isTarget || (memory.background.good + memory.background.bad) * kept >= m_settings.concurrentSamples;
-    const bool isBad = outcome.failed || (isSlowAnswer && isComparable);
-    if (!isTarget) {
-        if (!outcome.failed && outcome.time.count() > 0)
-            learn(memory.times, outcome.measure, time);
-        if (!outcome.failed && outcome.pause.count() > 0)
-            learn(memory.pauses, outcome.measure, pause);
-        Background& background = memory.background;
-        background.good = background.good * kept + (isBad ? 0 : 1);
-        background.bad = background.bad * kept + (isBad ? 1 : 0);
-        background.at = now;
-    }
-    if (found == m_shifts.end() || found->second.state != ShiftState::running)
-        return;
-    RatedCounts& counts = isTarget ? found->second.own.target : found->second.own.others;
-    ++(isBad ? counts.bad : counts.good);
-    if (isTarget)
+    const double kept = std::exp(-std::chrono::duration<double>(now - background.at) / m_settings.backgroundMemory);
+    if (isRunning && found->second.order.target == version) {
+        ShiftEvidence& own = found->second.own;
+        ++(outcome.failed ? own.failures.bad : own.failures.good);
+        // Without answers of the other versions at the same time, slowness may be the load's.
+        if (!outcome.failed && background.total * kept >= m_settings.concurrentSamples)
+            ++(isSlowAnswer ? own.slowness.bad : own.slowness.good);
         judge(found->second, memory);
+        return;
+    }
+    if (!outcome.failed && outcome.time.count() > 0)
+        learn(memory.times, outcome.measure, time);
+    if (!outcome.failed && outcome.pause.count() > 0)
+        learn(memory.pauses, outcome.measure, pause);
+    background.total = background.total * kept + 1;
+    background.failed = background.failed * kept + (outcome.failed ? 1 : 0);
+    background.slow = background.slow * kept + (isSlowAnswer ? 1 : 0);
+    background.at = now;
 }
 
-BadShares VersionShifts::sharesNow(const ServiceMemory& memory) const
+BadShares VersionShifts::sharesOver(double background, double observed, double excess) const
 {
-    const Background& background = memory.background;
-    const double share = background.bad / (background.good + background.bad + 1);
     BadShares shares;
-    shares.tolerable = std::min(m_settings.background + m_settings.backgroundFactor * share, largestShare - m_settings.badExcess);
-    shares.unacceptable = shares.tolerable + m_settings.badExcess;
+    shares.tolerable = std::min(background + m_settings.backgroundFactor * observed, largestShare - excess);
+    shares.unacceptable = shares.tolerable + excess;
     return shares;
 }
 
 // A cumulative sum test (Page, Biometrika 41, 1954): what a version answered well before it turned bad doesn't count
 // in its favour.
-bool VersionShifts::update(Detector& detector, const RatedCounts& totals, const BadShares& shares) const
+bool VersionShifts::update(Detector& detector, const RatedCounts& totals, const BadShares& shares, double stopAt)
 {
     const RatedCounts added { totals.good - std::min(totals.good, detector.seen.good), totals.bad - std::min(totals.bad, detector.seen.bad) };
     detector.seen = { std::max(totals.good, detector.seen.good), std::max(totals.bad, detector.seen.bad) };
     detector.sum = std::max(0.0, detector.sum + logLikelihoodRatio(added, shares));
-    return detector.sum >= m_settings.stopAt;
+    return detector.sum >= stopAt;
 }
 
 void VersionShifts::judge(Shift& shift, const ServiceMemory& memory)
 {
     if (shift.state != ShiftState::running)
         return;
-    const BadShares shares = sharesNow(memory);
-    RatedCounts fleet = shift.own.target;
+    const Background& background = memory.background;
+    const BadShares failing = sharesOver(m_settings.failureBackground, background.failed / (background.total + 1), m_settings.failureExcess);
+    const BadShares slow = sharesOver(m_settings.slowBackground, background.slow / (background.total + 1), m_settings.slowExcess);
+    RatedCounts failures = shift.own.failures;
+    RatedCounts slowness = shift.own.slowness;
     for (const auto& [instance, evidence] : shift.others) {
-        fleet.good += evidence.target.good;
-        fleet.bad += evidence.target.bad;
+        failures = { failures.good + evidence.failures.good, failures.bad + evidence.failures.bad };
+        slowness = { slowness.good + evidence.slowness.good, slowness.bad + evidence.slowness.bad };
     }
-    const bool ownSaysBad = update(shift.ownDetector, shift.own.target, shares);
-    const bool fleetSaysBad = update(shift.fleetDetector, fleet, shares);
-    if (!ownSaysBad && !fleetSaysBad)
-        return;
+    const bool ownFails = update(shift.ownFailures, shift.own.failures, failing, m_settings.failureStopAt);
+    const bool fleetFails = update(shift.fleetFailures, failures, failing, m_settings.failureStopAt);
+    const bool ownIsSlow = update(shift.ownSlowness, shift.own.slowness, slow, m_settings.slowStopAt);
+    const bool fleetIsSlow = update(shift.fleetSlowness, slowness, slow, m_settings.slowStopAt);
+    if (ownFails || fleetFails)
+        rollBack(shift, failures, failing, "failed");
+    else if (ownIsSlow || fleetIsSlow)
+        rollBack(shift, slowness, slow, "were slow");
+}
+
+void VersionShifts::rollBack(Shift& shift, const RatedCounts& counts, const BadShares& shares, const char* what)
+{
+    constexpr double inHundred = 100;
     shift.state = ShiftState::rolledBack;
-    shift.reason = std::to_string(fleet.bad) + " of " + std::to_string(fleet.total()) + " answers of " + shift.order.target + " were bad; "
-        + std::to_string(static_cast<int>(shares.tolerable * 100)) + " in 100 are tolerable now";
+    shift.reason = std::to_string(counts.bad) + " of " + std::to_string(counts.total()) + " answers of " + shift.order.target + " " + what + "; "
+        + std::to_string(static_cast<int>(shares.tolerable * inHundred)) + " in 100 are tolerable now";
 }
 
 std::optional<ShiftRecord> VersionShifts::due(const ServiceName& service, SteadyTime now)
