--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -454,7 +454,8 @@
     const bool isFault = !attempt.timedOut() || timeLeft() >= shortestAttempt;
     const endpoint::EndpointOutcome fault = m_stalled ? endpoint::EndpointOutcome::stalled : endpoint::EndpointOutcome::failed;
     attempt.end(isFault ? fault : endpoint::EndpointOutcome::cancelled);
-    noteOutcome(attempt, true);
+    // Silence that was not waited out is slowness, of which load has its share; a lost connection is a failure.
+    noteOutcome(attempt, !m_stalled);
     log::info("attempt failed", { { "request", m_request.id }, { "endpoint", attempt.target().endpoint.name.value }, { "reason", m_failure.reason }, { "elapsedMs", text(attempt.age()) }, { "events", std::to_string(m_events) } });
     return AttemptEnd::broken;
 }
@@ -519,7 +520,7 @@
     outcome.measure = m_admission.route->name + "/" + model().value;
     const SteadyTime end = m_firstEventAt.value_or(now());
     const auto began = now() - attempt.age();
-    if (!failed && m_admission.route->isGenerative && attempt.target().endpoint.plan.reason != policy::ChoiceReason::cachedPrefix)
+    if (!failed && !m_stalled && m_admission.route->isGenerative && attempt.target().endpoint.plan.reason != policy::ChoiceReason::cachedPrefix)
         m_core.rates.learn(model(), costOf(model()), m_request.promptTokens, end - began);
     outcome.time = std::chrono::duration_cast<std::chrono::microseconds>(end - began);
     outcome.expected = attempt.target().endpoint.plan.expectedWait;
