Tell sessions, counts and the list of endpoints from instance to instance

Change: notices of four kinds (peer::Notices). Evidence goes by notice. Sessions that the trial would draw are told at the order and whenever they go on; the trial begins 0.7 s later. From half of the period on the draw alone decides.

--- a/apps/whinyardd/entry/InstanceWatch.cpp
+++ b/apps/whinyardd/entry/InstanceWatch.cpp
@@ -4,9 +4,10 @@
 
 namespace whinyard::daemon {
 
-InstanceWatch::InstanceWatch(EntryShared& shared, ServeDuty& serving)
+InstanceWatch::InstanceWatch(EntryShared& shared, ServeDuty& serving, RosterWatch& roster)
     : m_shared(shared)
     , m_serving(serving)
+    , m_roster(roster)
 {
 }
 
@@ -32,9 +33,11 @@
 void InstanceWatch::handOn()
 {
     std::vector<net::Address> peers;
+    std::vector<InstanceName> names;
     for (const auto& [key, text] : m_addresses) {
         Failure failure;
         const std::optional<net::Address> address = net::parseAddress(text, failure);
+        names.push_back({ key.substr(prefix.size()) });
         if (!address)
             log::error("instance's record not taken", { { "key", key }, { "reason", failure.reason } });
         else if (address != m_shared.settings.peers)
@@ -42,6 +45,7 @@
     }
     log::info("instances changed", { { "others", std::to_string(peers.size()) } });
     m_serving.takePeers(std::move(peers));
+    m_roster.takeInstances(names);
 }
 
 }
--- a/apps/whinyardd/entry/InstanceWatch.h
+++ b/apps/whinyardd/entry/InstanceWatch.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "entry/EntryShared.h"
+#include "entry/RosterWatch.h"
 #include "entry/ServeDuty.h"
 #include "whinyard/backing/PrefixFollower.h"
 
@@ -16,8 +17,8 @@
     // Every instance keeps a leased record under this prefix; its value is an address.
     static constexpr std::string_view prefix = "whinyard/instance/";
 
-    // Both must outlive the object.
-    InstanceWatch(EntryShared& shared, ServeDuty& serving);
+    // All must outlive the object.
+    InstanceWatch(EntryShared& shared, ServeDuty& serving, RosterWatch& roster);
 
     void replaced(const std::vector<backing::Record>& records) override;
     void changed(const std::vector<backing::RecordChange>& changes) override;
@@ -29,6 +30,7 @@
 
     EntryShared& m_shared;
     ServeDuty& m_serving;
+    RosterWatch& m_roster;
     std::map<std::string, std::string> m_addresses; // By key.
 };
 
--- /dev/null
+++ b/apps/whinyardd/entry/PeerLink.h
@@ -0,0 +1,57 @@
+// Sends notices to the other instances by datagrams, and hands on what they send. Belongs to the serve duty.
+#pragma once
+
+#include "entry/EntryShared.h"
+#include "whinyard/endpoint/EndpointDirectory.h"
+#include "whinyard/net/UdpSocket.h"
+#include "whinyard/peer/Notices.h"
+#include "whinyard/policy/VersionShift.h"
+#include "whinyard/router/Forwarder.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace whinyard::daemon {
+
+// Takes notices of the list of endpoints; called on the serve duty.
+using RosterHandler = std::function<void(peer::RosterNotice)>;
+
+class PeerLink final : public router::WorkObserver {
+public:
+    // All must outlive the object.
+    PeerLink(EntryShared& shared, endpoint::EndpointDirectory& directory, policy::VersionShifts& shifts);
+
+    // Binds the address for other instances and begins to receive, where the settings have one. Called on the duty, as are
+    // the functions below.
+    bool open(net::Duty& duty, Failure& failure);
+
+    void usePeers(std::vector<net::Address> peers) { m_peers = std::move(peers); }
+    void useRosterHandler(RosterHandler handler) { m_rosterHandler = std::move(handler); }
+
+    // Sends a notice to all other instances that are known.
+    void broadcast(const peer::Notice& notice);
+
+    // Tells which sessions the others must leave on the versions in use.
+    void tellPins();
+
+    void gave(const EndpointName& endpoint, std::chrono::nanoseconds work) override;
+
+    void close();
+
+private:
+    void receiveAll();
+    void take(const peer::WorkNotice& notice);
+    void take(const peer::PinNotice& notice);
+    void take(const peer::EvidenceNotice& notice);
+    void take(const peer::RosterNotice& notice);
+
+    EntryShared& m_shared;
+    endpoint::EndpointDirectory& m_directory;
+    policy::VersionShifts& m_shifts;
+    RosterHandler m_rosterHandler;
+    std::vector<net::Address> m_peers;
+    std::unique_ptr<net::UdpSocket> m_socket;
+};
+
+}
--- a/apps/whinyardd/entry/RosterWatch.cpp
+++ b/apps/whinyardd/entry/RosterWatch.cpp
@@ -1,5 +1,6 @@
 #include "entry/RosterWatch.h"
 
+#include "Shared.h"
 #include "platform/Endpoints.h"
 #include "whinyard/base/Log.h"
 
@@ -23,6 +24,8 @@
 RosterWatch::RosterWatch(EntryShared& shared, ServeDuty& serving)
     : m_shared(shared)
     , m_serving(serving)
+    , m_relay(shared.settings.instance)
+    , m_life(seededRandom()())
 {
 }
 
@@ -72,4 +75,66 @@
     m_shared.endpointsKnown = true;
 }
 
+bool RosterWatch::mustFollow() const
+{
+    return m_readAnew || m_relay.mustFollow(m_shared.clock.now());
+}
+
+void RosterWatch::takeNotice(const peer::RosterNotice& notice)
+{
+    const SteadyTime now = m_shared.clock.now();
+    const endpoint::RosterStatement statement { notice.instance, notice.life, notice.sequence, !notice.changed.empty() || !notice.gone.empty() };
+    switch (m_relay.hear(statement, now)) {
+    case endpoint::RelayAction::ignore:
+        return;
+    case endpoint::RelayAction::readAnew:
+        m_readAnew = true;
+        return;
+    case endpoint::RelayAction::apply:
+        break;
+    }
+    for (const backing::ListedEndpoint& endpoint : notice.changed)
+        m_roster.put(endpoint);
+    for (const EndpointName& name : notice.gone)
+        m_roster.remove(name, now);
+    settle();
+}
+
+void RosterWatch::tell()
+{
+    if (!m_relay.isFollower())
+        return;
+    std::map<EndpointName, backing::ListedEndpoint> now;
+    std::vector<backing::ListedEndpoint> changed;
+    for (backing::ListedEndpoint& endpoint : m_roster.list()) {
+        const auto told = m_told.find(endpoint.name);
+        if (told == m_told.end() || !(told->second == endpoint))
+            changed.push_back(endpoint);
+        now.emplace(endpoint.name, endpoint);
+    }
+    std::vector<EndpointName> gone;
+    for (const auto& [name, endpoint] : m_told) {
+        if (!now.contains(name))
+            gone.push_back(name);
+    }
+    m_told = std::move(now);
+    broadcast(std::move(changed), std::move(gone));
+}
+
+void RosterWatch::broadcast(std::vector<backing::ListedEndpoint> changed, std::vector<EndpointName> gone)
+{
+    do {
+        peer::RosterNotice notice { m_shared.settings.instance, m_life, m_sequence, {}, {} };
+        const std::size_t taken = std::min(changed.size(), peer::mostRosterChanges);
+        notice.changed.assign(changed.begin(), changed.begin() + static_cast<std::ptrdiff_t>(taken));
+        changed.erase(changed.begin(), changed.begin() + static_cast<std::ptrdiff_t>(taken));
+        const std::size_t left = std::min(gone.size(), peer::mostRosterChanges);
+        notice.gone.assign(gone.begin(), gone.begin() + static_cast<std::ptrdiff_t>(left));
+        gone.erase(gone.begin(), gone.begin() + static_cast<std::ptrdiff_t>(left));
+        if (!notice.changed.empty() || !notice.gone.empty())
+            notice.sequence = ++m_sequence;
+        m_serving.broadcast(std::move(notice));
+    } while (!changed.empty() || !gone.empty());
+}
+
 }
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -84,7 +84,7 @@
     , m_directory(shared.settings.zone, seededRandom(), tableSettings(), selectorSettings(shared.settings.tuning))
     , m_shifts(shiftSettings(shared.settings.bounds))
     , m_models(modelSettings(shared.settings.tuning))
-    , m_notices(shared, m_directory)
+    , m_link(shared, m_directory, m_shifts)
 {
 }
 
@@ -96,7 +96,7 @@
 bool ServeDuty::openOnDuty(Failure& failure)
 {
     m_client = net::HttpClient::create(m_duty);
-    const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, *m_client, m_fibers, &m_notices };
+    const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, *m_client, m_fibers, &m_link };
     m_forwarder = std::make_unique<router::Forwarder>(parts, forwarderSettings(m_shared.settings.bounds), seededRandom());
     const net::HttpHandler forward = [this](const net::HttpRequest& request, net::HttpResponder& responder) { m_forwarder->handle(request, responder); };
     const net::HttpHandler tellReadiness = [this](const net::HttpRequest&, net::HttpResponder& responder) {
@@ -107,7 +107,7 @@
     m_server = net::HttpServer::open(m_duty, m_shared.settings.callers, serverLimits({}), forward, failure);
     if (m_server)
         m_readiness = net::HttpServer::open(m_duty, m_shared.settings.readiness, {}, tellReadiness, failure);
-    if (!m_readiness || !m_notices.open(m_duty, failure))
+    if (!m_readiness || !m_link.open(m_duty, failure))
         return false;
     m_duty.spawn([this] { refreshDirectory(); });
     m_duty.spawn([this] { tickForwarder(); });
@@ -132,6 +132,7 @@
 {
     while (!m_shared.stopping) {
         m_forwarder->tick();
+        m_link.tellPins();
         net::sleepFor(tickInterval);
     }
 }
@@ -167,7 +168,17 @@
 
 void ServeDuty::takePeers(std::vector<net::Address> peers)
 {
-    m_duty.post([this, peers = std::move(peers)]() mutable { m_notices.usePeers(std::move(peers)); });
+    m_duty.post([this, peers = std::move(peers)]() mutable { m_link.usePeers(std::move(peers)); });
+}
+
+void ServeDuty::broadcast(peer::Notice notice)
+{
+    m_duty.post([this, notice = std::move(notice)] { m_link.broadcast(notice); });
+}
+
+void ServeDuty::useRosterHandler(RosterHandler handler)
+{
+    m_duty.post([this, handler = std::move(handler)]() mutable { m_link.useRosterHandler(std::move(handler)); });
 }
 
 void ServeDuty::postToShifts(std::function<void(policy::VersionShifts&)> use)
@@ -203,7 +214,7 @@
             m_server->close();
         if (m_readiness)
             m_readiness->close();
-        m_notices.close();
+        m_link.close();
     });
     m_duty.stop();
 }
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -3,7 +3,7 @@
 
 #include "Serving.h"
 #include "entry/EntryShared.h"
-#include "entry/PeerNotices.h"
+#include "entry/PeerLink.h"
 #include "platform/HttpCodec.h"
 #include "whinyard/endpoint/EndpointDirectory.h"
 #include "whinyard/net/Duty.h"
@@ -37,6 +37,12 @@
     // Takes the addresses of the other instances.
     void takePeers(std::vector<net::Address> peers);
 
+    // Sends a notice to all other instances that are known.
+    void broadcast(peer::Notice notice);
+
+    // Sets who takes notices of the list of endpoints; called on this duty.
+    void useRosterHandler(RosterHandler handler);
+
     // Runs `use` on the duty's thread, where the version shifts belong, in the order of the calls.
     void postToShifts(std::function<void(policy::VersionShifts&)> use);
 
@@ -66,7 +72,7 @@
     policy::ModelChoice m_models;
     const platform::HttpCodec m_codec;
     std::map<ServiceName, std::vector<std::string>> m_versions; // With endpoints, in the order in which they appeared.
-    PeerNotices m_notices;
+    PeerLink m_link;
     net::Duty m_duty { "serve" };
     DutyFibers m_fibers { m_duty };
     std::unique_ptr<net::HttpClient> m_client;
--- a/apps/whinyardd/entry/ShiftKeeper.cpp
+++ b/apps/whinyardd/entry/ShiftKeeper.cpp
@@ -9,13 +9,12 @@
 
 namespace {
 
-    constexpr std::string_view recordPrefix = "whinyard/shift/";
-    constexpr std::string_view evidencePrefix = "whinyard/shift-evidence/";
+    constexpr std::string_view recordPrefix = ShiftKeeper::prefix;
 
     // Bad answers are told soon; without new ones the counts are told at leisure, so that the others know of good answers
-    // too. At 360 instances these are 60 writes a second while a good version is rolled out.
-    constexpr std::chrono::milliseconds badEvidenceInterval { 1'500 };
-    constexpr std::chrono::milliseconds evidenceInterval { 6'000 };
+    // too.
+    constexpr std::chrono::milliseconds badEvidenceInterval { 500 };
+    constexpr std::chrono::milliseconds evidenceInterval { 3'000 };
 
 }
 
@@ -62,18 +61,7 @@
         }
         log::info("roll-out record", { { "service", service.value }, { "state", std::string(toText(read->state)) }, { "elapsedMs", std::to_string(read->elapsed.count()) }, { "reason", read->reason }, { "revision", std::to_string(record.revision) } });
         m_serving.postToShifts([service, read = *read, now = m_shared.clock.now()](policy::VersionShifts& shifts) { shifts.takeRecord(service, read, now); });
-        return;
     }
-    if (!key.starts_with(evidencePrefix))
-        return;
-    const std::string_view rest = key.substr(evidencePrefix.size());
-    const std::size_t slash = std::min(rest.find('/'), rest.size());
-    const ServiceName service { std::string(rest.substr(0, slash)) };
-    const InstanceName instance { std::string(rest.substr(std::min(slash + 1, rest.size()))) };
-    const std::optional<policy::ShiftEvidence> evidence = policy::readShiftEvidence(record.value);
-    if (!evidence || instance == m_shared.settings.instance)
-        return;
-    m_serving.postToShifts([service, instance, evidence = *evidence](policy::VersionShifts& shifts) { shifts.takeEvidence(service, instance, evidence); });
 }
 
 void ShiftKeeper::turn()
@@ -97,8 +85,10 @@
     for (const Due& one : *due) {
         if (one.record)
             writeRecord(one.order, *one.record);
-        if (one.evidence && isWorthTelling(one.order.service, *one.evidence, now))
-            writeEvidence(one.order.service, *one.evidence, now);
+        if (one.evidence && isWorthTelling(one.order.service, *one.evidence, now)) {
+            m_serving.broadcast(peer::EvidenceNotice { one.order.service, m_shared.settings.instance, policy::writeShiftEvidence(*one.evidence) });
+            m_told[one.order.service] = { *one.evidence, now };
+        }
     }
 }
 
@@ -129,13 +119,4 @@
     m_serving.postToShifts([service = order.service, record, now = m_shared.clock.now()](policy::VersionShifts& shifts) { shifts.takeRecord(service, record, now); });
 }
 
-void ShiftKeeper::writeEvidence(const ServiceName& service, const policy::ShiftEvidence& evidence, SteadyTime now)
-{
-    const std::string key = std::string(evidencePrefix) + service.value + "/" + m_shared.settings.instance.value;
-    Failure failure;
-    if (!m_store.transact({ .preconditions = {}, .puts = { { key, policy::writeShiftEvidence(evidence) } }, .deletes = {} }, failure))
-        return log::warning("roll-out evidence not written", { { "service", service.value }, { "reason", failure.reason } });
-    m_told[service] = { evidence, now };
-}
-
 }
--- a/apps/whinyardd/entry/ShiftKeeper.h
+++ b/apps/whinyardd/entry/ShiftKeeper.h
@@ -1,5 +1,5 @@
-// Keeps how far roll-outs are in the store, where it survives every instance: reads the shared record and the other
-// instances' evidence, and writes what this instance's version shifts ask for.
+// Keeps how far roll-outs are in the store, where it survives every instance: reads the shared records and writes what
+// this instance's version shifts ask for. What instances count goes from one to another by notices.
 //
 // A record is written under the condition that it is still the one that was read, so of several instances that come
 // to the same step one writes it and the others learn of it.
@@ -19,7 +19,7 @@
 class ShiftKeeper final : public backing::PrefixObserver {
 public:
     // The prefix of the instances' own records about roll-outs.
-    static constexpr std::string_view prefix = "whinyard/shift";
+    static constexpr std::string_view prefix = "whinyard/shift/";
 
     // All must outlive the object.
     ShiftKeeper(EntryShared& shared, ServeDuty& serving, backing::WatchableStore& store);
@@ -36,7 +36,6 @@
     void take(const backing::Record& record);
     void writeRecord(const policy::ShiftOrder& order, const policy::ShiftRecord& record);
     bool isWorthTelling(const ServiceName& service, const policy::ShiftEvidence& evidence, SteadyTime now) const;
-    void writeEvidence(const ServiceName& service, const policy::ShiftEvidence& evidence, SteadyTime now);
 
     // What this instance has told last.
     struct Told {
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -17,11 +17,16 @@
     constexpr std::chrono::milliseconds probeInterval { 1'000 };
 
     // Every endpoint writes its entry about once a second, so a watch without a pause would return at each of them. The
-    // pause adds to the time after which a leaving endpoint gets no new work, and is this part of the time allowed.
-    constexpr double endpointPausePart = 0.5;
+    // pause adds to the time after which a leaving endpoint gets no new work, and is this part of the time allowed. It
+    // must be well below the silence after which other instances no longer rely on this one's notices.
+    constexpr double endpointPausePart = 0.25;
+    constexpr std::chrono::milliseconds relayLook { 100 };
     constexpr std::chrono::milliseconds shiftPause { 1'000 };
     constexpr std::chrono::milliseconds noPause { 0 };
 
+    // When many instances start, each of them would otherwise be a reason for all others to ask again.
+    constexpr std::chrono::milliseconds instancePause { 3'000 };
+
     // Other instances reach this one by a record that lapses so long after its end.
     constexpr std::chrono::milliseconds instanceTimeToLive { 6'000 };
     constexpr std::chrono::milliseconds instanceRenewal { 2'000 };
@@ -54,7 +59,10 @@
     m_operators = std::make_unique<OperatorWatch>(m_shared, m_serving);
     m_roster = std::make_unique<RosterWatch>(m_shared, m_serving);
     m_shifts = std::make_unique<ShiftKeeper>(m_shared, m_serving, *m_store);
-    m_instances = std::make_unique<InstanceWatch>(m_shared, m_serving);
+    m_instances = std::make_unique<InstanceWatch>(m_shared, m_serving, *m_roster);
+    m_serving.useRosterHandler([this](peer::RosterNotice notice) {
+        m_duty.post([this, notice = std::move(notice)] { m_roster->takeNotice(notice); });
+    });
     if (m_shared.settings.metrics) {
         const net::HttpHandler handler = [this](const net::HttpRequest&, net::HttpResponder& responder) {
             responder.send({ .status = 200, .fields = { { "Content-Type", "text/plain; version=0.0.4" } }, .body = m_shared.metrics.render() });
@@ -95,9 +103,20 @@
 {
     backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::endpointPrefix), watchWait, *m_roster);
     const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(m_shared.settings.bounds.drain * endpointPausePart);
+    bool followed = false; // In the last round: a watch may go on where it was.
     while (!m_shared.stopping) {
+        if (!m_roster->mustFollow()) {
+            followed = false;
+            net::sleepFor(relayLook);
+            continue;
+        }
+        if (m_roster->takeReadAnew() || !followed)
+            follower.readAnew();
+        followed = true;
         const bool reached = follower.turn();
         m_roster->settle();
+        if (reached)
+            m_roster->tell();
         net::sleepFor(reached ? pause : failurePause);
     }
 }
@@ -106,7 +125,7 @@
 {
     backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(InstanceWatch::prefix), watchWait, *m_instances);
     while (!m_shared.stopping)
-        turn(follower, shiftPause);
+        turn(follower, instancePause);
 }
 
 void StoreDuty::keepOwnRecord()
@@ -127,7 +146,9 @@
         Failure failure;
         const bool answers = m_store->answers(failure);
         m_outage.note(answers, failure);
-        if (!answers)
+        if (answers)
+            m_roster->proven(m_shared.clock.now());
+        else
             m_roster->failed(failure);
         if (answers && !answered)
             m_store->interruptWatches();
--- a/packages/backing/include/whinyard/backing/PrefixFollower.h
+++ b/packages/backing/include/whinyard/backing/PrefixFollower.h
@@ -41,6 +41,9 @@
     // failure the caller pauses before the next one.
     bool turn();
 
+    // Has the next turn read everything anew, after a time without turns.
+    void readAnew() { m_placed = false; }
+
 private:
     bool readAll();
     bool watchOnce();
--- /dev/null
+++ b/packages/endpoint/src/RosterRelay.cpp
@@ -0,0 +1,59 @@
+#include "whinyard/endpoint/RosterRelay.h"
+
+#include <algorithm>
+
+namespace whinyard::endpoint {
+
+RosterRelay::RosterRelay(InstanceName self, const RosterRelaySettings& settings)
+    : m_self(std::move(self))
+    , m_settings(settings)
+{
+}
+
+void RosterRelay::useInstances(const std::vector<InstanceName>& instances)
+{
+    // By a hash of the name, so that followers don't share a zone by the order of their names.
+    m_followers = instances;
+    std::sort(m_followers.begin(), m_followers.end(), [](const InstanceName& left, const InstanceName& right) { return stableHash(left.value) < stableHash(right.value); });
+    m_followers.resize(std::min(m_followers.size(), m_settings.followers));
+}
+
+bool RosterRelay::isFollower() const
+{
+    return std::find(m_followers.begin(), m_followers.end(), m_self) != m_followers.end();
+}
+
+bool RosterRelay::mustFollow(SteadyTime now) const
+{
+    return isFollower() || !source(now);
+}
+
+std::optional<InstanceName> RosterRelay::source(SteadyTime now) const
+{
+    for (const InstanceName& follower : m_followers) {
+        const auto heard = m_heard.find(follower);
+        if (heard != m_heard.end() && now - heard->second.at <= m_settings.silence)
+            return follower;
+    }
+    return std::nullopt;
+}
+
+RelayAction RosterRelay::hear(const RosterStatement& statement, SteadyTime now)
+{
+    if (statement.instance == m_self)
+        return RelayAction::ignore;
+    const bool wasSilent = !source(now);
+    const auto known = m_heard.find(statement.instance);
+    const std::uint64_t expected = known == m_heard.end() ? 0 : known->second.sequence + (statement.hasChanges ? 1 : 0);
+    const bool follows = known != m_heard.end() && known->second.life == statement.life && statement.sequence == expected;
+    m_heard[statement.instance] = { statement.life, statement.sequence, now };
+    if (isFollower() || source(now) != statement.instance)
+        return RelayAction::ignore;
+    const bool isSame = m_source == statement.instance;
+    m_source = statement.instance;
+    if (wasSilent || !isSame || !follows)
+        return RelayAction::readAnew;
+    return statement.hasChanges ? RelayAction::apply : RelayAction::ignore;
+}
+
+}
--- /dev/null
+++ b/packages/peer/include/whinyard/peer/Notices.h
@@ -0,0 +1,70 @@
+// What entry instances that share a store tell each other, one notice a datagram.
+//
+// Notices save calls of the store and make choices better. No promise rests on one that arrives: each receiver notices a
+// gap, or bears it. The daemon sends and takes them in; policy and endpoint give their fields a meaning.
+#pragma once
+
+#include "whinyard/backing/InstanceList.h"
+#include "whinyard/base/Identity.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace whinyard::peer {
+
+// Work that the sender has just given to an engine. An engine reads prompts in turn, and its own report of what waits
+// comes too late for the next choice.
+struct WorkNotice {
+    EndpointName endpoint;
+    std::chrono::microseconds work { 0 }; // Of reading the prompt.
+
+    bool operator==(const WorkNotice&) const = default;
+};
+
+// Sessions that have had a request on the versions in use, and would be drawn to a new one by an instance that doesn't
+// know that.
+struct PinNotice {
+    ServiceName service;
+    std::vector<std::uint64_t> sessions; // Digests.
+
+    bool operator==(const PinNotice&) const = default;
+};
+
+// What the sender has counted of a version under an order.
+struct EvidenceNotice {
+    ServiceName service;
+    InstanceName instance;
+    std::string evidence; // As policy writes it.
+
+    bool operator==(const EvidenceNotice&) const = default;
+};
+
+// How the list of endpoints has changed at an instance that follows it in the store. One without changes says that the
+// list was current when it was sent.
+struct RosterNotice {
+    InstanceName instance;
+    std::uint64_t life = 0; // Of the instance's process.
+    std::uint64_t sequence = 0; // Rises by one with each notice that has changes; the first has number 1.
+    std::vector<backing::ListedEndpoint> changed;
+    std::vector<EndpointName> gone;
+
+    bool operator==(const RosterNotice&) const = default;
+};
+
+using Notice = std::variant<WorkNotice, PinNotice, EvidenceNotice, RosterNotice>;
+
+// The most entries of one notice, so that it fits into a datagram.
+inline constexpr std::size_t mostPins = 128;
+inline constexpr std::size_t mostRosterChanges = 24;
+
+std::string encodeNotice(const Notice& notice);
+
+// Returns nothing for bytes that encodeNotice() would not write.
+std::optional<Notice> decodeNotice(std::string_view bytes);
+
+}
--- /dev/null
+++ b/packages/peer/src/Notices.cpp
@@ -0,0 +1,221 @@
+#include "whinyard/peer/Notices.h"
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include <limits>
+#include <sstream>
+
+namespace whinyard::peer {
+
+namespace {
+
+    constexpr std::uint16_t noticeFormat = 2;
+    constexpr std::size_t longestText = 1'024;
+    constexpr std::int64_t longestWorkUs = 60'000'000; // A longer one is no work that anybody gave.
+
+    enum class NoticeKind : std::uint8_t {
+        work = 1,
+        pins = 2,
+        evidence = 3,
+        roster = 4,
+    };
+
+    // Writes fields one after another.
+    class Writer {
+    public:
+        void number(std::uint64_t value) { m_archive(value); }
+
+        void text(const std::string& value)
+        {
+            number(value.size());
+            m_archive(cereal::binary_data(value.data(), value.size()));
+        }
+
+        std::string take() { return std::move(m_stream).str(); }
+
+    private:
+        std::ostringstream m_stream;
+        cereal::PortableBinaryOutputArchive m_archive { m_stream };
+    };
+
+    // Reads them back. Lengths are checked before anything is reserved; a fault makes every further field empty.
+    class Reader {
+    public:
+        explicit Reader(std::string_view bytes)
+            : m_stream(std::string(bytes))
+        {
+            // The archive reads its first byte at once.
+            guarded([this] { m_archive.emplace(m_stream); });
+        }
+
+        std::uint64_t number(std::uint64_t most = std::numeric_limits<std::uint64_t>::max())
+        {
+            std::uint64_t value = 0;
+            guarded([&] { (*m_archive)(value); });
+            if (value > most)
+                m_failed = true;
+            return m_failed ? 0 : value;
+        }
+
+        std::string text()
+        {
+            std::string value(number(longestText), '\0');
+            guarded([&] { (*m_archive)(cereal::binary_data(value.data(), value.size())); });
+            return m_failed ? std::string() : value;
+        }
+
+        // Returns whether all was read, and nothing is left.
+        bool isWhole() { return !m_failed && m_stream.peek() == std::istringstream::traits_type::eof(); }
+
+    private:
+        template <typename Read>
+        void guarded(Read read)
+        {
+            if (m_failed)
+                return;
+            try {
+                read();
+            } catch (const cereal::Exception&) {
+                m_failed = true;
+            }
+        }
+
+        std::istringstream m_stream;
+        std::optional<cereal::PortableBinaryInputArchive> m_archive;
+        bool m_failed = false;
+    };
+
+    void write(Writer& writer, const WorkNotice& notice)
+    {
+        writer.number(static_cast<std::uint64_t>(NoticeKind::work));
+        writer.text(notice.endpoint.value);
+        writer.number(static_cast<std::uint64_t>(notice.work.count()));
+    }
+
+    void write(Writer& writer, const PinNotice& notice)
+    {
+        writer.number(static_cast<std::uint64_t>(NoticeKind::pins));
+        writer.text(notice.service.value);
+        writer.number(notice.sessions.size());
+        for (const std::uint64_t session : notice.sessions)
+            writer.number(session);
+    }
+
+    void write(Writer& writer, const EvidenceNotice& notice)
+    {
+        writer.number(static_cast<std::uint64_t>(NoticeKind::evidence));
+        writer.text(notice.service.value);
+        writer.text(notice.instance.value);
+        writer.text(notice.evidence);
+    }
+
+    void write(Writer& writer, const RosterNotice& notice)
+    {
+        writer.number(static_cast<std::uint64_t>(NoticeKind::roster));
+        writer.text(notice.instance.value);
+        writer.number(notice.life);
+        writer.number(notice.sequence);
+        writer.number(notice.changed.size());
+        for (const backing::ListedEndpoint& endpoint : notice.changed) {
+            writer.text(endpoint.name.value);
+            writer.text(net::toText(endpoint.address));
+            writer.text(endpoint.zone.value);
+            writer.text(endpoint.service.value);
+            writer.text(endpoint.versions.empty() ? std::string() : endpoint.versions.front().value);
+            writer.number(endpoint.slots);
+            writer.number(endpoint.leaving ? 1 : 0);
+        }
+        writer.number(notice.gone.size());
+        for (const EndpointName& name : notice.gone)
+            writer.text(name.value);
+    }
+
+    std::optional<Notice> readWork(Reader& reader)
+    {
+        WorkNotice notice;
+        notice.endpoint.value = reader.text();
+        notice.work = std::chrono::microseconds(static_cast<std::int64_t>(reader.number(longestWorkUs)));
+        return notice;
+    }
+
+    std::optional<Notice> readPins(Reader& reader)
+    {
+        PinNotice notice;
+        notice.service.value = reader.text();
+        const std::uint64_t count = reader.number(mostPins);
+        for (std::uint64_t i = 0; i < count; ++i)
+            notice.sessions.push_back(reader.number());
+        return notice;
+    }
+
+    std::optional<Notice> readEvidence(Reader& reader)
+    {
+        EvidenceNotice notice;
+        notice.service.value = reader.text();
+        notice.instance.value = reader.text();
+        notice.evidence = reader.text();
+        return notice;
+    }
+
+    std::optional<Notice> readRoster(Reader& reader)
+    {
+        RosterNotice notice;
+        notice.instance.value = reader.text();
+        notice.life = reader.number();
+        notice.sequence = reader.number();
+        const std::uint64_t changed = reader.number(mostRosterChanges);
+        for (std::uint64_t i = 0; i < changed; ++i) {
+            backing::ListedEndpoint endpoint;
+            endpoint.name.value = reader.text();
+            Failure failure;
+            const std::optional<net::Address> address = net::parseAddress(reader.text(), failure);
+            if (!address)
+                return std::nullopt;
+            endpoint.address = *address;
+            endpoint.zone.value = reader.text();
+            endpoint.service.value = reader.text();
+            endpoint.versions = { { reader.text() } };
+            endpoint.slots = static_cast<std::uint32_t>(reader.number(std::numeric_limits<std::uint32_t>::max()));
+            endpoint.leaving = reader.number(1) == 1;
+            notice.changed.push_back(std::move(endpoint));
+        }
+        const std::uint64_t gone = reader.number(mostRosterChanges);
+        for (std::uint64_t i = 0; i < gone; ++i)
+            notice.gone.push_back({ reader.text() });
+        return notice;
+    }
+
+}
+
+std::string encodeNotice(const Notice& notice)
+{
+    Writer writer;
+    writer.number(noticeFormat);
+    std::visit([&](const auto& one) { write(writer, one); }, notice);
+    return writer.take();
+}
+
+std::optional<Notice> decodeNotice(std::string_view bytes)
+{
+    Reader reader(bytes);
+    if (reader.number() != noticeFormat)
+        return std::nullopt;
+    std::optional<Notice> notice;
+    switch (static_cast<NoticeKind>(reader.number(static_cast<std::uint64_t>(NoticeKind::roster)))) {
+    case NoticeKind::work:
+        notice = readWork(reader);
+        break;
+    case NoticeKind::pins:
+        notice = readPins(reader);
+        break;
+    case NoticeKind::evidence:
+        notice = readEvidence(reader);
+        break;
+    case NoticeKind::roster:
+        notice = readRoster(reader);
+        break;
+    }
+    return reader.isWhole() ? notice : std::nullopt;
+}
+
+}
--- /dev/null
+++ b/packages/peer/test/NoticesTest.cpp
@@ -0,0 +1,65 @@
+#include "whinyard/peer/Notices.h"
+
+#include "whinyard/base/Random.h"
+
+#include <gtest/gtest.h>
+
+namespace whinyard::peer {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    std::vector<Notice> samples()
+    {
+        backing::ListedEndpoint endpoint;
+        endpoint.name.value = "i-1";
+        endpoint.address = { "10.0.0.1", 8000 };
+        endpoint.zone.value = "z";
+        endpoint.service.value = "lm";
+        endpoint.versions = { { "v1" } };
+        endpoint.slots = 64;
+        endpoint.leaving = true;
+        return {
+            WorkNotice { { "i-1" }, 350ms },
+            PinNotice { { "lm" }, { 1, 0xFFFFFFFFFFFFFFFFULL } },
+            PinNotice { { "lm" }, {} },
+            EvidenceNotice { { "lm" }, { "entry-1" }, "{}" },
+            RosterNotice { { "entry-1" }, 77, 3, { endpoint }, { { "i-2" } } },
+        };
+    }
+
+    TEST(NoticesTest, ReadsWhatItWrites)
+    {
+        for (const Notice& notice : samples())
+            EXPECT_EQ(decodeNotice(encodeNotice(notice)), notice);
+    }
+
+    TEST(NoticesTest, RefusesEveryOtherText)
+    {
+        EXPECT_FALSE(decodeNotice(""));
+        for (const Notice& notice : samples()) {
+            const std::string good = encodeNotice(notice);
+            EXPECT_FALSE(decodeNotice(good + "x"));
+            for (std::size_t size = 0; size < good.size(); ++size)
+                EXPECT_FALSE(decodeNotice(good.substr(0, size))) << size;
+        }
+        EXPECT_FALSE(decodeNotice(encodeNotice(WorkNotice { { "i-1" }, -1us })));
+        EXPECT_FALSE(decodeNotice(encodeNotice(PinNotice { { "lm" }, std::vector<std::uint64_t>(mostPins + 1) })));
+    }
+
+    TEST(NoticesTest, BearsAnyChangedByte)
+    {
+        Random random(5);
+        for (const Notice& notice : samples()) {
+            const std::string good = encodeNotice(notice);
+            for (int i = 0; i < 5'000; ++i) {
+                std::string bytes = good;
+                for (int change = 0; change < 3; ++change)
+                    bytes[below(random, bytes.size())] = static_cast<char>(random());
+                decodeNotice(bytes);
+            }
+        }
+    }
+
+}
+}
--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -63,6 +63,8 @@
     // The trial's share: its requests, over half a period, stay at a third of the exposure that sites allow (0.0975 to
     // 0.15 of all requests of the period), so that the moves after it have room until a late fault is seen.
     double trialShare = 0.08;
+    // Nothing is moved before: instances tell each other of the sessions that must stay where they are.
+    std::chrono::milliseconds trialDelay { 700 };
     double growAt = 0.52; // The new version may get more, and sessions may move, after half of the period.
     double growShare = 0.4;
     // Then nearly all: a tenth stays on the other versions, since the two can only be compared under the same load.
@@ -121,11 +123,19 @@
     // Takes what another instance counted.
     void takeEvidence(const ServiceName& service, const InstanceName& instance, const ShiftEvidence& evidence);
 
-    // Chooses among the versions that `available` names. `session` is empty for a request without one.
-    VersionPreference prefer(const ServiceName& service, const std::string& session, std::uint64_t draw, const std::vector<std::string>& available, SteadyTime now);
+    // Chooses among the versions that `available` names. `draw` is a digest of the session, or of a request without one,
+    // so that all instances draw alike.
+    VersionPreference prefer(const ServiceName& service, bool hasSession, std::uint64_t draw, const std::vector<std::string>& available, SteadyTime now);
 
-    // Notes on which version a request of a session was sent.
-    void noteSession(const ServiceName& service, const std::string& session, const std::string& version, SteadyTime now);
+    // Notes on which version a request of the session with this digest was sent.
+    void noteSession(const ServiceName& service, std::uint64_t session, const std::string& version, SteadyTime now);
+
+    // Returns the sessions on the other versions, noted since the last call, that would be drawn to the target during the
+    // trial by an instance that doesn't know them.
+    std::vector<std::uint64_t> takePins(const ServiceName& service);
+
+    // Takes such sessions of another instance.
+    void takePinned(const ServiceName& service, const std::vector<std::uint64_t>& sessions, SteadyTime now);
 
     void recordOutcome(const ServiceName& service, const std::string& version, const VersionOutcome& outcome, SteadyTime now);
 
@@ -142,7 +152,7 @@
     const ShiftOrder* order(const ServiceName& service) const;
 
     // Elapsed time is written so often, as a part of the period.
-    static constexpr double progressStep = 0.12;
+    static constexpr double progressStep = 0.3;
 
 private:
     // A mean of one measure: of times as multiples of what was expected, or of pauses in microseconds.
@@ -165,6 +175,7 @@
         std::string reason;
         SteadyTime since; // When `elapsedBefore` was taken over.
         std::chrono::milliseconds elapsedBefore { 0 };
+        std::vector<std::uint64_t> pins; // To be told.
         ShiftEvidence own;
         std::map<InstanceName, ShiftEvidence> others;
         Detector ownFailures;
@@ -174,7 +185,7 @@
     };
 
     struct Session {
-        std::string version;
+        std::string version; // Empty: not the target.
         SteadyTime lastSeen;
     };
 
@@ -187,7 +198,7 @@
     };
 
     struct ServiceMemory {
-        std::unordered_map<std::string, Session> sessions;
+        std::unordered_map<std::uint64_t, Session> sessions; // By digest.
         std::map<std::string, Baseline> times;
         std::map<std::string, Baseline> pauses;
         Background background;
@@ -195,7 +206,8 @@
     };
 
     double progress(const Shift& shift, SteadyTime now) const;
-    double shareAt(double progress) const;
+    double shareNow(const Shift& shift, SteadyTime now) const;
+    bool isDrawnToTrial(std::uint64_t draw) const;
     bool isSlow(const std::map<std::string, Baseline>& baselines, const std::string& measure, std::chrono::microseconds time, double value) const;
     static void learn(std::map<std::string, Baseline>& baselines, const std::string& measure, double value);
     BadShares sharesOver(double background, double observed, double excess) const;
--- a/packages/policy/src/VersionShift.cpp
+++ b/packages/policy/src/VersionShift.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace whinyard::policy {
 
@@ -62,6 +63,10 @@
     shift.order = order;
     shift.since = now;
     shift.own.order = order.revision;
+    for (const auto& [session, seen] : m_memories[order.service].sessions) {
+        if (seen.version != order.target && now - seen.lastSeen <= m_settings.sessionGap && isDrawnToTrial(session))
+            shift.pins.push_back(session);
+    }
     m_shifts[order.service] = std::move(shift);
 }
 
@@ -106,16 +111,25 @@
     return static_cast<double>(elapsed.count()) / static_cast<double>(shift.order.period.count());
 }
 
-double VersionShifts::shareAt(double progress) const
+bool VersionShifts::isDrawnToTrial(std::uint64_t draw) const
 {
-    if (progress >= m_settings.allAt)
+    return unit(draw) < m_settings.trialShare;
+}
+
+double VersionShifts::shareNow(const Shift& shift, SteadyTime now) const
+{
+    const double reached = progress(shift, now);
+    if (reached >= m_settings.allAt)
         return 1;
-    if (progress >= m_settings.mostAt)
+    if (reached >= m_settings.mostAt)
         return m_settings.mostShare;
-    return progress >= m_settings.growAt ? m_settings.growShare : m_settings.trialShare;
+    if (reached >= m_settings.growAt)
+        return m_settings.growShare;
+    const bool hasBegun = shift.elapsedBefore + (now - shift.since) >= m_settings.trialDelay;
+    return hasBegun ? m_settings.trialShare : 0;
 }
 
-VersionPreference VersionShifts::prefer(const ServiceName& service, const std::string& session, std::uint64_t draw, const std::vector<std::string>& available, SteadyTime now)
+VersionPreference VersionShifts::prefer(const ServiceName& service, bool hasSession, std::uint64_t draw, const std::vector<std::string>& available, SteadyTime now)
 {
     VersionPreference preference;
     const auto found = m_shifts.find(service);
@@ -140,14 +154,15 @@
         preference.reason = "completed";
         return preference;
     }
-    const double share = shareAt(progress(shift, now));
+    const double share = shareNow(shift, now);
     bool takesTarget = unit(draw) < share;
     preference.reason = "drawn";
-    ServiceMemory& memory = m_memories[service];
-    const auto remembered = memory.sessions.find(session);
-    if (!session.empty() && remembered != memory.sessions.end() && now - remembered->second.lastSeen <= m_settings.sessionGap) {
+    const ServiceMemory& memory = m_memories[service];
+    const auto remembered = memory.sessions.find(draw);
+    if (hasSession && remembered != memory.sessions.end() && now - remembered->second.lastSeen <= m_settings.sessionGap) {
+        // Nobody goes back from the target, and nobody goes to it before it may grow.
         const bool wasTarget = remembered->second.version == target;
-        takesTarget = wasTarget || share >= 1;
+        takesTarget = wasTarget || (takesTarget && progress(shift, now) >= m_settings.growAt);
         preference.reason = "session";
     }
     if (takesTarget) {
@@ -159,13 +174,30 @@
     return preference;
 }
 
-void VersionShifts::noteSession(const ServiceName& service, const std::string& session, const std::string& version, SteadyTime now)
+void VersionShifts::noteSession(const ServiceName& service, std::uint64_t session, const std::string& version, SteadyTime now)
 {
-    if (session.empty())
-        return;
     ServiceMemory& memory = m_memories[service];
     memory.sessions[session] = { version, now };
     sweepSessions(memory, now);
+    const auto found = m_shifts.find(service);
+    if (found == m_shifts.end() || found->second.state != ShiftState::running || found->second.order.target == version)
+        return;
+    if (isDrawnToTrial(session) && progress(found->second, now) < m_settings.growAt)
+        found->second.pins.push_back(session);
+}
+
+std::vector<std::uint64_t> VersionShifts::takePins(const ServiceName& service)
+{
+    const auto found = m_shifts.find(service);
+    return found == m_shifts.end() ? std::vector<std::uint64_t> {} : std::exchange(found->second.pins, {});
+}
+
+void VersionShifts::takePinned(const ServiceName& service, const std::vector<std::uint64_t>& sessions, SteadyTime now)
+{
+    ServiceMemory& memory = m_memories[service];
+    for (const std::uint64_t session : sessions)
+        memory.sessions[session] = { std::string(), now };
+    sweepSessions(memory, now);
 }
 
 void VersionShifts::sweepSessions(ServiceMemory& memory, SteadyTime now) const
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -152,8 +152,7 @@
         total += service.weight;
     if (services.size() == 1 || total == 0)
         return services.front().service;
-    // Requests of a session go to the same service.
-    std::uint64_t point = stableHash(m_request.session.empty() ? m_request.id : m_request.session) % total;
+    std::uint64_t point = sessionDigest() % total;
     for (const config::WeightedService& service : services) {
         if (point < service.weight)
             return service.service;
@@ -162,6 +161,12 @@
     return services.back().service;
 }
 
+// Requests of a session are drawn alike, on all instances.
+std::uint64_t ForwardRun::sessionDigest() const
+{
+    return stableHash(m_request.session.empty() ? m_request.id : m_request.session);
+}
+
 bool ForwardRun::prepare()
 {
     if (timeLeft() < shortestAttempt) {
@@ -204,8 +209,7 @@
 {
     const auto known = m_core.versions.find(m_service);
     const std::vector<std::string> available = known == m_core.versions.end() ? std::vector<std::string> {} : known->second;
-    const std::uint64_t draw = stableHash(m_request.session.empty() ? m_request.id : m_request.session);
-    const policy::VersionPreference preference = m_core.parts.shifts.prefer(m_service, m_request.session, draw, available, now());
+    const policy::VersionPreference preference = m_core.parts.shifts.prefer(m_service, !m_request.session.empty(), sessionDigest(), available, now());
     failure = { .kind = ErrorKind::noEndpoint, .reason = "no endpoint of " + m_service.value + " is known", .retryAfter = m_core.settings.comeBackAfter };
     endpoint::EndpointWish wished = wish();
     std::optional<AttemptTarget> target = chooseAmong(preference.versions, wished, failure);
@@ -351,7 +355,8 @@
     if (m_admission.route->isGenerative)
         noteWork(target.endpoint);
     log::info("attempt sent", { { "request", m_request.id }, { "attempt", std::to_string(m_sent + m_refused + 1) }, { "endpoint", target.endpoint.name.value }, { "version", target.version }, { "model", model().value }, { "reason", target.endpoint.reason }, { "expectedWaitMs", text(target.endpoint.plan.expectedWait) }, { "timeLeftMs", text(timeLeft()) } });
-    m_core.parts.shifts.noteSession(target.service, m_request.session, target.version, now());
+    if (!m_request.session.empty())
+        m_core.parts.shifts.noteSession(target.service, sessionDigest(), target.version, now());
     m_stalled = false;
     m_silentSince = now();
     m_core.runs.insert(this);
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -47,6 +47,7 @@
     bool prepare();
     bool passGate();
     const ServiceName& drawService() const;
+    std::uint64_t sessionDigest() const;
     std::optional<AttemptTarget> chooseTarget(Failure& failure);
     std::optional<AttemptTarget> chooseAmong(const std::vector<std::string>& versions, endpoint::EndpointWish& wished, Failure& failure);
     endpoint::EndpointWish wish();
