Call the store less: records by notice, one writer at a time, nothing but the probe during an outage

Change: a writer tells the record it wrote (ShiftNotice); instances write at a time of their own within 1.2 s (0.3 s for a verdict); while the probe fails nobody else calls; probe every 2 s, renewal every 4 s under a lease of 12 s.

--- a/apps/whinyardd/entry/PeerLink.cpp
+++ b/apps/whinyardd/entry/PeerLink.cpp
@@ -94,10 +94,16 @@
         m_shifts.takeEvidence(notice.service, notice.instance, *evidence);
 }
 
+void PeerLink::take(const peer::ShiftNotice& notice)
+{
+    if (m_handlers.shift)
+        m_handlers.shift(notice);
+}
+
 void PeerLink::take(const peer::RosterNotice& notice)
 {
-    if (m_rosterHandler)
-        m_rosterHandler(notice);
+    if (m_handlers.roster)
+        m_handlers.roster(notice);
 }
 
 void PeerLink::close()
--- a/apps/whinyardd/entry/PeerLink.h
+++ b/apps/whinyardd/entry/PeerLink.h
@@ -14,8 +14,11 @@
 
 namespace whinyard::daemon {
 
-// Takes notices of the list of endpoints; called on the serve duty.
-using RosterHandler = std::function<void(peer::RosterNotice)>;
+// Take notices that concern the store duty; called on the serve duty.
+struct NoticeHandlers {
+    std::function<void(peer::RosterNotice)> roster;
+    std::function<void(peer::ShiftNotice)> shift;
+};
 
 class PeerLink final : public router::WorkObserver {
 public:
@@ -27,7 +30,7 @@
     bool open(net::Duty& duty, Failure& failure);
 
     void usePeers(std::vector<net::Address> peers) { m_peers = std::move(peers); }
-    void useRosterHandler(RosterHandler handler) { m_rosterHandler = std::move(handler); }
+    void useHandlers(NoticeHandlers handlers) { m_handlers = std::move(handlers); }
 
     // Sends a notice to all other instances that are known.
     void broadcast(const peer::Notice& notice);
@@ -44,12 +47,13 @@
     void take(const peer::WorkNotice& notice);
     void take(const peer::PinNotice& notice);
     void take(const peer::EvidenceNotice& notice);
+    void take(const peer::ShiftNotice& notice);
     void take(const peer::RosterNotice& notice);
 
     EntryShared& m_shared;
     endpoint::EndpointDirectory& m_directory;
     policy::VersionShifts& m_shifts;
-    RosterHandler m_rosterHandler;
+    NoticeHandlers m_handlers;
     std::vector<net::Address> m_peers;
     std::unique_ptr<net::UdpSocket> m_socket;
 };
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -176,9 +176,9 @@
     m_duty.post([this, notice = std::move(notice)] { m_link.broadcast(notice); });
 }
 
-void ServeDuty::useRosterHandler(RosterHandler handler)
+void ServeDuty::useNoticeHandlers(NoticeHandlers handlers)
 {
-    m_duty.post([this, handler = std::move(handler)]() mutable { m_link.useRosterHandler(std::move(handler)); });
+    m_duty.post([this, handlers = std::move(handlers)]() mutable { m_link.useHandlers(std::move(handlers)); });
 }
 
 void ServeDuty::postToShifts(std::function<void(policy::VersionShifts&)> use)
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -40,8 +40,8 @@
     // Sends a notice to all other instances that are known.
     void broadcast(peer::Notice notice);
 
-    // Sets who takes notices of the list of endpoints; called on this duty.
-    void useRosterHandler(RosterHandler handler);
+    // Sets who takes notices that concern the store duty; they are called on this duty.
+    void useNoticeHandlers(NoticeHandlers handlers);
 
     // Runs `use` on the duty's thread, where the version shifts belong, in the order of the calls.
     void postToShifts(std::function<void(policy::VersionShifts&)> use);
--- a/apps/whinyardd/entry/ShiftKeeper.cpp
+++ b/apps/whinyardd/entry/ShiftKeeper.cpp
@@ -1,5 +1,6 @@
 #include "entry/ShiftKeeper.h"
 
+#include "Shared.h"
 #include "platform/Rollouts.h"
 #include "whinyard/base/Log.h"
 
@@ -16,12 +17,17 @@
     constexpr std::chrono::milliseconds badEvidenceInterval { 500 };
     constexpr std::chrono::milliseconds evidenceInterval { 3'000 };
 
+    // Within which instances write a record that all of them come to.
+    constexpr std::chrono::milliseconds writeSpread { 1'200 };
+    constexpr std::chrono::milliseconds verdictSpread { 300 };
+
 }
 
 ShiftKeeper::ShiftKeeper(EntryShared& shared, ServeDuty& serving, backing::WatchableStore& store)
     : m_shared(shared)
     , m_serving(serving)
     , m_store(store)
+    , m_random(seededRandom())
 {
 }
 
@@ -53,6 +59,8 @@
     const std::string_view key = record.key;
     if (key.starts_with(recordPrefix)) {
         const ServiceName service { std::string(key.substr(recordPrefix.size())) };
+        if (record.revision <= m_revisions[service])
+            return;
         m_revisions[service] = record.revision;
         const std::optional<policy::ShiftRecord> read = policy::readShiftRecord(record.value);
         if (!read) {
@@ -83,7 +91,9 @@
     if (!due)
         return;
     for (const Due& one : *due) {
-        if (one.record)
+        if (!one.record)
+            m_writeAt.erase(one.order.service);
+        else if (isTimeToWrite(one.order.service, *one.record, now))
             writeRecord(one.order, *one.record);
         if (one.evidence && isWorthTelling(one.order.service, *one.evidence, now)) {
             m_serving.broadcast(peer::EvidenceNotice { one.order.service, m_shared.settings.instance, policy::writeShiftEvidence(*one.evidence) });
@@ -92,6 +102,22 @@
     }
 }
 
+// Every instance comes to the same record at about the same time, and one write is enough: each waits for a time of its
+// own, and the first tells the others. A verdict against a version waits for less.
+bool ShiftKeeper::isTimeToWrite(const ServiceName& service, const policy::ShiftRecord& record, SteadyTime now)
+{
+    const std::chrono::milliseconds spread = record.state == policy::ShiftState::rolledBack ? verdictSpread : writeSpread;
+    const auto [at, isNew] = m_writeAt.try_emplace(service, now);
+    if (isNew)
+        at->second = now + std::chrono::milliseconds(below(m_random, static_cast<std::uint64_t>(spread.count())));
+    return now >= at->second;
+}
+
+void ShiftKeeper::takeNotice(const peer::ShiftNotice& notice)
+{
+    take({ std::string(recordPrefix) + notice.service.value, notice.record, notice.revision });
+}
+
 bool ShiftKeeper::isWorthTelling(const ServiceName& service, const policy::ShiftEvidence& evidence, SteadyTime now) const
 {
     const auto told = m_told.find(service);
@@ -116,6 +142,8 @@
     if (!revision)
         return; // A conflict is resolved by the record that the watch brings.
     m_revisions[order.service] = *revision;
+    m_writeAt.erase(order.service);
+    m_serving.broadcast(peer::ShiftNotice { order.service, policy::writeShiftRecord(record), *revision });
     m_serving.postToShifts([service = order.service, record, now = m_shared.clock.now()](policy::VersionShifts& shifts) { shifts.takeRecord(service, record, now); });
 }
 
--- a/apps/whinyardd/entry/ShiftKeeper.h
+++ b/apps/whinyardd/entry/ShiftKeeper.h
@@ -29,12 +29,16 @@
     void proven(SteadyTime startedAt) override;
     void failed(const Failure& failure) override;
 
+    // Takes what another instance has written. Called on the store duty.
+    void takeNotice(const peer::ShiftNotice& notice);
+
     // Writes what is due. Call it several times a second while there are orders, from one fiber of the store duty.
     void turn();
 
 private:
     void take(const backing::Record& record);
     void writeRecord(const policy::ShiftOrder& order, const policy::ShiftRecord& record);
+    bool isTimeToWrite(const ServiceName& service, const policy::ShiftRecord& record, SteadyTime now);
     bool isWorthTelling(const ServiceName& service, const policy::ShiftEvidence& evidence, SteadyTime now) const;
 
     // What this instance has told last.
@@ -48,6 +52,8 @@
     backing::WatchableStore& m_store;
     std::map<ServiceName, backing::Revision> m_revisions; // Of the shared records.
     std::map<ServiceName, Told> m_told;
+    std::map<ServiceName, SteadyTime> m_writeAt; // Of records that are due.
+    Random m_random;
     bool m_read = false; // The records were read at least once: an absent one is known to be absent.
 };
 
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -14,22 +14,25 @@
     constexpr std::chrono::milliseconds watchWait { 20'000 };
 
     // Must be so short that an outage is noticed, and watches begin anew, before the instance counts as in touch again.
-    constexpr std::chrono::milliseconds probeInterval { 1'000 };
+    constexpr std::chrono::milliseconds probeInterval { 2'000 };
+    constexpr std::chrono::milliseconds probeAgain { 300 }; // While it fails.
+    constexpr std::chrono::milliseconds outageLook { 100 };
 
     // Every endpoint writes its entry about once a second, so a watch without a pause would return at each of them. The
     // pause adds to the time after which a leaving endpoint gets no new work, and is this part of the time allowed. It
     // must be well below the silence after which other instances no longer rely on this one's notices.
     constexpr double endpointPausePart = 0.25;
     constexpr std::chrono::milliseconds relayLook { 100 };
-    constexpr std::chrono::milliseconds shiftPause { 1'000 };
+    // What other instances write of roll-outs arrives by notices; the watch is for those that were lost.
+    constexpr std::chrono::milliseconds shiftPause { 3'000 };
     constexpr std::chrono::milliseconds noPause { 0 };
 
     // When many instances start, each of them would otherwise be a reason for all others to ask again.
-    constexpr std::chrono::milliseconds instancePause { 3'000 };
+    constexpr std::chrono::milliseconds instancePause { 5'000 };
 
     // Other instances reach this one by a record that lapses so long after its end.
-    constexpr std::chrono::milliseconds instanceTimeToLive { 6'000 };
-    constexpr std::chrono::milliseconds instanceRenewal { 2'000 };
+    constexpr std::chrono::milliseconds instanceTimeToLive { 12'000 };
+    constexpr std::chrono::milliseconds instanceRenewal { 4'000 };
 
     // Between calls while the store fails, with as much again at random, so that instances don't return in step.
     constexpr std::chrono::milliseconds failurePause { 150 };
@@ -60,8 +63,9 @@
     m_roster = std::make_unique<RosterWatch>(m_shared, m_serving);
     m_shifts = std::make_unique<ShiftKeeper>(m_shared, m_serving, *m_store);
     m_instances = std::make_unique<InstanceWatch>(m_shared, m_serving, *m_roster);
-    m_serving.useRosterHandler([this](peer::RosterNotice notice) {
-        m_duty.post([this, notice = std::move(notice)] { m_roster->takeNotice(notice); });
+    m_serving.useNoticeHandlers({
+        .roster = [this](peer::RosterNotice notice) { m_duty.post([this, notice = std::move(notice)] { m_roster->takeNotice(notice); }); },
+        .shift = [this](peer::ShiftNotice notice) { m_duty.post([this, notice = std::move(notice)] { m_shifts->takeNotice(notice); }); },
     });
     if (m_shared.settings.metrics) {
         const net::HttpHandler handler = [this](const net::HttpRequest&, net::HttpResponder& responder) {
@@ -86,6 +90,7 @@
 
 void StoreDuty::turn(backing::PrefixFollower& follower, std::chrono::milliseconds pause)
 {
+    awaitStore();
     if (!follower.turn())
         pause = failurePause + std::chrono::milliseconds(below(m_random, failurePause.count()));
     if (pause.count() > 0)
@@ -113,6 +118,7 @@
         if (m_roster->takeReadAnew() || !followed)
             follower.readAnew();
         followed = true;
+        awaitStore();
         const bool reached = follower.turn();
         m_roster->settle();
         if (reached)
@@ -132,28 +138,35 @@
 {
     backing::LeasedRecord record(*m_store, std::string(InstanceWatch::prefix) + m_shared.settings.instance.value, net::toText(*m_shared.settings.peers), instanceTimeToLive);
     while (!m_shared.stopping) {
+        awaitStore();
         Failure failure; // The probe tells of an outage.
         record.turn(failure);
         net::sleepFor(instanceRenewal);
     }
 }
 
+// Calls that are refused have their price too: while the store is away only the probe asks.
+void StoreDuty::awaitStore()
+{
+    while (!m_answers && !m_shared.stopping)
+        net::sleepFor(outageLook);
+}
+
 // After an outage every watch that still waits may have lost its connection without a word.
 void StoreDuty::probeStore()
 {
-    bool answered = true;
     while (!m_shared.stopping) {
         Failure failure;
         const bool answers = m_store->answers(failure);
         m_outage.note(answers, failure);
+        const bool answered = std::exchange(m_answers, answers);
         if (answers)
             m_roster->proven(m_shared.clock.now());
         else
             m_roster->failed(failure);
         if (answers && !answered)
             m_store->interruptWatches();
-        answered = answers;
-        net::sleepFor(answers ? probeInterval : failurePause);
+        net::sleepFor(answers ? probeInterval : probeAgain);
     }
 }
 
--- a/apps/whinyardd/entry/StoreDuty.h
+++ b/apps/whinyardd/entry/StoreDuty.h
@@ -39,6 +39,9 @@
     void followInstances();
     void keepOwnRecord();
     void probeStore();
+
+    // Waits while the store is known to be away.
+    void awaitStore();
     void settleRoster();
 
     // Makes one call; pauses after it, longer when it failed.
@@ -47,6 +50,7 @@
     EntryShared& m_shared;
     ServeDuty& m_serving;
     OutageLog m_outage;
+    bool m_answers = true; // The last probe was answered.
     Random m_random;
     net::Duty m_duty { "store" };
     std::unique_ptr<net::HttpClient> m_client;
--- a/packages/peer/include/whinyard/peer/Notices.h
+++ b/packages/peer/include/whinyard/peer/Notices.h
@@ -44,6 +44,15 @@
     bool operator==(const EvidenceNotice&) const = default;
 };
 
+// How far an order is, as the sender has just written it to the store.
+struct ShiftNotice {
+    ServiceName service;
+    std::string record; // As policy writes it.
+    std::uint64_t revision = 0; // Of the record in the store.
+
+    bool operator==(const ShiftNotice&) const = default;
+};
+
 // How the list of endpoints has changed at an instance that follows it in the store. One without changes says that the
 // list was current when it was sent.
 struct RosterNotice {
@@ -56,7 +65,7 @@
     bool operator==(const RosterNotice&) const = default;
 };
 
-using Notice = std::variant<WorkNotice, PinNotice, EvidenceNotice, RosterNotice>;
+using Notice = std::variant<WorkNotice, PinNotice, EvidenceNotice, ShiftNotice, RosterNotice>;
 
 // The most entries of one notice, so that it fits into a datagram.
 inline constexpr std::size_t mostPins = 128;
--- a/packages/peer/src/Notices.cpp
+++ b/packages/peer/src/Notices.cpp
@@ -18,6 +18,7 @@
         pins = 2,
         evidence = 3,
         roster = 4,
+        shift = 5,
     };
 
     // Writes fields one after another.
@@ -109,6 +110,14 @@
         writer.text(notice.evidence);
     }
 
+    void write(Writer& writer, const ShiftNotice& notice)
+    {
+        writer.number(static_cast<std::uint64_t>(NoticeKind::shift));
+        writer.text(notice.service.value);
+        writer.text(notice.record);
+        writer.number(notice.revision);
+    }
+
     void write(Writer& writer, const RosterNotice& notice)
     {
         writer.number(static_cast<std::uint64_t>(NoticeKind::roster));
@@ -157,6 +166,15 @@
         return notice;
     }
 
+    std::optional<Notice> readShift(Reader& reader)
+    {
+        ShiftNotice notice;
+        notice.service.value = reader.text();
+        notice.record = reader.text();
+        notice.revision = reader.number();
+        return notice;
+    }
+
     std::optional<Notice> readRoster(Reader& reader)
     {
         RosterNotice notice;
@@ -201,7 +219,7 @@
     if (reader.number() != noticeFormat)
         return std::nullopt;
     std::optional<Notice> notice;
-    switch (static_cast<NoticeKind>(reader.number(static_cast<std::uint64_t>(NoticeKind::roster)))) {
+    switch (static_cast<NoticeKind>(reader.number(static_cast<std::uint64_t>(NoticeKind::shift)))) {
     case NoticeKind::work:
         notice = readWork(reader);
         break;
@@ -214,6 +232,9 @@
     case NoticeKind::roster:
         notice = readRoster(reader);
         break;
+    case NoticeKind::shift:
+        notice = readShift(reader);
+        break;
     }
     return reader.isWhole() ? notice : std::nullopt;
 }
--- a/packages/peer/test/NoticesTest.cpp
+++ b/packages/peer/test/NoticesTest.cpp
@@ -24,6 +24,7 @@
             PinNotice { { "lm" }, { 1, 0xFFFFFFFFFFFFFFFFULL } },
             PinNotice { { "lm" }, {} },
             EvidenceNotice { { "lm" }, { "entry-1" }, "{}" },
+            ShiftNotice { { "lm" }, "{}", 9 },
             RosterNotice { { "entry-1" }, 77, 3, { endpoint }, { { "i-2" } } },
         };
     }
