Count the crash of an endpoint once against its version; keep records that come before their order; format

Cause: a good version was rolled back after several of its engines crashed (4 of 76 answers failed, 16 in 100 tolerable): every stream of an engine breaks at once, and the test takes them for independent. An instance that a partition had kept from the order wrote the stage back to 848 ms, since it had ignored the record that came first. Change: lost connections of one endpoint count once in 3 s; the last record of a service is kept for an order that isn't known yet.

--- a/apps/whinyardd/Administration.cpp
+++ b/apps/whinyardd/Administration.cpp
@@ -1,7 +1,7 @@
 #include "Administration.h"
 
-#include "whinyard/ledger/UsageReader.h"
 #include "whinyard/backing/HttpPlatform.h"
+#include "whinyard/ledger/UsageReader.h"
 
 namespace whinyard::daemon {
 
--- a/apps/whinyardd/Administration.h
+++ b/apps/whinyardd/Administration.h
@@ -6,9 +6,9 @@
 
 #include "whinyard/admin/AdminService.h"
 #include "whinyard/admin/FleetSources.h"
+#include "whinyard/backing/KeyValueStore.h"
 #include "whinyard/net/HttpClient.h"
 #include "whinyard/net/HttpServer.h"
-#include "whinyard/backing/KeyValueStore.h"
 
 #include <memory>
 
--- a/apps/whinyardd/Peering.h
+++ b/apps/whinyardd/Peering.h
@@ -4,8 +4,8 @@
 #include "EventMirroring.h"
 #include "Shared.h"
 
-#include "whinyard/peer/PeerService.h"
 #include "whinyard/backing/InstanceList.h"
+#include "whinyard/peer/PeerService.h"
 #include "whinyard/router/ConfigurationSource.h"
 
 #include <atomic>
--- a/apps/whinyardd/Storing.cpp
+++ b/apps/whinyardd/Storing.cpp
@@ -1,7 +1,7 @@
 #include "Storing.h"
 
-#include "whinyard/base/Log.h"
 #include "whinyard/backing/HttpPlatform.h"
+#include "whinyard/base/Log.h"
 
 namespace whinyard::daemon {
 
--- a/apps/whinyardd/Storing.h
+++ b/apps/whinyardd/Storing.h
@@ -4,13 +4,13 @@
 #include "OnDuty.h"
 #include "Shared.h"
 
+#include "whinyard/backing/InstanceList.h"
+#include "whinyard/backing/KeyValueStore.h"
 #include "whinyard/ledger/PeerMirrorChannel.h"
 #include "whinyard/ledger/StoredIntentLedger.h"
 #include "whinyard/ledger/StoredUsageLedger.h"
 #include "whinyard/net/HttpClient.h"
 #include "whinyard/peer/PeerService.h"
-#include "whinyard/backing/InstanceList.h"
-#include "whinyard/backing/KeyValueStore.h"
 
 #include <functional>
 #include <memory>
--- a/packages/admin/include/whinyard/admin/ConfigurationRepository.h
+++ b/packages/admin/include/whinyard/admin/ConfigurationRepository.h
@@ -5,10 +5,10 @@
 // see ConfirmationSource in AdminParts.h.
 #pragma once
 
+#include "whinyard/backing/KeyValueStore.h"
 #include "whinyard/base/Clock.h"
 #include "whinyard/config/Diff.h"
 #include "whinyard/config/Document.h"
-#include "whinyard/backing/KeyValueStore.h"
 
 #include <chrono>
 #include <cstdint>
--- a/packages/admin/testing/whinyard/admin/FakeParts.h
+++ b/packages/admin/testing/whinyard/admin/FakeParts.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "whinyard/admin/AdminParts.h"
-#include "whinyard/base/FakeClock.h"
 #include "whinyard/backing/FakeStore.h"
+#include "whinyard/base/FakeClock.h"
 
 namespace whinyard::admin {
 
--- a/packages/admin/testing/whinyard/admin/RacingStore.h
+++ b/packages/admin/testing/whinyard/admin/RacingStore.h
@@ -4,9 +4,9 @@
 // It also plants faults in the store, which a checker of the history must see.
 #pragma once
 
+#include "whinyard/backing/FakeStore.h"
 #include "whinyard/base/Random.h"
 #include "whinyard/config/Document.h"
-#include "whinyard/backing/FakeStore.h"
 
 #include <boost/fiber/operations.hpp>
 
--- a/packages/backing/testing/whinyard/backing/MemoryStore.h
+++ b/packages/backing/testing/whinyard/backing/MemoryStore.h
@@ -4,8 +4,8 @@
 // FakeStore puts faults of calls around it for tests; the platform's stand-in serves it over HTTP.
 #pragma once
 
-#include "whinyard/base/Clock.h"
 #include "whinyard/backing/KeyValueStore.h"
+#include "whinyard/base/Clock.h"
 
 #include <algorithm>
 #include <map>
--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -5,10 +5,10 @@
 // daemon feeds it the list and the load reports. It belongs to one duty and does no I/O.
 #pragma once
 
+#include "whinyard/backing/InstanceList.h"
 #include "whinyard/base/Clock.h"
 #include "whinyard/base/Random.h"
 #include "whinyard/endpoint/EngineClient.h"
-#include "whinyard/backing/InstanceList.h"
 #include "whinyard/policy/Cascade.h"
 #include "whinyard/policy/EndpointChoice.h"
 
--- a/packages/ledger/include/whinyard/ledger/PartitionState.h
+++ b/packages/ledger/include/whinyard/ledger/PartitionState.h
@@ -4,8 +4,8 @@
 // PartitionLog keeps it up to date and decides from it. It does no input or output.
 #pragma once
 
-#include "whinyard/ledger/IntentRecord.h"
 #include "whinyard/backing/KeyValueStore.h"
+#include "whinyard/ledger/IntentRecord.h"
 
 #include <optional>
 #include <set>
--- a/packages/ledger/include/whinyard/ledger/UsageReader.h
+++ b/packages/ledger/include/whinyard/ledger/UsageReader.h
@@ -4,10 +4,10 @@
 // the key-value service is needed.
 #pragma once
 
+#include "whinyard/backing/KeyValueStore.h"
 #include "whinyard/base/Clock.h"
 #include "whinyard/ledger/IntentRecord.h"
 #include "whinyard/ledger/UsageLine.h"
-#include "whinyard/backing/KeyValueStore.h"
 
 #include <compare>
 #include <cstdint>
--- a/packages/ledger/test/PartitionLogTest.cpp
+++ b/packages/ledger/test/PartitionLogTest.cpp
@@ -1,8 +1,8 @@
 // Single steps of the partition's protocol that the seeds don't reach or don't show.
 #include "whinyard/ledger/PartitionLog.h"
+#include "whinyard/backing/FakeStore.h"
 #include "whinyard/base/FakeClock.h"
 #include "whinyard/ledger/FakeLiveWriters.h"
-#include "whinyard/backing/FakeStore.h"
 
 #include <gtest/gtest.h>
 
--- a/packages/ledger/test/StoredLedgerTest.cpp
+++ b/packages/ledger/test/StoredLedgerTest.cpp
@@ -1,10 +1,10 @@
 // The drivers on a real duty: they pass on what the state machines decide, and end when they are told to.
+#include "whinyard/backing/FakeStore.h"
 #include "whinyard/ledger/FakeLiveWriters.h"
 #include "whinyard/ledger/IntentRecord.h"
 #include "whinyard/ledger/StoredIntentLedger.h"
 #include "whinyard/ledger/StoredUsageLedger.h"
 #include "whinyard/ledger/UsageReader.h"
-#include "whinyard/backing/FakeStore.h"
 
 #include <gtest/gtest.h>
 
--- a/packages/ledger/testing/whinyard/ledger/SlowStore.h
+++ b/packages/ledger/testing/whinyard/ledger/SlowStore.h
@@ -2,10 +2,10 @@
 // replies lost after the effect, and writes that take effect long after their caller gave up.
 #pragma once
 
+#include "whinyard/backing/FakeStore.h"
 #include "whinyard/base/Random.h"
 #include "whinyard/ledger/EventQueue.h"
 #include "whinyard/ledger/StoreCall.h"
-#include "whinyard/backing/FakeStore.h"
 
 namespace whinyard::ledger {
 
--- a/packages/net/src/internal/FiberSocket.h
+++ b/packages/net/src/internal/FiberSocket.h
@@ -149,7 +149,6 @@
     template <typename Start>
     std::size_t await(boost::system::error_code& error, Start start);
 
-
     std::shared_ptr<Core> m_core;
     std::size_t m_bytesWritten = 0;
     int m_callsWithoutWait = 0;
--- a/packages/peer/include/whinyard/peer/StoreWatch.h
+++ b/packages/peer/include/whinyard/peer/StoreWatch.h
@@ -2,10 +2,10 @@
 // it said. The daemon runs it in a fiber of the store duty.
 #pragma once
 
+#include "whinyard/backing/KeyValueStore.h"
 #include "whinyard/base/Clock.h"
 #include "whinyard/base/Error.h"
 #include "whinyard/config/Document.h"
-#include "whinyard/backing/KeyValueStore.h"
 
 #include <chrono>
 #include <cstdint>
--- a/packages/peer/test/StoreWatchTest.cpp
+++ b/packages/peer/test/StoreWatchTest.cpp
@@ -1,7 +1,7 @@
 #include "whinyard/peer/StoreWatch.h"
 
-#include "whinyard/base/FakeClock.h"
 #include "whinyard/backing/FakeStore.h"
+#include "whinyard/base/FakeClock.h"
 
 #include <gtest/gtest.h>
 #include <optional>
--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -51,7 +51,9 @@
 
 // How a request ended at a version, as far as the version is concerned.
 struct VersionOutcome {
+    EndpointName endpoint;
     bool failed = false;
+    bool connectionLost = false; // How it failed: every request of an endpoint that crashes does so at once.
     std::string measure; // Groups requests whose times are comparable, such as route and model.
     std::chrono::microseconds time { 0 }; // To the answer or the first event; 0 if there was none.
     std::chrono::microseconds expected { 0 }; // The same, as the load and size of the request let expect.
@@ -74,6 +76,7 @@
     double completeAt = 0.88; // Leaves running streams, and a store that is away for a second or two, their time.
     double slowFactor = 4; // An answer is bad when it takes this many times the mean of the other versions.
     std::chrono::milliseconds slowMinimum { 80 }; // A time or pause below this is never slow.
+    std::chrono::milliseconds crashMemory { 3'000 }; // Within which the lost connections of one endpoint count once.
     std::uint32_t baselineSamples = 5; // Of the other versions, before slowness is judged.
     double concurrentSamples = 3; // Of theirs of late; without them a slow answer may be the load's.
     double backgroundFactor = 1.5; // By which the other versions' share of bad answers is allowed for.
@@ -202,6 +205,7 @@
         std::map<std::string, Baseline> times;
         std::map<std::string, Baseline> pauses;
         Background background;
+        std::map<EndpointName, SteadyTime> crashes; // When a lost connection of an endpoint was counted last.
         SteadyTime nextSweep;
     };
 
@@ -210,6 +214,7 @@
     bool isDrawnToTrial(std::uint64_t draw) const;
     bool isSlow(const std::map<std::string, Baseline>& baselines, const std::string& measure, std::chrono::microseconds time, double value) const;
     static void learn(std::map<std::string, Baseline>& baselines, const std::string& measure, double value);
+    bool isKnownCrash(ServiceMemory& memory, const VersionOutcome& outcome, SteadyTime now) const;
     BadShares sharesOver(double background, double observed, double excess) const;
     void judge(Shift& shift, const ServiceMemory& memory);
     void rollBack(Shift& shift, const RatedCounts& counts, const BadShares& shares, const char* what);
@@ -218,6 +223,7 @@
 
     const ShiftSettings m_settings;
     std::map<ServiceName, Shift> m_shifts;
+    std::map<ServiceName, ShiftRecord> m_records; // The last ones, also of orders that aren't known yet.
     std::map<ServiceName, ServiceMemory> m_memories;
 };
 
--- a/packages/policy/src/VersionShift.cpp
+++ b/packages/policy/src/VersionShift.cpp
@@ -68,6 +68,9 @@
             shift.pins.push_back(session);
     }
     m_shifts[order.service] = std::move(shift);
+    const auto record = m_records.find(order.service);
+    if (record != m_records.end())
+        takeRecord(order.service, ShiftRecord(record->second), now);
 }
 
 void VersionShifts::dropOrder(const ServiceName& service)
@@ -77,6 +80,7 @@
 
 void VersionShifts::takeRecord(const ServiceName& service, const ShiftRecord& record, SteadyTime now)
 {
+    m_records[service] = record;
     const auto found = m_shifts.find(service);
     if (found == m_shifts.end() || found->second.order.revision != record.order)
         return;
@@ -205,6 +209,7 @@
     if (now < memory.nextSweep)
         return;
     memory.nextSweep = now + m_settings.sessionGap;
+    std::erase_if(memory.crashes, [&](const auto& entry) { return now - entry.second > m_settings.crashMemory; });
     std::erase_if(memory.sessions, [&](const auto& entry) { return now - entry.second.lastSeen > 2 * m_settings.sessionGap; });
 }
 
@@ -227,6 +232,8 @@
 void VersionShifts::recordOutcome(const ServiceName& service, const std::string& version, const VersionOutcome& outcome, SteadyTime now)
 {
     ServiceMemory& memory = m_memories[service];
+    if (isKnownCrash(memory, outcome, now))
+        return;
     Background& background = memory.background;
     const auto found = m_shifts.find(service);
     const bool isRunning = found != m_shifts.end() && found->second.state == ShiftState::running;
@@ -253,6 +260,18 @@
     background.at = now;
 }
 
+bool VersionShifts::isKnownCrash(ServiceMemory& memory, const VersionOutcome& outcome, SteadyTime now) const
+{
+    if (!outcome.connectionLost)
+        return false;
+    const auto [at, isNew] = memory.crashes.try_emplace(outcome.endpoint, now);
+    if (isNew)
+        return false;
+    const bool isKnown = now - at->second < m_settings.crashMemory;
+    at->second = now;
+    return isKnown;
+}
+
 BadShares VersionShifts::sharesOver(double background, double observed, double excess) const
 {
     BadShares shares;
--- a/packages/router/include/whinyard/router/Router.h
+++ b/packages/router/include/whinyard/router/Router.h
@@ -5,6 +5,7 @@
 // forward. All of it runs on the serve duty; varying parts are interfaces that tests replace.
 #pragma once
 
+#include "whinyard/backing/RatingService.h"
 #include "whinyard/base/Clock.h"
 #include "whinyard/base/Event.h"
 #include "whinyard/base/HybridTime.h"
@@ -17,7 +18,6 @@
 #include "whinyard/ledger/UsageLedger.h"
 #include "whinyard/net/HttpServer.h"
 #include "whinyard/peer/Peers.h"
-#include "whinyard/backing/RatingService.h"
 #include "whinyard/policy/Cascade.h"
 #include "whinyard/policy/CustomerLimits.h"
 #include "whinyard/policy/Redispatch.h"
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -392,8 +392,7 @@
             noteOutcome(attempt, false);
             m_model = m_nextModel;
             end = AttemptEnd::steppedUp;
-        }
-        else
+        } else
             end = streams() ? answerStream(attempt) : answerWhole(attempt);
         break;
     }
@@ -436,12 +435,12 @@
     if (!response)
         return breakOff(attempt);
     const bool isFault = isEndpointFault(response->status);
+    m_failedAnswer = std::move(*response);
     attempt.end(isFault ? endpoint::EndpointOutcome::failed : endpoint::EndpointOutcome::succeeded);
     noteOutcome(attempt, isFault);
-    log::info("attempt failed", { { "request", m_request.id }, { "endpoint", attempt.target().endpoint.name.value }, { "status", std::to_string(response->status) }, { "reason", "the endpoint answered with a failure" }, { "elapsedMs", text(attempt.age()) } });
-    m_failure = { .kind = ErrorKind::endpointFailed, .reason = "the endpoint answered with status " + std::to_string(response->status) };
+    log::info("attempt failed", { { "request", m_request.id }, { "endpoint", attempt.target().endpoint.name.value }, { "status", std::to_string(m_failedAnswer->status) }, { "reason", "the endpoint answered with a failure" }, { "elapsedMs", text(attempt.age()) } });
+    m_failure = { .kind = ErrorKind::endpointFailed, .reason = "the endpoint answered with status " + std::to_string(m_failedAnswer->status) };
     m_runState = RunState::ran;
-    m_failedAnswer = std::move(*response);
     return AttemptEnd::failedAnswer;
 }
 
@@ -521,7 +520,9 @@
 void ForwardRun::noteOutcome(const ForwardAttempt& attempt, bool failed)
 {
     policy::VersionOutcome outcome;
+    outcome.endpoint = attempt.target().endpoint.name;
     outcome.failed = failed;
+    outcome.connectionLost = failed && !m_failedAnswer;
     outcome.measure = m_admission.route->name + "/" + model().value;
     const SteadyTime end = m_firstEventAt.value_or(now());
     const auto began = now() - attempt.age();
--- a/packages/router/testing/whinyard/router/RouterFakes.h
+++ b/packages/router/testing/whinyard/router/RouterFakes.h
@@ -4,11 +4,11 @@
 // caller saw, what was dispatched, what was billed, and the time line.
 #pragma once
 
+#include "whinyard/backing/FakeRatingService.h"
 #include "whinyard/base/FakeClock.h"
 #include "whinyard/endpoint/FakeEngineClient.h"
 #include "whinyard/endpoint/FakeServiceClient.h"
 #include "whinyard/peer/FakePeers.h"
-#include "whinyard/backing/FakeRatingService.h"
 #include "whinyard/router/Router.h"
 
 #include <algorithm>
--- a/standins/PlatformStandIn.cpp
+++ b/standins/PlatformStandIn.cpp
@@ -8,10 +8,10 @@
 //   GET  /healthz                         200
 #include "StandIn.h"
 
+#include "whinyard/backing/MemoryStore.h"
 #include "whinyard/base/Clock.h"
 #include "whinyard/base/Identity.h"
 #include "whinyard/base/Log.h"
-#include "whinyard/backing/MemoryStore.h"
 
 #include <charconv>
 #include <deque>
--- a/standins/ProveMain.cpp
+++ b/standins/ProveMain.cpp
@@ -5,9 +5,9 @@
 #include "prove/LoadRun.h"
 #include "prove/Summary.h"
 
+#include "whinyard/backing/HttpPlatform.h"
 #include "whinyard/base/Log.h"
 #include "whinyard/ledger/UsageReader.h"
-#include "whinyard/backing/HttpPlatform.h"
 
 #include <CLI/CLI.hpp>
 
