Satisfy the linter: no member without a use, no binding in a lambda, a constructor for the forwarder's state

Cause: scripts/lint found five lines with clang that GCC takes. Change: the routing keeper drops a proof that nobody reads; the versions of a service are kept by a function of their own. Nothing else changes.

--- a/apps/whinyardd/entry/EntryShared.h
+++ b/apps/whinyardd/entry/EntryShared.h
@@ -19,7 +19,7 @@
     const settings::EntrySettings settings;
     const SystemClock clock;
     Metrics metrics;
-    RoutingKeeper routing { clock };
+    RoutingKeeper routing;
     std::atomic<bool> endpointsKnown = false;
     std::atomic<bool> draining = false;
     std::atomic<bool> stopping = false; // Ends the loops of all duties.
--- a/apps/whinyardd/entry/OperatorWatch.cpp
+++ b/apps/whinyardd/entry/OperatorWatch.cpp
@@ -82,13 +82,4 @@
     m_serving.postToShifts([service](policy::VersionShifts& shifts) { shifts.dropOrder(service); });
 }
 
-void OperatorWatch::proven(SteadyTime startedAt)
-{
-    m_shared.routing.prove(startedAt);
-}
-
-void OperatorWatch::failed(const Failure&)
-{
-}
-
 }
--- a/apps/whinyardd/entry/OperatorWatch.h
+++ b/apps/whinyardd/entry/OperatorWatch.h
@@ -17,8 +17,8 @@
 
     void replaced(const std::vector<backing::Record>& records) override;
     void changed(const std::vector<backing::RecordChange>& changes) override;
-    void proven(SteadyTime startedAt) override;
-    void failed(const Failure& failure) override;
+    void proven(SteadyTime) override { }
+    void failed(const Failure&) override { } // The probe of the store tells of outages.
 
     // Returns whether there is any order.
     bool hasOrders() const { return !m_ordered.empty(); }
--- a/apps/whinyardd/entry/RoutingKeeper.cpp
+++ b/apps/whinyardd/entry/RoutingKeeper.cpp
@@ -1,14 +1,7 @@
 #include "entry/RoutingKeeper.h"
 
-#include <algorithm>
-
 namespace whinyard::daemon {
 
-RoutingKeeper::RoutingKeeper(const Clock& clock)
-    : m_clock(clock)
-{
-}
-
 bool RoutingKeeper::take(config::Routing routing)
 {
     const std::lock_guard lock(m_mutex);
@@ -18,12 +11,6 @@
     return true;
 }
 
-void RoutingKeeper::prove(SteadyTime at)
-{
-    const std::lock_guard lock(m_mutex);
-    m_provenAt = std::max(m_provenAt.value_or(at), at);
-}
-
 std::shared_ptr<const config::RoutingTable> RoutingKeeper::newest() const
 {
     const std::lock_guard lock(m_mutex);
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -21,6 +21,11 @@
     // that a request never meets our close.
     constexpr int idleQuarters = 5;
 
+    bool contains(const std::vector<std::string>& list, const std::string& wanted)
+    {
+        return std::find(list.begin(), list.end(), wanted) != list.end();
+    }
+
     policy::EndpointTableSettings tableSettings()
     {
         policy::EndpointTableSettings settings;
@@ -150,22 +155,27 @@
             const std::string version = endpoint.versions.front().value;
             endpoint.versions = { router::targetName(endpoint.service, version) };
             std::vector<std::string>& versions = present[endpoint.service];
-            if (!endpoint.leaving && std::find(versions.begin(), versions.end(), version) == versions.end())
+            if (!endpoint.leaving && !contains(versions, version))
                 versions.push_back(version);
         }
         m_directory.replace(listed);
-        for (auto& [service, versions] : present) {
-            std::vector<std::string>& known = m_versions[service];
-            std::erase_if(known, [&](const std::string& version) { return std::find(versions.begin(), versions.end(), version) == versions.end(); });
-            for (const std::string& version : versions) {
-                if (std::find(known.begin(), known.end(), version) == known.end())
-                    known.push_back(version);
-            }
-            m_forwarder->useVersions(service, known);
-        }
+        for (const auto& entry : present)
+            useVersions(entry.first, entry.second);
     });
 }
 
+// Keeps the order in which versions appeared.
+void ServeDuty::useVersions(const ServiceName& service, const std::vector<std::string>& present)
+{
+    std::vector<std::string>& known = m_versions[service];
+    std::erase_if(known, [&](const std::string& version) { return !contains(present, version); });
+    for (const std::string& version : present) {
+        if (!contains(known, version))
+            known.push_back(version);
+    }
+    m_forwarder->useVersions(service, known);
+}
+
 void ServeDuty::takePeers(std::vector<net::Address> peers)
 {
     m_duty.post([this, peers = std::move(peers)]() mutable { m_link.usePeers(std::move(peers)); });
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -63,6 +63,7 @@
     bool openOnDuty(Failure& failure);
     bool drainOnDuty(SteadyTime end);
     bool isReady() const;
+    void useVersions(const ServiceName& service, const std::vector<std::string>& present);
     void refreshDirectory();
     void tickForwarder();
 
--- a/apps/whinyardd/entry/ShiftKeeper.cpp
+++ b/apps/whinyardd/entry/ShiftKeeper.cpp
@@ -46,14 +46,6 @@
     }
 }
 
-void ShiftKeeper::proven(SteadyTime)
-{
-}
-
-void ShiftKeeper::failed(const Failure&)
-{
-}
-
 void ShiftKeeper::take(const backing::Record& record)
 {
     const std::string_view key = record.key;
--- a/apps/whinyardd/entry/ShiftKeeper.h
+++ b/apps/whinyardd/entry/ShiftKeeper.h
@@ -26,8 +26,8 @@
 
     void replaced(const std::vector<backing::Record>& records) override;
     void changed(const std::vector<backing::RecordChange>& changes) override;
-    void proven(SteadyTime startedAt) override;
-    void failed(const Failure& failure) override;
+    void proven(SteadyTime) override { }
+    void failed(const Failure&) override { }
 
     // Takes what another instance has written. Called on the store duty.
     void takeNotice(const peer::ShiftNotice& notice);
--- a/packages/router/src/Forwarder.cpp
+++ b/packages/router/src/Forwarder.cpp
@@ -30,6 +30,11 @@
 }
 
 struct Forwarder::State {
+    State(const ForwarderParts& parts, const ForwarderSettings& settings, Random random)
+        : core { .parts = parts, .settings = settings, .random = random }
+    {
+    }
+
     ForwardCore core;
 
     // Refuses a request before any attempt.
@@ -44,7 +49,7 @@
 };
 
 Forwarder::Forwarder(const ForwarderParts& parts, const ForwarderSettings& settings, Random random)
-    : m_state(std::make_unique<State>(ForwardCore { .parts = parts, .settings = settings, .random = random }))
+    : m_state(std::make_unique<State>(parts, settings, random))
 {
 }
 
