Give a silent stream up only for another attempt that is granted; ask the store nothing but the probe once a call has failed

Tests: LeavesASilentStreamWhereNoOtherAttemptIsAllowed (red before), MovesAStreamThatIsSilent. Change: the repeat is taken out of the budget before the attempt is cancelled. Cause 2: between two probes of 2 s, four fibers called a store that was away every 150 ms. Change: one failure makes all wait for the probe.

--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -29,6 +29,7 @@
 
     // When many instances start, each of them would otherwise be a reason for all others to ask again.
     constexpr std::chrono::milliseconds instancePause { 5'000 };
+    constexpr std::chrono::milliseconds startPause { 800 };
 
     // Other instances reach this one by a record that lapses so long after its end.
     constexpr std::chrono::milliseconds instanceTimeToLive { 12'000 };
@@ -91,8 +92,10 @@
 void StoreDuty::turn(backing::PrefixFollower& follower, std::chrono::milliseconds pause)
 {
     awaitStore();
-    if (!follower.turn())
+    if (!follower.turn()) {
+        noteFailure();
         pause = failurePause + std::chrono::milliseconds(below(m_random, failurePause.count()));
+    }
     if (pause.count() > 0)
         net::sleepFor(pause);
 }
@@ -123,6 +126,8 @@
         m_roster->settle();
         if (reached)
             m_roster->tell();
+        else
+            noteFailure();
         net::sleepFor(reached ? pause : failurePause);
     }
 }
@@ -130,6 +135,9 @@
 void StoreDuty::followInstances()
 {
     backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(InstanceWatch::prefix), watchWait, *m_instances);
+    // Instances that start together stand in the store after a moment: until they are known, each follows the endpoints
+    // itself.
+    turn(follower, startPause);
     while (!m_shared.stopping)
         turn(follower, instancePause);
 }
@@ -152,21 +160,29 @@
         net::sleepFor(outageLook);
 }
 
+// Lets the probe find out at once whether the store is away.
+void StoreDuty::noteFailure()
+{
+    m_answers = false;
+    m_suspected.notify();
+}
+
 // After an outage every watch that still waits may have lost its connection without a word.
 void StoreDuty::probeStore()
 {
+    bool wasAway = false;
     while (!m_shared.stopping) {
         Failure failure;
-        const bool answers = m_store->answers(failure);
-        m_outage.note(answers, failure);
-        const bool answered = std::exchange(m_answers, answers);
-        if (answers)
+        m_answers = m_store->answers(failure);
+        m_outage.note(m_answers, failure);
+        if (m_answers)
             m_roster->proven(m_shared.clock.now());
         else
             m_roster->failed(failure);
-        if (answers && !answered)
+        if (m_answers && wasAway)
             m_store->interruptWatches();
-        net::sleepFor(answers ? probeInterval : probeAgain);
+        wasAway = !m_answers;
+        m_suspected.wait(m_answers ? probeInterval : probeAgain);
     }
 }
 
--- a/apps/whinyardd/entry/StoreDuty.h
+++ b/apps/whinyardd/entry/StoreDuty.h
@@ -42,6 +42,7 @@
 
     // Waits while the store is known to be away.
     void awaitStore();
+    void noteFailure();
     void settleRoster();
 
     // Makes one call; pauses after it, longer when it failed.
@@ -50,9 +51,10 @@
     EntryShared& m_shared;
     ServeDuty& m_serving;
     OutageLog m_outage;
-    bool m_answers = true; // The last probe was answered.
+    bool m_answers = true; // The last probe was answered, and no call has failed since.
     Random m_random;
     net::Duty m_duty { "store" };
+    net::Signal m_suspected; // A call has failed.
     std::unique_ptr<net::HttpClient> m_client;
     std::unique_ptr<backing::WatchableStore> m_store;
     std::unique_ptr<OperatorWatch> m_operators;
--- a/packages/endpoint/testing/whinyard/endpoint/FakeHttpClient.h
+++ b/packages/endpoint/testing/whinyard/endpoint/FakeHttpClient.h
@@ -16,6 +16,7 @@
     bool connectionLost = false; // Without an answer, or after the last piece.
     net::HttpResponse head;
     std::vector<std::string> pieces;
+    std::function<void()> onRead {}; // Runs before each piece is read, as if that took time.
 };
 
 class FakeHttpClient final : public net::HttpClient {
@@ -59,6 +60,12 @@
 
         std::optional<std::string> read(Failure& failure) override
         {
+            if (m_exchange.onRead)
+                m_exchange.onRead();
+            if (m_cancelled) {
+                failure = { .kind = ErrorKind::cancelled, .reason = "cancelled" };
+                return std::nullopt;
+            }
             if (m_next < m_exchange.pieces.size())
                 return m_exchange.pieces[m_next++];
             if (!m_exchange.connectionLost)
@@ -67,11 +74,16 @@
             return std::nullopt;
         }
 
-        void cancel() override { m_exchange.connectionLost = true; }
+        void cancel() override
+        {
+            m_exchange.connectionLost = true;
+            m_cancelled = true;
+        }
 
     private:
         FakeExchange m_exchange;
         std::size_t m_next = 0;
+        bool m_cancelled = false;
     };
 
     static Failure lost(const FakeExchange& exchange)
@@ -86,7 +98,7 @@
         if (onCall)
             std::exchange(onCall, nullptr)();
         // A call that no test has scripted is lost after its first byte.
-        FakeExchange exchange { .bytesWritten = 1, .connectionLost = true, .head = {}, .pieces = {} };
+        FakeExchange exchange { .bytesWritten = 1, .connectionLost = true, .head = {}, .pieces = {}, .onRead = {} };
         if (!exchanges.empty()) {
             exchange = exchanges.front();
             exchanges.pop_front();
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -319,6 +319,8 @@
 // Whether another endpoint may answer in place of the present attempt's.
 bool ForwardRun::mayMove() const
 {
+    // A stream's last attempt but one is kept for a connection that breaks: moving from it on silence too takes repeats
+    // that other requests need for a larger model, and half of a point of worth over eight days.
     return repeatable() && m_sent + 1 < m_admission.route->maximumAttempts && timeLeft() > shortestAttempt;
 }
 
@@ -340,6 +342,9 @@
 {
     if (!m_current || m_stalled || !mayMove() || now() - m_silentSince < patience())
         return;
+    // Silence alone is no reason to end an answer: it is given up only for another attempt that is granted already.
+    if (!m_core.budgetOf(m_service).take(now()))
+        return;
     m_stalled = true;
     m_current->cancel();
 }
@@ -552,7 +557,7 @@
         return false;
     // An attempt that never reached its endpoint is no arrival there.
     const bool reached = mayHaveRun || m_failure.kind != ErrorKind::peerUnreachable;
-    const bool granted = !reached || m_core.budgetOf(m_service).take(now());
+    const bool granted = !reached || m_stalled || m_core.budgetOf(m_service).take(now());
     log::info(granted ? "attempt repeated" : "repeats are spent", { { "request", m_request.id }, { "service", m_service.value }, { "after", m_failure.reason }, { "attempts", std::to_string(m_sent + m_refused) }, { "timeLeftMs", text(timeLeft()) } });
     if (granted && reached)
         m_core.parts.metrics.add("whinyard_repeats_total");
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -103,7 +103,7 @@
     std::optional<std::uint64_t> m_lastEvent; // That the caller has.
     bool m_streaming = false; // The caller has the head of the answer.
     bool m_callerLeft = false;
-    bool m_stalled = false; // The present attempt was given up for its silence.
+    bool m_stalled = false; // The present attempt was given up for its silence, and another one is granted.
     SteadyTime m_silentSince; // The last sign of the present attempt.
     std::optional<SteadyTime> m_firstEventAt; // Of the present attempt.
     std::optional<SteadyTime> m_latestEventAt;
--- a/packages/router/test/ForwarderTest.cpp
+++ b/packages/router/test/ForwarderTest.cpp
@@ -212,6 +212,39 @@
         EXPECT_EQ(m_bench.client.requests.size(), 1U);
     }
 
+    // A stream that pauses for longer than the objective for pauses, with these repeats allowed.
+    FakeResponder pausingStream(ForwarderBench& bench, double repeatsPerSecond)
+    {
+        bench.useRoute(RequestKind::streaming, true).timeout = std::chrono::seconds(60);
+        bench.publish();
+        Forwarder forwarder({ bench.clock, bench.metrics, bench.source, bench.codec, bench.directory, bench.shifts, bench.models, bench.client, bench.fibers }, { .repeatRatio = 0, .repeatsPerSecond = repeatsPerSecond }, Random(2));
+        forwarder.useVersions({ "svc" }, { "v1" });
+        bench.answer(200, { event(1), event(2) }).onRead = [&bench, &forwarder] {
+            bench.clock.advance(std::chrono::seconds(5));
+            forwarder.tick();
+        };
+        bench.answer(200, { event(2) });
+        const net::HttpRequest request { .method = "POST", .target = "/p/x", .fields = { { "id", "q" }, { "host", "a.example" }, { "key", "k1" } }, .body = {} };
+        FakeResponder caller;
+        forwarder.handle(request, caller);
+        return caller;
+    }
+
+    TEST_F(ForwarderTest, MovesAStreamThatIsSilent)
+    {
+        const FakeResponder caller = pausingStream(m_bench, 10);
+        EXPECT_EQ(m_bench.client.requests.size(), 2U);
+        EXPECT_TRUE(caller.ended);
+    }
+
+    TEST_F(ForwarderTest, LeavesASilentStreamWhereNoOtherAttemptIsAllowed)
+    {
+        const FakeResponder caller = pausingStream(m_bench, 0);
+        EXPECT_EQ(m_bench.client.requests.size(), 1U);
+        EXPECT_EQ(caller.response.body, event(1) + event(2)) << "silence alone is no reason to end an answer";
+        EXPECT_TRUE(caller.ended);
+    }
+
     TEST_F(ForwarderTest, StopsRepeatingWhenTheBudgetIsSpent)
     {
         Forwarder thrifty({ m_bench.clock, m_bench.metrics, m_bench.source, m_bench.codec, m_bench.directory, m_bench.shifts, m_bench.models, m_bench.client, m_bench.fibers }, { .repeatRatio = 0.1, .repeatsPerSecond = 0 }, Random(2));
