--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -31,8 +31,7 @@
     std::uint8_t priority = 1; // 0 is served first.
     bool mayProbe = true; // False for calls that may not be repeated.
     SteadyTime deadline = SteadyTime::max();
-    double part = 1; // Of the endpoints that may be chosen; see policy::EndpointRequest, as for the next three.
-    std::chrono::nanoseconds tokenTime { 0 };
+    std::chrono::nanoseconds tokenTime { 0 }; // See policy::EndpointRequest.
     bool stallsOthers = false;
     std::vector<float> prefixShares;
     std::vector<EndpointName> excluded; // Tried already.
@@ -87,9 +86,6 @@
     // Returns the engines that are listed and not leaving, in the order of their names.
     std::vector<backing::ListedEndpoint> engines() const;
 
-    // Returns how many endpoints serve a version and aren't leaving.
-    std::size_t count(const VersionName& version) const;
-
     // Returns how many endpoints are listed and not leaving.
     std::size_t size() const;
 
--- a/packages/endpoint/src/EndpointDirectory.cpp
+++ b/packages/endpoint/src/EndpointDirectory.cpp
@@ -89,7 +89,6 @@
         request.mayProbe = wish.mayProbe;
         request.deadline = wish.deadline;
         request.excluded = excluded;
-        request.part = wish.part;
         request.tokenTime = wish.tokenTime;
         request.stallsOthers = wish.stallsOthers;
         request.prefixShares = wish.prefixShares;
@@ -225,12 +224,6 @@
     return engines;
 }
 
-std::size_t EndpointDirectory::count(const VersionName& version) const
-{
-    const std::optional<policy::TargetIndex> target = m_table.find(version);
-    return target ? m_table.members(*target).size() : 0;
-}
-
 std::size_t EndpointDirectory::size() const
 {
     return static_cast<std::size_t>(std::count_if(m_listed.begin(), m_listed.end(), [this](const auto& entry) { return isLive(entry.second); }));
--- a/packages/policy/include/whinyard/policy/EndpointChoice.h
+++ b/packages/policy/include/whinyard/policy/EndpointChoice.h
@@ -26,8 +26,6 @@
     std::uint8_t priority = 1; // 0 is served first, 2 last.
     bool mayProbe = true; // False for non-idempotent calls: they never try out a failed endpoint.
     SteadyTime deadline = SteadyTime::max();
-    // The part of the target's endpoints that may be chosen, by rank; at least one.
-    double part = 1;
     // For engines that read prompts in turn: the time of reading a token of this prompt. Zero: the selector's own, and
     // requests in flight stand for the wait.
     std::chrono::nanoseconds tokenTime { 0 };
--- a/packages/policy/include/whinyard/policy/EndpointTable.h
+++ b/packages/policy/include/whinyard/policy/EndpointTable.h
@@ -107,7 +107,6 @@
     SteadyTime comeBackAt; // The endpoint asked for no new work before this.
     double slowness = 1; // Moving mean of the time to the first event, as a multiple of what was expected.
     SteadyTime slownessAt; // When it was last measured.
-    std::uint32_t rank = 0; // Its place in an order of its target's endpoints that is the same on all instances.
     SteadyTime busyUntil; // When the prompts that it was given are read, as far as is known.
 };
 
@@ -221,7 +220,6 @@
     void takeMember(const EndpointMember& member, std::vector<std::uint8_t>& listed);
     void placeInTargets(EndpointIndex endpoint, std::vector<TargetIndex> targets);
     void removeFromTargets(EndpointIndex endpoint);
-    void rankMembers(const TargetMembers& target);
     void addToRing(TargetMembers& target, EndpointIndex endpoint);
     void addToHealthList(TargetMembers& target, EndpointIndex endpoint);
     void removeFromHealthList(TargetMembers& target, EndpointIndex endpoint);
--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -105,10 +105,6 @@
 // Which versions a request may go to, the first one preferred.
 struct VersionPreference {
     std::vector<std::string> versions;
-    // Of the endpoints of the order's target that may be used: about the target's share of requests, so that each of them
-    // bears the load of the whole move. A version that fails under load only would else be found when everything runs on it.
-    double targetPart = 1;
-    std::string target; // Empty without an order.
     std::string reason;
 };
 
@@ -130,9 +126,6 @@
     // Takes what another instance counted.
     void takeEvidence(const ServiceName& service, const InstanceName& instance, const ShiftEvidence& evidence);
 
-    // Tells how many endpoints the target of a service's order has.
-    void useTargetEndpoints(const ServiceName& service, std::size_t count);
-
     // Chooses among the versions that `available` names. `draw` is a digest of the session, or of a request without one,
     // so that all instances draw alike.
     VersionPreference prefer(const ServiceName& service, bool hasSession, std::uint64_t draw, const std::vector<std::string>& available, SteadyTime now);
@@ -185,7 +178,6 @@
         std::string reason;
         SteadyTime since; // When `elapsedBefore` was taken over.
         std::chrono::milliseconds elapsedBefore { 0 };
-        std::size_t targetEndpoints = 0; // 0: unknown.
         std::vector<std::uint64_t> pins; // To be told.
         ShiftEvidence own;
         std::map<InstanceName, ShiftEvidence> others;
@@ -218,10 +210,6 @@
     };
 
     double progress(const Shift& shift, SteadyTime now) const;
-    double stageShare(const Shift& shift, SteadyTime now) const;
-
-    // Returns the share of the stage, no more than that of the whole endpoints that it makes for: each gets no more than
-    // its part of the whole move.
     double shareNow(const Shift& shift, SteadyTime now) const;
     bool isDrawnToTrial(std::uint64_t draw) const;
     bool isSlow(const std::map<std::string, Baseline>& baselines, const std::string& measure, std::chrono::microseconds time, double value) const;
--- a/packages/policy/src/EndpointTable.cpp
+++ b/packages/policy/src/EndpointTable.cpp
@@ -79,21 +79,6 @@
         rowAt(endpoint).present = false;
         freeIfGone(endpoint);
     }
-    for (const TargetMembers& target : m_targets)
-        rankMembers(target);
-}
-
-// The order follows from the names alone, so that instances agree on it without a word.
-void EndpointTable::rankMembers(const TargetMembers& target)
-{
-    std::vector<std::pair<std::uint64_t, EndpointIndex>> order;
-    for (const std::vector<EndpointIndex>* list : { &target.healthy, &target.probing, &target.ejected }) {
-        for (const EndpointIndex endpoint : *list)
-            order.emplace_back(stableHash(m_names[at(endpoint)].value), endpoint);
-    }
-    std::sort(order.begin(), order.end());
-    for (std::uint32_t rank = 0; rank < order.size(); ++rank)
-        rowAt(order[rank].second).rank = rank;
 }
 
 void EndpointTable::takeMember(const EndpointMember& member, std::vector<std::uint8_t>& listed)
--- a/packages/policy/src/VersionShift.cpp
+++ b/packages/policy/src/VersionShift.cpp
@@ -120,23 +120,7 @@
     return unit(draw) < m_settings.trialShare;
 }
 
-void VersionShifts::useTargetEndpoints(const ServiceName& service, std::size_t count)
-{
-    const auto found = m_shifts.find(service);
-    if (found != m_shifts.end())
-        found->second.targetEndpoints = count;
-}
-
 double VersionShifts::shareNow(const Shift& shift, SteadyTime now) const
-{
-    const double share = stageShare(shift, now);
-    const auto endpoints = static_cast<double>(shift.targetEndpoints);
-    if (share <= 0 || share >= 1 || endpoints == 0)
-        return share;
-    return std::min(share, std::max(std::round(share * endpoints), 1.0) / endpoints);
-}
-
-double VersionShifts::stageShare(const Shift& shift, SteadyTime now) const
 {
     const double reached = progress(shift, now);
     if (reached >= m_settings.allAt)
@@ -175,8 +159,6 @@
         return preference;
     }
     const double share = shareNow(shift, now);
-    preference.target = target;
-    preference.targetPart = share;
     bool takesTarget = unit(draw) < share;
     preference.reason = "drawn";
     const ServiceMemory& memory = m_memories[service];
--- a/packages/policy/src/internal/Eligibility.cpp
+++ b/packages/policy/src/internal/Eligibility.cpp
@@ -1,7 +1,6 @@
 #include "internal/Eligibility.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace whinyard::policy {
 
@@ -10,22 +9,10 @@
     return std::find(request.excluded.begin(), request.excluded.end(), endpoint) != request.excluded.end();
 }
 
-namespace {
-
-    bool isInPart(const EndpointTable& table, const EndpointRequest& request, EndpointIndex endpoint)
-    {
-        if (request.part >= 1)
-            return true;
-        const double count = std::round(request.part * static_cast<double>(table.members(request.target).size()));
-        return table.row(endpoint).rank < std::max(count, 1.0);
-    }
-
-}
-
 bool isEligible(const EndpointTable& table, const EndpointRequest& request, EndpointIndex endpoint, SteadyTime now)
 {
     const EndpointRow& row = table.row(endpoint);
-    return row.comeBackAt <= now && !row.leaving && isInPart(table, request, endpoint) && !isExcluded(request, endpoint);
+    return row.comeBackAt <= now && !row.leaving && !isExcluded(request, endpoint);
 }
 
 EndpointPlan planForNone(const EndpointTable& table, const EndpointRequest& request, const std::vector<EndpointIndex>& list, SteadyTime now)
--- a/packages/policy/test/EndpointChoiceTest.cpp
+++ b/packages/policy/test/EndpointChoiceTest.cpp
@@ -58,22 +58,6 @@
     EXPECT_LT(plan.expectedWait - plan.unqueuedWait, 200ms);
 }
 
-TEST_F(EndpointChoiceTest, KeepsToAPartOfTheEndpoints)
-{
-    request.part = 0.25;
-    std::vector<EndpointIndex> chosen;
-    for (int i = 0; i < 200; ++i) {
-        const EndpointPlan plan = choose();
-        ASSERT_TRUE(plan);
-        if (std::find(chosen.begin(), chosen.end(), plan.endpoint) == chosen.end())
-            chosen.push_back(plan.endpoint);
-        table.recordDispatch(plan.endpoint, {}, start);
-    }
-    EXPECT_EQ(chosen.size(), 2U);
-    request.part = 0.01;
-    EXPECT_TRUE(choose()) << "at least one is left";
-}
-
 TEST_F(EndpointChoiceTest, CachedPrefixWinsUntilItsEndpointIsLoaded)
 {
     const std::uint64_t prefix[] = { 11, 22, 33 };
--- a/packages/policy/test/VersionShiftTest.cpp
+++ b/packages/policy/test/VersionShiftTest.cpp
@@ -80,18 +80,6 @@
         EXPECT_EQ(state(), ShiftState::completed);
     }
 
-    TEST_F(VersionShiftTest, GivesEachEndpointOfATrialItsPartOfTheWholeMove)
-    {
-        m_shifts.useTargetEndpoints(service, 18);
-        m_clock.advance(2s);
-        EXPECT_NEAR(shareOfTarget(), 1.0 / 18, 0.01);
-        EXPECT_NEAR(m_shifts.prefer(service, false, drawnFirst, bothVersions, m_clock.now()).targetPart, 1.0 / 18, 1e-9);
-        m_shifts.useTargetEndpoints(service, 90);
-        EXPECT_NEAR(shareOfTarget(), 7.0 / 90, 0.015);
-        m_shifts.useTargetEndpoints(service, 2);
-        EXPECT_NEAR(shareOfTarget(), 0.08, 0.015) << "half of the requests would be no trial";
-    }
-
     TEST_F(VersionShiftTest, KeepsASessionOnItsVersionDuringTheTrial)
     {
         m_shifts.noteSession(service, drawnFirst, "v1", m_clock.now());
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -209,24 +209,21 @@
 {
     const auto known = m_core.versions.find(m_service);
     const std::vector<std::string> available = known == m_core.versions.end() ? std::vector<std::string> {} : known->second;
-    if (const policy::ShiftOrder* order = m_core.parts.shifts.order(m_service))
-        m_core.parts.shifts.useTargetEndpoints(m_service, m_core.parts.directory.count(targetName(m_service, order->target)));
     const policy::VersionPreference preference = m_core.parts.shifts.prefer(m_service, !m_request.session.empty(), sessionDigest(), available, now());
     failure = { .kind = ErrorKind::noEndpoint, .reason = "no endpoint of " + m_service.value + " is known", .retryAfter = m_core.settings.comeBackAfter };
     endpoint::EndpointWish wished = wish();
-    std::optional<AttemptTarget> target = chooseAmong(preference, wished, failure);
+    std::optional<AttemptTarget> target = chooseAmong(preference.versions, wished, failure);
     if (!target && repeatable() && m_tried.size() > 1) {
         // All were tried. The one that failed first has had the longest time to recover.
         wished.excluded = { m_tried.back() };
-        target = chooseAmong(preference, wished, failure);
+        target = chooseAmong(preference.versions, wished, failure);
     }
     return target;
 }
 
-std::optional<AttemptTarget> ForwardRun::chooseAmong(const policy::VersionPreference& preference, endpoint::EndpointWish& wished, Failure& failure)
+std::optional<AttemptTarget> ForwardRun::chooseAmong(const std::vector<std::string>& versions, endpoint::EndpointWish& wished, Failure& failure)
 {
-    for (const std::string& version : preference.versions) {
-        wished.part = version == preference.target ? preference.targetPart : 1;
+    for (const std::string& version : versions) {
         wished.version = targetName(m_service, version);
         std::optional<endpoint::ChosenEndpoint> chosen = m_core.parts.directory.choose(wished, now(), failure);
         if (chosen)
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -49,7 +49,7 @@
     const ServiceName& drawService() const;
     std::uint64_t sessionDigest() const;
     std::optional<AttemptTarget> chooseTarget(Failure& failure);
-    std::optional<AttemptTarget> chooseAmong(const policy::VersionPreference& preference, endpoint::EndpointWish& wished, Failure& failure);
+    std::optional<AttemptTarget> chooseAmong(const std::vector<std::string>& versions, endpoint::EndpointWish& wished, Failure& failure);
     endpoint::EndpointWish wish();
     double costOf(const ModelName& name) const;
     std::vector<float> prefixShares() const;
