Read the daemons' logs from standard output in tests and scripts

Cause: TraceTest.TellsTheSameAfterAKillAndFromTheLogs failed: logs go to standard output since the platform's users ask for it, and the harness and scripts/fleet.sh took them from standard error. Change: both streams of a daemon go to its log file. The check itself is unchanged.

--- a/apps/test/ChildProcess.cpp
+++ b/apps/test/ChildProcess.cpp
@@ -21,7 +21,7 @@
 
 }
 
-ChildProcess::ChildProcess(const std::string& program, const std::vector<std::string>& arguments, const std::vector<std::string>& environment, const std::string& logFile)
+ChildProcess::ChildProcess(const std::string& program, const std::vector<std::string>& arguments, const std::vector<std::string>& environment, const std::string& logFile, ChildOutput output)
 {
     std::vector<std::string> words { program };
     words.insert(words.end(), arguments.begin(), arguments.end());
@@ -31,8 +31,12 @@
         throw std::runtime_error("no pipe");
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
-    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    constexpr int appending = O_WRONLY | O_CREAT | O_APPEND;
+    if (output == ChildOutput::pipe)
+        posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    else
+        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(), appending, 0600);
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, logFile.c_str(), appending, 0600);
     const int error = posix_spawn(&m_pid, program.c_str(), &actions, nullptr, pointersTo(words).data(), pointersTo(variables).data());
     posix_spawn_file_actions_destroy(&actions);
     close(ends[1]);
--- a/apps/test/ChildProcess.h
+++ b/apps/test/ChildProcess.h
@@ -9,10 +9,16 @@
 
 namespace whinyard::apptest {
 
+// Where a program's standard output goes.
+enum class ChildOutput {
+    pipe, // For readLine().
+    logFile,
+};
+
 class ChildProcess {
 public:
-    // Starts a program; its standard output goes to a pipe and its standard error to `logFile`.
-    ChildProcess(const std::string& program, const std::vector<std::string>& arguments, const std::vector<std::string>& environment, const std::string& logFile);
+    // Starts a program; its standard error goes to `logFile`.
+    ChildProcess(const std::string& program, const std::vector<std::string>& arguments, const std::vector<std::string>& environment, const std::string& logFile, ChildOutput output = ChildOutput::pipe);
 
     // Kills the process if it still runs.
     ~ChildProcess();
--- a/apps/test/Fleet.cpp
+++ b/apps/test/Fleet.cpp
@@ -96,7 +96,7 @@
 void Fleet::startDaemon(std::size_t number)
 {
     const std::vector<std::string> environment { "TEST_PEER_KEY=0123456789abcdef-peers", "TEST_SESSION_KEY=0123456789abcdef-sessions" };
-    m_daemons.at(number) = std::make_unique<ChildProcess>(DAEMON_PROGRAM, std::vector<std::string> { "--settings", settingsOf(number) }, environment, logOf(m_places.at(number).name));
+    m_daemons.at(number) = std::make_unique<ChildProcess>(DAEMON_PROGRAM, std::vector<std::string> { "--settings", settingsOf(number) }, environment, logOf(m_places.at(number).name), ChildOutput::logFile);
 }
 
 void Fleet::writeSettings(const DaemonPlace& place)
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -24,7 +24,7 @@
 fleet_spawn() { # NAME PROGRAM ARGUMENT...
     local name=$1
     shift
-    "$@" >>"$FLEET_DIR/$name.out" 2>>"$FLEET_DIR/$name.log" &
+    "$@" >>"$FLEET_DIR/$name.log" 2>&1 &
     echo $! >"$FLEET_DIR/$name.pid"
     disown $!
 }
