Find a slow version by what is usual, where slowness can show, on all instances together

Its slowness was learnt by the directory and then expected; the mean that it was held against has a long tail; answers too short to show slowness counted as fast; pauses of small models lie below the least slow one. Ruled out: a larger trial (the bound counts bad answers, not time). Change: outcomes are held against the wait of a sound endpoint (EndpointPlan::soundWait); what is usual is a mean of logarithms; only answers that show slowness count as fast; a pause is slow from 25 ms; 2.5 times the usual is slow; one detector for all instances, at 7.2. Tests: TellsTheWaitOfASoundEndpointApart; those of VersionShift unchanged but for a field.

--- a/packages/policy/include/whinyard/policy/EndpointChoice.h
+++ b/packages/policy/include/whinyard/policy/EndpointChoice.h
@@ -60,6 +60,7 @@
     ChoiceReason reason = ChoiceReason::noEndpoint;
     std::chrono::microseconds expectedWait { 0 }; // Until the first byte.
     std::chrono::microseconds cautiousWait { 0 }; // Not exceeded by about 19 of 20 requests.
+    std::chrono::microseconds soundWait { 0 }; // As expectedWait, if the endpoint were as fast as others are.
     std::chrono::microseconds unqueuedWait { 0 }; // If a slot is free: the prompt's work and a step.
 
     explicit operator bool() const { return endpoint != noEndpointIndex; }
--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -57,6 +57,7 @@
     std::string measure; // Groups requests whose times are comparable, such as route and model.
     std::chrono::microseconds time { 0 }; // To the answer or the first event; 0 if there was none.
     std::chrono::microseconds expected { 0 }; // The same, as the load and size of the request let expect.
+    bool wasSeenWhole = true; // Slowness had the time to show; a sign of it counts in any case.
     std::chrono::microseconds pause { 0 }; // Mean between the events of a stream; 0 for fewer than minimumPauses.
 };
 
@@ -74,13 +75,14 @@
     double mostShare = 0.9;
     double allAt = 0.8;
     double completeAt = 0.88; // Leaves running streams, and a store that is away for a second or two, their time.
-    double slowFactor = 4; // An answer is bad when it takes this many times the mean of the other versions.
-    std::chrono::milliseconds slowMinimum { 80 }; // A time or pause below this is never slow.
+    double slowFactor = 2.5; // An answer is bad when it takes this many times what is usual for the other versions.
+    std::chrono::milliseconds slowMinimum { 80 }; // A time below this is never slow.
+    std::chrono::milliseconds slowPause { 25 }; // A mean pause below this is never slow; those of small models are 6 ms.
     std::chrono::milliseconds crashMemory { 3'000 }; // Within which the lost connections of one endpoint count once.
     std::uint32_t baselineSamples = 5; // Of the other versions, before slowness is judged.
     double concurrentSamples = 3; // Of theirs of late; without them a slow answer may be the load's.
     double backgroundFactor = 1.5; // By which the other versions' share of bad answers is allowed for.
-    // Failures: the share that any version may give, how far above it a version is bad, and the log likelihood ratio at
+    // Failures: the least share that any version may give, how far above it a version is bad, and the log likelihood ratio at
     // which it is stopped: one false stop in about 100 shifts.
     double failureBackground = 0.03;
     double failureExcess = 0.2;
@@ -88,7 +90,7 @@
     // The same for slow answers. They come in clusters, where an engine was given much at once, so more is asked for.
     double slowBackground = 0.08;
     double slowExcess = 0.25;
-    double slowStopAt = 9;
+    double slowStopAt = 7.2;
     std::chrono::milliseconds sessionGap { 5'000 }; // A session is remembered so long after its last request.
     std::chrono::milliseconds backgroundMemory { 6'000 }; // Time constant of the other versions' share of bad answers.
 };
@@ -110,7 +112,7 @@
 
 class VersionShifts {
 public:
-    static constexpr std::uint32_t minimumPauses = 3;
+    static constexpr std::uint32_t minimumPauses = 2;
 
     explicit VersionShifts(const ShiftSettings& settings = {});
 
@@ -158,9 +160,10 @@
     static constexpr double progressStep = 0.3;
 
 private:
-    // A mean of one measure: of times as multiples of what was expected, or of pauses in microseconds.
+    // What is usual of one measure: of times as multiples of what was expected, or of pauses in microseconds. A mean of
+    // logarithms: waits have long tails, and a mean of theirs would hide an answer that takes several times the usual.
     struct Baseline {
-        double mean = 0;
+        double logMean = 0;
         std::uint32_t samples = 0;
     };
 
@@ -183,8 +186,7 @@
         std::map<InstanceName, ShiftEvidence> others;
         Detector ownFailures;
         Detector fleetFailures;
-        Detector ownSlowness;
-        Detector fleetSlowness;
+        Detector fleetSlowness; // One for all instances: each that looks at its own makes a false alarm likelier.
     };
 
     struct Session {
@@ -196,6 +198,7 @@
     struct Background {
         double total = 0;
         double failed = 0;
+        double seenWhole = 0; // Of them, or slow.
         double slow = 0;
         SteadyTime at;
     };
@@ -212,7 +215,7 @@
     double progress(const Shift& shift, SteadyTime now) const;
     double shareNow(const Shift& shift, SteadyTime now) const;
     bool isDrawnToTrial(std::uint64_t draw) const;
-    bool isSlow(const std::map<std::string, Baseline>& baselines, const std::string& measure, std::chrono::microseconds time, double value) const;
+    bool isSlow(const std::map<std::string, Baseline>& baselines, const std::string& measure, double value) const;
     static void learn(std::map<std::string, Baseline>& baselines, const std::string& measure, double value);
     bool isKnownCrash(ServiceMemory& memory, const VersionOutcome& outcome, SteadyTime now) const;
     BadShares sharesOver(double background, double observed, double excess) const;
--- a/packages/policy/src/VersionShift.cpp
+++ b/packages/policy/src/VersionShift.cpp
@@ -20,6 +20,8 @@
         return static_cast<double>(outcome.time.count()) / static_cast<double>((outcome.expected + leastExpected).count());
     }
 
+    constexpr double smallestValue = 1e-3; // Has a logarithm.
+
     // Never takes a share of bad answers for certain.
     constexpr double largestShare = 0.95;
 
@@ -213,12 +215,12 @@
     std::erase_if(memory.sessions, [&](const auto& entry) { return now - entry.second.lastSeen > 2 * m_settings.sessionGap; });
 }
 
-bool VersionShifts::isSlow(const std::map<std::string, Baseline>& baselines, const std::string& measure, std::chrono::microseconds time, double value) const
+bool VersionShifts::isSlow(const std::map<std::string, Baseline>& baselines, const std::string& measure, double value) const
 {
     const auto found = baselines.find(measure);
-    if (found == baselines.end() || found->second.samples < m_settings.baselineSamples || time < m_settings.slowMinimum)
+    if (found == baselines.end() || found->second.samples < m_settings.baselineSamples)
         return false;
-    return value > m_settings.slowFactor * found->second.mean;
+    return value > m_settings.slowFactor * std::exp(found->second.logMean);
 }
 
 void VersionShifts::learn(std::map<std::string, Baseline>& baselines, const std::string& measure, double value)
@@ -226,7 +228,7 @@
     Baseline& baseline = baselines[measure];
     ++baseline.samples;
     const double weight = std::max(timeWeight, 1.0 / baseline.samples);
-    baseline.mean += weight * (value - baseline.mean);
+    baseline.logMean += weight * (std::log(std::max(value, smallestValue)) - baseline.logMean);
 }
 
 void VersionShifts::recordOutcome(const ServiceName& service, const std::string& version, const VersionOutcome& outcome, SteadyTime now)
@@ -239,13 +241,15 @@
     const bool isRunning = found != m_shifts.end() && found->second.state == ShiftState::running;
     const double time = relativeTime(outcome);
     const auto pause = static_cast<double>(outcome.pause.count());
-    const bool isSlowAnswer = isSlow(memory.times, outcome.measure, outcome.time, time) || isSlow(memory.pauses, outcome.measure, outcome.pause, pause);
+    const bool startsLate = outcome.time >= m_settings.slowMinimum && isSlow(memory.times, outcome.measure, time);
+    const bool isSlowAnswer = startsLate || (outcome.pause >= m_settings.slowPause && isSlow(memory.pauses, outcome.measure, pause));
     const double kept = std::exp(-std::chrono::duration<double>(now - background.at) / m_settings.backgroundMemory);
     if (isRunning && found->second.order.target == version) {
         ShiftEvidence& own = found->second.own;
         ++(outcome.failed ? own.failures.bad : own.failures.good);
         // Without answers of the other versions at the same time, slowness may be the load's.
-        if (!outcome.failed && background.total * kept >= m_settings.concurrentSamples)
+        const bool shows = outcome.wasSeenWhole || isSlowAnswer;
+        if (!outcome.failed && shows && background.total * kept >= m_settings.concurrentSamples)
             ++(isSlowAnswer ? own.slowness.bad : own.slowness.good);
         judge(found->second, memory);
         return;
@@ -256,6 +260,7 @@
         learn(memory.pauses, outcome.measure, pause);
     background.total = background.total * kept + 1;
     background.failed = background.failed * kept + (outcome.failed ? 1 : 0);
+    background.seenWhole = background.seenWhole * kept + (outcome.wasSeenWhole || isSlowAnswer ? 1 : 0);
     background.slow = background.slow * kept + (isSlowAnswer ? 1 : 0);
     background.at = now;
 }
@@ -275,7 +280,7 @@
 BadShares VersionShifts::sharesOver(double background, double observed, double excess) const
 {
     BadShares shares;
-    shares.tolerable = std::min(background + m_settings.backgroundFactor * observed, largestShare - excess);
+    shares.tolerable = std::min(std::max(background, m_settings.backgroundFactor * observed), largestShare - excess);
     shares.unacceptable = shares.tolerable + excess;
     return shares;
 }
@@ -296,7 +301,7 @@
         return;
     const Background& background = memory.background;
     const BadShares failing = sharesOver(m_settings.failureBackground, background.failed / (background.total + 1), m_settings.failureExcess);
-    const BadShares slow = sharesOver(m_settings.slowBackground, background.slow / (background.total + 1), m_settings.slowExcess);
+    const BadShares slow = sharesOver(m_settings.slowBackground, background.slow / (background.seenWhole + 1), m_settings.slowExcess);
     RatedCounts failures = shift.own.failures;
     RatedCounts slowness = shift.own.slowness;
     for (const auto& [instance, evidence] : shift.others) {
@@ -305,11 +310,10 @@
     }
     const bool ownFails = update(shift.ownFailures, shift.own.failures, failing, m_settings.failureStopAt);
     const bool fleetFails = update(shift.fleetFailures, failures, failing, m_settings.failureStopAt);
-    const bool ownIsSlow = update(shift.ownSlowness, shift.own.slowness, slow, m_settings.slowStopAt);
     const bool fleetIsSlow = update(shift.fleetSlowness, slowness, slow, m_settings.slowStopAt);
     if (ownFails || fleetFails)
         rollBack(shift, failures, failing, "failed");
-    else if (ownIsSlow || fleetIsSlow)
+    else if (fleetIsSlow)
         rollBack(shift, slowness, slow, "were slow");
 }
 
--- a/packages/policy/src/WaitSelector.cpp
+++ b/packages/policy/src/WaitSelector.cpp
@@ -290,6 +290,8 @@
             const Nanoseconds rereading = m_request.tokenTime.count() > 0 ? rereadingAt(best.cachedShare) : Nanoseconds(0);
             plan.expectedWait = rounded(best.wait - failuresAt(best.endpoint) - rereading);
             plan.unqueuedWait = rounded(unqueuedAt(best.endpoint, best.cachedShare));
+            const bool readsInTurn = m_request.tokenTime.count() > 0;
+            plan.soundWait = readsInTurn ? plan.unqueuedWait + rounded(Nanoseconds(m_table.backlog(best.endpoint, m_now))) : plan.expectedWait;
             plan.cautiousWait = std::max(plan.expectedWait, rounded(cautiousWaitAt(best.endpoint, best.cachedShare)));
             if (m_request.deadline != SteadyTime::max() && plan.expectedWait > m_request.deadline - m_now) {
                 plan.reason = ChoiceReason::noneBeforeDeadline;
--- a/packages/policy/test/EndpointChoiceTest.cpp
+++ b/packages/policy/test/EndpointChoiceTest.cpp
@@ -58,6 +58,20 @@
     EXPECT_LT(plan.expectedWait - plan.unqueuedWait, 200ms);
 }
 
+TEST_F(EndpointChoiceTest, TellsTheWaitOfASoundEndpointApart)
+{
+    fill(1);
+    request.tokenTime = 50us;
+    request.promptTokens = 2'000;
+    EXPECT_EQ(choose().expectedWait, 100ms);
+    for (int i = 0; i < 20; ++i)
+        table.recordExpectation(endpoint(0), 800ms, 100ms, start);
+    EXPECT_GT(choose().expectedWait, 500ms);
+    EXPECT_EQ(choose().soundWait, 100ms);
+    table.recordWork(endpoint(0), 40ms, start);
+    EXPECT_EQ(choose().soundWait, 140ms);
+}
+
 TEST_F(EndpointChoiceTest, CachedPrefixWinsUntilItsEndpointIsLoaded)
 {
     const std::uint64_t prefix[] = { 11, 22, 33 };
--- a/packages/policy/test/VersionShiftTest.cpp
+++ b/packages/policy/test/VersionShiftTest.cpp
@@ -51,9 +51,9 @@
             }
         }
 
-        static VersionOutcome good() { return { .endpoint = { "e" }, .failed = false, .connectionLost = false, .measure = "r", .time = 50ms, .expected = 40ms, .pause = 100ms }; }
-        static VersionOutcome failure() { return { .endpoint = { "e" }, .failed = true, .connectionLost = false, .measure = "r", .time = 0us, .expected = 40ms, .pause = 0us }; }
-        static VersionOutcome slow() { return { .endpoint = { "e" }, .failed = false, .connectionLost = false, .measure = "r", .time = 400ms, .expected = 40ms, .pause = 100ms }; }
+        static VersionOutcome good() { return { .endpoint = { "e" }, .failed = false, .connectionLost = false, .measure = "r", .time = 50ms, .expected = 40ms, .wasSeenWhole = true, .pause = 100ms }; }
+        static VersionOutcome failure() { return { .endpoint = { "e" }, .failed = true, .connectionLost = false, .measure = "r", .time = 0us, .expected = 40ms, .wasSeenWhole = true, .pause = 0us }; }
+        static VersionOutcome slow() { return { .endpoint = { "e" }, .failed = false, .connectionLost = false, .measure = "r", .time = 400ms, .expected = 40ms, .wasSeenWhole = true, .pause = 100ms }; }
 
         ShiftState state() { return m_shifts.due(service, m_clock.now()).value_or(ShiftRecord { .order = 0, .state = ShiftState::running, .elapsed = 0ms, .reason = {} }).state; }
 
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -534,9 +534,11 @@
     if (!failed && !m_stalled && m_admission.route->isGenerative && attempt.target().endpoint.plan.reason != policy::ChoiceReason::cachedPrefix)
         m_core.rates.learn(model(), costOf(model()), m_request.promptTokens, end - began);
     outcome.time = std::chrono::duration_cast<std::chrono::microseconds>(end - began);
-    outcome.expected = attempt.target().endpoint.plan.expectedWait;
+    // What is known of the endpoint's own slowness must not excuse its version.
+    outcome.expected = attempt.target().endpoint.plan.soundWait;
     if (!failed && m_admission.route->isGenerative)
         m_core.parts.directory.recordExpectation(attempt.target().endpoint.name, outcome.time, outcome.expected, now());
+    outcome.wasSeenWhole = !streams() || m_events > policy::VersionShifts::minimumPauses;
     if (m_events > policy::VersionShifts::minimumPauses)
         outcome.pause = std::chrono::duration_cast<std::chrono::microseconds>(*m_latestEventAt - *m_firstEventAt) / (m_events - 1);
     m_core.parts.shifts.recordOutcome(attempt.target().service, attempt.target().version, outcome, now());
