--- /dev/null
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -0,0 +1,147 @@
+// The part of ForwardRun that takes an endpoint's answer in, whole or as a stream, and hands it to the caller.
+#include "internal/ForwardRun.h"
+
+#include "internal/ForwardText.h"
+#include "whinyard/base/Log.h"
+
+#include <algorithm>
+
+namespace whinyard::router {
+
+namespace {
+
+    // What a page of 300 or more says of an endpoint: its own failures count, a caller's mistake doesn't.
+    bool isEndpointFault(int status)
+    {
+        return status >= 500;
+    }
+
+}
+
+ForwardRun::AttemptEnd ForwardRun::answerWhole(ForwardAttempt& attempt)
+{
+    attempt.firstByte();
+    const std::optional<net::HttpResponse> response = attempt.readWhole(m_deadline);
+    if (!response)
+        return breakOff(attempt);
+    attempt.end(endpoint::EndpointOutcome::succeeded);
+    noteOutcome(attempt, false);
+    m_runState = RunState::ran;
+    const bool delivered = m_caller.send(*response);
+    m_core.parts.metrics.add("whinyard_answers_total");
+    m_core.parts.metrics.observe("whinyard_answer_seconds", now() - m_arrived);
+    log::info(delivered ? "answered" : "caller left", { { "request", m_request.id }, { "status", std::to_string(response->status) }, { "bytes", std::to_string(response->body.size()) }, { "elapsedMs", text(now() - m_arrived) } });
+    return AttemptEnd::answered;
+}
+
+ForwardRun::AttemptEnd ForwardRun::keepFailure(ForwardAttempt& attempt)
+{
+    std::optional<net::HttpResponse> response = attempt.readWhole(m_deadline);
+    if (!response)
+        return breakOff(attempt);
+    const bool isFault = isEndpointFault(response->status);
+    m_failedAnswer = std::move(*response);
+    attempt.end(isFault ? endpoint::EndpointOutcome::failed : endpoint::EndpointOutcome::succeeded);
+    noteOutcome(attempt, isFault);
+    log::info("attempt failed", { { "request", m_request.id }, { "endpoint", attempt.target().endpoint.name.value }, { "status", std::to_string(m_failedAnswer->status) }, { "reason", "the endpoint answered with a failure" }, { "elapsedMs", text(attempt.age()) } });
+    m_failure = { .kind = ErrorKind::endpointFailed, .reason = "the endpoint answered with status " + std::to_string(m_failedAnswer->status) };
+    m_runState = RunState::ran;
+    return AttemptEnd::failedAnswer;
+}
+
+ForwardRun::AttemptEnd ForwardRun::breakOff(ForwardAttempt& attempt)
+{
+    m_failure = attempt.failure();
+    if (m_stalled)
+        m_failure = { .kind = ErrorKind::endpointFailed, .reason = "the endpoint was silent for " + text(now() - m_silentSince) + " ms", .runState = RunState::unknown };
+    m_runState = std::max(m_runState, RunState::unknown);
+    if (m_callerLeft) {
+        attempt.end(endpoint::EndpointOutcome::cancelled);
+        return AttemptEnd::broken;
+    }
+    // Silence until the caller's own deadline says little about an endpoint that had no time left.
+    const bool isFault = !attempt.timedOut() || timeLeft() >= shortestAttempt;
+    const endpoint::EndpointOutcome fault = m_stalled ? endpoint::EndpointOutcome::stalled : endpoint::EndpointOutcome::failed;
+    attempt.end(isFault ? fault : endpoint::EndpointOutcome::cancelled);
+    // Silence that was not waited out is slowness, of which load has its share; a lost connection is a failure.
+    noteOutcome(attempt, !m_stalled);
+    log::info("attempt failed", { { "request", m_request.id }, { "endpoint", attempt.target().endpoint.name.value }, { "reason", m_failure.reason }, { "elapsedMs", text(attempt.age()) }, { "events", std::to_string(m_events) } });
+    return AttemptEnd::broken;
+}
+
+ForwardRun::AttemptEnd ForwardRun::answerStream(ForwardAttempt& attempt)
+{
+    endpoint::EventFramer framer(m_lastEvent);
+    while (true) {
+        const std::optional<std::string> bytes = attempt.read(timeLeft());
+        if (!bytes)
+            return breakOff(attempt);
+        if (bytes->empty())
+            break;
+        if (!relay(attempt, framer, *bytes))
+            return breakOff(attempt);
+    }
+    if (!framer.isWhole()) {
+        m_failure = { .kind = ErrorKind::endpointFailed, .reason = "the stream ended within an event", .runState = RunState::unknown };
+        return breakOff(attempt);
+    }
+    if (!m_streaming) {
+        m_streaming = true;
+        m_caller.begin(attempt.head());
+    }
+    attempt.end(endpoint::EndpointOutcome::succeeded);
+    noteOutcome(attempt, false);
+    m_runState = RunState::ran;
+    const bool delivered = m_caller.end();
+    m_core.parts.metrics.add("whinyard_answers_total");
+    m_core.parts.metrics.observe("whinyard_answer_seconds", now() - m_arrived);
+    log::info(delivered ? "answered" : "caller left", { { "request", m_request.id }, { "lastEvent", std::to_string(m_lastEvent.value_or(0)) }, { "model", model().value }, { "confidence", std::to_string(attempt.reply().confidence.value_or(0)) }, { "firstEventMs", m_firstEventAt ? text(*m_firstEventAt - m_arrived) : "" }, { "elapsedMs", text(now() - m_arrived) } });
+    return AttemptEnd::answered;
+}
+
+// Passes on the events that `bytes` complete. Returns false when the stream can't go on.
+bool ForwardRun::relay(ForwardAttempt& attempt, endpoint::EventFramer& framer, std::string_view bytes)
+{
+    const endpoint::FramedEvents events = framer.feed(bytes);
+    if (events.count > 0) {
+        m_latestEventAt = now();
+        m_silentSince = now();
+        if (!m_firstEventAt) {
+            m_firstEventAt = m_latestEventAt;
+            attempt.firstByte();
+        }
+        if (!m_streaming) {
+            m_streaming = true;
+            m_core.parts.metrics.observe("whinyard_first_event_seconds", now() - m_arrived);
+            m_caller.begin(attempt.head());
+        }
+        m_events += events.count;
+        m_caller.write(events.bytes);
+        m_lastEvent = events.lastId;
+    }
+    return !events.outOfOrder && !m_callerLeft;
+}
+
+void ForwardRun::noteOutcome(const ForwardAttempt& attempt, bool failed)
+{
+    policy::VersionOutcome outcome;
+    outcome.endpoint = attempt.target().endpoint.name;
+    outcome.failed = failed;
+    outcome.connectionLost = failed && !m_failedAnswer;
+    outcome.measure = m_admission.route->name + "/" + model().value;
+    const SteadyTime end = m_firstEventAt.value_or(now());
+    const auto began = now() - attempt.age();
+    if (!failed && !m_stalled && m_admission.route->isGenerative && attempt.target().endpoint.plan.reason != policy::ChoiceReason::cachedPrefix)
+        m_core.rates.learn(model(), costOf(model()), m_request.promptTokens, end - began);
+    outcome.time = std::chrono::duration_cast<std::chrono::microseconds>(end - began);
+    // What is known of the endpoint's own slowness must not excuse its version.
+    outcome.expected = attempt.target().endpoint.plan.soundWait;
+    if (!failed && m_admission.route->isGenerative)
+        m_core.parts.directory.recordExpectation(attempt.target().endpoint.name, outcome.time, outcome.expected, now());
+    outcome.wasSeenWhole = !streams() || m_events > policy::VersionShifts::minimumPauses;
+    if (m_events > policy::VersionShifts::minimumPauses)
+        outcome.pause = std::chrono::duration_cast<std::chrono::microseconds>(*m_latestEventAt - *m_firstEventAt) / (m_events - 1);
+    m_core.parts.shifts.recordOutcome(attempt.target().service, attempt.target().version, outcome, now());
+}
+
+}
--- /dev/null
+++ b/packages/router/src/internal/ForwardChoice.cpp
@@ -0,0 +1,175 @@
+// The part of ForwardRun that chooses: the service, the version, the model and the endpoint of the next attempt.
+#include "internal/ForwardRun.h"
+
+#include "internal/ForwardText.h"
+#include "whinyard/base/Log.h"
+
+#include <algorithm>
+
+namespace whinyard::router {
+
+namespace {
+
+    // A prompt whose reading takes this part of the objective for pauses makes the streams on its engine late: each of
+    // their events takes several steps, and each step a chunk of the prompt.
+    constexpr double stallingPart = 0.75;
+    constexpr std::string_view stallingGroup = "prompts that stall others"; // One place on the hash ring for all of them.
+
+}
+
+const ServiceName& ForwardRun::drawService() const
+{
+    const std::vector<config::WeightedService>& services = m_admission.route->services;
+    std::uint64_t total = 0;
+    for (const config::WeightedService& service : services)
+        total += service.weight;
+    if (services.size() == 1 || total == 0)
+        return services.front().service;
+    std::uint64_t point = sessionDigest() % total;
+    for (const config::WeightedService& service : services) {
+        if (point < service.weight)
+            return service.service;
+        point -= service.weight;
+    }
+    return services.back().service;
+}
+
+// Requests of a session are drawn alike, on all instances.
+std::uint64_t ForwardRun::sessionDigest() const
+{
+    return stableHash(m_request.session.empty() ? m_request.id : m_request.session);
+}
+
+endpoint::EndpointWish ForwardRun::wish()
+{
+    endpoint::EndpointWish wish;
+    wish.prefix = prefixFor(model());
+    // The shared parts decide where a prompt's memory is; the last part is this request's own.
+    if (wish.prefix.size() > 1)
+        wish.affinity = wish.prefix[wish.prefix.size() - 2];
+    wish.promptTokens = m_request.promptTokens;
+    if (m_admission.route->isGenerative) {
+        wish.tokenTime = m_core.rates.tokenTime(model(), costOf(model()));
+        wish.prefixShares = prefixShares();
+        wish.stallsOthers = wish.tokenTime * m_request.promptTokens > m_admission.route->pauseObjective * stallingPart;
+        if (wish.stallsOthers)
+            wish.affinity = stableHash(stallingGroup);
+    }
+    wish.mayProbe = repeatable();
+    wish.excluded = m_tried;
+    return wish;
+}
+
+std::optional<AttemptTarget> ForwardRun::chooseTarget(Failure& failure)
+{
+    const auto known = m_core.versions.find(m_service);
+    const std::vector<std::string> available = known == m_core.versions.end() ? std::vector<std::string> {} : known->second;
+    const policy::VersionPreference preference = m_core.parts.shifts.prefer(m_service, !m_request.session.empty(), sessionDigest(), available, now());
+    failure = { .kind = ErrorKind::noEndpoint, .reason = "no endpoint of " + m_service.value + " is known", .retryAfter = m_core.settings.comeBackAfter };
+    endpoint::EndpointWish wished = wish();
+    std::optional<AttemptTarget> target = chooseAmong(preference.versions, wished, failure);
+    if (!target && repeatable() && m_tried.size() > 1) {
+        // All were tried. The one that failed first has had the longest time to recover.
+        wished.excluded = { m_tried.back() };
+        target = chooseAmong(preference.versions, wished, failure);
+    }
+    return target;
+}
+
+std::optional<AttemptTarget> ForwardRun::chooseAmong(const std::vector<std::string>& versions, endpoint::EndpointWish& wished, Failure& failure)
+{
+    for (const std::string& version : versions) {
+        wished.version = targetName(m_service, version);
+        std::optional<endpoint::ChosenEndpoint> chosen = m_core.parts.directory.choose(wished, now(), failure);
+        if (chosen)
+            return AttemptTarget { m_service, version, std::move(*chosen), wished.prefix };
+    }
+    return std::nullopt;
+}
+
+std::vector<std::uint64_t> ForwardRun::prefixFor(const ModelName& model) const
+{
+    std::vector<std::uint64_t> prefix;
+    std::uint64_t digest = stableHash(model.value);
+    for (const PromptPart& part : m_request.promptParts) {
+        digest = stableHash({ reinterpret_cast<const char*>(&part.digest), sizeof part.digest }, digest);
+        prefix.push_back(digest);
+    }
+    return prefix;
+}
+
+std::vector<float> ForwardRun::prefixShares() const
+{
+    std::uint64_t total = 0;
+    for (const PromptPart& part : m_request.promptParts)
+        total += part.tokens;
+    std::vector<float> shares;
+    std::uint64_t sum = 0;
+    for (const PromptPart& part : m_request.promptParts) {
+        sum += part.tokens;
+        shares.push_back(total > 0 ? static_cast<float>(sum) / static_cast<float>(total) : 0);
+    }
+    return shares;
+}
+
+// The engine reads what isn't cached before anything that it is given later.
+void ForwardRun::noteWork(const endpoint::ChosenEndpoint& endpoint)
+{
+    const std::chrono::nanoseconds work = endpoint.plan.unqueuedWait;
+    m_core.parts.directory.recordWork(endpoint.name, work, now());
+    if (m_core.parts.work)
+        m_core.parts.work->gave(endpoint.name, work);
+}
+
+const ModelName& ForwardRun::model() const
+{
+    return m_model ? m_admission.route->models[*m_model] : m_request.model;
+}
+
+double ForwardRun::costOf(const ModelName& name) const
+{
+    const config::RoutedService* service = m_admission.table->findService(m_service);
+    if (!service)
+        return 1;
+    const auto priced = std::find_if(service->models.begin(), service->models.end(), [&](const config::PricedModel& model) { return model.name == name; });
+    return priced == service->models.end() ? 1 : priced->costPerThousandTokens;
+}
+
+policy::ModelQuestion ForwardRun::modelQuestion() const
+{
+    const config::Route& route = *m_admission.route;
+    policy::ModelQuestion question;
+    question.route = route.name;
+    for (const ModelName& name : route.models) {
+        const double cost = costOf(name);
+        question.costs.push_back(cost);
+        question.firstEvents.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(m_core.rates.tokenTime(name, cost) * m_request.promptTokens));
+    }
+    question.promptTokens = m_request.promptTokens;
+    question.answerTokens = m_request.expectedTokens > 0 ? m_request.expectedTokens : m_request.answerTokens;
+    question.attemptsLeft = route.maximumAttempts - std::min(route.maximumAttempts, m_sent);
+    question.timeToFirstEvent = std::chrono::duration_cast<std::chrono::milliseconds>(m_arrived + route.objective - now());
+    return question;
+}
+
+void ForwardRun::chooseModel()
+{
+    if (m_request.leavesModelOpen && !m_admission.route->models.empty())
+        m_model = m_core.parts.models.first(modelQuestion());
+}
+
+bool ForwardRun::stepsUp(const ForwardAttempt& attempt)
+{
+    if (!m_model || m_streaming || m_request.resumeAfter)
+        return false;
+    const std::optional<std::size_t> larger = m_core.parts.models.stepUp(modelQuestion(), *m_model, attempt.reply().confidence);
+    if (!larger || !m_core.budgetOf(m_service).take(now()))
+        return false;
+    log::info("larger model asked", { { "request", m_request.id }, { "confidence", std::to_string(attempt.reply().confidence.value_or(0)) }, { "from", model().value }, { "to", m_admission.route->models[*larger].value }, { "elapsedMs", text(now() - m_arrived) } });
+    m_core.parts.metrics.add("whinyard_model_steps_total");
+    m_nextModel = *larger;
+    m_runState = RunState::unknown;
+    return true;
+}
+
+}
