Make the tuning's defaults those that were measured, and say what each is for

Cause: defaults, settings page and deploy file named three different numbers, and one comment spoke of another setting. Change: the defaults are the deployed ones; nothing that runs under deploy/system.toml changes. Measured: tests of settings pass.

--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -160,8 +160,8 @@
 // Whether another endpoint may answer in place of the present attempt's.
 bool ForwardRun::mayMove() const
 {
-    // A stream's last attempt but one is kept for a connection that breaks: moving from it on silence too takes repeats
-    // that other requests need for a larger model, and half of a point of worth over eight days.
+    // A stream's last attempt but one is kept for a connection that breaks: moves on silence would take the repeats that
+    // other requests need to step up to a larger model.
     return repeatable() && m_sent + 1 < m_admission.route->maximumAttempts && timeLeft() > shortestAttempt;
 }
 
--- a/packages/settings/include/whinyard/settings/EntryTuning.h
+++ b/packages/settings/include/whinyard/settings/EntryTuning.h
@@ -13,18 +13,24 @@
 
 namespace whinyard::settings {
 
+// The defaults are what docs/DECISIONS.md found best.
 struct EntryTuning {
     // A route's smallest model is asked first where it costs less than this share of the largest one.
-    double smallFirstBelow = 0.5;
+    double smallFirstBelow = 1;
     // Confidence, 0 to 100, from which a smaller model's answer is shown.
-    std::uint32_t acceptFrom = 50;
-    // Load on engines, in running and waiting requests for each slot, for which a zone's own endpoints are preferred.
-    double zoneFactor = 1.5;
-    std::chrono::milliseconds zonePenalty { 2 }; // Added to the wait at an endpoint of another zone.
+    std::uint32_t acceptFrom = 52;
+    // An endpoint of the own zone is taken while its expected wait is at most this many times the best one's.
+    double zoneFactor = 1;
+    // Added to the expected wait at an endpoint of another zone.
+    std::chrono::milliseconds zonePenalty { 40 };
+    // Of the shared parts of a prompt that an endpoint named by its hash is taken to hold.
     double affinityCachedShare = 0.5;
-    std::chrono::microseconds rereadPenalty { 20 }; // A token that another engine holds, beyond the time of reading it.
+    // What a token that is read again costs beyond the time of reading it.
+    std::chrono::microseconds rereadPenalty { 40 };
+    // Endpoints drawn at random beside the others, where not all are compared.
     std::uint32_t randomChoices = 2;
-    std::uint32_t fullScanLimit = 64; // Endpoints up to which all are compared.
+    // Endpoints of a version up to which all are compared.
+    std::uint32_t fullScanLimit = 64;
     std::string logLevel = "info";
 };
 
