Try a new version to the end of the period, then move everything at once, within the bound whatever is found

Ruled out: more load on the trial's endpoints (an earlier trial; 6 in 100 of the requests make about 7 concurrent ones, 32 are needed), a more sensitive test (nothing bad was seen before the completion). Change: stagesFor() derives the stages from the site's bound: a trial of 0.35 of it, everything moved in the last 0.45 of it, so exposure over the period stays at 0.8 of the bound whatever is found. A completion is written as soon as a verdict.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -60,6 +60,7 @@
     {
         policy::ShiftSettings settings;
         settings.sessionGap = bounds.sessionGap;
+        settings.exposureShare = bounds.exposureShare;
         return settings;
     }
 
--- a/apps/whinyardd/entry/ShiftKeeper.cpp
+++ b/apps/whinyardd/entry/ShiftKeeper.cpp
@@ -95,10 +95,10 @@
 }
 
 // Every instance comes to the same record at about the same time, and one write is enough: each waits for a time of its
-// own, and the first tells the others. A verdict against a version waits for less.
+// own, and the first tells the others. A verdict and a completion, for which the period leaves little time, wait for less.
 bool ShiftKeeper::isTimeToWrite(const ServiceName& service, const policy::ShiftRecord& record, SteadyTime now)
 {
-    const std::chrono::milliseconds spread = record.state == policy::ShiftState::rolledBack ? verdictSpread : writeSpread;
+    const std::chrono::milliseconds spread = record.state == policy::ShiftState::running ? writeSpread : verdictSpread;
     const auto [at, isNew] = m_writeAt.try_emplace(service, now);
     if (isNew)
         at->second = now + std::chrono::milliseconds(below(m_random, static_cast<std::uint64_t>(spread.count())));
--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -1,5 +1,5 @@
-// Moves a service's requests from the versions in use to a new one, under an order of the operators: a small share
-// first, more once the new version has proved itself, everything at last, and back at once when it is bad.
+// Moves a service's requests from the versions in use to a new one, under an order of the operators: a small share for
+// nearly the whole period, everything at its end, and back at once when the new version is bad.
 //
 // The forwarding path asks for the version of each request and reports each outcome; the daemon feeds orders, what
 // the store holds and what other instances counted, and writes what due() returns. Pure: no I/O, no clock of its own.
@@ -61,20 +61,23 @@
     std::chrono::microseconds pause { 0 }; // Mean between the events of a stream; 0 for fewer than minimumPauses.
 };
 
-// The numbers that a shift is run with. Shares are of new sessions; times are parts of the order's period.
+// When how much of a service's requests goes to the target, in parts of the order's period.
+struct ShiftStages {
+    double trialShare = 0; // Of new sessions, until everything is moved.
+    double moveAt = 0; // From then on the target gets everything, sessions included.
+    double completeAt = 0; // The other versions' endpoints end.
+};
+
+// Returns the stages by which a target gets no more than `exposureShare` of the requests of the whole period, whether it
+// is found bad or not: a version may fail only under the load of everything, which no trial brings. A fifth of the
+// share is left for a load that is higher at the end than on average.
+ShiftStages stagesFor(double exposureShare);
+
+// The numbers that a shift is run with.
 struct ShiftSettings {
-    // The trial's share: its requests, over half a period, stay at a third of the exposure that sites allow (0.0975 to
-    // 0.15 of all requests of the period), so that the moves after it have room until a late fault is seen.
-    double trialShare = 0.08;
+    double exposureShare = 0.15; // Of the requests of an order's period, that a bad version may get; the site's bound.
     // Nothing is moved before: instances tell each other of the sessions that must stay where they are.
     std::chrono::milliseconds trialDelay { 700 };
-    double growAt = 0.52; // The new version may get more, and sessions may move, after half of the period.
-    double growShare = 0.4;
-    // Then nearly all: a tenth stays on the other versions, since the two can only be compared under the same load.
-    double mostAt = 0.64;
-    double mostShare = 0.9;
-    double allAt = 0.8;
-    double completeAt = 0.88; // Leaves running streams, and a store that is away for a second or two, their time.
     double slowFactor = 2.5; // An answer is bad when it takes this many times what is usual for the other versions.
     std::chrono::milliseconds slowMinimum { 80 }; // A time below this is never slow.
     std::chrono::milliseconds slowPause { 25 }; // A mean pause below this is never slow; those of small models are 6 ms.
@@ -225,6 +228,7 @@
     void sweepSessions(ServiceMemory& memory, SteadyTime now) const;
 
     const ShiftSettings m_settings;
+    const ShiftStages m_stages;
     std::map<ServiceName, Shift> m_shifts;
     std::map<ServiceName, ShiftRecord> m_records; // The last ones, also of orders that aren't known yet.
     std::map<ServiceName, ServiceMemory> m_memories;
--- a/packages/policy/src/VersionShift.cpp
+++ b/packages/policy/src/VersionShift.cpp
@@ -51,8 +51,21 @@
     return "";
 }
 
+ShiftStages stagesFor(double exposureShare)
+{
+    // The move takes the most of the share: it must be long enough for streams that run on the other versions, and for
+    // a store that is slow when the completion is written. The trial, over all the time before, takes the rest.
+    constexpr double movePart = 0.45;
+    constexpr double trialPart = 0.35;
+    constexpr double completePart = 0.4; // Of the move.
+    const double move = std::clamp(movePart * exposureShare, 0.0, 1.0);
+    const double moveAt = 1 - move;
+    return { .trialShare = trialPart * exposureShare / std::max(moveAt, smallestValue), .moveAt = moveAt, .completeAt = moveAt + completePart * move };
+}
+
 VersionShifts::VersionShifts(const ShiftSettings& settings)
     : m_settings(settings)
+    , m_stages(stagesFor(settings.exposureShare))
 {
 }
 
@@ -119,20 +132,15 @@
 
 bool VersionShifts::isDrawnToTrial(std::uint64_t draw) const
 {
-    return unit(draw) < m_settings.trialShare;
+    return unit(draw) < m_stages.trialShare;
 }
 
 double VersionShifts::shareNow(const Shift& shift, SteadyTime now) const
 {
-    const double reached = progress(shift, now);
-    if (reached >= m_settings.allAt)
+    if (progress(shift, now) >= m_stages.moveAt)
         return 1;
-    if (reached >= m_settings.mostAt)
-        return m_settings.mostShare;
-    if (reached >= m_settings.growAt)
-        return m_settings.growShare;
     const bool hasBegun = shift.elapsedBefore + (now - shift.since) >= m_settings.trialDelay;
-    return hasBegun ? m_settings.trialShare : 0;
+    return hasBegun ? m_stages.trialShare : 0;
 }
 
 VersionPreference VersionShifts::prefer(const ServiceName& service, bool hasSession, std::uint64_t draw, const std::vector<std::string>& available, SteadyTime now)
@@ -166,9 +174,9 @@
     const ServiceMemory& memory = m_memories[service];
     const auto remembered = memory.sessions.find(draw);
     if (hasSession && remembered != memory.sessions.end() && now - remembered->second.lastSeen <= m_settings.sessionGap) {
-        // Nobody goes back from the target, and nobody goes to it before it may grow.
+        // Nobody goes back from the target, and nobody goes to it during the trial.
         const bool wasTarget = remembered->second.version == target;
-        takesTarget = wasTarget || (takesTarget && progress(shift, now) >= m_settings.growAt);
+        takesTarget = wasTarget || progress(shift, now) >= m_stages.moveAt;
         preference.reason = "session";
     }
     if (takesTarget) {
@@ -188,7 +196,7 @@
     const auto found = m_shifts.find(service);
     if (found == m_shifts.end() || found->second.state != ShiftState::running || found->second.order.target == version)
         return;
-    if (isDrawnToTrial(session) && progress(found->second, now) < m_settings.growAt)
+    if (isDrawnToTrial(session) && progress(found->second, now) < m_stages.moveAt)
         found->second.pins.push_back(session);
 }
 
@@ -334,7 +342,7 @@
     if (shift.isStored && shift.known.state != ShiftState::running)
         return std::nullopt;
     const double reached = progress(shift, now);
-    if (shift.state == ShiftState::running && reached >= m_settings.completeAt) {
+    if (shift.state == ShiftState::running && reached >= m_stages.completeAt) {
         shift.state = ShiftState::completed;
         shift.reason = "the whole traffic runs on " + shift.order.target;
     }
