Let repeats that save answers come before steps to larger models, and share the site's slack

The slack that the site allows to all instances wasn't used. Ruled out: too few attempts (two of three were used), the deadline (14 s were left). Change: RetryBudget::take() has a part; steps take from 0.8 of the budget, moves on silence from 0.9. SharedAllowance gives each instance an equal part of the slack, once the number of instances has settled. Answered lines tell the caller's first event and the longest pause; the first event was the last attempt's.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -70,6 +70,8 @@
         constexpr double usedPart = 0.9;
         router::ForwarderSettings settings;
         settings.repeatRatio = usedPart * bounds.repeatRatio;
+        settings.repeatsPerSecond = 0;
+        settings.sharedRepeats = bounds.repeatSlack;
         return settings;
     }
 
@@ -179,7 +181,10 @@
 
 void ServeDuty::takePeers(std::vector<net::Address> peers)
 {
-    m_duty.post([this, peers = std::move(peers)]() mutable { m_link.usePeers(std::move(peers)); });
+    m_duty.post([this, peers = std::move(peers)]() mutable {
+        m_forwarder->useInstances(peers.size() + 1);
+        m_link.usePeers(std::move(peers));
+    });
 }
 
 void ServeDuty::broadcast(peer::Notice notice)
--- a/packages/policy/include/whinyard/policy/RetryPolicy.h
+++ b/packages/policy/include/whinyard/policy/RetryPolicy.h
@@ -10,7 +10,9 @@
 
 #include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace whinyard::policy {
@@ -39,8 +41,12 @@
     // bounds repeats by the requests themselves, one that arrived.
     void earn(SteadyTime now);
 
-    // Takes one retry out of the budget; returns false when none is left.
-    bool take(SteadyTime now);
+    // Takes one retry out of the budget; returns false when none is left. A retry that is only of use, where others save
+    // an answer, may take from the first `part` of the budget alone.
+    bool take(SteadyTime now, double part = 1);
+
+    // Changes the retries of a window that are allowed without any request.
+    void useMinimum(double retriesPerWindow) { m_minimum = retriesPerWindow; }
 
 private:
     struct Second {
@@ -51,13 +57,45 @@
     void advance(SteadyTime now);
 
     const double m_ratio;
-    const double m_minimum; // Retries in a window without any success.
+    double m_minimum; // Retries in a window without any success.
     std::array<Second, static_cast<std::size_t>(window.count())> m_seconds {};
     std::int64_t m_current = 0;
     std::uint64_t m_successes = 0; // Sums over the window.
     std::uint64_t m_retries = 0;
 };
 
+// This instance's part of retries that a site allows to all instances together, without a word between them.
+//
+// Each takes an equal part by the number of instances that it knows. An instance that vanishes leaves its part unused
+// until what it took has left every window that is looked at.
+class SharedAllowance {
+public:
+    // `total` retries in a window, of all instances.
+    explicit SharedAllowance(double total)
+        : m_total(total)
+    {
+    }
+
+    // Takes the number of instances that live, this one included.
+    void useInstances(std::size_t count, SteadyTime now);
+
+    // Returns the part of this instance: nothing until a number has been known for `settling`.
+    double part(SteadyTime now);
+
+private:
+    static constexpr std::chrono::seconds memory { 20 }; // Two windows.
+    // Instances that start together learn of each other one by one.
+    static constexpr std::chrono::seconds settling { 3 };
+    // What stays unused for instances that this one doesn't know yet.
+    static constexpr double usedPart = 0.8;
+
+    const double m_total;
+    std::size_t m_count = 0;
+    std::optional<SteadyTime> m_knownSince;
+    std::size_t m_mostOfLate = 0;
+    SteadyTime m_mostAt;
+};
+
 // A failed attempt.
 struct FailedAttempt {
     RunState runState = RunState::unknown; // Of this attempt.
--- a/packages/policy/src/RetryPolicy.cpp
+++ b/packages/policy/src/RetryPolicy.cpp
@@ -67,10 +67,10 @@
     ++m_successes;
 }
 
-bool RetryBudget::take(SteadyTime now)
+bool RetryBudget::take(SteadyTime now, double part)
 {
     advance(now);
-    const double allowed = m_ratio * static_cast<double>(m_successes) + m_minimum;
+    const double allowed = part * (m_ratio * static_cast<double>(m_successes) + m_minimum);
     if (static_cast<double>(m_retries + 1) > allowed)
         return false;
     ++m_seconds[static_cast<std::size_t>(m_current % window.count())].retries;
@@ -78,6 +78,24 @@
     return true;
 }
 
+void SharedAllowance::useInstances(std::size_t count, SteadyTime now)
+{
+    m_count = count;
+    m_knownSince = m_knownSince.value_or(now);
+    if (count < m_mostOfLate && now - m_mostAt < memory)
+        return;
+    m_mostOfLate = count;
+    m_mostAt = now;
+}
+
+double SharedAllowance::part(SteadyTime now)
+{
+    if (!m_knownSince || now - *m_knownSince < settling)
+        return 0;
+    useInstances(m_count, now);
+    return usedPart * m_total / static_cast<double>(m_mostOfLate);
+}
+
 RetryPlan planRetry(const RetrySettings& settings, const FailedAttempt& failed, RetryBudget& budget, SteadyTime now, Random& random)
 {
     if (failed.answerBegan)
--- a/packages/policy/test/RetryPolicyTest.cpp
+++ b/packages/policy/test/RetryPolicyTest.cpp
@@ -61,6 +61,37 @@
     EXPECT_EQ(longest, 130ms);
 }
 
+TEST(RetryBudgetTest, KeepsAPartForRepeatsThatSaveAnswers)
+{
+    RetryBudget budget(1.0, 0);
+    for (int i = 0; i < 100; ++i)
+        budget.earn(start);
+    int steps = 0;
+    while (budget.take(start, 0.8))
+        ++steps;
+    EXPECT_EQ(steps, 80);
+    int repairs = 0;
+    while (budget.take(start))
+        ++repairs;
+    EXPECT_EQ(repairs, 20);
+    EXPECT_FALSE(budget.take(start, 0.8));
+}
+
+TEST(SharedAllowanceTest, AddsUpToNoMoreThanTheTotalWhoeverVanishes)
+{
+    SharedAllowance allowance(58);
+    EXPECT_EQ(allowance.part(start), 0) << "nothing is known";
+    allowance.useInstances(1, start);
+    EXPECT_EQ(allowance.part(start + 1s), 0) << "others may just have started";
+    allowance.useInstances(9, start + 2s);
+    EXPECT_LE(9 * allowance.part(start + 4s), 58);
+    EXPECT_GT(9 * allowance.part(start + 4s), 40);
+    allowance.useInstances(3, start + 5s);
+    EXPECT_LE(9 * allowance.part(start + 12s), 58) << "what those that vanished took is still in the window";
+    EXPECT_GT(3 * allowance.part(start + 30s), 40);
+    EXPECT_LE(3 * allowance.part(start + 30s), 58);
+}
+
 // Requests come while a random part of the attempts fails, at last all of them.
 TEST(RetryPolicyTest, AttemptsStayWithinTheBudgetHoweverManyFail)
 {
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -47,6 +47,7 @@
 struct ForwarderSettings {
     double repeatRatio = 0.8; // Attempts beyond the first, for each request of the same service.
     double repeatsPerSecond = 0.2; // That are allowed without any request.
+    double sharedRepeats = 0; // In ten seconds, of all instances together, beyond those that requests allow.
     std::chrono::milliseconds connectTimeout { 300 }; // Many times the longest way within a region.
     std::chrono::milliseconds comeBackAfter { 150 }; // Told with a refusal when nothing better is known.
 };
@@ -65,6 +66,9 @@
     // Tells which versions of a service have endpoints, in the order in which they appeared.
     void useVersions(const ServiceName& service, std::vector<std::string> versions);
 
+    // Takes the number of instances that live, this one included: they share ForwarderSettings::sharedRepeats.
+    void useInstances(std::size_t count);
+
     // Looks at the attempts that wait, and gives up those that are silent for much longer than was expected. Call it
     // about every 50 ms.
     void tick();
--- a/packages/router/src/Forwarder.cpp
+++ b/packages/router/src/Forwarder.cpp
@@ -31,7 +31,7 @@
 
 struct Forwarder::State {
     State(const ForwarderParts& parts, const ForwarderSettings& settings, Random random)
-        : core { .parts = parts, .settings = settings, .random = random }
+        : core { .parts = parts, .settings = settings, .random = random, .sharedRepeats = policy::SharedAllowance(settings.sharedRepeats) }
     {
     }
 
@@ -79,8 +79,14 @@
     m_state->core.versions[service] = std::move(versions);
 }
 
+void Forwarder::useInstances(std::size_t count)
+{
+    m_state->core.sharedRepeats.useInstances(count, m_state->core.parts.clock.now());
+}
+
 void Forwarder::tick()
 {
+    m_state->core.spreadSharedRepeats();
     for (ForwardRun* run : m_state->core.runs)
         run->look();
 }
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -95,7 +95,7 @@
     const bool delivered = m_caller.end();
     m_core.parts.metrics.add("whinyard_answers_total");
     m_core.parts.metrics.observe("whinyard_answer_seconds", now() - m_arrived);
-    log::info(delivered ? "answered" : "caller left", { { "request", m_request.id }, { "lastEvent", std::to_string(m_lastEvent.value_or(0)) }, { "model", model().value }, { "confidence", std::to_string(attempt.reply().confidence.value_or(0)) }, { "firstEventMs", m_firstEventAt ? text(*m_firstEventAt - m_arrived) : "" }, { "elapsedMs", text(now() - m_arrived) } });
+    log::info(delivered ? "answered" : "caller left", { { "request", m_request.id }, { "lastEvent", std::to_string(m_lastEvent.value_or(0)) }, { "model", model().value }, { "confidence", std::to_string(attempt.reply().confidence.value_or(0)) }, { "firstEventMs", m_callerFirstEventAt ? text(*m_callerFirstEventAt - m_arrived) : "" }, { "longestPauseMs", text(m_longestPause) }, { "elapsedMs", text(now() - m_arrived) } });
     return AttemptEnd::answered;
 }
 
@@ -104,24 +104,33 @@
 {
     const endpoint::FramedEvents events = framer.feed(bytes);
     if (events.count > 0) {
-        m_latestEventAt = now();
-        m_silentSince = now();
-        if (!m_firstEventAt) {
-            m_firstEventAt = m_latestEventAt;
+        if (!m_firstEventAt)
             attempt.firstByte();
-        }
+        noteEvents(events.count);
         if (!m_streaming) {
             m_streaming = true;
             m_core.parts.metrics.observe("whinyard_first_event_seconds", now() - m_arrived);
             m_caller.begin(attempt.head());
         }
-        m_events += events.count;
         m_caller.write(events.bytes);
         m_lastEvent = events.lastId;
     }
     return !events.outOfOrder && !m_callerLeft;
 }
 
+void ForwardRun::noteEvents(std::uint32_t count)
+{
+    const SteadyTime at = now();
+    if (m_callerFirstEventAt)
+        m_longestPause = std::max<std::chrono::nanoseconds>(m_longestPause, at - m_callerLatestEventAt);
+    m_callerFirstEventAt = m_callerFirstEventAt.value_or(at);
+    m_callerLatestEventAt = at;
+    m_firstEventAt = m_firstEventAt.value_or(at);
+    m_latestEventAt = at;
+    m_silentSince = at;
+    m_events += count;
+}
+
 void ForwardRun::noteOutcome(const ForwardAttempt& attempt, bool failed)
 {
     policy::VersionOutcome outcome;
--- a/packages/router/src/internal/ForwardChoice.cpp
+++ b/packages/router/src/internal/ForwardChoice.cpp
@@ -13,6 +13,11 @@
     // A prompt whose reading takes this part of the objective for pauses makes the streams on its engine late: each of
     // their events takes several steps, and each step a chunk of the prompt.
     constexpr double stallingPart = 0.75;
+    // The part of the budget for repeats that better answers may take: an answer that broke off counts for more than one
+    // that a larger model would have made better, and failures come many at once. Where steps could take all of it,
+    // every stream of an engine that crashed was cut.
+    constexpr double stepPart = 0.8;
+
     constexpr std::string_view stallingGroup = "prompts that stall others"; // One place on the hash ring for all of them.
 
 }
@@ -163,7 +168,7 @@
     if (!m_model || m_streaming || m_request.resumeAfter)
         return false;
     const std::optional<std::size_t> larger = m_core.parts.models.stepUp(modelQuestion(), *m_model, attempt.reply().confidence);
-    if (!larger || !m_core.budgetOf(m_service).take(now()))
+    if (!larger || !m_core.budgetOf(m_service).take(now(), stepPart))
         return false;
     log::info("larger model asked", { { "request", m_request.id }, { "confidence", std::to_string(attempt.reply().confidence.value_or(0)) }, { "from", model().value }, { "to", m_admission.route->models[*larger].value }, { "elapsedMs", text(now() - m_arrived) } });
     m_core.parts.metrics.add("whinyard_model_steps_total");
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -22,9 +22,18 @@
         return budgets.try_emplace(service, settings.repeatRatio, settings.repeatsPerSecond).first->second;
     }
 
+    // Gives each service's budget its part of what all instances share. The bound holds for each service by itself.
+    void spreadSharedRepeats()
+    {
+        const double minimum = settings.repeatsPerSecond * policy::RetryBudget::window.count() + sharedRepeats.part(parts.clock.now());
+        for (auto& [service, budget] : budgets)
+            budget.useMinimum(minimum);
+    }
+
     ForwarderParts parts;
     ForwarderSettings settings;
     Random random;
+    policy::SharedAllowance sharedRepeats;
     std::map<ServiceName, policy::RetryBudget> budgets {};
     policy::PromptRates rates {};
     std::map<ServiceName, std::vector<std::string>> versions {};
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -21,6 +21,10 @@
     constexpr double pausePatiencePart = 0.5; // Of the objective for pauses, where no known work explains a pause.
     constexpr double stallObjectives = 2; // Objectives for pauses, where some does.
 
+    // The part of the budget from which an attempt is moved on silence alone, which may be a mistake. The rest is kept for
+    // attempts that failed: their answers are lost otherwise, and failures come many at once, when an engine crashes.
+    constexpr double silencePart = 0.9;
+
     std::chrono::nanoseconds part(std::chrono::nanoseconds whole, double share)
     {
         return std::chrono::duration_cast<std::chrono::nanoseconds>(whole * share);
@@ -184,7 +188,7 @@
     if (!m_current || m_stalled || !mayMove() || now() - m_silentSince < patience())
         return;
     // Silence alone is no reason to end an answer: it is given up only for another attempt that is granted already.
-    if (!m_core.budgetOf(m_service).take(now()))
+    if (!m_core.budgetOf(m_service).take(now(), silencePart))
         return;
     m_stalled = true;
     m_current->cancel();
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -73,6 +73,7 @@
     bool mayGoOn(AttemptEnd end);
     void conclude();
     void refuse(Failure failure);
+    void noteEvents(std::uint32_t count);
     void noteOutcome(const ForwardAttempt& attempt, bool failed);
     void callerLeft();
 
@@ -107,6 +108,9 @@
     SteadyTime m_silentSince; // The last sign of the present attempt.
     std::optional<SteadyTime> m_firstEventAt; // Of the present attempt.
     std::optional<SteadyTime> m_latestEventAt;
+    std::optional<SteadyTime> m_callerFirstEventAt; // Of any attempt, as the caller sees it.
+    SteadyTime m_callerLatestEventAt;
+    std::chrono::nanoseconds m_longestPause { 0 }; // Between events, as the caller sees them.
     std::uint32_t m_events = 0; // Of the present attempt.
 };
 
--- a/packages/router/test/ForwarderTest.cpp
+++ b/packages/router/test/ForwarderTest.cpp
@@ -245,6 +245,36 @@
         EXPECT_TRUE(caller.ended);
     }
 
+    // Every answer is too poor, until one stream breaks off.
+    TEST_F(ForwarderTest, ResumesABrokenStreamWhereStepsToLargerModelsTookAllTheyMay)
+    {
+        config::Route& route = m_bench.useRoute(RequestKind::streaming, true);
+        route.models = { { "small" }, { "large" } };
+        m_bench.publish();
+        Forwarder forwarder({ m_bench.clock, m_bench.metrics, m_bench.source, m_bench.codec, m_bench.directory, m_bench.shifts, m_bench.models, m_bench.client, m_bench.fibers }, { .repeatRatio = 0.5, .repeatsPerSecond = 0 }, Random(2));
+        forwarder.useVersions({ "svc" }, { "v1" });
+        const net::HttpRequest request { .method = "POST", .target = "/p/x", .fields = { { "id", "q" }, { "host", "a.example" }, { "key", "k1" }, { "model", "any" } }, .body = {} };
+        const auto poor = [this] { m_bench.script(200, { { "id", "q" }, { "signed", "s" }, { "confidence", "20" } }, { event(1) }); };
+        std::size_t steps = 0;
+        for (int i = 0; i < 40; ++i) {
+            const std::size_t sent = m_bench.client.requests.size();
+            poor();
+            poor();
+            FakeResponder caller;
+            forwarder.handle(request, caller);
+            steps += m_bench.client.requests.size() - sent - 1;
+            m_bench.client.exchanges.clear();
+        }
+        EXPECT_GE(steps, 14U);
+        EXPECT_LE(steps, 17U) << "four fifths of a repeat for every second request";
+        m_bench.answer(200, { event(1) }, true);
+        m_bench.answer(200, { event(2) });
+        FakeResponder caller;
+        forwarder.handle(request, caller);
+        EXPECT_EQ(caller.response.body, event(1) + event(2));
+        EXPECT_TRUE(caller.ended);
+    }
+
     TEST_F(ForwarderTest, StopsRepeatingWhenTheBudgetIsSpent)
     {
         Forwarder thrifty({ m_bench.clock, m_bench.metrics, m_bench.source, m_bench.codec, m_bench.directory, m_bench.shifts, m_bench.models, m_bench.client, m_bench.fibers }, { .repeatRatio = 0.1, .repeatsPerSecond = 0 }, Random(2));
