Tell endpoints' entries by three instances, and read other instances' records seldom

Two thirds were ranges and watches that each instance made for itself whenever it missed one notice, or a follower's watch returned late: its silence was taken for its end. Change: a follower tells at a rhythm of its own, apart from its watch, as long as the store answers it; an instance that misses something, or starts, asks a follower for the whole list (RosterRequest, RosterPart), and the store only without an answer; three followers for two. Instances tell of their start themselves (InstanceNotice); their records and those of roll-outs are read now and then at a tenth of the price, not watched; a record's notice is sent three times.

--- a/apps/whinyardd/entry/InstanceWatch.cpp
+++ b/apps/whinyardd/entry/InstanceWatch.cpp
@@ -2,8 +2,18 @@
 
 #include "whinyard/base/Log.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace whinyard::daemon {
 
+namespace {
+
+    // A record that was read may be seconds old, and an instance's own notice comes before its record.
+    constexpr std::chrono::seconds announcedFor { 30 };
+
+}
+
 InstanceWatch::InstanceWatch(EntryShared& shared, ServeDuty& serving, RosterWatch& roster)
     : m_shared(shared)
     , m_serving(serving)
@@ -13,39 +23,46 @@
 
 void InstanceWatch::replaced(const std::vector<backing::Record>& records)
 {
-    m_addresses.clear();
-    for (const backing::Record& record : records)
-        m_addresses[record.key] = record.value;
+    m_listed.clear();
+    for (const backing::Record& record : records) {
+        Failure failure;
+        const std::optional<net::Address> address = net::parseAddress(record.value, failure);
+        if (address)
+            m_listed[{ record.key.substr(prefix.size()) }] = *address;
+        else
+            log::error("instance's record not taken", { { "key", record.key }, { "reason", failure.reason } });
+    }
+    std::erase_if(m_announced, [now = m_shared.clock.now()](const auto& entry) { return now - entry.second.at > announcedFor; });
+    m_isKnown = true;
     handOn();
+    // At the first read, others that start with this one don't stand in the store yet.
+    if (std::exchange(m_wasRead, true))
+        m_serving.takeInstanceCount(std::max<std::size_t>(1, m_handedOn.size()));
 }
 
-void InstanceWatch::changed(const std::vector<backing::RecordChange>& changes)
+void InstanceWatch::takeNotice(const peer::InstanceNotice& notice)
 {
-    for (const backing::RecordChange& change : changes) {
-        if (change.deleted)
-            m_addresses.erase(change.record.key);
-        else
-            m_addresses[change.record.key] = change.record.value;
-    }
-    handOn();
+    m_announced[notice.instance] = { notice.address, m_shared.clock.now() };
+    if (m_isKnown)
+        handOn();
 }
 
 void InstanceWatch::handOn()
 {
+    std::map<InstanceName, net::Address> instances = m_listed;
+    for (const auto& [name, announced] : m_announced)
+        instances[name] = announced.address;
+    if (instances == m_handedOn)
+        return;
+    m_handedOn = instances;
     std::vector<net::Address> peers;
-    std::vector<InstanceName> names;
-    for (const auto& [key, text] : m_addresses) {
-        Failure failure;
-        const std::optional<net::Address> address = net::parseAddress(text, failure);
-        names.push_back({ key.substr(prefix.size()) });
-        if (!address)
-            log::error("instance's record not taken", { { "key", key }, { "reason", failure.reason } });
-        else if (address != m_shared.settings.peers)
-            peers.push_back(*address);
+    for (const auto& [name, address] : instances) {
+        if (address != m_shared.settings.peers)
+            peers.push_back(address);
     }
     log::info("instances changed", { { "others", std::to_string(peers.size()) } });
     m_serving.takePeers(std::move(peers));
-    m_roster.takeInstances(names);
+    m_roster.takeInstances(std::move(instances));
 }
 
 }
--- a/apps/whinyardd/entry/InstanceWatch.h
+++ b/apps/whinyardd/entry/InstanceWatch.h
@@ -4,7 +4,7 @@
 #include "entry/EntryShared.h"
 #include "entry/RosterWatch.h"
 #include "entry/ServeDuty.h"
-#include "whinyard/backing/PrefixFollower.h"
+#include "whinyard/backing/KeyValueStore.h"
 
 #include <map>
 #include <string>
@@ -12,7 +12,7 @@
 
 namespace whinyard::daemon {
 
-class InstanceWatch final : public backing::PrefixObserver {
+class InstanceWatch {
 public:
     // Every instance keeps a leased record under this prefix; its value is an address.
     static constexpr std::string_view prefix = "whinyard/instance/";
@@ -20,10 +20,14 @@
     // All must outlive the object.
     InstanceWatch(EntryShared& shared, ServeDuty& serving, RosterWatch& roster);
 
-    void replaced(const std::vector<backing::Record>& records) override;
-    void changed(const std::vector<backing::RecordChange>& changes) override;
-    void proven(SteadyTime) override { }
-    void failed(const Failure&) override { }
+    // Takes all instances' records, as they are or were a moment ago.
+    void replaced(const std::vector<backing::Record>& records);
+
+    // Takes an instance that has just started.
+    void takeNotice(const peer::InstanceNotice& notice);
+
+    // Returns whether the records were read at least once.
+    bool isKnown() const { return m_isKnown; }
 
 private:
     void handOn();
@@ -31,7 +35,16 @@
     EntryShared& m_shared;
     ServeDuty& m_serving;
     RosterWatch& m_roster;
-    std::map<std::string, std::string> m_addresses; // By key.
+    struct Announced {
+        net::Address address;
+        SteadyTime at;
+    };
+
+    std::map<InstanceName, net::Address> m_listed; // By the records.
+    std::map<InstanceName, Announced> m_announced; // By their own notices, which come before their records.
+    std::map<InstanceName, net::Address> m_handedOn;
+    bool m_isKnown = false;
+    bool m_wasRead = false; // Before the present read.
 };
 
 }
--- a/apps/whinyardd/entry/RosterWatch.cpp
+++ b/apps/whinyardd/entry/RosterWatch.cpp
@@ -10,6 +10,19 @@
 
 namespace {
 
+    // A follower's watch returns about every second. One that has heard nothing for longer may be cut off: the others turn
+    // to another follower.
+    constexpr std::chrono::milliseconds currentFor { 2'000 };
+
+    endpoint::RosterRelaySettings relaySettings(const settings::ServiceBounds& bounds)
+    {
+        // Another follower must be found out within the time in which a leaving endpoint may still get new work.
+        constexpr int parts = 2;
+        endpoint::RosterRelaySettings settings;
+        settings.silence = bounds.drain / parts;
+        return settings;
+    }
+
     std::optional<backing::ListedEndpoint> read(const backing::Record& record)
     {
         Failure failure;
@@ -24,7 +37,7 @@
 RosterWatch::RosterWatch(EntryShared& shared, ServeDuty& serving)
     : m_shared(shared)
     , m_serving(serving)
-    , m_relay(shared.settings.instance)
+    , m_relay(shared.settings.instance, relaySettings(shared.settings.bounds))
     , m_life(seededRandom()())
 {
 }
@@ -39,6 +52,7 @@
     }
     m_roster.storeAnswered(now);
     m_roster.replace(listed, now);
+    m_relay.noteRead();
 }
 
 void RosterWatch::changed(const std::vector<backing::RecordChange>& changes)
@@ -75,9 +89,72 @@
     m_shared.endpointsKnown = true;
 }
 
-bool RosterWatch::mustFollow() const
+void RosterWatch::takeInstances(std::map<InstanceName, net::Address> instances)
+{
+    std::vector<InstanceName> names;
+    for (const auto& [name, address] : instances)
+        names.push_back(name);
+    m_instances = std::move(instances);
+    m_relay.useInstances(names);
+}
+
+bool RosterWatch::mustFollow()
+{
+    const SteadyTime now = m_shared.clock.now();
+    const endpoint::RosterNeed need = m_relay.need(now);
+    if (need != endpoint::RosterNeed::ask)
+        return need == endpoint::RosterNeed::follow;
+    for (const InstanceName& name : m_relay.toAsk(now)) {
+        const auto known = m_instances.find(name);
+        if (known != m_instances.end())
+            m_serving.send(known->second, peer::RosterRequest { m_shared.settings.instance });
+    }
+    return false;
+}
+
+bool RosterWatch::tellsOthers() const
+{
+    return m_relay.isFollower() && m_currentAt && m_shared.clock.now() - *m_currentAt <= currentFor;
+}
+
+void RosterWatch::answer(const net::Address& asker)
+{
+    if (!tellsOthers())
+        return;
+    // What was told last: the changes that follow build on it.
+    std::vector<backing::ListedEndpoint> list;
+    for (const auto& [name, endpoint] : m_told)
+        list.push_back(endpoint);
+    const std::size_t parts = std::max<std::size_t>(1, (list.size() + peer::mostRosterChanges - 1) / peer::mostRosterChanges);
+    for (std::size_t part = 0; part < parts; ++part) {
+        const std::size_t begin = part * peer::mostRosterChanges;
+        const std::size_t end = std::min(begin + peer::mostRosterChanges, list.size());
+        peer::RosterPart notice { m_shared.settings.instance, m_life, m_sequence, static_cast<std::uint32_t>(part), static_cast<std::uint32_t>(parts), {} };
+        notice.endpoints.assign(list.begin() + static_cast<std::ptrdiff_t>(begin), list.begin() + static_cast<std::ptrdiff_t>(end));
+        m_serving.send(asker, std::move(notice));
+    }
+}
+
+void RosterWatch::takePart(const peer::RosterPart& part)
 {
-    return m_readAnew || m_relay.mustFollow(m_shared.clock.now());
+    const auto isOfAnotherList = [&](const peer::RosterPart& known) {
+        return known.instance != part.instance || known.life != part.life || known.sequence != part.sequence || known.parts != part.parts;
+    };
+    if (!m_parts.empty() && isOfAnotherList(m_parts.front()))
+        m_parts.clear();
+    if (std::none_of(m_parts.begin(), m_parts.end(), [&](const auto& known) { return known.part == part.part; }))
+        m_parts.push_back(part);
+    if (m_parts.size() < part.parts)
+        return;
+    const SteadyTime now = m_shared.clock.now();
+    std::vector<backing::ListedEndpoint> listed;
+    for (const peer::RosterPart& known : std::exchange(m_parts, {}))
+        listed.insert(listed.end(), known.endpoints.begin(), known.endpoints.end());
+    if (!m_relay.hearWhole({ part.instance, part.life, part.sequence, false }, now))
+        return;
+    log::info("endpoints told", { { "by", part.instance.value }, { "listed", std::to_string(listed.size()) }, { "sequence", std::to_string(part.sequence) } });
+    m_roster.replace(listed, now);
+    settle();
 }
 
 void RosterWatch::takeNotice(const peer::RosterNotice& notice)
@@ -87,8 +164,7 @@
     switch (m_relay.hear(statement, now)) {
     case endpoint::RelayAction::ignore:
         return;
-    case endpoint::RelayAction::readAnew:
-        m_readAnew = true;
+    case endpoint::RelayAction::incomplete:
         return;
     case endpoint::RelayAction::apply:
         break;
@@ -102,7 +178,7 @@
 
 void RosterWatch::tell()
 {
-    if (!m_relay.isFollower())
+    if (!tellsOthers())
         return;
     std::map<EndpointName, backing::ListedEndpoint> now;
     std::vector<backing::ListedEndpoint> changed;
--- a/apps/whinyardd/entry/RosterWatch.h
+++ b/apps/whinyardd/entry/RosterWatch.h
@@ -29,23 +29,28 @@
     void settle();
 
     // Takes the instances that live.
-    void takeInstances(const std::vector<InstanceName>& instances) { m_relay.useInstances(instances); }
+    void takeInstances(std::map<InstanceName, net::Address> instances);
 
     // Takes what another instance tells of the list. Called on the store duty.
     void takeNotice(const peer::RosterNotice& notice);
+    void takePart(const peer::RosterPart& part);
 
-    // Returns whether the store is to be asked now: this instance follows it for others, nobody who does is heard, or
-    // something that was told was missed.
-    bool mustFollow() const;
+    // Answers an instance that asks for the whole list.
+    void answer(const net::Address& asker);
 
-    // Returns whether the whole list must be read; true once for each time that something was missed.
-    bool takeReadAnew() { return std::exchange(m_readAnew, false); }
+    // Asks followers for the whole list where that is needed. Returns whether the store is to be followed instead.
+    bool mustFollow();
 
-    // Tells the others what changed since the last call, or that nothing did. Call it after each successful call to the
-    // store; it does nothing where this instance doesn't follow the store for others.
+    // Notes that the store has just told what changed, so that the list is current.
+    void noteCurrent() { m_currentAt = m_shared.clock.now(); }
+
+    // Tells the others what changed since the last call, or that nothing did. Call it after each call to the store, and a
+    // few times within the silence that the others bear; it does nothing where this instance doesn't follow the store for
+    // others, or hasn't heard of the store for too long.
     void tell();
 
 private:
+    bool tellsOthers() const;
     void broadcast(std::vector<backing::ListedEndpoint> changed, std::vector<EndpointName> gone);
 
     EntryShared& m_shared;
@@ -55,7 +60,9 @@
     const std::uint64_t m_life; // Names this process's notices.
     std::uint64_t m_sequence = 0; // Of the last notice with changes.
     std::map<EndpointName, backing::ListedEndpoint> m_told; // The list as the others were told.
-    bool m_readAnew = false;
+    std::map<InstanceName, net::Address> m_instances;
+    std::vector<peer::RosterPart> m_parts; // Of a whole list that isn't complete yet.
+    std::optional<SteadyTime> m_currentAt;
 };
 
 }
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -117,6 +117,8 @@
         m_readiness = net::HttpServer::open(m_duty, m_shared.settings.readiness, {}, tellReadiness, failure);
     if (!m_readiness || !m_link.open(m_duty, failure))
         return false;
+    if (!m_shared.settings.peers)
+        m_forwarder->useInstances(1);
     m_duty.spawn([this] { refreshDirectory(); });
     m_duty.spawn([this] { tickForwarder(); });
     return true;
@@ -181,10 +183,12 @@
 
 void ServeDuty::takePeers(std::vector<net::Address> peers)
 {
-    m_duty.post([this, peers = std::move(peers)]() mutable {
-        m_forwarder->useInstances(peers.size() + 1);
-        m_link.usePeers(std::move(peers));
-    });
+    m_duty.post([this, peers = std::move(peers)]() mutable { m_link.usePeers(std::move(peers)); });
+}
+
+void ServeDuty::takeInstanceCount(std::size_t count)
+{
+    m_duty.post([this, count] { m_forwarder->useInstances(count); });
 }
 
 void ServeDuty::broadcast(peer::Notice notice)
@@ -192,6 +196,11 @@
     m_duty.post([this, notice = std::move(notice)] { m_link.broadcast(notice); });
 }
 
+void ServeDuty::send(const net::Address& to, peer::Notice notice)
+{
+    m_duty.post([this, to, notice = std::move(notice)] { m_link.send(to, notice); });
+}
+
 void ServeDuty::useNoticeHandlers(NoticeHandlers handlers)
 {
     m_duty.post([this, handlers = std::move(handlers)]() mutable { m_link.useHandlers(std::move(handlers)); });
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -37,9 +37,15 @@
     // Takes the addresses of the other instances.
     void takePeers(std::vector<net::Address> peers);
 
+    // Takes the number of instances that live, this one included, once they had the time to learn of each other.
+    void takeInstanceCount(std::size_t count);
+
     // Sends a notice to all other instances that are known.
     void broadcast(peer::Notice notice);
 
+    // Sends a notice to one instance.
+    void send(const net::Address& to, peer::Notice notice);
+
     // Sets who takes notices that concern the store duty; they are called on this duty.
     void useNoticeHandlers(NoticeHandlers handlers);
 
--- a/apps/whinyardd/entry/ShiftKeeper.cpp
+++ b/apps/whinyardd/entry/ShiftKeeper.cpp
@@ -21,6 +21,8 @@
     constexpr std::chrono::milliseconds writeSpread { 1'200 };
     constexpr std::chrono::milliseconds verdictSpread { 300 };
 
+    constexpr std::uint32_t noticeRepeats = 2; // One datagram in some hundred is lost, more on a link that is full.
+
 }
 
 ShiftKeeper::ShiftKeeper(EntryShared& shared, ServeDuty& serving, backing::WatchableStore& store)
@@ -38,14 +40,6 @@
         take(record);
 }
 
-void ShiftKeeper::changed(const std::vector<backing::RecordChange>& changes)
-{
-    for (const backing::RecordChange& change : changes) {
-        if (!change.deleted)
-            take(change.record);
-    }
-}
-
 void ShiftKeeper::take(const backing::Record& record)
 {
     const std::string_view key = record.key;
@@ -71,6 +65,7 @@
         std::optional<policy::ShiftRecord> record;
         std::optional<policy::ShiftEvidence> evidence;
     };
+    repeatNotices();
     if (!m_read)
         return;
     const SteadyTime now = m_shared.clock.now();
@@ -105,6 +100,22 @@
     return now >= at->second;
 }
 
+// A notice may be lost, and an instance that misses a verdict goes on sending requests to a bad version.
+void ShiftKeeper::tell(const peer::ShiftNotice& notice)
+{
+    m_serving.broadcast(notice);
+    m_repeated.push_back({ notice, noticeRepeats });
+}
+
+void ShiftKeeper::repeatNotices()
+{
+    for (Repeated& repeated : m_repeated) {
+        m_serving.broadcast(repeated.notice);
+        --repeated.left;
+    }
+    std::erase_if(m_repeated, [](const Repeated& repeated) { return repeated.left == 0; });
+}
+
 void ShiftKeeper::takeNotice(const peer::ShiftNotice& notice)
 {
     take({ std::string(recordPrefix) + notice.service.value, notice.record, notice.revision });
@@ -135,7 +146,7 @@
         return; // A conflict is resolved by the record that the watch brings.
     m_revisions[order.service] = *revision;
     m_writeAt.erase(order.service);
-    m_serving.broadcast(peer::ShiftNotice { order.service, policy::writeShiftRecord(record), *revision });
+    tell({ order.service, policy::writeShiftRecord(record), *revision });
     m_serving.postToShifts([service = order.service, record, now = m_shared.clock.now()](policy::VersionShifts& shifts) { shifts.takeRecord(service, record, now); });
 }
 
--- a/apps/whinyardd/entry/ShiftKeeper.h
+++ b/apps/whinyardd/entry/ShiftKeeper.h
@@ -7,7 +7,7 @@
 
 #include "entry/EntryShared.h"
 #include "entry/ServeDuty.h"
-#include "whinyard/backing/PrefixFollower.h"
+#include "whinyard/backing/WatchableStore.h"
 #include "whinyard/policy/ShiftRecords.h"
 
 #include <map>
@@ -16,7 +16,7 @@
 
 namespace whinyard::daemon {
 
-class ShiftKeeper final : public backing::PrefixObserver {
+class ShiftKeeper {
 public:
     // The prefix of the instances' own records about roll-outs.
     static constexpr std::string_view prefix = "whinyard/shift/";
@@ -24,10 +24,8 @@
     // All must outlive the object.
     ShiftKeeper(EntryShared& shared, ServeDuty& serving, backing::WatchableStore& store);
 
-    void replaced(const std::vector<backing::Record>& records) override;
-    void changed(const std::vector<backing::RecordChange>& changes) override;
-    void proven(SteadyTime) override { }
-    void failed(const Failure&) override { }
+    // Takes all records of roll-outs, as they are or were a moment ago; older ones than are known change nothing.
+    void replaced(const std::vector<backing::Record>& records);
 
     // Takes what another instance has written. Called on the store duty.
     void takeNotice(const peer::ShiftNotice& notice);
@@ -38,6 +36,8 @@
 private:
     void take(const backing::Record& record);
     void writeRecord(const policy::ShiftOrder& order, const policy::ShiftRecord& record);
+    void tell(const peer::ShiftNotice& notice);
+    void repeatNotices();
     bool isTimeToWrite(const ServiceName& service, const policy::ShiftRecord& record, SteadyTime now);
     bool isWorthTelling(const ServiceName& service, const policy::ShiftEvidence& evidence, SteadyTime now) const;
 
@@ -54,6 +54,12 @@
     std::map<ServiceName, Told> m_told;
     std::map<ServiceName, SteadyTime> m_writeAt; // Of records that are due.
     Random m_random;
+    struct Repeated {
+        peer::ShiftNotice notice;
+        std::uint32_t left = 0;
+    };
+
+    std::vector<Repeated> m_repeated; // Notices that are sent again.
     bool m_read = false; // The records were read at least once: an absent one is known to be absent.
 };
 
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -19,17 +19,24 @@
     constexpr std::chrono::milliseconds outageLook { 100 };
 
     // Every endpoint writes its entry about once a second, so a watch without a pause would return at each of them. The
-    // pause adds to the time after which a leaving endpoint gets no new work, and is this part of the time allowed. It
-    // must be well below the silence after which other instances no longer rely on this one's notices.
+    // pause adds to the time after which a leaving endpoint gets no new work, and is this part of the time allowed.
     constexpr double endpointPausePart = 0.25;
-    constexpr std::chrono::milliseconds relayLook { 100 };
-    // What other instances write of roll-outs arrives by notices; the watch is for those that were lost.
-    constexpr std::chrono::milliseconds shiftPause { 3'000 };
+    // A watch that hears of no endpoint for so long is made anew: it shows that the store is there, and that the
+    // connection has not gone silent.
+    constexpr std::chrono::milliseconds endpointWait { 500 };
+    constexpr std::chrono::milliseconds relayLook { 50 };
+    // A follower's notices a silence that the others bear: half of the time for a leaving endpoint holds three of them.
+    constexpr int tellParts = 6;
+    // What other instances write of roll-outs arrives by notices; reading is for those that were lost.
+    constexpr std::chrono::milliseconds shiftInterval { 3'000 };
     constexpr std::chrono::milliseconds noPause { 0 };
 
-    // When many instances start, each of them would otherwise be a reason for all others to ask again.
-    constexpr std::chrono::milliseconds instancePause { 5'000 };
+    // Instances that start together stand in the store after a moment. Later ones tell of their start themselves, and
+    // those that are gone cost a datagram a notice until the list is read again, at a tenth of the price.
     constexpr std::chrono::milliseconds startPause { 800 };
+    constexpr std::chrono::milliseconds instanceInterval { 10'000 };
+    // A list of endpoints that another instance could tell is waited for, unless the instances can't be read so soon.
+    constexpr std::chrono::milliseconds instancesWait { 300 };
 
     // Other instances reach this one by a record that lapses so long after its end.
     constexpr std::chrono::milliseconds instanceTimeToLive { 12'000 };
@@ -66,6 +73,9 @@
     m_instances = std::make_unique<InstanceWatch>(m_shared, m_serving, *m_roster);
     m_serving.useNoticeHandlers({
         .roster = [this](peer::RosterNotice notice) { m_duty.post([this, notice = std::move(notice)] { m_roster->takeNotice(notice); }); },
+        .rosterRequest = [this](net::Address asker) { m_duty.post([this, asker] { m_roster->answer(asker); }); },
+        .rosterPart = [this](peer::RosterPart part) { m_duty.post([this, part = std::move(part)] { m_roster->takePart(part); }); },
+        .instance = [this](peer::InstanceNotice notice) { m_duty.post([this, notice = std::move(notice)] { m_instances->takeNotice(notice); }); },
         .shift = [this](peer::ShiftNotice notice) { m_duty.post([this, notice = std::move(notice)] { m_shifts->takeNotice(notice); }); },
     });
     if (m_shared.settings.metrics) {
@@ -78,12 +88,13 @@
     }
     m_duty.spawn([this] { followOperators(); });
     m_duty.spawn([this] { followEndpoints(); });
-    m_duty.spawn([this] { followShifts(); });
+    m_duty.spawn([this] { readShifts(); });
     m_duty.spawn([this] { writeShifts(); });
     m_duty.spawn([this] { settleRoster(); });
     m_duty.spawn([this] { probeStore(); });
     if (m_shared.settings.peers) {
-        m_duty.spawn([this] { followInstances(); });
+        m_duty.spawn([this] { readInstances(); });
+        m_duty.spawn([this] { tellEndpoints(); });
         m_duty.spawn([this] { keepOwnRecord(); });
     }
     return true;
@@ -109,7 +120,10 @@
 
 void StoreDuty::followEndpoints()
 {
-    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::endpointPrefix), watchWait, *m_roster);
+    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::endpointPrefix), endpointWait, *m_roster);
+    const SteadyTime latest = m_shared.clock.now() + instancesWait;
+    while (m_shared.settings.peers && !m_instances->isKnown() && m_shared.clock.now() < latest && !m_shared.stopping)
+        net::sleepFor(relayLook);
     const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(m_shared.settings.bounds.drain * endpointPausePart);
     bool followed = false; // In the last round: a watch may go on where it was.
     while (!m_shared.stopping) {
@@ -118,28 +132,59 @@
             net::sleepFor(relayLook);
             continue;
         }
-        if (m_roster->takeReadAnew() || !followed)
+        if (!followed)
             follower.readAnew();
         followed = true;
         awaitStore();
         const bool reached = follower.turn();
         m_roster->settle();
-        if (reached)
+        if (reached) {
+            m_roster->noteCurrent();
             m_roster->tell();
-        else
+        } else
             noteFailure();
         net::sleepFor(reached ? pause : failurePause);
     }
 }
 
-void StoreDuty::followInstances()
+std::optional<std::vector<backing::Record>> StoreDuty::readUntilAnswered(std::string_view prefix, backing::ReadAge age)
 {
-    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(InstanceWatch::prefix), watchWait, *m_instances);
-    // Instances that start together stand in the store after a moment: until they are known, each follows the endpoints
-    // itself.
-    turn(follower, startPause);
-    while (!m_shared.stopping)
-        turn(follower, instancePause);
+    while (!m_shared.stopping) {
+        awaitStore();
+        Failure failure;
+        std::optional<backing::RecordPage> page = backing::readAll(*m_store, std::string(prefix), age, failure);
+        if (page)
+            return std::move(page->records);
+        noteFailure();
+        net::sleepFor(failurePause + std::chrono::milliseconds(below(m_random, failurePause.count())));
+    }
+    return std::nullopt;
+}
+
+void StoreDuty::readInstances()
+{
+    const auto read = [this](backing::ReadAge age) {
+        if (const auto records = readUntilAnswered(InstanceWatch::prefix, age))
+            m_instances->replaced(*records);
+    };
+    read(backing::ReadAge::newest);
+    m_serving.broadcast(peer::InstanceNotice { m_shared.settings.instance, *m_shared.settings.peers });
+    net::sleepFor(startPause);
+    read(backing::ReadAge::newest);
+    m_serving.broadcast(peer::InstanceNotice { m_shared.settings.instance, *m_shared.settings.peers });
+    while (!m_shared.stopping) {
+        net::sleepFor(instanceInterval + std::chrono::milliseconds(below(m_random, instanceInterval.count())));
+        read(backing::ReadAge::mayBeOld);
+    }
+}
+
+// Apart from the watch, whose return may take longer than the others bear.
+void StoreDuty::tellEndpoints()
+{
+    while (!m_shared.stopping) {
+        net::sleepFor(m_shared.settings.bounds.drain / tellParts);
+        m_roster->tell();
+    }
 }
 
 void StoreDuty::keepOwnRecord()
@@ -187,14 +232,18 @@
 }
 
 // Instances' own records are read only while there is an order: they say nothing else.
-void StoreDuty::followShifts()
+void StoreDuty::readShifts()
 {
-    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(ShiftKeeper::prefix), watchWait, *m_shifts);
+    backing::ReadAge age = backing::ReadAge::newest;
     while (!m_shared.stopping) {
-        if (m_operators->hasOrders())
-            turn(follower, shiftPause);
-        else
+        if (!m_operators->hasOrders()) {
             net::sleepFor(shiftTurn);
+            continue;
+        }
+        if (const auto records = readUntilAnswered(ShiftKeeper::prefix, age))
+            m_shifts->replaced(*records);
+        age = backing::ReadAge::mayBeOld;
+        net::sleepFor(shiftInterval);
     }
 }
 
--- a/apps/whinyardd/entry/StoreDuty.h
+++ b/apps/whinyardd/entry/StoreDuty.h
@@ -34,9 +34,10 @@
     bool openOnDuty(Failure& failure);
     void followOperators();
     void followEndpoints();
-    void followShifts();
+    void readShifts();
     void writeShifts();
-    void followInstances();
+    void readInstances();
+    void tellEndpoints();
     void keepOwnRecord();
     void probeStore();
 
@@ -45,6 +46,10 @@
     void noteFailure();
     void settleRoster();
 
+    // Reads all records under a prefix; after a failure it waits for the store and tries again. Returns nothing only when
+    // the daemon stops.
+    std::optional<std::vector<backing::Record>> readUntilAnswered(std::string_view prefix, backing::ReadAge age);
+
     // Makes one call; pauses after it, longer when it failed.
     void turn(backing::PrefixFollower& follower, std::chrono::milliseconds pause);
 
--- a/packages/backing/include/whinyard/backing/WatchableStore.h
+++ b/packages/backing/include/whinyard/backing/WatchableStore.h
@@ -34,6 +34,12 @@
     Revision storeRevision = 0; // Where the next watch continues.
 };
 
+// How current a read must be.
+enum class ReadAge : std::uint8_t {
+    newest, // Linearizable.
+    mayBeOld, // May show a state that is seconds old, at a fraction of the price.
+};
+
 // A write that is part of a transaction.
 struct Put {
     std::string key;
@@ -61,8 +67,8 @@
 public:
     virtual ~WatchableStore() = default;
 
-    // Reads the records whose keys start with `prefix` and come after `after`. Linearizable.
-    virtual std::optional<RecordPage> range(const std::string& prefix, const std::string& after, Failure& failure) = 0;
+    // Reads the records whose keys start with `prefix` and come after `after`.
+    virtual std::optional<RecordPage> range(const std::string& prefix, const std::string& after, ReadAge age, Failure& failure) = 0;
 
     // Waits for changes under `prefix` after revision `after`, at most for `wait`; without any the page is empty.
     // Fails with notFound when the service has dropped the history that it would take: read the range again.
@@ -87,4 +93,8 @@
     virtual bool endLease(LeaseId lease, Failure& failure) = 0;
 };
 
+// Reads all pages of a prefix as one. The revision is that of the first page: a watch from there on tells what changed
+// between them.
+std::optional<RecordPage> readAll(WatchableStore& store, const std::string& prefix, ReadAge age, Failure& failure);
+
 }
--- a/packages/backing/src/PrefixFollower.cpp
+++ b/packages/backing/src/PrefixFollower.cpp
@@ -21,27 +21,15 @@
 bool PrefixFollower::readAll()
 {
     const SteadyTime startedAt = m_clock.now();
-    std::vector<Record> records;
-    std::string after;
-    std::optional<Revision> first;
-    while (true) {
-        Failure failure;
-        std::optional<RecordPage> page = m_store.range(m_prefix, after, failure);
-        if (!page) {
-            m_observer.failed(failure);
-            return false;
-        }
-        // Pages are no snapshot: what changes between them is told by a watch from the first one's revision on.
-        first = first.value_or(page->storeRevision);
-        for (Record& record : page->records)
-            records.push_back(std::move(record));
-        if (!page->hasMore || records.empty())
-            break;
-        after = records.back().key;
+    Failure failure;
+    const std::optional<RecordPage> all = backing::readAll(m_store, m_prefix, ReadAge::newest, failure);
+    if (!all) {
+        m_observer.failed(failure);
+        return false;
     }
-    m_revision = *first;
+    m_revision = all->storeRevision;
     m_placed = true;
-    m_observer.replaced(records);
+    m_observer.replaced(all->records);
     m_observer.proven(startedAt);
     return true;
 }
--- a/packages/backing/testing/whinyard/backing/FakeWatchableStore.h
+++ b/packages/backing/testing/whinyard/backing/FakeWatchableStore.h
@@ -47,7 +47,7 @@
         return found == m_records.end() ? nullptr : &found->second.record;
     }
 
-    std::optional<RecordPage> range(const std::string& prefix, const std::string& after, Failure& failure) override
+    std::optional<RecordPage> range(const std::string& prefix, const std::string& after, ReadAge, Failure& failure) override
     {
         if (!reached(failure))
             return std::nullopt;
--- a/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
+++ b/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
@@ -1,9 +1,9 @@
 // Decides which instances follow the list of endpoints in the store, and lets the others learn of its changes from them.
 //
 // The list changes with every endpoint that comes or goes, and endpoints rewrite their entries about once a second, so
-// a watch by every instance costs a store in proportion to instances times endpoints. Two instances follow it; the
-// others take their notices, as long as they are heard often and without a gap, and follow the store themselves
-// otherwise. Pure: the daemon sends what it says and asks it what to do.
+// a watch by every instance costs a store in proportion to instances times endpoints. A few instances follow it; the
+// others take their notices. One that missed something asks a follower for the whole list, and the store only when
+// nobody answers; one that hears no follower at all follows the store itself. Pure: the daemon sends what it says and asks it what to do.
 #pragma once
 
 #include "whinyard/backing/InstanceList.h"
@@ -19,8 +19,11 @@
 namespace whinyard::endpoint {
 
 struct RosterRelaySettings {
-    std::size_t followers = 2; // Instances that follow the store: one, and one for when it is gone.
-    std::chrono::milliseconds silence { 1'200 }; // Without a notice for so long an instance follows the store itself.
+    std::size_t followers = 3; // Instances that follow the store: one, and two for when it is gone.
+    std::chrono::milliseconds silence { 1'200 }; // After which a follower that says nothing is no longer relied on.
+    // For a follower's whole list, before it is asked for again: many ways within a region.
+    std::chrono::milliseconds answerWait { 250 };
+    std::uint32_t mostRequests = 3; // Without an answer, after which the store is asked.
 };
 
 // A statement of one follower, as it was received.
@@ -31,10 +34,17 @@
     bool hasChanges = false;
 };
 
+// What this instance has to do for its list to be right.
+enum class RosterNeed : std::uint8_t {
+    nothing, // The list is right, or an answer is awaited.
+    ask, // Ask those that toAsk() names.
+    follow, // Follow the store.
+};
+
 enum class RelayAction : std::uint8_t {
     ignore, // The statement isn't of the follower that is listened to, or says nothing new.
     apply, // Its changes follow on what is known.
-    readAnew, // Something was missed: the whole list must be read from the store.
+    incomplete, // Something was missed: the whole list is needed.
 };
 
 class RosterRelay {
@@ -47,12 +57,20 @@
     // Returns whether this instance is one of those that follow the store for the others.
     bool isFollower() const;
 
-    // Returns whether this instance has to follow the store now.
-    bool mustFollow(SteadyTime now) const;
+    RosterNeed need(SteadyTime now) const;
+
+    // Returns whom to ask for the whole list, and notes that they were asked.
+    std::vector<InstanceName> toAsk(SteadyTime now);
 
     // Takes a statement of another instance.
     RelayAction hear(const RosterStatement& statement, SteadyTime now);
 
+    // Takes the whole list of a follower, as it stood at this statement. Returns false when it isn't wanted.
+    bool hearWhole(const RosterStatement& statement, SteadyTime now);
+
+    // Notes that the whole list was read from the store.
+    void noteRead();
+
 private:
     struct Heard {
         std::uint64_t life = 0;
@@ -68,6 +86,9 @@
     std::vector<InstanceName> m_followers; // In the order in which they are listened to.
     std::map<InstanceName, Heard> m_heard;
     std::optional<InstanceName> m_source; // Whose changes were applied last.
+    bool m_incomplete = false; // Something was missed that nobody has told since.
+    std::uint32_t m_requests = 0; // For the whole list, since it was needed.
+    SteadyTime m_requestedAt;
 };
 
 }
--- a/packages/endpoint/src/RosterRelay.cpp
+++ b/packages/endpoint/src/RosterRelay.cpp
@@ -1,6 +1,7 @@
 #include "whinyard/endpoint/RosterRelay.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace whinyard::endpoint {
 
@@ -23,9 +24,29 @@
     return std::find(m_followers.begin(), m_followers.end(), m_self) != m_followers.end();
 }
 
-bool RosterRelay::mustFollow(SteadyTime now) const
+RosterNeed RosterRelay::need(SteadyTime now) const
 {
-    return isFollower() || !source(now);
+    if (isFollower() || m_followers.empty())
+        return RosterNeed::follow;
+    const bool isNew = m_heard.empty(); // Nobody was ever heard: this instance has just started.
+    if (!source(now) && !isNew)
+        return RosterNeed::follow;
+    if (!isNew && !m_incomplete)
+        return RosterNeed::nothing;
+    if (m_requests > 0 && now - m_requestedAt < m_settings.answerWait)
+        return RosterNeed::nothing;
+    // A start must not be held up by followers that may be gone.
+    const std::uint32_t most = isNew ? 1 : m_settings.mostRequests;
+    return m_requests < most ? RosterNeed::ask : RosterNeed::follow;
+}
+
+std::vector<InstanceName> RosterRelay::toAsk(SteadyTime now)
+{
+    ++m_requests;
+    m_requestedAt = now;
+    if (const std::optional<InstanceName> heard = source(now))
+        return { *heard };
+    return m_followers;
 }
 
 std::optional<InstanceName> RosterRelay::source(SteadyTime now) const
@@ -51,9 +72,29 @@
         return RelayAction::ignore;
     const bool isSame = m_source == statement.instance;
     m_source = statement.instance;
-    if (wasSilent || !isSame || !follows)
-        return RelayAction::readAnew;
+    if (wasSilent || !isSame || !follows) {
+        if (!std::exchange(m_incomplete, true))
+            m_requests = 0;
+        return RelayAction::incomplete;
+    }
     return statement.hasChanges ? RelayAction::apply : RelayAction::ignore;
 }
 
+bool RosterRelay::hearWhole(const RosterStatement& statement, SteadyTime now)
+{
+    const bool isNew = m_heard.empty();
+    if (isFollower() || (!isNew && source(now) != statement.instance))
+        return false;
+    m_heard[statement.instance] = { statement.life, statement.sequence, now };
+    m_source = statement.instance;
+    noteRead();
+    return true;
+}
+
+void RosterRelay::noteRead()
+{
+    m_incomplete = false;
+    m_requests = 0;
+}
+
 }
--- a/packages/peer/include/whinyard/peer/Notices.h
+++ b/packages/peer/include/whinyard/peer/Notices.h
@@ -65,11 +65,39 @@
     bool operator==(const RosterNotice&) const = default;
 };
 
-using Notice = std::variant<WorkNotice, PinNotice, EvidenceNotice, ShiftNotice, RosterNotice>;
+// Asks an instance that follows the list of endpoints for all of it.
+struct RosterRequest {
+    InstanceName instance; // That asks.
+
+    bool operator==(const RosterRequest&) const = default;
+};
+
+// The answer: the whole list, as it stood after the notice with `sequence`, in parts.
+struct RosterPart {
+    InstanceName instance;
+    std::uint64_t life = 0;
+    std::uint64_t sequence = 0;
+    std::uint32_t part = 0; // Counts from 0.
+    std::uint32_t parts = 1;
+    std::vector<backing::ListedEndpoint> endpoints;
+
+    bool operator==(const RosterPart&) const = default;
+};
+
+// An instance has started, and takes notices at this address.
+struct InstanceNotice {
+    InstanceName instance;
+    net::Address address;
+
+    bool operator==(const InstanceNotice&) const = default;
+};
+
+using Notice = std::variant<WorkNotice, PinNotice, EvidenceNotice, ShiftNotice, RosterNotice, RosterRequest, RosterPart, InstanceNotice>;
 
 // The most entries of one notice, so that it fits into a datagram.
 inline constexpr std::size_t mostPins = 128;
 inline constexpr std::size_t mostRosterChanges = 24;
+inline constexpr std::uint32_t mostRosterParts = 1'024;
 
 std::string encodeNotice(const Notice& notice);
 
--- a/packages/peer/src/Notices.cpp
+++ b/packages/peer/src/Notices.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-    constexpr std::uint16_t noticeFormat = 2;
+    constexpr std::uint16_t noticeFormat = 3;
     constexpr std::size_t longestText = 1'024;
     constexpr std::int64_t longestWorkUs = 60'000'000; // A longer one is no work that anybody gave.
 
@@ -19,6 +19,9 @@
         evidence = 3,
         roster = 4,
         shift = 5,
+        rosterRequest = 6,
+        rosterPart = 7,
+        instance = 8,
     };
 
     // Writes fields one after another.
@@ -118,6 +121,43 @@
         writer.number(notice.revision);
     }
 
+    void write(Writer& writer, const backing::ListedEndpoint& endpoint)
+    {
+        writer.text(endpoint.name.value);
+        writer.text(net::toText(endpoint.address));
+        writer.text(endpoint.zone.value);
+        writer.text(endpoint.service.value);
+        writer.text(endpoint.versions.empty() ? std::string() : endpoint.versions.front().value);
+        writer.number(endpoint.slots);
+        writer.number(endpoint.leaving ? 1 : 0);
+    }
+
+    void write(Writer& writer, const RosterRequest& notice)
+    {
+        writer.number(static_cast<std::uint64_t>(NoticeKind::rosterRequest));
+        writer.text(notice.instance.value);
+    }
+
+    void write(Writer& writer, const RosterPart& notice)
+    {
+        writer.number(static_cast<std::uint64_t>(NoticeKind::rosterPart));
+        writer.text(notice.instance.value);
+        writer.number(notice.life);
+        writer.number(notice.sequence);
+        writer.number(notice.part);
+        writer.number(notice.parts);
+        writer.number(notice.endpoints.size());
+        for (const backing::ListedEndpoint& endpoint : notice.endpoints)
+            write(writer, endpoint);
+    }
+
+    void write(Writer& writer, const InstanceNotice& notice)
+    {
+        writer.number(static_cast<std::uint64_t>(NoticeKind::instance));
+        writer.text(notice.instance.value);
+        writer.text(net::toText(notice.address));
+    }
+
     void write(Writer& writer, const RosterNotice& notice)
     {
         writer.number(static_cast<std::uint64_t>(NoticeKind::roster));
@@ -125,15 +165,8 @@
         writer.number(notice.life);
         writer.number(notice.sequence);
         writer.number(notice.changed.size());
-        for (const backing::ListedEndpoint& endpoint : notice.changed) {
-            writer.text(endpoint.name.value);
-            writer.text(net::toText(endpoint.address));
-            writer.text(endpoint.zone.value);
-            writer.text(endpoint.service.value);
-            writer.text(endpoint.versions.empty() ? std::string() : endpoint.versions.front().value);
-            writer.number(endpoint.slots);
-            writer.number(endpoint.leaving ? 1 : 0);
-        }
+        for (const backing::ListedEndpoint& endpoint : notice.changed)
+            write(writer, endpoint);
         writer.number(notice.gone.size());
         for (const EndpointName& name : notice.gone)
             writer.text(name.value);
@@ -175,6 +208,60 @@
         return notice;
     }
 
+    std::optional<backing::ListedEndpoint> readEndpoint(Reader& reader)
+    {
+        backing::ListedEndpoint endpoint;
+        endpoint.name.value = reader.text();
+        Failure failure;
+        const std::optional<net::Address> address = net::parseAddress(reader.text(), failure);
+        if (!address)
+            return std::nullopt;
+        endpoint.address = *address;
+        endpoint.zone.value = reader.text();
+        endpoint.service.value = reader.text();
+        endpoint.versions = { { reader.text() } };
+        endpoint.slots = static_cast<std::uint32_t>(reader.number(std::numeric_limits<std::uint32_t>::max()));
+        endpoint.leaving = reader.number(1) == 1;
+        return endpoint;
+    }
+
+    std::optional<Notice> readRosterRequest(Reader& reader)
+    {
+        return RosterRequest { { reader.text() } };
+    }
+
+    std::optional<Notice> readRosterPart(Reader& reader)
+    {
+        RosterPart notice;
+        notice.instance.value = reader.text();
+        notice.life = reader.number();
+        notice.sequence = reader.number();
+        notice.part = static_cast<std::uint32_t>(reader.number(mostRosterParts));
+        notice.parts = static_cast<std::uint32_t>(reader.number(mostRosterParts));
+        if (notice.part >= notice.parts)
+            return std::nullopt;
+        const std::uint64_t count = reader.number(mostRosterChanges);
+        for (std::uint64_t i = 0; i < count; ++i) {
+            std::optional<backing::ListedEndpoint> endpoint = readEndpoint(reader);
+            if (!endpoint)
+                return std::nullopt;
+            notice.endpoints.push_back(std::move(*endpoint));
+        }
+        return notice;
+    }
+
+    std::optional<Notice> readInstance(Reader& reader)
+    {
+        InstanceNotice notice;
+        notice.instance.value = reader.text();
+        Failure failure;
+        const std::optional<net::Address> address = net::parseAddress(reader.text(), failure);
+        if (!address)
+            return std::nullopt;
+        notice.address = *address;
+        return notice;
+    }
+
     std::optional<Notice> readRoster(Reader& reader)
     {
         RosterNotice notice;
@@ -183,19 +270,10 @@
         notice.sequence = reader.number();
         const std::uint64_t changed = reader.number(mostRosterChanges);
         for (std::uint64_t i = 0; i < changed; ++i) {
-            backing::ListedEndpoint endpoint;
-            endpoint.name.value = reader.text();
-            Failure failure;
-            const std::optional<net::Address> address = net::parseAddress(reader.text(), failure);
-            if (!address)
+            std::optional<backing::ListedEndpoint> endpoint = readEndpoint(reader);
+            if (!endpoint)
                 return std::nullopt;
-            endpoint.address = *address;
-            endpoint.zone.value = reader.text();
-            endpoint.service.value = reader.text();
-            endpoint.versions = { { reader.text() } };
-            endpoint.slots = static_cast<std::uint32_t>(reader.number(std::numeric_limits<std::uint32_t>::max()));
-            endpoint.leaving = reader.number(1) == 1;
-            notice.changed.push_back(std::move(endpoint));
+            notice.changed.push_back(std::move(*endpoint));
         }
         const std::uint64_t gone = reader.number(mostRosterChanges);
         for (std::uint64_t i = 0; i < gone; ++i)
@@ -219,7 +297,7 @@
     if (reader.number() != noticeFormat)
         return std::nullopt;
     std::optional<Notice> notice;
-    switch (static_cast<NoticeKind>(reader.number(static_cast<std::uint64_t>(NoticeKind::shift)))) {
+    switch (static_cast<NoticeKind>(reader.number(static_cast<std::uint64_t>(NoticeKind::instance)))) {
     case NoticeKind::work:
         notice = readWork(reader);
         break;
@@ -235,6 +313,15 @@
     case NoticeKind::shift:
         notice = readShift(reader);
         break;
+    case NoticeKind::rosterRequest:
+        notice = readRosterRequest(reader);
+        break;
+    case NoticeKind::rosterPart:
+        notice = readRosterPart(reader);
+        break;
+    case NoticeKind::instance:
+        notice = readInstance(reader);
+        break;
     }
     return reader.isWhole() ? notice : std::nullopt;
 }
--- a/packages/policy/include/whinyard/policy/RetryPolicy.h
+++ b/packages/policy/include/whinyard/policy/RetryPolicy.h
@@ -12,7 +12,6 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <string_view>
 
 namespace whinyard::policy {
@@ -76,22 +75,20 @@
     {
     }
 
-    // Takes the number of instances that live, this one included.
+    // Takes the number of instances that live, this one included. Instances that start together must have had the time to
+    // learn of each other.
     void useInstances(std::size_t count, SteadyTime now);
 
-    // Returns the part of this instance: nothing until a number has been known for `settling`.
+    // Returns the part of this instance: nothing while no number is known.
     double part(SteadyTime now);
 
 private:
     static constexpr std::chrono::seconds memory { 20 }; // Two windows.
-    // Instances that start together learn of each other one by one.
-    static constexpr std::chrono::seconds settling { 3 };
     // What stays unused for instances that this one doesn't know yet.
     static constexpr double usedPart = 0.8;
 
     const double m_total;
     std::size_t m_count = 0;
-    std::optional<SteadyTime> m_knownSince;
     std::size_t m_mostOfLate = 0;
     SteadyTime m_mostAt;
 };
--- a/packages/policy/src/RetryPolicy.cpp
+++ b/packages/policy/src/RetryPolicy.cpp
@@ -81,7 +81,6 @@
 void SharedAllowance::useInstances(std::size_t count, SteadyTime now)
 {
     m_count = count;
-    m_knownSince = m_knownSince.value_or(now);
     if (count < m_mostOfLate && now - m_mostAt < memory)
         return;
     m_mostOfLate = count;
@@ -90,7 +89,7 @@
 
 double SharedAllowance::part(SteadyTime now)
 {
-    if (!m_knownSince || now - *m_knownSince < settling)
+    if (m_count == 0)
         return 0;
     useInstances(m_count, now);
     return usedPart * m_total / static_cast<double>(m_mostOfLate);
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -66,7 +66,8 @@
     // Tells which versions of a service have endpoints, in the order in which they appeared.
     void useVersions(const ServiceName& service, std::vector<std::string> versions);
 
-    // Takes the number of instances that live, this one included: they share ForwarderSettings::sharedRepeats.
+    // Takes the number of instances that live, this one included: they share ForwarderSettings::sharedRepeats. See
+    // policy::SharedAllowance.
     void useInstances(std::size_t count);
 
     // Looks at the attempts that wait, and gives up those that are silent for much longer than was expected. Call it
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -19,17 +19,25 @@
     // more than the bound over all instances, whichever of them live, without a word between them.
     policy::RetryBudget& budgetOf(const ServiceName& service)
     {
-        return budgets.try_emplace(service, settings.repeatRatio, settings.repeatsPerSecond).first->second;
+        const auto [entry, isNew] = budgets.try_emplace(service, settings.repeatRatio, settings.repeatsPerSecond);
+        if (isNew)
+            entry->second.useMinimum(repeatsWithoutRequests());
+        return entry->second;
     }
 
     // Gives each service's budget its part of what all instances share. The bound holds for each service by itself.
     void spreadSharedRepeats()
     {
-        const double minimum = settings.repeatsPerSecond * policy::RetryBudget::window.count() + sharedRepeats.part(parts.clock.now());
+        const double minimum = repeatsWithoutRequests();
         for (auto& [service, budget] : budgets)
             budget.useMinimum(minimum);
     }
 
+    double repeatsWithoutRequests()
+    {
+        return settings.repeatsPerSecond * static_cast<double>(policy::RetryBudget::window.count()) + sharedRepeats.part(parts.clock.now());
+    }
+
     ForwarderParts parts;
     ForwarderSettings settings;
     Random random;
