Let the instances with the largest links follow the store for the others

The followers were machines with 10 Mbit/s: a change told to 87 others, and 80 requests for 245 entries at once, filled their links, and what was lost made every other instance incomplete. Ruled out: followers that go silent (176 of 1,615 cases), requests that come at a bad sequence. Change: instances' records and notices state the link; the largest follow, equal ones by hash. Texts in notices have lengths of two bytes for eight. A line says why an instance begins to follow the store.

--- a/apps/whinyardd/entry/InstanceWatch.cpp
+++ b/apps/whinyardd/entry/InstanceWatch.cpp
@@ -26,9 +26,9 @@
     m_listed.clear();
     for (const backing::Record& record : records) {
         Failure failure;
-        const std::optional<net::Address> address = net::parseAddress(record.value, failure);
-        if (address)
-            m_listed[{ record.key.substr(prefix.size()) }] = *address;
+        const InstanceName name { record.key.substr(prefix.size()) };
+        if (const std::optional<peer::InstanceNotice> instance = peer::readInstanceRecord(name, record.value, failure))
+            m_listed[name] = *instance;
         else
             log::error("instance's record not taken", { { "key", record.key }, { "reason", failure.reason } });
     }
@@ -42,23 +42,23 @@
 
 void InstanceWatch::takeNotice(const peer::InstanceNotice& notice)
 {
-    m_announced[notice.instance] = { notice.address, m_shared.clock.now() };
+    m_announced[notice.instance] = { notice, m_shared.clock.now() };
     if (m_isKnown)
         handOn();
 }
 
 void InstanceWatch::handOn()
 {
-    std::map<InstanceName, net::Address> instances = m_listed;
+    std::map<InstanceName, peer::InstanceNotice> instances = m_listed;
     for (const auto& [name, announced] : m_announced)
-        instances[name] = announced.address;
+        instances[name] = announced.notice;
     if (instances == m_handedOn)
         return;
     m_handedOn = instances;
     std::vector<net::Address> peers;
-    for (const auto& [name, address] : instances) {
-        if (address != m_shared.settings.peers)
-            peers.push_back(address);
+    for (const auto& [name, instance] : instances) {
+        if (instance.address != m_shared.settings.peers)
+            peers.push_back(instance.address);
     }
     log::info("instances changed", { { "others", std::to_string(peers.size()) } });
     m_serving.takePeers(std::move(peers));
--- a/apps/whinyardd/entry/InstanceWatch.h
+++ b/apps/whinyardd/entry/InstanceWatch.h
@@ -36,13 +36,13 @@
     ServeDuty& m_serving;
     RosterWatch& m_roster;
     struct Announced {
-        net::Address address;
+        peer::InstanceNotice notice;
         SteadyTime at;
     };
 
-    std::map<InstanceName, net::Address> m_listed; // By the records.
+    std::map<InstanceName, peer::InstanceNotice> m_listed; // By the records.
     std::map<InstanceName, Announced> m_announced; // By their own notices, which come before their records.
-    std::map<InstanceName, net::Address> m_handedOn;
+    std::map<InstanceName, peer::InstanceNotice> m_handedOn;
     bool m_isKnown = false;
     bool m_wasRead = false; // Before the present read.
 };
--- a/apps/whinyardd/entry/RosterWatch.cpp
+++ b/apps/whinyardd/entry/RosterWatch.cpp
@@ -89,13 +89,13 @@
     m_shared.endpointsKnown = true;
 }
 
-void RosterWatch::takeInstances(std::map<InstanceName, net::Address> instances)
+void RosterWatch::takeInstances(std::map<InstanceName, peer::InstanceNotice> instances)
 {
-    std::vector<InstanceName> names;
-    for (const auto& [name, address] : instances)
-        names.push_back(name);
+    std::vector<endpoint::RelayCandidate> candidates;
+    for (const auto& [name, instance] : instances)
+        candidates.push_back({ name, instance.linkMegabits });
     m_instances = std::move(instances);
-    m_relay.useInstances(names);
+    m_relay.useInstances(std::move(candidates));
 }
 
 bool RosterWatch::mustFollow()
@@ -107,11 +107,16 @@
     for (const InstanceName& name : m_relay.toAsk(now)) {
         const auto known = m_instances.find(name);
         if (known != m_instances.end())
-            m_serving.send(known->second, peer::RosterRequest { m_shared.settings.instance });
+            m_serving.send(known->second.address, peer::RosterRequest { m_shared.settings.instance });
     }
     return false;
 }
 
+void RosterWatch::noteFollowing() const
+{
+    log::info("following endpoints in the store", { { "reason", std::string(m_relay.followReason(m_shared.clock.now())) } });
+}
+
 bool RosterWatch::tellsOthers() const
 {
     return m_relay.isFollower() && m_currentAt && m_shared.clock.now() - *m_currentAt <= currentFor;
--- a/apps/whinyardd/entry/RosterWatch.h
+++ b/apps/whinyardd/entry/RosterWatch.h
@@ -29,7 +29,7 @@
     void settle();
 
     // Takes the instances that live.
-    void takeInstances(std::map<InstanceName, net::Address> instances);
+    void takeInstances(std::map<InstanceName, peer::InstanceNotice> instances);
 
     // Takes what another instance tells of the list. Called on the store duty.
     void takeNotice(const peer::RosterNotice& notice);
@@ -41,6 +41,9 @@
     // Asks followers for the whole list where that is needed. Returns whether the store is to be followed instead.
     bool mustFollow();
 
+    // Notes that this instance begins to follow the store.
+    void noteFollowing() const;
+
     // Notes that the store has just told what changed, so that the list is current.
     void noteCurrent() { m_currentAt = m_shared.clock.now(); }
 
@@ -60,7 +63,7 @@
     const std::uint64_t m_life; // Names this process's notices.
     std::uint64_t m_sequence = 0; // Of the last notice with changes.
     std::map<EndpointName, backing::ListedEndpoint> m_told; // The list as the others were told.
-    std::map<InstanceName, net::Address> m_instances;
+    std::map<InstanceName, peer::InstanceNotice> m_instances;
     std::vector<peer::RosterPart> m_parts; // Of a whole list that isn't complete yet.
     std::optional<SteadyTime> m_currentAt;
 };
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -132,8 +132,10 @@
             net::sleepFor(relayLook);
             continue;
         }
-        if (!followed)
+        if (!followed) {
             follower.readAnew();
+            m_roster->noteFollowing();
+        }
         followed = true;
         awaitStore();
         const bool reached = follower.turn();
@@ -161,6 +163,11 @@
     return std::nullopt;
 }
 
+peer::InstanceNotice StoreDuty::ownNotice() const
+{
+    return { m_shared.settings.instance, *m_shared.settings.peers, m_shared.settings.linkMegabits };
+}
+
 void StoreDuty::readInstances()
 {
     const auto read = [this](backing::ReadAge age) {
@@ -168,10 +175,10 @@
             m_instances->replaced(*records);
     };
     read(backing::ReadAge::newest);
-    m_serving.broadcast(peer::InstanceNotice { m_shared.settings.instance, *m_shared.settings.peers });
+    m_serving.broadcast(ownNotice());
     net::sleepFor(startPause);
     read(backing::ReadAge::newest);
-    m_serving.broadcast(peer::InstanceNotice { m_shared.settings.instance, *m_shared.settings.peers });
+    m_serving.broadcast(ownNotice());
     while (!m_shared.stopping) {
         net::sleepFor(instanceInterval + std::chrono::milliseconds(below(m_random, instanceInterval.count())));
         read(backing::ReadAge::mayBeOld);
@@ -189,7 +196,7 @@
 
 void StoreDuty::keepOwnRecord()
 {
-    backing::LeasedRecord record(*m_store, std::string(InstanceWatch::prefix) + m_shared.settings.instance.value, net::toText(*m_shared.settings.peers), instanceTimeToLive);
+    backing::LeasedRecord record(*m_store, std::string(InstanceWatch::prefix) + m_shared.settings.instance.value, peer::writeInstanceRecord(ownNotice()), instanceTimeToLive);
     while (!m_shared.stopping) {
         awaitStore();
         Failure failure; // The probe tells of an outage.
--- a/apps/whinyardd/entry/StoreDuty.h
+++ b/apps/whinyardd/entry/StoreDuty.h
@@ -36,6 +36,7 @@
     void followEndpoints();
     void readShifts();
     void writeShifts();
+    peer::InstanceNotice ownNotice() const;
     void readInstances();
     void tellEndpoints();
     void keepOwnRecord();
--- a/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
+++ b/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace whinyard::endpoint {
@@ -26,6 +27,12 @@
     std::uint32_t mostRequests = 3; // Without an answer, after which the store is asked.
 };
 
+// An instance that may follow the store for the others.
+struct RelayCandidate {
+    InstanceName name;
+    std::uint32_t linkMegabits = 0; // Telling all others of a change takes a small link a good part of a second.
+};
+
 // A statement of one follower, as it was received.
 struct RosterStatement {
     InstanceName instance;
@@ -52,13 +59,16 @@
     explicit RosterRelay(InstanceName self, const RosterRelaySettings& settings = {});
 
     // Takes the instances that live, this one included or not.
-    void useInstances(const std::vector<InstanceName>& instances);
+    void useInstances(std::vector<RelayCandidate> instances);
 
     // Returns whether this instance is one of those that follow the store for the others.
     bool isFollower() const;
 
     RosterNeed need(SteadyTime now) const;
 
+    // Returns why the store is followed, for a person.
+    std::string_view followReason(SteadyTime now) const;
+
     // Returns whom to ask for the whole list, and notes that they were asked.
     std::vector<InstanceName> toAsk(SteadyTime now);
 
--- a/packages/endpoint/src/RosterRelay.cpp
+++ b/packages/endpoint/src/RosterRelay.cpp
@@ -11,12 +11,20 @@
 {
 }
 
-void RosterRelay::useInstances(const std::vector<InstanceName>& instances)
+void RosterRelay::useInstances(std::vector<RelayCandidate> instances)
 {
-    // By a hash of the name, so that followers don't share a zone by the order of their names.
-    m_followers = instances;
-    std::sort(m_followers.begin(), m_followers.end(), [](const InstanceName& left, const InstanceName& right) { return stableHash(left.value) < stableHash(right.value); });
-    m_followers.resize(std::min(m_followers.size(), m_settings.followers));
+    // The largest links first; among equal ones by a hash of the name, so that followers don't share a zone by the order of
+    // their names.
+    const auto isBefore = [](const RelayCandidate& left, const RelayCandidate& right) {
+        if (left.linkMegabits != right.linkMegabits)
+            return left.linkMegabits > right.linkMegabits;
+        return stableHash(left.name.value) < stableHash(right.name.value);
+    };
+    std::sort(instances.begin(), instances.end(), isBefore);
+    instances.resize(std::min(instances.size(), m_settings.followers));
+    m_followers.clear();
+    for (const RelayCandidate& candidate : instances)
+        m_followers.push_back(candidate.name);
 }
 
 bool RosterRelay::isFollower() const
@@ -40,6 +48,15 @@
     return m_requests < most ? RosterNeed::ask : RosterNeed::follow;
 }
 
+std::string_view RosterRelay::followReason(SteadyTime now) const
+{
+    if (isFollower())
+        return "for the other instances";
+    if (m_followers.empty())
+        return "no other instance is known";
+    return source(now) ? "no follower answered with its list" : "no follower is heard";
+}
+
 std::vector<InstanceName> RosterRelay::toAsk(SteadyTime now)
 {
     ++m_requests;
--- a/packages/endpoint/test/RosterRelayTest.cpp
+++ b/packages/endpoint/test/RosterRelayTest.cpp
@@ -19,11 +19,11 @@
                 m_instances.push_back({ "entry-" + std::to_string(i) });
             for (const InstanceName& name : m_instances) {
                 RosterRelay relay(name);
-                relay.useInstances(m_instances);
+                relay.useInstances(candidates());
                 (relay.isFollower() ? m_followers : m_others).push_back(name);
             }
             m_relay = std::make_unique<RosterRelay>(m_others.front());
-            m_relay->useInstances(m_instances);
+            m_relay->useInstances(candidates());
             // They are listened to in the order of their names' hashes.
             std::sort(m_followers.begin(), m_followers.end(), [](const auto& left, const auto& right) { return stableHash(left.value) < stableHash(right.value); });
             m_lead = m_followers[0];
@@ -43,6 +43,14 @@
             return m_relay->hearWhole({ from, life, sequence, false }, m_clock.now());
         }
 
+        std::vector<RelayCandidate> candidates() const
+        {
+            std::vector<RelayCandidate> all;
+            for (const InstanceName& name : m_instances)
+                all.push_back({ name, 10 });
+            return all;
+        }
+
         RosterNeed need() const { return m_relay->need(m_clock.now()); }
 
         FakeClock m_clock;
@@ -125,7 +133,7 @@
     TEST_F(RosterRelayTest, AsksAllFollowersOnceAtItsStart)
     {
         RosterRelay starting(m_others.front());
-        starting.useInstances(m_instances);
+        starting.useInstances(candidates());
         EXPECT_EQ(starting.need(m_clock.now()), RosterNeed::ask);
         EXPECT_EQ(starting.toAsk(m_clock.now()).size(), 3U);
         EXPECT_EQ(starting.need(m_clock.now()), RosterNeed::nothing);
@@ -135,6 +143,15 @@
         EXPECT_EQ(starting.need(m_clock.now()), RosterNeed::nothing);
     }
 
+    TEST_F(RosterRelayTest, PrefersInstancesWithLargeLinks)
+    {
+        std::vector<RelayCandidate> all = candidates();
+        for (RelayCandidate& candidate : all)
+            candidate.linkMegabits = candidate.name == m_others.front() ? 200 : 10;
+        m_relay->useInstances(all);
+        EXPECT_TRUE(m_relay->isFollower());
+    }
+
     TEST_F(RosterRelayTest, FollowsTheStoreWhenItKnowsNoInstance)
     {
         RosterRelay alone({ "entry-9" });
--- a/packages/peer/include/whinyard/peer/Notices.h
+++ b/packages/peer/include/whinyard/peer/Notices.h
@@ -84,10 +84,11 @@
     bool operator==(const RosterPart&) const = default;
 };
 
-// An instance has started, and takes notices at this address.
+// An instance has started, and takes notices at this address. The same stands in its record in the store.
 struct InstanceNotice {
     InstanceName instance;
     net::Address address;
+    std::uint32_t linkMegabits = 0; // Of its link.
 
     bool operator==(const InstanceNotice&) const = default;
 };
@@ -101,6 +102,10 @@
 
 std::string encodeNotice(const Notice& notice);
 
+// Writes and reads an instance's record, whose key names the instance.
+std::string writeInstanceRecord(const InstanceNotice& notice);
+std::optional<InstanceNotice> readInstanceRecord(const InstanceName& instance, const std::string& record, Failure& failure);
+
 // Returns nothing for bytes that encodeNotice() would not write.
 std::optional<Notice> decodeNotice(std::string_view bytes);
 
--- a/packages/peer/src/Notices.cpp
+++ b/packages/peer/src/Notices.cpp
@@ -2,6 +2,7 @@
 
 #include <cereal/archives/portable_binary.hpp>
 
+#include <charconv>
 #include <limits>
 #include <sstream>
 
@@ -9,7 +10,7 @@
 
 namespace {
 
-    constexpr std::uint16_t noticeFormat = 3;
+    constexpr std::uint16_t noticeFormat = 4;
     constexpr std::size_t longestText = 1'024;
     constexpr std::int64_t longestWorkUs = 60'000'000; // A longer one is no work that anybody gave.
 
@@ -31,7 +32,7 @@
 
         void text(const std::string& value)
         {
-            number(value.size());
+            m_archive(static_cast<std::uint16_t>(value.size()));
             m_archive(cereal::binary_data(value.data(), value.size()));
         }
 
@@ -63,7 +64,10 @@
 
         std::string text()
         {
-            std::string value(number(longestText), '\0');
+            std::uint16_t size = 0;
+            guarded([&] { m_archive->operator()(size); });
+            m_failed = m_failed || size > longestText;
+            std::string value(m_failed ? 0 : size, '\0');
             guarded([&] { (*m_archive)(cereal::binary_data(value.data(), value.size())); });
             return m_failed ? std::string() : value;
         }
@@ -156,6 +160,7 @@
         writer.number(static_cast<std::uint64_t>(NoticeKind::instance));
         writer.text(notice.instance.value);
         writer.text(net::toText(notice.address));
+        writer.number(notice.linkMegabits);
     }
 
     void write(Writer& writer, const RosterNotice& notice)
@@ -259,6 +264,7 @@
         if (!address)
             return std::nullopt;
         notice.address = *address;
+        notice.linkMegabits = static_cast<std::uint32_t>(reader.number(std::numeric_limits<std::uint32_t>::max()));
         return notice;
     }
 
@@ -283,6 +289,23 @@
 
 }
 
+std::string writeInstanceRecord(const InstanceNotice& notice)
+{
+    return net::toText(notice.address) + " " + std::to_string(notice.linkMegabits);
+}
+
+std::optional<InstanceNotice> readInstanceRecord(const InstanceName& instance, const std::string& record, Failure& failure)
+{
+    const std::size_t space = record.find(' ');
+    const std::optional<net::Address> address = net::parseAddress(record.substr(0, space), failure);
+    if (!address)
+        return std::nullopt;
+    InstanceNotice notice { instance, *address, 0 };
+    if (space != std::string::npos)
+        std::from_chars(record.data() + space + 1, record.data() + record.size(), notice.linkMegabits);
+    return notice;
+}
+
 std::string encodeNotice(const Notice& notice)
 {
     Writer writer;
--- a/packages/peer/test/NoticesTest.cpp
+++ b/packages/peer/test/NoticesTest.cpp
@@ -27,7 +27,7 @@
             ShiftNotice { { "lm" }, "{}", 9 },
             RosterRequest { { "entry-1" } },
             RosterPart { { "entry-1" }, 77, 3, 1, 2, { endpoint } },
-            InstanceNotice { { "entry-1" }, { "10.0.0.1", 7340 } },
+            InstanceNotice { { "entry-1" }, { "10.0.0.1", 7340 }, 200 },
             RosterNotice { { "entry-1" }, 77, 3, { endpoint }, { { "i-2" } } },
         };
     }
@@ -38,6 +38,15 @@
             EXPECT_EQ(decodeNotice(encodeNotice(notice)), notice);
     }
 
+    TEST(NoticesTest, ReadsInstanceRecords)
+    {
+        const InstanceNotice notice { { "entry-1" }, { "10.0.0.1", 7340 }, 200 };
+        Failure failure;
+        EXPECT_EQ(readInstanceRecord({ "entry-1" }, writeInstanceRecord(notice), failure), notice);
+        EXPECT_EQ(readInstanceRecord({ "entry-1" }, "10.0.0.1:7340", failure)->linkMegabits, 0U);
+        EXPECT_FALSE(readInstanceRecord({ "entry-1" }, "nowhere", failure));
+    }
+
     TEST(NoticesTest, RefusesEveryOtherText)
     {
         EXPECT_FALSE(decodeNotice(""));
--- a/packages/settings/include/whinyard/settings/EntrySettings.h
+++ b/packages/settings/include/whinyard/settings/EntrySettings.h
@@ -52,6 +52,7 @@
     std::vector<net::Address> seeds; // Of other instances; they may be outdated.
     StoreSettings store;
     ServiceBounds bounds;
+    std::uint32_t linkMegabits = 0; // A second, of the instance's own link; 0 if unknown.
     std::uint32_t memoryMegabytes = 0; // The process is killed above it; 0 if unknown.
     EntryTuning tuning;
 
