Judge a version's failures against those that all instances see of the other versions

Change: evidence carries the failures of the other versions; the test of all instances together measures against their sum of the last seconds.

--- a/apps/whinyardd/entry/PeerLink.cpp
+++ b/apps/whinyardd/entry/PeerLink.cpp
@@ -99,7 +99,7 @@
 void PeerLink::take(const peer::EvidenceNotice& notice)
 {
     if (const std::optional<policy::ShiftEvidence> evidence = policy::readShiftEvidence(notice.evidence))
-        m_shifts.takeEvidence(notice.service, notice.instance, *evidence);
+        m_shifts.takeEvidence(notice.service, notice.instance, *evidence, m_shared.clock.now());
 }
 
 void PeerLink::take(const peer::ShiftNotice& notice)
--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -98,11 +98,12 @@
     std::chrono::milliseconds backgroundMemory { 6'000 }; // Time constant of the other versions' share of bad answers.
 };
 
-// Counts of the target's answers under an order, by one instance; they only grow.
+// Counts of answers under an order, by one instance; they only grow.
 struct ShiftEvidence {
     std::uint64_t order = 0;
-    RatedCounts failures; // Bad ones failed.
-    RatedCounts slowness; // Bad ones were slow; of those that didn't fail and could be compared.
+    RatedCounts failures; // Of the target; bad ones failed.
+    RatedCounts slowness; // Of the target; bad ones were slow, of those that didn't fail and could be compared.
+    RatedCounts otherFailures; // Of the other versions: what the environment alone makes fail.
 
     bool operator==(const ShiftEvidence&) const = default;
 };
@@ -129,7 +130,7 @@
     void takeRecord(const ServiceName& service, const ShiftRecord& record, SteadyTime now);
 
     // Takes what another instance counted.
-    void takeEvidence(const ServiceName& service, const InstanceName& instance, const ShiftEvidence& evidence);
+    void takeEvidence(const ServiceName& service, const InstanceName& instance, const ShiftEvidence& evidence, SteadyTime now);
 
     // Chooses among the versions that `available` names. `draw` is a digest of the session, or of a request without one,
     // so that all instances draw alike.
@@ -176,6 +177,16 @@
         double sum = 0;
     };
 
+    // Counts of late, older ones fading.
+    struct Fading {
+        double good = 0;
+        double bad = 0;
+        SteadyTime at;
+
+        void add(const RatedCounts& counts, std::chrono::milliseconds memory, SteadyTime now);
+        double badShare() const { return bad / (good + bad + 1); }
+    };
+
     struct Shift {
         ShiftOrder order;
         ShiftRecord known; // In the store, as far as this instance knows.
@@ -187,6 +198,7 @@
         std::vector<std::uint64_t> pins; // To be told.
         ShiftEvidence own;
         std::map<InstanceName, ShiftEvidence> others;
+        Fading fleetOthers; // Failures of the other versions, at all instances.
         Detector ownFailures;
         Detector fleetFailures;
         Detector fleetSlowness; // One for all instances: each that looks at its own makes a false alarm likelier.
--- a/packages/policy/src/ShiftRecords.cpp
+++ b/packages/policy/src/ShiftRecords.cpp
@@ -58,7 +58,7 @@
 
 std::string writeShiftEvidence(const ShiftEvidence& evidence)
 {
-    return json({ { "order", evidence.order }, { "failures", writeCounts(evidence.failures) }, { "slowness", writeCounts(evidence.slowness) } }).dump();
+    return json({ { "order", evidence.order }, { "failures", writeCounts(evidence.failures) }, { "slowness", writeCounts(evidence.slowness) }, { "otherFailures", writeCounts(evidence.otherFailures) } }).dump();
 }
 
 std::optional<ShiftEvidence> readShiftEvidence(std::string_view text)
@@ -67,7 +67,7 @@
     if (!object)
         return std::nullopt;
     try {
-        return ShiftEvidence { object->at("order").get<std::uint64_t>(), readCounts(object->at("failures")), readCounts(object->at("slowness")) };
+        return ShiftEvidence { object->at("order").get<std::uint64_t>(), readCounts(object->at("failures")), readCounts(object->at("slowness")), readCounts(object->at("otherFailures")) };
     } catch (const json::exception&) {
         return std::nullopt;
     }
--- a/packages/policy/src/VersionShift.cpp
+++ b/packages/policy/src/VersionShift.cpp
@@ -30,6 +30,12 @@
         return std::find(list.begin(), list.end(), wanted) != list.end();
     }
 
+    // Returns what was counted since `before`.
+    RatedCounts addedTo(const RatedCounts& before, const RatedCounts& counts)
+    {
+        return { counts.good - std::min(counts.good, before.good), counts.bad - std::min(counts.bad, before.bad) };
+    }
+
     // Maps a draw to [0, 1).
     double unit(std::uint64_t draw)
     {
@@ -113,12 +119,15 @@
     }
 }
 
-void VersionShifts::takeEvidence(const ServiceName& service, const InstanceName& instance, const ShiftEvidence& evidence)
+void VersionShifts::takeEvidence(const ServiceName& service, const InstanceName& instance, const ShiftEvidence& evidence, SteadyTime now)
 {
     const auto found = m_shifts.find(service);
     if (found == m_shifts.end() || found->second.order.revision != evidence.order)
         return;
-    found->second.others[instance] = evidence;
+    ShiftEvidence& known = found->second.others[instance];
+    // An instance that has restarted counts from nothing.
+    found->second.fleetOthers.add(addedTo(known.otherFailures, evidence.otherFailures), m_settings.backgroundMemory, now);
+    known = evidence;
     judge(found->second, m_memories[service]);
 }
 
@@ -266,6 +275,11 @@
         learn(memory.times, outcome.measure, time);
     if (!outcome.failed && outcome.pause.count() > 0)
         learn(memory.pauses, outcome.measure, pause);
+    if (isRunning) {
+        RatedCounts& others = found->second.own.otherFailures;
+        ++(outcome.failed ? others.bad : others.good);
+        found->second.fleetOthers.add({ outcome.failed ? 0U : 1U, outcome.failed ? 1U : 0U }, m_settings.backgroundMemory, now);
+    }
     background.total = background.total * kept + 1;
     background.failed = background.failed * kept + (outcome.failed ? 1 : 0);
     background.seenWhole = background.seenWhole * kept + (outcome.wasSeenWhole || isSlowAnswer ? 1 : 0);
@@ -297,12 +311,20 @@
 // in its favour.
 bool VersionShifts::update(Detector& detector, const RatedCounts& totals, const BadShares& shares, double stopAt)
 {
-    const RatedCounts added { totals.good - std::min(totals.good, detector.seen.good), totals.bad - std::min(totals.bad, detector.seen.bad) };
+    const RatedCounts added = addedTo(detector.seen, totals);
     detector.seen = { std::max(totals.good, detector.seen.good), std::max(totals.bad, detector.seen.bad) };
     detector.sum = std::max(0.0, detector.sum + logLikelihoodRatio(added, shares));
     return detector.sum >= stopAt;
 }
 
+void VersionShifts::Fading::add(const RatedCounts& counts, std::chrono::milliseconds memory, SteadyTime now)
+{
+    const double kept = std::exp(-std::chrono::duration<double>(now - at) / memory);
+    good = good * kept + static_cast<double>(counts.good);
+    bad = bad * kept + static_cast<double>(counts.bad);
+    at = now;
+}
+
 void VersionShifts::judge(Shift& shift, const ServiceMemory& memory)
 {
     if (shift.state != ShiftState::running)
@@ -317,10 +339,12 @@
         slowness = { slowness.good + evidence.slowness.good, slowness.bad + evidence.slowness.bad };
     }
     const bool ownFails = update(shift.ownFailures, shift.own.failures, failing, m_settings.failureStopAt);
-    const bool fleetFails = update(shift.fleetFailures, failures, failing, m_settings.failureStopAt);
+    // One instance sees too few answers of the other versions to know what a wave of crashes makes fail.
+    const BadShares fleetFailing = sharesOver(m_settings.failureBackground, shift.fleetOthers.badShare(), m_settings.failureExcess);
+    const bool fleetFails = update(shift.fleetFailures, failures, fleetFailing, m_settings.failureStopAt);
     const bool fleetIsSlow = update(shift.fleetSlowness, slowness, slow, m_settings.slowStopAt);
     if (ownFails || fleetFails)
-        rollBack(shift, failures, failing, "failed");
+        rollBack(shift, ownFails ? shift.own.failures : failures, ownFails ? failing : fleetFailing, "failed");
     else if (fleetIsSlow)
         rollBack(shift, slowness, slow, "were slow");
 }
