--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -24,7 +24,8 @@
     // A watch that hears of no endpoint for so long is made anew: it shows that the store is there, and that the
     // connection has not gone silent.
     constexpr std::chrono::milliseconds endpointWait { 500 };
-    constexpr std::chrono::milliseconds relayLook { 50 };
+    constexpr std::chrono::milliseconds relayLook { 100 };
+    constexpr std::chrono::milliseconds startLook { 10 }; // Until the first list is known: callers wait for it.
     // A follower's notices a silence that the others bear: half of the time for a leaving endpoint holds three of them.
     constexpr int tellParts = 6;
     // What other instances write of roll-outs arrives by notices; reading is for those that were lost.
@@ -123,13 +124,13 @@
     backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::endpointPrefix), endpointWait, *m_roster);
     const SteadyTime latest = m_shared.clock.now() + instancesWait;
     while (m_shared.settings.peers && !m_instances->isKnown() && m_shared.clock.now() < latest && !m_shared.stopping)
-        net::sleepFor(relayLook);
+        net::sleepFor(startLook);
     const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(m_shared.settings.bounds.drain * endpointPausePart);
     bool followed = false; // In the last round: a watch may go on where it was.
     while (!m_shared.stopping) {
         if (!m_roster->mustFollow()) {
             followed = false;
-            net::sleepFor(relayLook);
+            net::sleepFor(m_shared.endpointsKnown ? relayLook : startLook);
             continue;
         }
         if (!followed) {
--- a/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
+++ b/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
@@ -24,6 +24,9 @@
     std::chrono::milliseconds silence { 1'200 }; // After which a follower that says nothing is no longer relied on.
     // For a follower's whole list, before it is asked for again: many ways within a region.
     std::chrono::milliseconds answerWait { 250 };
+    // The same at the start, when callers wait already and all followers may just have started too: an answer takes a few
+    // milliseconds.
+    std::chrono::milliseconds startWait { 40 };
     std::uint32_t mostRequests = 3; // Without an answer, after which the store is asked.
 };
 
--- a/packages/endpoint/src/RosterRelay.cpp
+++ b/packages/endpoint/src/RosterRelay.cpp
@@ -41,9 +41,8 @@
         return RosterNeed::follow;
     if (!isNew && !m_incomplete)
         return RosterNeed::nothing;
-    if (m_requests > 0 && now - m_requestedAt < m_settings.answerWait)
+    if (m_requests > 0 && now - m_requestedAt < (isNew ? m_settings.startWait : m_settings.answerWait))
         return RosterNeed::nothing;
-    // A start must not be held up by followers that may be gone.
     const std::uint32_t most = isNew ? 1 : m_settings.mostRequests;
     return m_requests < most ? RosterNeed::ask : RosterNeed::follow;
 }
