Bound moves on silence by themselves

Change: moves take from a budget of 0.12 of the requests of their service, beside the one of all repeats.

--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -47,6 +47,10 @@
 struct ForwarderSettings {
     double repeatRatio = 0.8; // Attempts beyond the first, for each request of the same service.
     double repeatsPerSecond = 0.2; // That are allowed without any request.
+    // Attempts that may be moved on silence alone, for each request of the same service, and without any request. Under
+    // an overload every engine is silent for long, and moving to another one reads the prompt anew.
+    double moveRatio = 0.12;
+    double movesPerSecond = 0.1;
     double sharedRepeats = 0; // In ten seconds, of all instances together, beyond those that requests allow.
     std::chrono::milliseconds connectTimeout { 300 }; // Many times the longest way within a region.
     std::chrono::milliseconds comeBackAfter { 150 }; // Told with a refusal when nothing better is known.
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -33,6 +33,12 @@
             budget.useMinimum(minimum);
     }
 
+    // Moves on silence have a bound of their own beside that of all repeats.
+    policy::RetryBudget& movesOf(const ServiceName& service)
+    {
+        return moves.try_emplace(service, settings.moveRatio, settings.movesPerSecond).first->second;
+    }
+
     double repeatsWithoutRequests()
     {
         return settings.repeatsPerSecond * static_cast<double>(policy::RetryBudget::window.count()) + sharedRepeats.part(parts.clock.now());
@@ -43,6 +49,7 @@
     Random random;
     policy::SharedAllowance sharedRepeats;
     std::map<ServiceName, policy::RetryBudget> budgets {};
+    std::map<ServiceName, policy::RetryBudget> moves {};
     policy::PromptRates rates {};
     std::map<ServiceName, std::vector<std::string>> versions {};
     std::set<ForwardRun*> runs {}; // With an attempt that may be given up.
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -94,6 +94,7 @@
 {
     log::info("request admitted", { { "request", m_request.id }, { "route", m_admission.route->name }, { "customer", m_admission.customer.value }, { "configuration", std::to_string(m_admission.table->version()) }, { "timeLeftMs", text(timeLeft()) } });
     m_core.budgetOf(m_service).earn(now());
+    m_core.movesOf(m_service).earn(now());
     m_caller.whenPeerGone([this] { callerLeft(); });
     chooseModel();
     while (!m_callerLeft && prepare()) {
@@ -188,7 +189,7 @@
     if (!m_current || m_stalled || !mayMove() || now() - m_silentSince < patience())
         return;
     // Silence alone is no reason to end an answer: it is given up only for another attempt that is granted already.
-    if (!m_core.budgetOf(m_service).take(now(), silencePart))
+    if (!m_core.movesOf(m_service).take(now()) || !m_core.budgetOf(m_service).take(now(), silencePart))
         return;
     m_stalled = true;
     m_current->cancel();
