--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -33,6 +33,7 @@
     SteadyTime deadline = SteadyTime::max();
     std::chrono::nanoseconds tokenTime { 0 }; // See policy::EndpointRequest.
     bool stallsOthers = false;
+    policy::EndpointPart part {};
     std::vector<float> prefixShares;
     std::vector<EndpointName> excluded; // Tried already.
 };
@@ -47,6 +48,11 @@
 
 using policy::EndpointOutcome;
 
+struct ServicePlaces {
+    std::uint64_t endpoints = 0;
+    std::uint64_t slots = 0;
+};
+
 class EndpointDirectory {
 public:
     // `zone` is the instance's own.
@@ -86,6 +92,9 @@
     // Returns the engines that are listed and not leaving, in the order of their names.
     std::vector<backing::ListedEndpoint> engines() const;
 
+    // Returns the live endpoints of all versions of a service, and their places together.
+    ServicePlaces places(const ServiceName& service) const;
+
     // Returns how many endpoints are listed and not leaving.
     std::size_t size() const;
 
--- a/packages/endpoint/src/EndpointDirectory.cpp
+++ b/packages/endpoint/src/EndpointDirectory.cpp
@@ -91,6 +91,7 @@
         request.excluded = excluded;
         request.tokenTime = wish.tokenTime;
         request.stallsOthers = wish.stallsOthers;
+        request.part = wish.part;
         request.prefixShares = wish.prefixShares;
         plan = m_selector->choose(m_table, request, now, m_random);
     }
@@ -224,6 +225,18 @@
     return engines;
 }
 
+ServicePlaces EndpointDirectory::places(const ServiceName& service) const
+{
+    ServicePlaces places;
+    for (const auto& [name, endpoint] : m_listed) {
+        if (endpoint.service != service || !isLive(endpoint))
+            continue;
+        ++places.endpoints;
+        places.slots += endpoint.slots;
+    }
+    return places;
+}
+
 std::size_t EndpointDirectory::size() const
 {
     return static_cast<std::size_t>(std::count_if(m_listed.begin(), m_listed.end(), [this](const auto& entry) { return isLive(entry.second); }));
--- a/packages/router/src/Forwarder.cpp
+++ b/packages/router/src/Forwarder.cpp
@@ -81,12 +81,14 @@
 
 void Forwarder::useInstances(std::size_t count)
 {
+    m_state->core.instances = count;
     m_state->core.sharedRepeats.useInstances(count, m_state->core.parts.clock.now());
 }
 
 void Forwarder::tick()
 {
     m_state->core.spreadSharedRepeats();
+    m_state->core.noteUse();
     for (ForwardRun* run : m_state->core.runs)
         run->look();
 }
--- a/packages/router/src/internal/ForwardChoice.cpp
+++ b/packages/router/src/internal/ForwardChoice.cpp
@@ -56,6 +56,8 @@
     if (m_admission.route->isGenerative) {
         wish.tokenTime = m_core.rates.tokenTime(model(), costOf(model()));
         wish.prefixShares = prefixShares();
+        if (m_model)
+            wish.part = m_core.splits[m_service].partFor(asksSmallModel(), now());
         wish.stallsOthers = wish.tokenTime * m_request.promptTokens > m_admission.route->pauseObjective * stallingPart;
         if (wish.stallsOthers)
             wish.affinity = stableHash(stallingGroup);
@@ -122,10 +124,17 @@
 {
     const std::chrono::nanoseconds work = endpoint.plan.unqueuedWait;
     m_core.parts.directory.recordWork(endpoint.name, work, now());
+    if (m_model)
+        m_core.splits[m_service].note(asksSmallModel(), work, now());
     if (m_core.parts.work)
         m_core.parts.work->gave(endpoint.name, work);
 }
 
+bool ForwardRun::asksSmallModel() const
+{
+    return m_model == 0U && m_admission.route->models.size() > 1;
+}
+
 const ModelName& ForwardRun::model() const
 {
     return m_model ? m_admission.route->models[*m_model] : m_request.model;
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -1,6 +1,7 @@
 // The forwarder's parts and settings with its state, as the requests on the path share them.
 #pragma once
 
+#include "whinyard/policy/EngineSplit.h"
 #include "whinyard/policy/PromptRates.h"
 #include "whinyard/policy/RetryPolicy.h"
 #include "whinyard/router/Forwarder.h"
@@ -44,6 +45,19 @@
         return settings.repeatsPerSecond * static_cast<double>(policy::RetryBudget::window.count()) + sharedRepeats.part(parts.clock.now());
     }
 
+    // Each instance has about an equal part of all attempts.
+    void noteUse()
+    {
+        for (auto& [service, split] : splits) {
+            const endpoint::ServicePlaces places = parts.directory.places(service);
+            if (places.slots == 0)
+                continue;
+            const auto slots = static_cast<double>(places.slots);
+            const auto taken = static_cast<double>(inFlight[service] * instances);
+            split.noteUse(slots / static_cast<double>(places.endpoints), taken / slots, parts.clock.now());
+        }
+    }
+
     ForwarderParts parts;
     ForwarderSettings settings;
     Random random;
@@ -51,6 +65,9 @@
     std::map<ServiceName, policy::RetryBudget> budgets {};
     std::map<ServiceName, policy::RetryBudget> moves {};
     policy::PromptRates rates {};
+    std::map<ServiceName, policy::EngineSplit> splits {};
+    std::map<ServiceName, std::size_t> inFlight {}; // Attempts at engines.
+    std::size_t instances = 1;
     std::map<ServiceName, std::vector<std::string>> versions {};
     std::set<ForwardRun*> runs {}; // With an attempt that may be given up.
     std::size_t active = 0;
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -57,6 +57,7 @@
     void chooseModel();
     policy::ModelQuestion modelQuestion() const;
     const ModelName& model() const;
+    bool asksSmallModel() const; // Of several that the route allows.
 
     AttemptEnd attempt();
     AttemptEnd conduct(ForwardAttempt& attempt);
