Say what of a configuration was left out, when readiness changes, and end in time where nobody reads the log

A route without service or prefix was dropped without a word; a change of readiness had no line; a process whose standard output nobody reads hung at its end in the log's shutdown. Change: Routing::leftOut carries the reasons, OperatorWatch logs each; readiness is logged when the answer changes; log::stop() has a bound, after which the process ends without the rest.

--- a/apps/whinyardd/entry/OperatorWatch.cpp
+++ b/apps/whinyardd/entry/OperatorWatch.cpp
@@ -52,10 +52,13 @@
         return;
     }
     const std::uint64_t version = routing->version;
+    const std::vector<std::string> leftOut = routing->leftOut;
     const config::CallerLimits limits = routing->limits;
     const std::string counts = std::to_string(routing->routes.size()) + " routes, " + std::to_string(routing->customers.size()) + " customers";
     if (!m_shared.routing.take(std::move(*routing)))
         return;
+    for (const std::string& reason : leftOut)
+        log::warning("configuration's entry left out", { { "configuration", std::to_string(version) }, { "reason", reason } });
     m_serving.takeLimits(limits);
     m_shared.metrics.set("whinyard_configuration_version", static_cast<double>(version));
     log::info("configuration in force", { { "configuration", std::to_string(version) }, { "revision", std::to_string(record.revision) }, { "holds", counts } });
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -4,6 +4,7 @@
 #include "whinyard/base/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace whinyard::daemon {
 
@@ -124,10 +125,20 @@
     return true;
 }
 
-bool ServeDuty::isReady() const
+bool ServeDuty::isReady()
 {
-    Failure ignored;
-    return !m_shared.draining && m_shared.endpointsKnown && m_shared.routing.mayServe(ignored);
+    Failure failure;
+    std::string reason;
+    if (m_shared.draining)
+        reason = "draining";
+    else if (!m_shared.endpointsKnown)
+        reason = "no list of endpoints is known yet";
+    else if (!m_shared.routing.mayServe(failure))
+        reason = failure.reason;
+    const bool ready = reason.empty();
+    if (std::exchange(m_wasReady, ready) != ready)
+        log::info(ready ? "ready" : "no longer ready", { { "reason", reason } });
+    return ready;
 }
 
 void ServeDuty::refreshDirectory()
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -68,7 +68,7 @@
 private:
     bool openOnDuty(Failure& failure);
     bool drainOnDuty(SteadyTime end);
-    bool isReady() const;
+    bool isReady();
     void useVersions(const ServiceName& service, const std::vector<std::string>& present);
     void refreshDirectory();
     void tickForwarder();
@@ -86,6 +86,7 @@
     std::unique_ptr<router::Forwarder> m_forwarder;
     std::unique_ptr<net::HttpServer> m_server;
     std::unique_ptr<net::HttpServer> m_readiness;
+    bool m_wasReady = false; // At the last question.
 };
 
 }
--- a/apps/whinyardd/main.cpp
+++ b/apps/whinyardd/main.cpp
@@ -57,6 +57,9 @@
     }
 }
 
+// For the last lines of an entry instance, of the half second that its drain leaves until the process is killed.
+constexpr std::chrono::milliseconds logEnding { 300 };
+
 int failStart(const Failure& failure)
 {
     log::error("can't start", { { "reason", failure.reason } });
@@ -80,8 +83,10 @@
         log::warning("ending with requests still running");
     process->stop();
     log::info("stopped");
-    log::stop();
-    return drained ? 0 : exitFailure;
+    const int status = drained ? 0 : exitFailure;
+    if (!log::stop())
+        std::_Exit(status);
+    return status;
 }
 
 // What the command line says of an entry instance.
@@ -132,7 +137,7 @@
         log::warning("ending with requests still running");
     process->stop();
     log::info("stopped", { { "drained", drained ? "true" : "false" } });
-    log::stop();
+    log::stop(logEnding);
     // Destructors of duties whose fibers still wait would only delay the end.
     std::_Exit(drained ? 0 : exitFailure);
 }
--- a/packages/base/include/whinyard/base/Log.h
+++ b/packages/base/include/whinyard/base/Log.h
@@ -6,6 +6,7 @@
 
 #include "whinyard/base/Event.h"
 
+#include <chrono>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -22,8 +23,9 @@
 // Starts logging for this process. `level` is debug, info, warning or error.
 void start(std::string_view process, std::string_view level);
 
-// Writes out what is queued and stops the writing thread.
-void stop();
+// Writes out what is queued and stops the writing thread. Returns false when that took longer than `bound`, since nobody
+// reads the lines: the process should then end by std::_Exit(), as the thread still waits.
+bool stop(std::chrono::milliseconds bound = std::chrono::milliseconds(1'000));
 
 void debug(std::string_view message, std::initializer_list<Field> fields = {});
 void info(std::string_view message, std::initializer_list<Field> fields = {});
--- a/packages/base/src/Log.cpp
+++ b/packages/base/src/Log.cpp
@@ -1,10 +1,12 @@
 #include "whinyard/base/Log.h"
 
+#include <future>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <thread>
 
 namespace whinyard::log {
 
@@ -37,7 +39,7 @@
 
 void start(std::string_view process, std::string_view level)
 {
-    stop();
+    spdlog::shutdown();
     processName = process;
     spdlog::init_thread_pool(queueLength, 1);
     auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
@@ -49,9 +51,15 @@
     spdlog::register_logger(std::move(logger));
 }
 
-void stop()
+bool stop(std::chrono::milliseconds bound)
 {
-    spdlog::shutdown();
+    const auto ended = std::make_shared<std::promise<void>>();
+    std::future<void> end = ended->get_future();
+    std::thread([ended] {
+        spdlog::shutdown();
+        ended->set_value();
+    }).detach();
+    return end.wait_for(bound) == std::future_status::ready;
 }
 
 void debug(std::string_view message, std::initializer_list<Field> fields) { write(spdlog::level::debug, message, fields); }
--- a/packages/config/include/whinyard/config/Routing.h
+++ b/packages/config/include/whinyard/config/Routing.h
@@ -100,6 +100,7 @@
     std::vector<RoutedCustomer> customers;
     bool knowsCustomers = false; // Without customers no key is asked for.
     CallerLimits limits;
+    std::vector<std::string> leftOut; // What the source held and couldn't be used, each with its reason.
 
     bool operator==(const Routing&) const = default;
 };
