Tell no list of endpoints that may hold what has left

The store had turned the two followers away for 8 s while six engines left. Back in touch, they kept the vanished entries for 2.2 s, since those might have lapsed, and told their list of 34 to the others, whose own had 24: requests went to an engine 2.1 to 2.5 s after it had left. Change: a follower tells nothing until its list is settled (EndpointRoster::isSettled). Its rhythm and the others' patience come from the time for a leaving endpoint (relaySettingsFor): it is silent at once when a call fails, and 0.4 of that time without an answer; before, it told for 2 s, all of that time on the first sites. Two followers again for three. IsSilentOnceTheStoreFailsIt, LeaveTimeForALeavingEndpoint, SaysWhetherItHoldsNoMoreThanTheStore.

--- a/apps/whinyardd/entry/RosterWatch.cpp
+++ b/apps/whinyardd/entry/RosterWatch.cpp
@@ -10,19 +10,6 @@
 
 namespace {
 
-    // A follower's watch returns about every second. One that has heard nothing for longer may be cut off: the others turn
-    // to another follower.
-    constexpr std::chrono::milliseconds currentFor { 2'000 };
-
-    endpoint::RosterRelaySettings relaySettings(const settings::ServiceBounds& bounds)
-    {
-        // Another follower must be found out within the time in which a leaving endpoint may still get new work.
-        constexpr int parts = 2;
-        endpoint::RosterRelaySettings settings;
-        settings.silence = bounds.drain / parts;
-        return settings;
-    }
-
     std::optional<backing::ListedEndpoint> read(const backing::Record& record)
     {
         Failure failure;
@@ -37,7 +24,7 @@
 RosterWatch::RosterWatch(EntryShared& shared, ServeDuty& serving)
     : m_shared(shared)
     , m_serving(serving)
-    , m_relay(shared.settings.instance, relaySettings(shared.settings.bounds))
+    , m_relay(shared.settings.instance, endpoint::relaySettingsFor(shared.settings.bounds.drain))
     , m_life(seededRandom()())
 {
 }
@@ -75,6 +62,7 @@
 void RosterWatch::failed(const Failure&)
 {
     m_roster.storeFailed();
+    m_relay.noteFailed();
 }
 
 void RosterWatch::settle()
@@ -117,14 +105,15 @@
     log::info("following endpoints in the store", { { "reason", std::string(m_relay.followReason(m_shared.clock.now())) } });
 }
 
-bool RosterWatch::tellsOthers() const
+bool RosterWatch::mayTell() const
 {
-    return m_relay.isFollower() && m_currentAt && m_shared.clock.now() - *m_currentAt <= currentFor;
+    const SteadyTime now = m_shared.clock.now();
+    return m_relay.mayTell(now) && m_roster.isSettled(now);
 }
 
 void RosterWatch::answer(const net::Address& asker)
 {
-    if (!tellsOthers())
+    if (!mayTell())
         return;
     // What was told last: the changes that follow build on it.
     std::vector<backing::ListedEndpoint> list;
@@ -183,7 +172,7 @@
 
 void RosterWatch::tell()
 {
-    if (!tellsOthers())
+    if (!mayTell())
         return;
     std::map<EndpointName, backing::ListedEndpoint> now;
     std::vector<backing::ListedEndpoint> changed;
--- a/apps/whinyardd/entry/RosterWatch.h
+++ b/apps/whinyardd/entry/RosterWatch.h
@@ -45,7 +45,7 @@
     void noteFollowing() const;
 
     // Notes that the store has just told what changed, so that the list is current.
-    void noteCurrent() { m_currentAt = m_shared.clock.now(); }
+    void noteCurrent() { m_relay.noteCurrent(m_shared.clock.now()); }
 
     // Tells the others what changed since the last call, or that nothing did. Call it after each call to the store, and a
     // few times within the silence that the others bear; it does nothing where this instance doesn't follow the store for
@@ -53,7 +53,7 @@
     void tell();
 
 private:
-    bool tellsOthers() const;
+    bool mayTell() const;
     void broadcast(std::vector<backing::ListedEndpoint> changed, std::vector<EndpointName> gone);
 
     EntryShared& m_shared;
@@ -65,7 +65,6 @@
     std::map<EndpointName, backing::ListedEndpoint> m_told; // The list as the others were told.
     std::map<InstanceName, peer::InstanceNotice> m_instances;
     std::vector<peer::RosterPart> m_parts; // Of a whole list that isn't complete yet.
-    std::optional<SteadyTime> m_currentAt;
 };
 
 }
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -18,16 +18,13 @@
     constexpr std::chrono::milliseconds probeAgain { 300 }; // While it fails.
     constexpr std::chrono::milliseconds outageLook { 100 };
 
-    // Every endpoint writes its entry about once a second, so a watch without a pause would return at each of them. The
-    // pause adds to the time after which a leaving endpoint gets no new work, and is this part of the time allowed.
-    constexpr double endpointPausePart = 0.25;
+    // Every endpoint writes its entry about once a second, so a watch without a pause would return at each of them; see
+    // endpoint::relaySettingsFor().
     // A watch that hears of no endpoint for so long is made anew: it shows that the store is there, and that the
     // connection has not gone silent.
-    constexpr std::chrono::milliseconds endpointWait { 500 };
+    constexpr std::chrono::milliseconds endpointWait { 250 };
     constexpr std::chrono::milliseconds relayLook { 100 };
     constexpr std::chrono::milliseconds startLook { 10 }; // Until the first list is known: callers wait for it.
-    // A follower's notices a silence that the others bear: half of the time for a leaving endpoint holds three of them.
-    constexpr int tellParts = 6;
     // What other instances write of roll-outs arrives by notices; reading is for those that were lost.
     constexpr std::chrono::milliseconds shiftInterval { 3'000 };
     constexpr std::chrono::milliseconds noPause { 0 };
@@ -125,7 +122,7 @@
     const SteadyTime latest = m_shared.clock.now() + instancesWait;
     while (m_shared.settings.peers && !m_instances->isKnown() && m_shared.clock.now() < latest && !m_shared.stopping)
         net::sleepFor(startLook);
-    const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(m_shared.settings.bounds.drain * endpointPausePart);
+    const std::chrono::milliseconds pause = endpoint::relaySettingsFor(m_shared.settings.bounds.drain).pause;
     bool followed = false; // In the last round: a watch may go on where it was.
     while (!m_shared.stopping) {
         if (!m_roster->mustFollow()) {
@@ -189,8 +186,9 @@
 // Apart from the watch, whose return may take longer than the others bear.
 void StoreDuty::tellEndpoints()
 {
+    const std::chrono::milliseconds interval = endpoint::relaySettingsFor(m_shared.settings.bounds.drain).tellInterval;
     while (!m_shared.stopping) {
-        net::sleepFor(m_shared.settings.bounds.drain / tellParts);
+        net::sleepFor(interval);
         m_roster->tell();
     }
 }
--- a/packages/endpoint/include/whinyard/endpoint/EndpointRoster.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointRoster.h
@@ -35,6 +35,10 @@
     void storeFailed();
     void storeAnswered(SteadyTime now);
 
+    // Returns whether the list holds no more than the store lists: the store answers, and has for long enough. While it is
+    // not so, the list may hold endpoints that have left, and must not be told to instances that know better.
+    bool isSettled(SteadyTime now) const;
+
     // Drops the entries that were kept for long enough. Returns whether the list has changed, for any reason, since
     // the last call.
     bool settle(SteadyTime now);
--- a/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
+++ b/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
@@ -20,8 +20,11 @@
 namespace whinyard::endpoint {
 
 struct RosterRelaySettings {
-    std::size_t followers = 3; // Instances that follow the store: one, and two for when it is gone.
-    std::chrono::milliseconds silence { 1'200 }; // After which a follower that says nothing is no longer relied on.
+    std::size_t followers = 2; // Instances that follow the store: one, and one for when it is gone.
+    std::chrono::milliseconds pause { 400 }; // Of a follower between its calls.
+    std::chrono::milliseconds currentFor { 800 }; // Without an answer of the store, after which a follower is silent.
+    std::chrono::milliseconds tellInterval { 250 }; // Of a follower's statements.
+    std::chrono::milliseconds silence { 800 }; // After which a follower that says nothing is no longer relied on.
     // For a follower's whole list, before it is asked for again: many ways within a region.
     std::chrono::milliseconds answerWait { 250 };
     // The same at the start, when callers wait already and all followers may just have started too: an answer takes a few
@@ -30,6 +33,11 @@
     std::uint32_t mostRequests = 3; // Without an answer, after which the store is asked.
 };
 
+// Returns the settings by which a leaving endpoint gets no new work after `drain`, whatever single follower loses the store
+// or its life: it goes on to tell that nothing changed for `currentFor`, is found silent after `silence`, and another one is
+// asked for its list.
+RosterRelaySettings relaySettingsFor(std::chrono::milliseconds drain);
+
 // An instance that may follow the store for the others.
 struct RelayCandidate {
     InstanceName name;
@@ -69,6 +77,13 @@
 
     RosterNeed need(SteadyTime now) const;
 
+    // Notes that the store told this instance what changed, or failed to.
+    void noteCurrent(SteadyTime now) { m_currentAt = now; }
+    void noteFailed() { m_currentAt.reset(); }
+
+    // Returns whether this instance is to tell others: it follows the store for them, and its list is current.
+    bool mayTell(SteadyTime now) const;
+
     // Returns why the store is followed, for a person.
     std::string_view followReason(SteadyTime now) const;
 
@@ -102,6 +117,7 @@
     bool m_incomplete = false; // Something was missed that nobody has told since.
     std::uint32_t m_requests = 0; // For the whole list, since it was needed.
     SteadyTime m_requestedAt;
+    std::optional<SteadyTime> m_currentAt; // When the store answered last, unless it has failed since.
 };
 
 }
--- a/packages/endpoint/src/EndpointRoster.cpp
+++ b/packages/endpoint/src/EndpointRoster.cpp
@@ -43,8 +43,7 @@
 
 void EndpointRoster::drop(std::map<EndpointName, Entry>::iterator entry, SteadyTime now)
 {
-    const bool storeIsDisturbed = m_storeFails || (m_backSince && now < *m_backSince + m_settings.returnWithin);
-    if (storeIsDisturbed && !entry->second.endpoint.leaving) {
+    if (!isSettled(now) && !entry->second.endpoint.leaving) {
         entry->second.goneAt = m_backSince.value_or(now) + m_settings.returnWithin;
         return;
     }
@@ -63,6 +62,11 @@
         m_backSince = now;
 }
 
+bool EndpointRoster::isSettled(SteadyTime now) const
+{
+    return !m_storeFails && (!m_backSince || now >= *m_backSince + m_settings.returnWithin);
+}
+
 bool EndpointRoster::settle(SteadyTime now)
 {
     const std::size_t gone = std::erase_if(m_entries, [&](const auto& entry) { return entry.second.goneAt && now >= *entry.second.goneAt; });
--- a/packages/endpoint/src/RosterRelay.cpp
+++ b/packages/endpoint/src/RosterRelay.cpp
@@ -5,6 +5,20 @@
 
 namespace whinyard::endpoint {
 
+RosterRelaySettings relaySettingsFor(std::chrono::milliseconds drain)
+{
+    // Parts of the time; a fifth is left for the ways and for an answer that must be asked for twice.
+    constexpr int pauseParts = 5;
+    constexpr double silentPart = 0.4;
+    constexpr int tellParts = 8; // Three statements within the silence.
+    RosterRelaySettings settings;
+    settings.pause = drain / pauseParts;
+    settings.currentFor = std::chrono::duration_cast<std::chrono::milliseconds>(drain * silentPart);
+    settings.silence = settings.currentFor;
+    settings.tellInterval = drain / tellParts;
+    return settings;
+}
+
 RosterRelay::RosterRelay(InstanceName self, const RosterRelaySettings& settings)
     : m_self(std::move(self))
     , m_settings(settings)
@@ -47,6 +61,11 @@
     return m_requests < most ? RosterNeed::ask : RosterNeed::follow;
 }
 
+bool RosterRelay::mayTell(SteadyTime now) const
+{
+    return isFollower() && m_currentAt && now - *m_currentAt <= m_settings.currentFor;
+}
+
 std::string_view RosterRelay::followReason(SteadyTime now) const
 {
     if (isFollower())
--- a/packages/endpoint/test/EndpointRosterTest.cpp
+++ b/packages/endpoint/test/EndpointRosterTest.cpp
@@ -46,6 +46,21 @@
         EXPECT_TRUE(has("b"));
     }
 
+    TEST_F(EndpointRosterTest, SaysWhetherItHoldsNoMoreThanTheStore)
+    {
+        EXPECT_TRUE(m_roster.isSettled(m_clock.now()));
+        m_roster.storeFailed();
+        EXPECT_FALSE(m_roster.isSettled(m_clock.now()));
+        m_clock.advance(8s);
+        m_roster.storeAnswered(m_clock.now());
+        m_roster.replace({ listed("b") }, m_clock.now());
+        EXPECT_TRUE(has("a")) << "it may come back";
+        EXPECT_FALSE(m_roster.isSettled(m_clock.now())) << "or it left while the store turned this instance alone away";
+        m_clock.advance(3s);
+        EXPECT_FALSE(has("a"));
+        EXPECT_TRUE(m_roster.isSettled(m_clock.now()));
+    }
+
     TEST_F(EndpointRosterTest, KeepsEntriesThatLapsedWhileTheStoreWasAway)
     {
         m_roster.storeFailed();
--- a/packages/endpoint/test/RosterRelayTest.cpp
+++ b/packages/endpoint/test/RosterRelayTest.cpp
@@ -62,10 +62,10 @@
         InstanceName m_second;
     };
 
-    TEST_F(RosterRelayTest, AgreesOnThreeFollowersWithoutAWord)
+    TEST_F(RosterRelayTest, AgreesOnTwoFollowersWithoutAWord)
     {
-        EXPECT_EQ(m_followers.size(), 3U);
-        EXPECT_EQ(m_others.size(), 5U);
+        EXPECT_EQ(m_followers.size(), 2U);
+        EXPECT_EQ(m_others.size(), 6U);
     }
 
     TEST_F(RosterRelayTest, TakesChangesThatFollowOnEachOther)
@@ -85,11 +85,36 @@
         EXPECT_EQ(hear(m_lead, 2, 1, true), RelayAction::incomplete) << "the follower has restarted";
     }
 
+    TEST_F(RosterRelayTest, IsSilentOnceTheStoreFailsIt)
+    {
+        RosterRelay lead(m_lead, relaySettingsFor(2s));
+        lead.useInstances(candidates());
+        EXPECT_FALSE(lead.mayTell(m_clock.now())) << "it has read nothing yet";
+        lead.noteCurrent(m_clock.now());
+        EXPECT_TRUE(lead.mayTell(m_clock.now()));
+        m_clock.advance(900ms);
+        EXPECT_FALSE(lead.mayTell(m_clock.now())) << "what changed since, it doesn't know";
+        lead.noteCurrent(m_clock.now());
+        lead.noteFailed();
+        EXPECT_FALSE(lead.mayTell(m_clock.now())) << "the store turned it away";
+        EXPECT_FALSE(m_relay->mayTell(m_clock.now())) << "it is no follower";
+    }
+
+    TEST(RosterRelaySettingsTest, LeaveTimeForALeavingEndpoint)
+    {
+        for (const std::chrono::milliseconds drain : { 1'000ms, 2'000ms, 3'000ms, 10'000ms }) {
+            const RosterRelaySettings settings = relaySettingsFor(drain);
+            EXPECT_LT(settings.currentFor + settings.silence + settings.tellInterval / 2, drain * 9 / 10) << drain.count();
+            EXPECT_LT(settings.pause, settings.currentFor) << "a follower is current between its calls";
+            EXPECT_GE(settings.silence, 3 * settings.tellInterval) << "two statements may be lost";
+        }
+    }
+
     TEST_F(RosterRelayTest, ListensToTheSecondWhenTheFirstIsSilent)
     {
-        m_clock.advance(1s);
+        m_clock.advance(600ms);
         EXPECT_EQ(hear(m_second, 1, 1, true), RelayAction::ignore);
-        m_clock.advance(400ms);
+        m_clock.advance(300ms);
         EXPECT_NE(need(), RosterNeed::follow);
         EXPECT_EQ(hear(m_second, 1, 2, true), RelayAction::incomplete);
         EXPECT_EQ(hear(m_second, 1, 3, true), RelayAction::apply);
@@ -135,7 +160,7 @@
         RosterRelay starting(m_others.front());
         starting.useInstances(candidates());
         EXPECT_EQ(starting.need(m_clock.now()), RosterNeed::ask);
-        EXPECT_EQ(starting.toAsk(m_clock.now()).size(), 3U);
+        EXPECT_EQ(starting.toAsk(m_clock.now()).size(), 2U);
         EXPECT_EQ(starting.need(m_clock.now()), RosterNeed::nothing);
         m_clock.advance(300ms);
         EXPECT_EQ(starting.need(m_clock.now()), RosterNeed::follow) << "they may all be gone";
