Complete a roll-out earlier in its move

Change: completed after a quarter of the move for 0.4; the record is looked at every 150 to 300 ms for 250 to 500.

--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -43,7 +43,7 @@
     // Between calls while the store fails, with as much again at random, so that instances don't return in step.
     constexpr std::chrono::milliseconds failurePause { 150 };
 
-    constexpr std::chrono::milliseconds shiftTurn { 250 };
+    constexpr std::chrono::milliseconds shiftTurn { 150 }; // With as much again at random, so that not all write at once.
     constexpr std::chrono::milliseconds settleInterval { 200 };
 
 }
--- a/packages/policy/src/VersionShift.cpp
+++ b/packages/policy/src/VersionShift.cpp
@@ -63,7 +63,8 @@
     // a store that is slow when the completion is written. The trial, over all the time before, takes the rest.
     constexpr double movePart = 0.45;
     constexpr double trialPart = 0.35;
-    constexpr double completePart = 0.4; // Of the move.
+    // Of the move. An order may be heard of half a second late, and a completion takes as long to be written.
+    constexpr double completePart = 0.25;
     const double move = std::clamp(movePart * exposureShare, 0.0, 1.0);
     const double moveAt = 1 - move;
     return { .trialShare = trialPart * exposureShare / std::max(moveAt, smallestValue), .moveAt = moveAt, .completeAt = moveAt + completePart * move };
