--- a/packages/net/test/HttpPeerTest.cpp
+++ b/packages/net/test/HttpPeerTest.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <functional>
 #include <thread>
 
 namespace whinyard::net {
@@ -40,20 +41,24 @@
                     m_observed = true;
                     gone.notify();
                 });
+                m_began = true;
                 gone.wait(longest);
                 responder.send({ .status = 200, .fields = {}, .body = "done" });
                 m_handled = true;
             };
         }
 
-        void awaitHandled()
+        // Waits for a condition, for two seconds at most.
+        static bool comesTrue(const std::function<bool()>& condition)
         {
-            for (int look = 0; look < 200 && !m_handled; ++look)
+            for (int look = 0; look < 200 && !condition(); ++look)
                 std::this_thread::sleep_for(10ms);
+            return condition();
         }
 
         Duty m_duty { "test" };
         std::unique_ptr<HttpServer> m_server;
+        std::atomic<bool> m_began = false;
         std::atomic<bool> m_observed = false;
         std::atomic<bool> m_handled = false;
     };
@@ -62,9 +67,9 @@
     {
         RawConnection peer(serve(waitForLeaving(5s)));
         peer.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
-        std::this_thread::sleep_for(30ms);
+        ASSERT_TRUE(comesTrue([this] { return m_began.load(); }));
         peer.close();
-        awaitHandled();
+        EXPECT_TRUE(comesTrue([this] { return m_handled.load(); }));
         EXPECT_TRUE(m_observed);
     }
 
@@ -98,7 +103,7 @@
         });
         RawConnection peer(address);
         peer.write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
-        std::this_thread::sleep_for(50ms);
+        ASSERT_TRUE(comesTrue([&] { return handled == 1; }));
         runOn(m_duty, [this] { m_server->drain(); });
         EXPECT_NE(peer.readUntil("0\r\n\r\n").find("done"), std::string::npos);
         peer.write("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
