Read the configuration anew where other instances act on a newer one

An instance that had started a third of a second before the store went silent and dropped its history got no word of version 8, which the eight others took a second later by a range: its own watch was neither cut nor told, and brought version 11 at 29.1 s. It refused a new route with 404 for 3.5 s. Ruled out: the store away for it (no such line), a connection gone silent (the same watch brought version 11), a stale read. No more calls where watches work: they tell all within some ten milliseconds.

--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -4,6 +4,9 @@
 #include "platform/Configuration.h"
 #include "platform/Endpoints.h"
 #include "platform/Store.h"
+#include "whinyard/base/Log.h"
+
+#include <utility>
 
 namespace whinyard::daemon {
 
@@ -112,8 +115,11 @@
 void StoreDuty::followOperators()
 {
     backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::operatorPrefix), watchWait, *m_operators);
-    while (!m_shared.stopping)
+    while (!m_shared.stopping) {
+        if (std::exchange(m_readOperatorsAnew, false))
+            follower.readAnew();
         turn(follower, noPause);
+    }
 }
 
 void StoreDuty::followEndpoints()
@@ -267,6 +273,11 @@
     while (!m_shared.stopping) {
         net::sleepFor(settleInterval);
         m_roster->settle();
+        if (!m_roster->isConfigurationBehind())
+            continue;
+        log::warning("configuration is behind that of other instances", { { "outcome", "it is read anew" } });
+        m_readOperatorsAnew = true;
+        m_store->interruptWatches();
     }
 }
 
--- a/apps/whinyardd/entry/StoreDuty.h
+++ b/apps/whinyardd/entry/StoreDuty.h
@@ -60,6 +60,7 @@
     bool m_answers = true; // The last probe was answered, and no call has failed since.
     Random m_random;
     net::Duty m_duty { "store" };
+    bool m_readOperatorsAnew = false; // Their watch has missed something.
     net::Signal m_suspected; // A call has failed.
     std::unique_ptr<net::HttpClient> m_client;
     std::unique_ptr<backing::WatchableStore> m_store;
--- a/packages/peer/test/NoticesTest.cpp
+++ b/packages/peer/test/NoticesTest.cpp
@@ -28,7 +28,7 @@
             RosterRequest { { "entry-1" } },
             RosterPart { { "entry-1" }, 77, 3, 1, 2, { endpoint } },
             InstanceNotice { { "entry-1" }, { "10.0.0.1", 7340 }, 200 },
-            RosterNotice { { "entry-1" }, 77, 3, { endpoint }, { { "i-2" } } },
+            RosterNotice { { "entry-1" }, 77, 3, { endpoint }, { { "i-2" } }, 11 },
         };
     }
 
