Let requests wait for a start, and find a store that returns at once

Change: until a configuration is known, probes are sent beside those that hang (first after 50 ms, then after a tenth of the time since the start); the first one answered interrupts all reads that hang. Requests wait for the start, at most a twentieth of their time; those refused are told to come back after as long as the start has taken, spread by 30 %.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -160,7 +160,10 @@
 
 void ServeDuty::takeLimits(const config::CallerLimits& limits)
 {
-    m_duty.post([this, limits] { m_server->useLimits(serverLimits(limits)); });
+    m_duty.post([this, limits] {
+        m_server->useLimits(serverLimits(limits));
+        m_forwarder->noteNews();
+    });
 }
 
 void ServeDuty::takeEndpoints(std::vector<backing::ListedEndpoint> listed)
@@ -177,6 +180,7 @@
         m_directory.replace(listed);
         for (const auto& entry : present)
             useVersions(entry.first, entry.second);
+        m_forwarder->noteNews();
     });
 }
 
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -20,6 +20,11 @@
     constexpr std::chrono::milliseconds probeInterval { 2'000 };
     constexpr std::chrono::milliseconds probeAgain { 300 }; // While it fails.
     constexpr std::chrono::milliseconds outageLook { 100 };
+    // An instance without a configuration can serve nobody, so it asks beside a probe that hangs, whose connection may
+    // have met a store that was silent then: first after this, then after a tenth of the time since its start. The store's
+    // return is so found a tenth later than it could be, for about ten probes in each doubling of the outage.
+    constexpr std::chrono::milliseconds startProbePause { 50 };
+    constexpr int startProbePart = 10;
 
     // Every endpoint writes its entry about once a second, so a watch without a pause would return at each of them; see
     // endpoint::relaySettingsFor().
@@ -104,7 +109,10 @@
 void StoreDuty::turn(backing::PrefixFollower& follower, std::chrono::milliseconds pause)
 {
     awaitStore();
+    const std::uint64_t interruptions = m_interruptions;
     if (!follower.turn()) {
+        if (m_interruptions != interruptions)
+            return;
         noteFailure();
         pause = failurePause + std::chrono::milliseconds(below(m_random, failurePause.count()));
     }
@@ -142,8 +150,11 @@
         }
         followed = true;
         awaitStore();
+        const std::uint64_t interruptions = m_interruptions;
         const bool reached = follower.turn();
         m_roster->settle();
+        if (m_interruptions != interruptions && !reached)
+            continue;
         if (reached) {
             m_roster->noteCurrent();
             m_roster->tell();
@@ -158,9 +169,12 @@
     while (!m_shared.stopping) {
         awaitStore();
         Failure failure;
+        const std::uint64_t interruptions = m_interruptions;
         std::optional<backing::RecordPage> page = backing::readAll(*m_store, std::string(prefix), age, failure);
         if (page)
             return std::move(page->records);
+        if (m_interruptions != interruptions)
+            continue;
         noteFailure();
         net::sleepFor(failurePause + std::chrono::milliseconds(below(m_random, failurePause.count())));
     }
@@ -214,7 +228,7 @@
 void StoreDuty::awaitStore()
 {
     while (!m_answers && !m_shared.stopping)
-        net::sleepFor(outageLook);
+        m_returned.wait(outageLook);
 }
 
 // Lets the probe find out at once whether the store is away.
@@ -224,25 +238,60 @@
     m_suspected.notify();
 }
 
-// After an outage every watch that still waits may have lost its connection without a word.
 void StoreDuty::probeStore()
 {
-    bool wasAway = false;
+    m_startedAt = m_shared.clock.now();
+    while (!m_shared.stopping && !m_shared.routing.newest())
+        probeBesideOthers();
     while (!m_shared.stopping) {
-        Failure failure;
-        m_answers = m_store->answers(failure);
-        m_outage.note(m_answers, failure);
-        if (m_answers)
-            m_roster->proven(m_shared.clock.now());
-        else
-            m_roster->failed(failure);
-        if (m_answers && wasAway)
-            m_store->interruptWatches();
-        wasAway = !m_answers;
+        probeOnce();
         m_suspected.wait(m_answers ? probeInterval : probeAgain);
     }
 }
 
+void StoreDuty::probeBesideOthers()
+{
+    m_duty.spawn([this] { probeOnce(); });
+    const std::chrono::nanoseconds elapsed = m_shared.clock.now() - m_startedAt;
+    net::sleepFor(std::max<std::chrono::nanoseconds>(startProbePause, elapsed / startProbePart));
+}
+
+void StoreDuty::probeOnce()
+{
+    Failure failure;
+    const SteadyTime began = m_shared.clock.now();
+    const auto waiting = m_probes.insert(began);
+    const bool answers = m_store->answers(failure);
+    m_probes.erase(waiting);
+    noteProbe(began, answers, failure);
+}
+
+void StoreDuty::noteProbe(SteadyTime began, bool answers, const Failure& failure)
+{
+    if (!answers && began < m_answeredAt)
+        return; // A later one was answered.
+    const bool wasAway = !m_answers;
+    const bool othersHang = !m_probes.empty() && *m_probes.begin() < began;
+    m_answers = answers;
+    m_outage.note(answers, failure);
+    if (!answers) {
+        m_roster->failed(failure);
+        return;
+    }
+    m_answeredAt = std::max(m_answeredAt, began);
+    m_roster->proven(m_shared.clock.now());
+    if (wasAway || othersHang)
+        interruptReads();
+    m_returned.notify();
+}
+
+// After an outage every read that still waits may have lost its connection without a word.
+void StoreDuty::interruptReads()
+{
+    ++m_interruptions;
+    m_store->interruptReads();
+}
+
 // Instances' own records are read only while there is an order: they say nothing else.
 void StoreDuty::readShifts()
 {
@@ -277,7 +326,7 @@
             continue;
         log::warning("configuration is behind that of other instances", { { "outcome", "it is read anew" } });
         m_readOperatorsAnew = true;
-        m_store->interruptWatches();
+        interruptReads();
     }
 }
 
--- a/apps/whinyardd/entry/StoreDuty.h
+++ b/apps/whinyardd/entry/StoreDuty.h
@@ -16,6 +16,7 @@
 
 #include <chrono>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace whinyard::daemon {
@@ -41,6 +42,10 @@
     void tellEndpoints();
     void keepOwnRecord();
     void probeStore();
+    void probeOnce();
+    void probeBesideOthers();
+    void noteProbe(SteadyTime began, bool answers, const Failure& failure);
+    void interruptReads();
 
     // Waits while the store is known to be away.
     void awaitStore();
@@ -62,6 +67,11 @@
     net::Duty m_duty { "store" };
     bool m_readOperatorsAnew = false; // Their watch has missed something.
     net::Signal m_suspected; // A call has failed.
+    net::Signal m_returned; // The store answers again.
+    std::uint64_t m_interruptions = 0; // Of reads by this duty itself; their failures say nothing about the store.
+    SteadyTime m_startedAt;
+    SteadyTime m_answeredAt; // When the latest probe that was answered began.
+    std::multiset<SteadyTime> m_probes; // When those that wait now began.
     std::unique_ptr<net::HttpClient> m_client;
     std::unique_ptr<backing::WatchableStore> m_store;
     std::unique_ptr<OperatorWatch> m_operators;
--- a/packages/backing/testing/whinyard/backing/FakeWatchableStore.h
+++ b/packages/backing/testing/whinyard/backing/FakeWatchableStore.h
@@ -82,7 +82,7 @@
         return page;
     }
 
-    void interruptWatches() override { }
+    void interruptReads() override { }
     bool answers(Failure& failure) override { return reached(failure); }
 
     std::optional<Revision> transact(const Transaction& transaction, Failure& failure) override
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -78,6 +78,9 @@
     // about every 50 ms.
     void tick();
 
+    // Tells that a configuration or a list of endpoints has come: requests that wait for their first look again.
+    void noteNews();
+
     // Returns how many requests are running.
     std::size_t active() const;
 
--- a/packages/router/src/Forwarder.cpp
+++ b/packages/router/src/Forwarder.cpp
@@ -3,6 +3,8 @@
 #include "internal/ForwardRun.h"
 #include "whinyard/base/Log.h"
 
+#include <algorithm>
+
 namespace whinyard::router {
 
 namespace {
@@ -31,18 +33,35 @@
 
 struct Forwarder::State {
     State(const ForwarderParts& parts, const ForwarderSettings& settings, Random random)
-        : core { .parts = parts, .settings = settings, .random = random, .sharedRepeats = policy::SharedAllowance(settings.sharedRepeats) }
+        : core { .parts = parts, .settings = settings, .random = random, .sharedRepeats = policy::SharedAllowance(settings.sharedRepeats), .start = policy::StartForecast(parts.clock.now()), .news = parts.fibers.makeWakeup() }
     {
     }
 
     ForwardCore core;
 
+    // Waits until this instance knows what it may serve, at most as long as is good for the request. The time counts
+    // towards what the caller has left.
+    void awaitStart(ForwardedRequest& request)
+    {
+        if (core.isStarted())
+            return;
+        const SteadyTime arrived = core.parts.clock.now();
+        const SteadyTime latest = arrived + core.start.holdFor(request.timeLeft);
+        while (!core.isStarted() && core.parts.clock.now() < latest)
+            core.news->wait(latest - core.parts.clock.now());
+        const auto held = std::chrono::ceil<std::chrono::milliseconds>(core.parts.clock.now() - arrived);
+        if (request.timeLeft)
+            *request.timeLeft -= std::min(held, *request.timeLeft);
+        log::info("waited for the start", { { "request", request.id }, { "heldMs", std::to_string(held.count()) }, { "started", core.started ? "true" : "false" } });
+        core.parts.metrics.add("whinyard_held_at_start_total");
+    }
+
     // Refuses a request before any attempt.
     void refuse(const std::string& id, Failure failure, net::HttpResponder& responder)
     {
         if (failure.kind == ErrorKind::configurationStale && failure.retryAfter.count() == 0)
-            failure.retryAfter = core.settings.comeBackAfter;
-        log::info("refused", { { "request", id }, { "kind", std::string(answerFor(failure.kind).name) }, { "notRun", "true" }, { "reason", failure.reason } });
+            failure.retryAfter = core.start.comeBackAfter(core.parts.clock.now(), core.random);
+        log::info("refused", { { "request", id }, { "kind", std::string(answerFor(failure.kind).name) }, { "notRun", "true" }, { "reason", failure.reason }, { "retryAfterMs", std::to_string(failure.retryAfter.count()) } });
         core.parts.metrics.add("whinyard_refusals_total{kind=\"" + std::string(answerFor(failure.kind).name) + "\"}");
         responder.send(core.parts.codec.encodeFailure(id, failure));
     }
@@ -61,11 +80,12 @@
     const ActiveCount active(core.active);
     core.parts.metrics.add("whinyard_requests_total");
     Failure failure;
-    const std::optional<ForwardedRequest> request = core.parts.codec.decodeRequest(message, failure);
+    std::optional<ForwardedRequest> request = core.parts.codec.decodeRequest(message, failure);
     if (!request) {
         m_state->refuse("", failure, responder);
         return;
     }
+    m_state->awaitStart(*request);
     std::optional<Admission> admission = admit(core.parts.routing, *request, failure);
     if (!admission) {
         m_state->refuse(request->id, failure, responder);
@@ -79,6 +99,11 @@
     m_state->core.versions[service] = std::move(versions);
 }
 
+void Forwarder::noteNews()
+{
+    m_state->core.news->notify();
+}
+
 void Forwarder::useInstances(std::size_t count)
 {
     m_state->core.instances = count;
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -4,9 +4,11 @@
 #include "whinyard/policy/EngineSplit.h"
 #include "whinyard/policy/PromptRates.h"
 #include "whinyard/policy/RetryPolicy.h"
+#include "whinyard/policy/StartForecast.h"
 #include "whinyard/router/Forwarder.h"
 
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -45,6 +47,13 @@
         return settings.repeatsPerSecond * static_cast<double>(policy::RetryBudget::window.count()) + sharedRepeats.part(parts.clock.now());
     }
 
+    // Returns whether a configuration and a list of endpoints are known; then they stay so.
+    bool isStarted()
+    {
+        started = started || (parts.routing.newest() && parts.directory.size() > 0);
+        return started;
+    }
+
     // Each instance has about an equal part of all attempts.
     void noteUse()
     {
@@ -62,6 +71,8 @@
     ForwarderSettings settings;
     Random random;
     policy::SharedAllowance sharedRepeats;
+    policy::StartForecast start;
+    std::unique_ptr<Wakeup> news;
     std::map<ServiceName, policy::RetryBudget> budgets {};
     std::map<ServiceName, policy::RetryBudget> moves {};
     policy::PromptRates rates {};
@@ -71,6 +82,7 @@
     std::map<ServiceName, std::vector<std::string>> versions {};
     std::set<ForwardRun*> runs {}; // With an attempt that may be given up.
     std::size_t active = 0;
+    bool started = false;
 };
 
 }
--- a/packages/router/test/ForwarderTest.cpp
+++ b/packages/router/test/ForwarderTest.cpp
@@ -128,6 +128,42 @@
         EXPECT_TRUE(m_bench.client.requests.empty());
     }
 
+    // Callers whose streams were cut by a restart of all instances have one attempt left, and return at once.
+    TEST_F(ForwarderTest, HoldsARequestThatComesBeforeTheFirstConfiguration)
+    {
+        m_bench.source.table = nullptr;
+        m_bench.fibers.onWait = [this] {
+            m_bench.clock.advance(std::chrono::milliseconds(60));
+            m_bench.publish();
+            m_bench.forwarder.noteNews();
+        };
+        m_bench.answer(200, { "x" });
+        const FakeResponder caller = m_bench.send({ { "wait", "2000" } });
+        EXPECT_EQ(caller.response.status, 200);
+        EXPECT_EQ(m_bench.sent(0, "timeLeft"), "1940") << "the wait counts";
+    }
+
+    TEST_F(ForwarderTest, RefusesARequestThatWaitedForAConfigurationInVain)
+    {
+        m_bench.source.table = nullptr;
+        const SteadyTime sent = m_bench.clock.now();
+        const FakeResponder caller = m_bench.send({ { "wait", "2000" } });
+        EXPECT_EQ(caller.response.status, 503);
+        EXPECT_EQ(m_bench.clock.now() - sent, std::chrono::milliseconds(100));
+        EXPECT_GE(std::stoi(caller.field("retry-after")), 100);
+        EXPECT_TRUE(m_bench.client.requests.empty());
+    }
+
+    TEST_F(ForwarderTest, HoldsNoRequestOnceItHasStarted)
+    {
+        m_bench.answer(200, { "x" });
+        m_bench.send();
+        m_bench.listEndpoints({});
+        const SteadyTime sent = m_bench.clock.now();
+        EXPECT_EQ(m_bench.send({ { "wait", "2000" } }).response.status, 503);
+        EXPECT_EQ(m_bench.clock.now(), sent);
+    }
+
     TEST_F(ForwarderTest, PassesTheGateAnewBeforeEachAttempt)
     {
         m_bench.answer(500, { "x" });
