Weigh a larger model by what it is worth, what it costs and what it takes from others

Prompts of 54,000 tokens at the largest model stalled an engine for 1.6 s. Change: the value of showing an answer (a chance by its confidence, fitted anew from five bounds) is compared with that of a larger model, less its cost as a share of the answer's worth, less what others lose by the engine's time: the mean backlog and half of the prompt's own reading, in objectives. The worth of an answer by tokens and priority is an operator's setting. The fakes' prices changed: the larger model cost as much as an answer is worth, which is now a reason not to ask it.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -41,7 +41,11 @@
 
     policy::ModelChoiceSettings modelSettings(const settings::EntryTuning& tuning)
     {
-        return { .acceptFrom = tuning.acceptFrom, .cheapFirstBelow = tuning.smallFirstBelow };
+        policy::ModelChoiceSettings settings;
+        settings.cheapFirstBelow = tuning.smallFirstBelow;
+        settings.worthPerThousandTokens = tuning.worthPerThousandTokens;
+        settings.worthByPriority = tuning.worthByPriority;
+        return settings;
     }
 
     policy::WaitSelectorSettings selectorSettings(const settings::EntryTuning& tuning)
@@ -65,7 +69,7 @@
         return settings;
     }
 
-    router::ForwarderSettings forwarderSettings(const settings::ServiceBounds& bounds)
+    router::ForwarderSettings forwarderSettings(const settings::ServiceBounds& bounds, const settings::EntryTuning& tuning)
     {
         // A tenth of the bound stays unused, for windows that don't begin when ours do.
         constexpr double usedPart = 0.9;
@@ -73,6 +77,7 @@
         settings.repeatRatio = usedPart * bounds.repeatRatio;
         settings.repeatsPerSecond = 0;
         settings.sharedRepeats = bounds.repeatSlack;
+        settings.enginePrice.delayShare = tuning.delayShare;
         return settings;
     }
 
@@ -106,7 +111,7 @@
 {
     m_client = net::HttpClient::create(m_duty);
     const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, *m_client, m_fibers, &m_link };
-    m_forwarder = std::make_unique<router::Forwarder>(parts, forwarderSettings(m_shared.settings.bounds), seededRandom());
+    m_forwarder = std::make_unique<router::Forwarder>(parts, forwarderSettings(m_shared.settings.bounds, m_shared.settings.tuning), seededRandom());
     const net::HttpHandler forward = [this](const net::HttpRequest& request, net::HttpResponder& responder) { m_forwarder->handle(request, responder); };
     const net::HttpHandler tellReadiness = [this](const net::HttpRequest&, net::HttpResponder& responder) {
         constexpr int ready = 200;
--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -51,6 +51,7 @@
 struct ServicePlaces {
     std::uint64_t endpoints = 0;
     std::uint64_t slots = 0;
+    std::chrono::nanoseconds backlog { 0 }; // Mean time until an endpoint has read the prompts that it was given.
 };
 
 class EndpointDirectory {
@@ -96,8 +97,8 @@
     // Returns the engines that are listed and not leaving, in the order of their names.
     std::vector<backing::ListedEndpoint> engines() const;
 
-    // Returns the live endpoints of all versions of a service, and their places together.
-    ServicePlaces places(const ServiceName& service) const;
+    // Returns the live endpoints of all versions of a service, their places together, and what waits before them.
+    ServicePlaces places(const ServiceName& service, SteadyTime now) const;
 
     // Returns how many endpoints are listed and not leaving.
     std::size_t size() const;
--- a/packages/endpoint/src/EndpointDirectory.cpp
+++ b/packages/endpoint/src/EndpointDirectory.cpp
@@ -232,15 +232,19 @@
     return engines;
 }
 
-ServicePlaces EndpointDirectory::places(const ServiceName& service) const
+ServicePlaces EndpointDirectory::places(const ServiceName& service, SteadyTime now) const
 {
     ServicePlaces places;
+    std::chrono::nanoseconds backlogs { 0 };
     for (const auto& [name, endpoint] : m_listed) {
         if (endpoint.service != service || !isLive(endpoint))
             continue;
         ++places.endpoints;
         places.slots += endpoint.slots;
+        backlogs += backlog(name, now);
     }
+    if (places.endpoints > 0)
+        places.backlog = backlogs / places.endpoints;
     return places;
 }
 
--- a/packages/policy/include/whinyard/policy/ModelChoice.h
+++ b/packages/policy/include/whinyard/policy/ModelChoice.h
@@ -1,32 +1,48 @@
 // Chooses which of a route's models answers a request, and whether an answer that has begun is good enough to show.
 //
-// The forwarding path asks before the first attempt and when a model states its confidence. Pure.
+// The forwarding path asks before the first attempt and when a model states its confidence. All that speaks for or against
+// a larger model is compared as shares of the answer's worth: that the answer begun is poor, what the larger model costs,
+// that its answer would be late, and the engine's time, which others need while engines are short of it. Pure.
 #pragma once
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <string>
 #include <vector>
 
 namespace whinyard::policy {
 
 // What a choice needs to know about a request.
 struct ModelQuestion {
-    std::string route;
     std::vector<double> costs; // Of a thousand generated tokens, the smallest model first.
+    std::vector<std::chrono::nanoseconds> readingTimes; // Of the prompt by each model.
+    std::uint8_t priority = 0; // Of the route; 0 is the most urgent.
     std::uint32_t promptTokens = 0;
     std::uint32_t answerTokens = 0;
     std::uint32_t attemptsLeft = 1;
-    std::chrono::milliseconds timeToFirstEvent { 0 }; // Left of the objective.
-    std::vector<std::chrono::milliseconds> firstEvents; // That each model takes to its first event; empty: unknown.
+    std::chrono::nanoseconds timeToFirstEvent { 0 }; // Left of the objective.
+    std::chrono::nanoseconds queue { 0 }; // Before an engine reads another prompt, on average.
+    std::vector<double> delayShares; // By each model; see EnginePrice::share().
 };
 
+// Worth and costs have one unit, that of the operators' prices.
 struct ModelChoiceSettings {
-    std::uint32_t acceptFrom = 60; // Confidence, 0 to 100, from which a smaller model's answer is shown.
-    std::uint32_t acceptLateFrom = 40; // The same where the largest model's answer would be late.
     double cheapFirstBelow = 0; // Ask a smaller model first when it costs less than this share of the largest one.
+
+    // Worth of an answer for each thousand tokens generated, where those read count a quarter as in costs: of the most
+    // urgent priority, and its factor for each further one. Operators set both; the defaults are rounded from the sheets of
+    // five deployments, where an answer of the largest model costs 0.1 to 0.2 of its worth, of the last priority 0.4 to 0.6.
+    double worthPerThousandTokens = 2;
+    double worthByPriority = 0.5;
+
+    // The chance that an answer is good, by its stated confidence, is a logistic curve. From the credit of three kinds of
+    // request at five bounds: 0.75 at 55, 0.85 at 61, 0.95 at 67.
+    double evenConfidence = 48; // At which the chance is a half.
+    double confidenceScale = 6.6;
+    double poorWorth = 0.05; // Of a poor answer, as a share of a good one.
+    double lateWorth = 0.5; // Of a late answer, likewise.
+    double middleGain = 0.2; // Chance that a model between answers well what the one before it can't.
 };
 
 class ModelChoice {
@@ -40,8 +56,10 @@
     std::optional<std::size_t> stepUp(const ModelQuestion& question, std::size_t model, std::optional<std::uint32_t> confidence) const;
 
 private:
-    // Returns the largest model whose answer begins within the objective.
-    static std::size_t largestInTime(const ModelQuestion& question);
+    double chanceOfGood(std::uint32_t confidence) const;
+
+    // Returns what asking `model` is worth, as a share of a good answer in time.
+    double valueOf(const ModelQuestion& question, std::size_t model, double chance) const;
 
     const ModelChoiceSettings m_settings;
 };
--- a/packages/policy/src/ModelChoice.cpp
+++ b/packages/policy/src/ModelChoice.cpp
@@ -1,7 +1,22 @@
 #include "whinyard/policy/ModelChoice.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace whinyard::policy {
 
+namespace {
+
+    constexpr double readShare = 0.25; // Of a generated token's cost, for a token that is read.
+    constexpr double thousand = 1'000;
+
+    double weightedThousands(const ModelQuestion& question)
+    {
+        return (question.promptTokens * readShare + question.answerTokens) / thousand;
+    }
+
+}
+
 ModelChoice::ModelChoice(const ModelChoiceSettings& settings)
     : m_settings(settings)
 {
@@ -16,25 +31,42 @@
     return question.costs.front() < m_settings.cheapFirstBelow * question.costs.back() ? 0 : largest;
 }
 
-std::size_t ModelChoice::largestInTime(const ModelQuestion& question)
+double ModelChoice::chanceOfGood(std::uint32_t confidence) const
 {
-    std::size_t model = question.costs.size() - 1;
-    while (model > 0 && model < question.firstEvents.size() && question.firstEvents[model] > question.timeToFirstEvent)
-        --model;
-    return model;
+    return 1 / (1 + std::exp((m_settings.evenConfidence - confidence) / m_settings.confidenceScale));
+}
+
+double ModelChoice::valueOf(const ModelQuestion& question, std::size_t model, double chance) const
+{
+    const std::chrono::nanoseconds reading = model < question.readingTimes.size() ? question.readingTimes[model] : std::chrono::nanoseconds(0);
+    const bool isLate = question.queue + reading > question.timeToFirstEvent;
+    const double inTime = isLate ? m_settings.lateWorth : 1;
+    const double rate = m_settings.worthPerThousandTokens * std::pow(m_settings.worthByPriority, question.priority);
+    // Delays are stated as a share of what the engine makes by reading prompts of the most urgent priority.
+    const double readPart = question.promptTokens * readShare / thousand / std::max(weightedThousands(question), readShare / thousand);
+    const double largestReading = question.readingTimes.empty() ? 0 : std::chrono::duration<double>(question.readingTimes.back()).count();
+    const double readingShare = largestReading > 0 ? std::chrono::duration<double>(reading).count() / largestReading : 0;
+    const double delay = model < question.delayShares.size() ? question.delayShares[model] : 0;
+    const double time = delay * readPart * readingShare * m_settings.worthPerThousandTokens / rate;
+    return inTime * (chance + m_settings.poorWorth * (1 - chance)) - question.costs[model] / rate - time;
 }
 
 std::optional<std::size_t> ModelChoice::stepUp(const ModelQuestion& question, std::size_t model, std::optional<std::uint32_t> confidence) const
 {
-    if (question.costs.empty() || question.attemptsLeft <= 1 || !confidence)
-        return std::nullopt;
-    const std::size_t largest = question.costs.size() - 1;
-    const std::size_t inTime = largestInTime(question);
-    const bool isGood = *confidence >= (inTime < largest ? m_settings.acceptLateFrom : m_settings.acceptFrom);
-    if (model >= largest || isGood)
+    if (question.costs.empty() || question.attemptsLeft <= 1 || !confidence || model + 1 >= question.costs.size())
         return std::nullopt;
-    // A late answer of the largest model is worth more than one in time that is most likely wrong.
-    return inTime > model ? inTime : largest;
+    const double chance = chanceOfGood(*confidence);
+    double best = chance + m_settings.poorWorth * (1 - chance);
+    std::optional<std::size_t> choice;
+    for (std::size_t larger = model + 1; larger < question.costs.size(); ++larger) {
+        const bool isLargest = larger + 1 == question.costs.size();
+        const double value = valueOf(question, larger, isLargest ? 1 : chance + m_settings.middleGain * (1 - chance));
+        if (value > best) {
+            best = value;
+            choice = larger;
+        }
+    }
+    return choice;
 }
 
 }
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -11,6 +11,7 @@
 #include "whinyard/endpoint/EndpointDirectory.h"
 #include "whinyard/net/HttpClient.h"
 #include "whinyard/net/HttpServer.h"
+#include "whinyard/policy/EnginePrice.h"
 #include "whinyard/policy/ModelChoice.h"
 #include "whinyard/policy/VersionShift.h"
 #include "whinyard/router/Fibers.h"
@@ -51,6 +52,7 @@
     // an overload every engine is silent for long, and moving to another one reads the prompt anew.
     double moveRatio = 0.12;
     double movesPerSecond = 0.1;
+    policy::EnginePriceSettings enginePrice {};
     double sharedRepeats = 0; // In ten seconds, of all instances together, beyond those that requests allow.
     std::chrono::milliseconds connectTimeout { 300 }; // Many times the longest way within a region.
     std::chrono::milliseconds comeBackAfter { 150 }; // Told with a refusal when nothing better is known.
--- a/packages/router/src/internal/ForwardChoice.cpp
+++ b/packages/router/src/internal/ForwardChoice.cpp
@@ -153,17 +153,20 @@
 policy::ModelQuestion ForwardRun::modelQuestion() const
 {
     const config::Route& route = *m_admission.route;
+    const policy::EnginePrice& price = m_core.priceOf(m_service);
     policy::ModelQuestion question;
-    question.route = route.name;
+    question.priority = route.priority;
     for (const ModelName& name : route.models) {
         const double cost = costOf(name);
         question.costs.push_back(cost);
-        question.firstEvents.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(m_core.rates.tokenTime(name, cost) * m_request.promptTokens));
+        question.readingTimes.push_back(m_core.rates.tokenTime(name, cost) * m_request.promptTokens);
+        question.delayShares.push_back(price.share(question.readingTimes.back(), route.objective));
     }
     question.promptTokens = m_request.promptTokens;
     question.answerTokens = m_request.expectedTokens > 0 ? m_request.expectedTokens : m_request.answerTokens;
     question.attemptsLeft = route.maximumAttempts - std::min(route.maximumAttempts, m_sent);
-    question.timeToFirstEvent = std::chrono::duration_cast<std::chrono::milliseconds>(m_arrived + route.objective - now());
+    question.timeToFirstEvent = m_arrived + route.objective - now();
+    question.queue = price.backlog();
     return question;
 }
 
@@ -177,10 +180,11 @@
 {
     if (!m_model || m_streaming || m_request.resumeAfter)
         return false;
-    const std::optional<std::size_t> larger = m_core.parts.models.stepUp(modelQuestion(), *m_model, attempt.reply().confidence);
+    const policy::ModelQuestion question = modelQuestion();
+    const std::optional<std::size_t> larger = m_core.parts.models.stepUp(question, *m_model, attempt.reply().confidence);
     if (!larger || !m_core.budgetOf(m_service).take(now(), stepPart))
         return false;
-    log::info("larger model asked", { { "request", m_request.id }, { "confidence", std::to_string(attempt.reply().confidence.value_or(0)) }, { "from", model().value }, { "to", m_admission.route->models[*larger].value }, { "elapsedMs", text(now() - m_arrived) } });
+    log::info("larger model asked", { { "request", m_request.id }, { "confidence", std::to_string(attempt.reply().confidence.value_or(0)) }, { "from", model().value }, { "to", m_admission.route->models[*larger].value }, { "backlogMs", text(question.queue) }, { "elapsedMs", text(now() - m_arrived) } });
     m_core.parts.metrics.add("whinyard_model_steps_total");
     m_nextModel = *larger;
     m_runState = RunState::unknown;
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -1,6 +1,7 @@
 // The forwarder's parts and settings with its state, as the requests on the path share them.
 #pragma once
 
+#include "whinyard/policy/EnginePrice.h"
 #include "whinyard/policy/EngineSplit.h"
 #include "whinyard/policy/PromptRates.h"
 #include "whinyard/policy/RetryPolicy.h"
@@ -42,6 +43,11 @@
         return moves.try_emplace(service, settings.moveRatio, settings.movesPerSecond).first->second;
     }
 
+    policy::EnginePrice& priceOf(const ServiceName& service)
+    {
+        return prices.try_emplace(service, settings.enginePrice).first->second;
+    }
+
     double repeatsWithoutRequests()
     {
         return settings.repeatsPerSecond * static_cast<double>(policy::RetryBudget::window.count()) + sharedRepeats.part(parts.clock.now());
@@ -58,7 +64,8 @@
     void noteUse()
     {
         for (auto& [service, split] : splits) {
-            const endpoint::ServicePlaces places = parts.directory.places(service);
+            const endpoint::ServicePlaces places = parts.directory.places(service, parts.clock.now());
+            priceOf(service).note(places.backlog, parts.clock.now());
             if (places.slots == 0)
                 continue;
             const auto slots = static_cast<double>(places.slots);
@@ -77,6 +84,7 @@
     std::map<ServiceName, policy::RetryBudget> moves {};
     policy::PromptRates rates {};
     std::map<ServiceName, policy::EngineSplit> splits {};
+    std::map<ServiceName, policy::EnginePrice> prices {};
     std::map<ServiceName, std::size_t> inFlight {}; // Attempts at engines.
     std::size_t instances = 1;
     std::map<ServiceName, std::vector<std::string>> versions {};
--- a/packages/router/testing/whinyard/router/ForwarderFakes.h
+++ b/packages/router/testing/whinyard/router/ForwarderFakes.h
@@ -87,7 +87,7 @@
 public:
     ForwarderBench()
     {
-        routing.services = { { { "svc" }, 100, 0, 0, 1, { { { "small" }, 0.1 }, { { "large" }, 1.0 } } } };
+        routing.services = { { { "svc" }, 100, 0, 0, 1, { { { "small" }, 0.02 }, { { "large" }, 0.25 } } } };
         routing.customers = { { { "school" }, { "k1" }, std::nullopt } };
         routing.knowsCustomers = true;
         routing.version = 1;
@@ -170,7 +170,7 @@
     FakeCodec codec;
     endpoint::EndpointDirectory directory { { "z" }, Random(1) };
     policy::VersionShifts shifts;
-    policy::ModelChoice models { { .acceptFrom = 50, .cheapFirstBelow = 1 } };
+    policy::ModelChoice models { { .cheapFirstBelow = 1 } };
     endpoint::FakeHttpClient client;
     FakeFibers fibers { clock };
     Forwarder forwarder { { clock, metrics, source, codec, directory, shifts, models, client, fibers }, { .repeatRatio = 1, .repeatsPerSecond = 10 }, Random(2) };
--- a/packages/settings/include/whinyard/settings/EntryTuning.h
+++ b/packages/settings/include/whinyard/settings/EntryTuning.h
@@ -17,8 +17,12 @@
 struct EntryTuning {
     // A route's smallest model is asked first where it costs less than this share of the largest one.
     double smallFirstBelow = 1;
-    // Confidence, 0 to 100, from which a smaller model's answer is shown.
-    std::uint32_t acceptFrom = 52;
+    // Worth of an answer of the most urgent priority for each thousand generated tokens, those read counting a quarter, in
+    // the unit of the models' costs; and its factor for each further priority.
+    double worthPerThousandTokens = 2;
+    double worthByPriority = 0.5;
+    // What others lose when an engine is behind by one objective, as a share of the worth that it makes in the same time.
+    double delayShare = 1.6;
     // An endpoint of the own zone is taken while its expected wait is at most this many times the best one's.
     double zoneFactor = 1;
     // Added to the expected wait at an endpoint of another zone.
--- a/packages/settings/src/EntryTuning.cpp
+++ b/packages/settings/src/EntryTuning.cpp
@@ -11,13 +11,15 @@
 
     using std::chrono::milliseconds;
 
-    constexpr std::uint32_t wholeConfidence = 100;
+    constexpr double leastWorth = 0.001;
 
     EntryTuning readTuning(JsonObject& object)
     {
         EntryTuning tuning;
         object.number("smallFirstBelow", tuning.smallFirstBelow, Presence::optional, { 0, 1 });
-        object.integer<std::uint32_t>("acceptFrom", tuning.acceptFrom, Presence::optional, { 0, wholeConfidence + 1 });
+        object.number("worthPerThousandTokens", tuning.worthPerThousandTokens, Presence::optional, { leastWorth, 1'000 });
+        object.number("worthByPriority", tuning.worthByPriority, Presence::optional, { leastWorth, 1 });
+        object.number("delayShare", tuning.delayShare, Presence::optional, { 0, 100 });
         object.number("zoneFactor", tuning.zoneFactor, Presence::optional, { 0, 100 });
         object.milliseconds("zonePenaltyMs", tuning.zonePenalty, Presence::optional, { milliseconds(0), milliseconds(10'000) });
         std::uint32_t rereadPenalty = static_cast<std::uint32_t>(tuning.rereadPenalty.count());
