Add a fault soak of the entry daemons

Cause: the daemons' promises under faults were tested in one process, or by the users' bench; nothing ran the real programs with series of faults that overlap. Change: soak/ starts daemons and engines as processes, with a proxy on every link that can be disturbed, and judges nine promises by what callers and engines saw.

--- /dev/null
+++ b/soak/Site.h
@@ -0,0 +1,95 @@
+// The site of a soak: a store, engines and daemons as processes, and a proxy on every link that can be disturbed.
+#pragma once
+
+#include "ChildProcess.h"
+#include "Observations.h"
+#include "Proxy.h"
+#include "platform/StandInStore.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace whinyard::soak {
+
+struct SitePlan {
+    std::string daemonProgram;
+    std::string engineProgram;
+    std::string directory; // For settings and logs.
+    std::size_t daemons = 3;
+    std::size_t engines = 4;
+    std::uint64_t seed = 1;
+};
+
+// Functions may be called from any thread; those on one daemon or engine from one at a time.
+class Site {
+public:
+    explicit Site(const SitePlan& plan);
+
+    // Ends every process that the site started.
+    ~Site();
+
+    std::size_t daemons() const { return m_daemons.size(); }
+    std::size_t engines() const { return m_engines.size(); }
+    net::Address callers(std::size_t daemon) const;
+    net::Address readiness(std::size_t daemon) const;
+
+    void startDaemon(std::size_t daemon);
+    void signalDaemon(std::size_t daemon, int signal);
+    // Waits for its end and returns the exit status.
+    int awaitDaemon(std::size_t daemon);
+
+    void startEngine(std::size_t engine);
+    void signalEngine(std::size_t engine, int signal);
+    void killEngine(std::size_t engine);
+
+    // Writes the engine's entry with this state, or removes it.
+    void listEngine(std::size_t engine, const char* state = "ready");
+    void unlistEngine(std::size_t engine);
+
+    Proxy& storeLink(std::size_t daemon) { return *m_daemons[daemon].store; }
+    Proxy& engineLink(std::size_t engine) { return *m_engines[engine].link; }
+    platform::StandInStore& store() { return m_store; }
+
+    // Publishes a configuration in which only this key is valid, beside those that stay.
+    void configure(const std::vector<std::string>& keys);
+
+    // Returns the runs that engines have reported so far.
+    std::vector<RunRecord> runs();
+
+    static constexpr const char* customer = "school";
+
+private:
+    struct DaemonPlace {
+        std::uint16_t port = 0; // Of callers; readiness and other instances follow.
+        std::unique_ptr<Proxy> store;
+        std::unique_ptr<apptest::ChildProcess> process;
+    };
+
+    struct EnginePlace {
+        std::string id;
+        std::uint32_t life = 0;
+        std::unique_ptr<Proxy> link;
+        std::unique_ptr<apptest::ChildProcess> process;
+        std::thread reader;
+    };
+
+    void writeSettings(std::size_t daemon);
+    void readRuns(std::size_t engine);
+    std::string logOf(const std::string& name) const { return m_plan.directory + "/" + name + ".log"; }
+
+    const SitePlan m_plan;
+    const std::string m_host;
+    const SystemClock m_clock;
+    platform::StandInStore m_store;
+    std::vector<DaemonPlace> m_daemons;
+    std::vector<EnginePlace> m_engines;
+    std::uint64_t m_configuration = 0;
+    std::mutex m_mutex;
+    std::vector<RunRecord> m_runs;
+};
+
+}
