Let a probe of the store renew the lease, and watch for longer

Change: renewals are the probes, every 2 s; watches wait 30 s, the most allowed; the first read of instances may be old, as those that start now tell of it themselves; a start stops probing beside others once one was answered.

--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -14,7 +14,7 @@
 
     // One watch waits so long. Every call of the store has its price, so watches are long, and a probe, which costs a
     // tenth, finds out when a partition or an outage has silenced them: 0.8 instead of 3.1 full calls a second.
-    constexpr std::chrono::milliseconds watchWait { 20'000 };
+    constexpr std::chrono::milliseconds watchWait { 30'000 };
 
     // Must be so short that an outage is noticed, and watches begin anew, before the instance counts as in touch again.
     constexpr std::chrono::milliseconds probeInterval { 2'000 };
@@ -46,7 +46,7 @@
 
     // Other instances reach this one by a record that lapses so long after its end.
     constexpr std::chrono::milliseconds instanceTimeToLive { 12'000 };
-    constexpr std::chrono::milliseconds instanceRenewal { 4'000 };
+    constexpr std::chrono::milliseconds recordLook { 1'000 }; // Until the record stands; then each probe renews its lease.
 
     // Between calls while the store fails, with as much again at random, so that instances don't return in step.
     constexpr std::chrono::milliseconds failurePause { 150 };
@@ -192,7 +192,8 @@
         if (const auto records = readUntilAnswered(InstanceWatch::prefix, age))
             m_instances->replaced(*records);
     };
-    read(backing::ReadAge::newest);
+    // Whoever started long ago stands in an old state too, and those that start now tell of it themselves.
+    read(backing::ReadAge::mayBeOld);
     m_serving.broadcast(ownNotice());
     net::sleepFor(startPause);
     read(backing::ReadAge::newest);
@@ -215,12 +216,13 @@
 
 void StoreDuty::keepOwnRecord()
 {
-    backing::LeasedRecord record(*m_store, std::string(InstanceWatch::prefix) + m_shared.settings.instance.value, peer::writeInstanceRecord(ownNotice()), instanceTimeToLive);
+    m_ownRecord.emplace(*m_store, std::string(InstanceWatch::prefix) + m_shared.settings.instance.value, peer::writeInstanceRecord(ownNotice()), instanceTimeToLive);
     while (!m_shared.stopping) {
         awaitStore();
         Failure failure; // The probe tells of an outage.
-        record.turn(failure);
-        net::sleepFor(instanceRenewal);
+        if (!m_ownRecord->isHeld())
+            m_ownRecord->turn(failure);
+        net::sleepFor(recordLook);
     }
 }
 
@@ -241,7 +243,7 @@
 void StoreDuty::probeStore()
 {
     m_startedAt = m_shared.clock.now();
-    while (!m_shared.stopping && !m_shared.routing.newest())
+    while (!m_shared.stopping && !m_shared.routing.newest() && m_answeredAt == SteadyTime())
         probeBesideOthers();
     while (!m_shared.stopping) {
         probeOnce();
@@ -261,7 +263,8 @@
     Failure failure;
     const SteadyTime began = m_shared.clock.now();
     const auto waiting = m_probes.insert(began);
-    const bool answers = m_store->answers(failure);
+    // A renewal costs as much as the cheapest read, and shows as well that the store answers.
+    const bool answers = m_ownRecord && m_ownRecord->isHeld() ? m_ownRecord->turn(failure) : m_store->answers(failure);
     m_probes.erase(waiting);
     noteProbe(began, answers, failure);
 }
--- a/apps/whinyardd/entry/StoreDuty.h
+++ b/apps/whinyardd/entry/StoreDuty.h
@@ -16,6 +16,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -78,6 +79,7 @@
     std::unique_ptr<RosterWatch> m_roster;
     std::unique_ptr<ShiftKeeper> m_shifts;
     std::unique_ptr<InstanceWatch> m_instances;
+    std::optional<backing::LeasedRecord> m_ownRecord; // By which other instances find this one.
     std::unique_ptr<net::HttpServer> m_metricsServer;
 };
 
--- a/packages/backing/include/whinyard/backing/LeasedRecord.h
+++ b/packages/backing/include/whinyard/backing/LeasedRecord.h
@@ -21,6 +21,9 @@
     // the time to live. Returns false with the reason when the store could not be reached or refused.
     bool turn(Failure& failure);
 
+    // Returns whether the record stood when turn() succeeded last, so that the next one only renews its lease.
+    bool isHeld() const { return m_lease.has_value(); }
+
     // Takes the record back.
     void end();
 
--- a/packages/backing/test/LeasedRecordTest.cpp
+++ b/packages/backing/test/LeasedRecordTest.cpp
@@ -16,7 +16,9 @@
 
     TEST_F(LeasedRecordTest, WritesOnceAndRenews)
     {
+        EXPECT_FALSE(m_record.isHeld());
         EXPECT_TRUE(m_record.turn(m_failure));
+        EXPECT_TRUE(m_record.isHeld());
         const Revision revision = m_store.find("instance/a")->revision;
         EXPECT_TRUE(m_record.turn(m_failure));
         EXPECT_EQ(m_store.find("instance/a")->revision, revision);
