Let idle watches of operators' records go on from the store's revision

Hypothesis: an idle watch goes on from the last change told, whose history is dropped after 20 s: three calls an instance for each such span. Change: it goes on from the store's revision; instances state the newest operators' record that they act on, so that a watch that missed one is found out.

--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -6,6 +6,7 @@
 #include "platform/Store.h"
 #include "whinyard/base/Log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace whinyard::daemon {
@@ -106,27 +107,38 @@
     return true;
 }
 
-void StoreDuty::turn(backing::PrefixFollower& follower, std::chrono::milliseconds pause)
+bool StoreDuty::turn(backing::PrefixFollower& follower, std::chrono::milliseconds pause)
 {
     awaitStore();
     const std::uint64_t interruptions = m_interruptions;
-    if (!follower.turn()) {
+    const bool reached = follower.turn();
+    if (!reached) {
         if (m_interruptions != interruptions)
-            return;
+            return false;
         noteFailure();
         pause = failurePause + std::chrono::milliseconds(below(m_random, failurePause.count()));
     }
     if (pause.count() > 0)
         net::sleepFor(pause);
+    return reached;
 }
 
 void StoreDuty::followOperators()
 {
-    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::operatorPrefix), watchWait, *m_operators);
+    // Where others state the records that they act on, a watch that missed one is found out by that.
+    const backing::IdlePlace idle = m_shared.settings.peers ? backing::IdlePlace::storeRevision : backing::IdlePlace::lastChange;
+    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::operatorPrefix), watchWait, *m_operators, idle);
     while (!m_shared.stopping) {
-        if (std::exchange(m_readOperatorsAnew, false))
-            follower.readAnew();
-        turn(follower, noPause);
+        if (!m_readOperatorsAnew) {
+            turn(follower, noPause);
+            continue;
+        }
+        const std::uint64_t heard = m_roster->newestOperatorsHeard();
+        follower.readAnew();
+        // What others act on is known after the read, also where its record has been deleted since.
+        m_readOperatorsAnew = !turn(follower, noPause);
+        if (!m_readOperatorsAnew)
+            m_shared.operatorsRevision = std::max<std::uint64_t>(m_shared.operatorsRevision, heard);
     }
 }
 
@@ -325,9 +337,9 @@
     while (!m_shared.stopping) {
         net::sleepFor(settleInterval);
         m_roster->settle();
-        if (!m_roster->isConfigurationBehind())
+        if (!m_roster->isBehindOperators())
             continue;
-        log::warning("configuration is behind that of other instances", { { "outcome", "it is read anew" } });
+        log::warning("other instances act on newer records of operators", { { "outcome", "they are read anew" } });
         m_readOperatorsAnew = true;
         interruptReads();
     }
