--- a/apps/whinyardd/entry/EntryShared.h
+++ b/apps/whinyardd/entry/EntryShared.h
@@ -21,7 +21,6 @@
     Metrics metrics;
     RoutingKeeper routing;
     std::atomic<bool> endpointsKnown = false;
-    std::atomic<std::uint64_t> operatorsRevision = 0; // The newest record of operators that this instance acts on.
     std::atomic<bool> draining = false;
     std::atomic<bool> stopping = false; // Ends the loops of all duties.
 };
--- a/apps/whinyardd/entry/OperatorWatch.cpp
+++ b/apps/whinyardd/entry/OperatorWatch.cpp
@@ -4,8 +4,6 @@
 #include "platform/Rollouts.h"
 #include "whinyard/base/Log.h"
 
-#include <algorithm>
-
 namespace whinyard::daemon {
 
 OperatorWatch::OperatorWatch(EntryShared& shared, ServeDuty& serving)
@@ -39,7 +37,6 @@
 
 void OperatorWatch::take(const backing::Record& record)
 {
-    m_shared.operatorsRevision = std::max<std::uint64_t>(m_shared.operatorsRevision, record.revision);
     if (record.key == platform::configurationKey)
         takeConfiguration(record);
     else if (platform::orderedService(record.key))
--- a/apps/whinyardd/entry/RosterWatch.cpp
+++ b/apps/whinyardd/entry/RosterWatch.cpp
@@ -100,9 +100,15 @@
     return false;
 }
 
-bool RosterWatch::isBehindOperators()
+std::uint64_t RosterWatch::ownConfiguration() const
 {
-    return m_heardOperators.isBehind(m_shared.operatorsRevision, m_shared.clock.now());
+    const std::shared_ptr<const config::RoutingTable> newest = m_shared.routing.newest();
+    return newest ? newest->version() : 0;
+}
+
+bool RosterWatch::isConfigurationBehind()
+{
+    return m_heardConfiguration.isBehind(ownConfiguration(), m_shared.clock.now());
 }
 
 void RosterWatch::noteFollowing() const
@@ -159,7 +165,7 @@
 void RosterWatch::takeNotice(const peer::RosterNotice& notice)
 {
     const SteadyTime now = m_shared.clock.now();
-    m_heardOperators.hear(notice.operatorsRevision, now);
+    m_heardConfiguration.hear(notice.configuration, now);
     const endpoint::RosterStatement statement { notice.instance, notice.life, notice.sequence, !notice.changed.empty() || !notice.gone.empty() };
     switch (m_relay.hear(statement, now)) {
     case endpoint::RelayAction::ignore:
@@ -200,7 +206,7 @@
 void RosterWatch::broadcast(std::vector<backing::ListedEndpoint> changed, std::vector<EndpointName> gone)
 {
     do {
-        peer::RosterNotice notice { m_shared.settings.instance, m_life, m_sequence, {}, {}, m_shared.operatorsRevision };
+        peer::RosterNotice notice { m_shared.settings.instance, m_life, m_sequence, {}, {}, ownConfiguration() };
         const std::size_t taken = std::min(changed.size(), peer::mostRosterChanges);
         notice.changed.assign(changed.begin(), changed.begin() + static_cast<std::ptrdiff_t>(taken));
         changed.erase(changed.begin(), changed.begin() + static_cast<std::ptrdiff_t>(taken));
--- a/apps/whinyardd/entry/RosterWatch.h
+++ b/apps/whinyardd/entry/RosterWatch.h
@@ -42,12 +42,9 @@
     // Asks followers for the whole list where that is needed. Returns whether the store is to be followed instead.
     bool mustFollow();
 
-    // Returns whether other instances act on a newer record of operators that this one should know by now; true now and then
-    // for as long as it is so.
-    bool isBehindOperators();
-
-    // Returns the revision of the newest record of operators that another instance acts on, as far as was heard.
-    std::uint64_t newestOperatorsHeard() const { return m_heardOperators.newest(); }
+    // Returns whether other instances act on a newer configuration that this one should know by now; true now and then for
+    // as long as it is so.
+    bool isConfigurationBehind();
 
     // Notes that this instance begins to follow the store.
     void noteFollowing() const;
@@ -62,6 +59,7 @@
 
 private:
     bool mayTell() const;
+    std::uint64_t ownConfiguration() const;
     void broadcast(std::vector<backing::ListedEndpoint> changed, std::vector<EndpointName> gone);
 
     EntryShared& m_shared;
@@ -72,7 +70,7 @@
     std::uint64_t m_sequence = 0; // Of the last notice with changes.
     std::map<EndpointName, backing::ListedEndpoint> m_told; // The list as the others were told.
     std::map<InstanceName, peer::InstanceNotice> m_instances;
-    peer::HeardVersion m_heardOperators;
+    peer::HeardVersion m_heardConfiguration;
     std::vector<peer::RosterPart> m_parts; // Of a whole list that isn't complete yet.
 };
 
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -6,7 +6,6 @@
 #include "platform/Store.h"
 #include "whinyard/base/Log.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace whinyard::daemon {
@@ -107,38 +106,27 @@
     return true;
 }
 
-bool StoreDuty::turn(backing::PrefixFollower& follower, std::chrono::milliseconds pause)
+void StoreDuty::turn(backing::PrefixFollower& follower, std::chrono::milliseconds pause)
 {
     awaitStore();
     const std::uint64_t interruptions = m_interruptions;
-    const bool reached = follower.turn();
-    if (!reached) {
+    if (!follower.turn()) {
         if (m_interruptions != interruptions)
-            return false;
+            return;
         noteFailure();
         pause = failurePause + std::chrono::milliseconds(below(m_random, failurePause.count()));
     }
     if (pause.count() > 0)
         net::sleepFor(pause);
-    return reached;
 }
 
 void StoreDuty::followOperators()
 {
-    // Where others state the records that they act on, a watch that missed one is found out by that.
-    const backing::IdlePlace idle = m_shared.settings.peers ? backing::IdlePlace::storeRevision : backing::IdlePlace::lastChange;
-    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::operatorPrefix), watchWait, *m_operators, idle);
+    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::operatorPrefix), watchWait, *m_operators);
     while (!m_shared.stopping) {
-        if (!m_readOperatorsAnew) {
-            turn(follower, noPause);
-            continue;
-        }
-        const std::uint64_t heard = m_roster->newestOperatorsHeard();
-        follower.readAnew();
-        // What others act on is known after the read, also where its record has been deleted since.
-        m_readOperatorsAnew = !turn(follower, noPause);
-        if (!m_readOperatorsAnew)
-            m_shared.operatorsRevision = std::max<std::uint64_t>(m_shared.operatorsRevision, heard);
+        if (std::exchange(m_readOperatorsAnew, false))
+            follower.readAnew();
+        turn(follower, noPause);
     }
 }
 
@@ -337,9 +325,9 @@
     while (!m_shared.stopping) {
         net::sleepFor(settleInterval);
         m_roster->settle();
-        if (!m_roster->isBehindOperators())
+        if (!m_roster->isConfigurationBehind())
             continue;
-        log::warning("other instances act on newer records of operators", { { "outcome", "they are read anew" } });
+        log::warning("configuration is behind that of other instances", { { "outcome", "it is read anew" } });
         m_readOperatorsAnew = true;
         interruptReads();
     }
--- a/apps/whinyardd/entry/StoreDuty.h
+++ b/apps/whinyardd/entry/StoreDuty.h
@@ -57,8 +57,8 @@
     // the daemon stops.
     std::optional<std::vector<backing::Record>> readUntilAnswered(std::string_view prefix, backing::ReadAge age);
 
-    // Makes one call; pauses after it, longer when it failed. Returns whether it succeeded.
-    bool turn(backing::PrefixFollower& follower, std::chrono::milliseconds pause);
+    // Makes one call; pauses after it, longer when it failed.
+    void turn(backing::PrefixFollower& follower, std::chrono::milliseconds pause);
 
     EntryShared& m_shared;
     ServeDuty& m_serving;
--- a/packages/backing/include/whinyard/backing/PrefixFollower.h
+++ b/packages/backing/include/whinyard/backing/PrefixFollower.h
@@ -31,19 +31,11 @@
     virtual void failed(const Failure& failure) = 0;
 };
 
-// Where a watch goes on after one that told no change. Read on the last change told, a watch that was silent over a change is
-// found out, since the history that it continues from is dropped at some time; it costs a range for each span of history
-// without a change. Where something else finds that out, the store's revision saves these.
-enum class IdlePlace : std::uint8_t {
-    lastChange,
-    storeRevision,
-};
-
 class PrefixFollower {
 public:
     // All must outlive the object. `wait` bounds one watch: it adds to the time after which a lost connection is
     // noticed.
-    PrefixFollower(WatchableStore& store, const Clock& clock, std::string prefix, std::chrono::milliseconds wait, PrefixObserver& observer, IdlePlace idle = IdlePlace::lastChange);
+    PrefixFollower(WatchableStore& store, const Clock& clock, std::string prefix, std::chrono::milliseconds wait, PrefixObserver& observer);
 
     // Makes one call, or one for each page of a range, and tells the observer. Returns whether it succeeded; after a
     // failure the caller pauses before the next one.
@@ -61,7 +53,6 @@
     const std::string m_prefix;
     const std::chrono::milliseconds m_wait;
     PrefixObserver& m_observer;
-    const IdlePlace m_idle;
     bool m_placed = false; // A range was read, and no change after it was missed.
     Revision m_revision = 0; // Up to which the observer knows everything.
 };
--- a/packages/backing/src/PrefixFollower.cpp
+++ b/packages/backing/src/PrefixFollower.cpp
@@ -4,13 +4,12 @@
 
 namespace whinyard::backing {
 
-PrefixFollower::PrefixFollower(WatchableStore& store, const Clock& clock, std::string prefix, std::chrono::milliseconds wait, PrefixObserver& observer, IdlePlace idle)
+PrefixFollower::PrefixFollower(WatchableStore& store, const Clock& clock, std::string prefix, std::chrono::milliseconds wait, PrefixObserver& observer)
     : m_store(store)
     , m_clock(clock)
     , m_prefix(std::move(prefix))
     , m_wait(wait)
     , m_observer(observer)
-    , m_idle(idle)
 {
 }
 
@@ -48,12 +47,12 @@
         m_observer.failed(failure);
         return false;
     }
+    // The place is the last change told, not the store's revision: a watch that was silent over changes whose history
+    // was then dropped is found out by that, at the price of one range read for each span of history without a change.
     for (const RecordChange& change : page->changes)
         m_revision = std::max(m_revision, change.record.revision);
     if (!page->changes.empty())
         m_observer.changed(page->changes);
-    else if (m_idle == IdlePlace::storeRevision)
-        m_revision = std::max(m_revision, page->storeRevision);
     m_observer.proven(startedAt);
     return true;
 }
--- a/packages/backing/test/PrefixFollowerTest.cpp
+++ b/packages/backing/test/PrefixFollowerTest.cpp
@@ -89,21 +89,6 @@
         EXPECT_EQ(m_copy.values["a/1"], "new");
     }
 
-    // A calm site of 82 instances made three calls each for every span of history without a change, and makes one.
-    TEST_F(PrefixFollowerTest, GoesOnFromTheStoresRevisionWhereASilentWatchIsFoundOutOtherwise)
-    {
-        PrefixFollower follower { m_store, m_clock, "a/", std::chrono::seconds(1), m_copy, IdlePlace::storeRevision };
-        m_store.write("a/1", "x");
-        follower.turn();
-        m_store.write("b/1", "other");
-        EXPECT_TRUE(follower.turn()) << "nothing below the prefix";
-        m_store.compact();
-        m_store.write("a/2", "y");
-        EXPECT_TRUE(follower.turn());
-        EXPECT_EQ(m_copy.replacements, 1) << "the history it goes on from is still there";
-        EXPECT_EQ(m_copy.values["a/2"], "y");
-    }
-
     TEST_F(PrefixFollowerTest, TellsOfFailuresAndProvesNothingByThem)
     {
         m_store.isAway = true;
--- a/packages/peer/include/whinyard/peer/HeardVersion.h
+++ b/packages/peer/include/whinyard/peer/HeardVersion.h
@@ -1,7 +1,7 @@
-// Notices that other instances act on newer records of operators than this one.
+// Notices that other instances act on a newer configuration than this one.
 //
 // A watch of the store may stay silent over a change without being cut. The daemon takes in the versions that other
-// instances state, and reads the records anew when it stays behind. Pure.
+// instances state, and reads the configuration anew when it stays behind. Pure.
 #pragma once
 
 #include "whinyard/base/Clock.h"
@@ -20,9 +20,6 @@
     // once in that time, so that each call may be followed by a read.
     bool isBehind(std::uint64_t own, SteadyTime now);
 
-    // Returns the newest version that was heard.
-    std::uint64_t newest() const { return m_newest; }
-
 private:
     // The store tells all watches within some ten milliseconds of each other.
     static constexpr std::chrono::milliseconds patience { 200 };
--- a/packages/peer/include/whinyard/peer/Notices.h
+++ b/packages/peer/include/whinyard/peer/Notices.h
@@ -62,7 +62,7 @@
     std::uint64_t sequence = 0; // Rises by one with each notice that has changes; the first has number 1.
     std::vector<backing::ListedEndpoint> changed;
     std::vector<EndpointName> gone;
-    std::uint64_t operatorsRevision = 0; // Of the newest record of operators that the instance acts on.
+    std::uint64_t configuration = 0; // The version that the instance acts on.
 
     bool operator==(const RosterNotice&) const = default;
 };
--- a/packages/peer/src/Notices.cpp
+++ b/packages/peer/src/Notices.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-    constexpr std::uint16_t noticeFormat = 7;
+    constexpr std::uint16_t noticeFormat = 6;
     constexpr std::size_t longestText = 1'024;
     constexpr std::int64_t longestWorkUs = 60'000'000; // A longer one is no work that anybody gave.
 
@@ -178,7 +178,7 @@
         writer.number(notice.gone.size());
         for (const EndpointName& name : notice.gone)
             writer.text(name.value);
-        writer.number(notice.operatorsRevision);
+        writer.number(notice.configuration);
     }
 
     std::optional<Notice> readWork(Reader& reader)
@@ -291,7 +291,7 @@
         const std::uint64_t gone = reader.number(mostRosterChanges);
         for (std::uint64_t i = 0; i < gone; ++i)
             notice.gone.push_back({ reader.text() });
-        notice.operatorsRevision = reader.number();
+        notice.configuration = reader.number();
         return notice;
     }
 
