Wait for the followers that a store was away from, before following it too

Cause: on a site of 82 instances a store that was silent for 5 s silenced both followers, and 80 instances read the list of endpoints and watched it for some seconds, seven full calls each (a trial that logged each call). Change: for 2.8 s after the store failed an instance last, it waits for followers to tell again; they wait 2.2 s for entries that lapsed.

--- a/apps/whinyardd/entry/RosterWatch.cpp
+++ b/apps/whinyardd/entry/RosterWatch.cpp
@@ -62,7 +62,7 @@
 void RosterWatch::failed(const Failure&)
 {
     m_roster.storeFailed();
-    m_relay.noteFailed();
+    m_relay.noteFailed(m_shared.clock.now());
 }
 
 void RosterWatch::settle()
--- a/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
+++ b/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
@@ -30,6 +30,9 @@
     // The same at the start, when callers wait already and all followers may just have started too: an answer takes a few
     // milliseconds.
     std::chrono::milliseconds startWait { 40 };
+    // After the store was away, for its followers to tell again: they wait 2.2 s for entries that lapsed meanwhile. Until then
+    // nobody who lost them follows the store too; no endpoint that leaves is to be known sooner than three seconds after the return.
+    std::chrono::milliseconds followersReturn { 2'800 };
     std::uint32_t mostRequests = 3; // Without an answer, after which the store is asked.
 };
 
@@ -79,7 +82,11 @@
 
     // Notes that the store told this instance what changed, or failed to.
     void noteCurrent(SteadyTime now) { m_currentAt = now; }
-    void noteFailed() { m_currentAt.reset(); }
+    void noteFailed(SteadyTime now)
+    {
+        m_currentAt.reset();
+        m_failedAt = now;
+    }
 
     // Returns whether this instance is to tell others: it follows the store for them, and its list is current.
     bool mayTell(SteadyTime now) const;
@@ -117,6 +124,7 @@
     bool m_incomplete = false; // Something was missed that nobody has told since.
     std::uint32_t m_requests = 0; // For the whole list, since it was needed.
     SteadyTime m_requestedAt;
+    std::optional<SteadyTime> m_failedAt; // When the store failed this instance last.
     std::optional<SteadyTime> m_currentAt; // When the store answered last, unless it has failed since.
 };
 
--- a/packages/endpoint/src/RosterRelay.cpp
+++ b/packages/endpoint/src/RosterRelay.cpp
@@ -51,8 +51,10 @@
     if (isFollower() || m_followers.empty())
         return RosterNeed::follow;
     const bool isNew = m_heard.empty(); // Nobody was ever heard: this instance has just started.
-    if (!source(now) && !isNew)
-        return RosterNeed::follow;
+    if (!source(now) && !isNew) {
+        const bool followersMayReturn = m_failedAt && now - *m_failedAt <= m_settings.followersReturn;
+        return followersMayReturn ? RosterNeed::nothing : RosterNeed::follow;
+    }
     if (!isNew && !m_incomplete)
         return RosterNeed::nothing;
     if (m_requests > 0 && now - m_requestedAt < (isNew ? m_settings.startWait : m_settings.answerWait))
