Complete a roll-out a second before its period ends where the move is short

Change: the completion comes a second before the period's end, though not before the move begins; a quarter of the move before. Sites with the usual bound complete as they did.

--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -78,6 +78,9 @@
     double exposureShare = 0.15; // Of the requests of an order's period, that a bad version may get; the site's bound.
     // Nothing is moved before: instances tell each other of the sessions that must stay where they are.
     std::chrono::milliseconds trialDelay { 700 };
+    // Before the end of the period, that the completion is written where the move has begun by then: an order is heard up
+    // to half a second late, and the completion is written, and read by operators, within as long again.
+    std::chrono::duration<double, std::milli> completionLead { 1'000 };
     double slowFactor = 2.5; // An answer is bad when it takes this many times what is usual for the other versions.
     std::chrono::milliseconds slowMinimum { 80 }; // A time below this is never slow.
     std::chrono::milliseconds slowPause { 25 }; // A mean pause below this is never slow; those of small models are 6 ms.
@@ -164,6 +167,7 @@
     static constexpr double progressStep = 0.3;
 
 private:
+    double completionOf(const ShiftOrder& order) const;
     // What is usual of one measure: of times as multiples of what was expected, or of pauses in microseconds. A mean of
     // logarithms: waits have long tails, and a mean of theirs would hide an answer that takes several times the usual.
     struct Baseline {
--- a/packages/policy/src/VersionShift.cpp
+++ b/packages/policy/src/VersionShift.cpp
@@ -358,6 +358,14 @@
         + std::to_string(static_cast<int>(shares.tolerable * inHundred)) + " in 100 are tolerable now";
 }
 
+// Where the move is short, what is left of the period after its quarter isn't enough for an order that was heard late and for
+// the completion to be written and read.
+double VersionShifts::completionOf(const ShiftOrder& order) const
+{
+    const double latest = 1 - m_settings.completionLead / std::chrono::duration<double, std::milli>(std::max(order.period, std::chrono::milliseconds(1)));
+    return std::clamp(latest, m_stages.moveAt, m_stages.completeAt);
+}
+
 std::optional<ShiftRecord> VersionShifts::due(const ServiceName& service, SteadyTime now)
 {
     const auto found = m_shifts.find(service);
@@ -367,7 +375,7 @@
     if (shift.isStored && shift.known.state != ShiftState::running)
         return std::nullopt;
     const double reached = progress(shift, now);
-    if (shift.state == ShiftState::running && reached >= m_stages.completeAt) {
+    if (shift.state == ShiftState::running && reached >= completionOf(shift.order)) {
         shift.state = ShiftState::completed;
         shift.reason = "the whole traffic runs on " + shift.order.target;
     }
--- a/packages/policy/test/VersionShiftTest.cpp
+++ b/packages/policy/test/VersionShiftTest.cpp
@@ -88,6 +88,20 @@
         }
     }
 
+    // A site of 82 instances whose bound leaves a move of 1.05 s in 24: operators saw the completion of a good version too late.
+    TEST_F(VersionShiftTest, CompletesAShortMoveASecondBeforeThePeriodEnds)
+    {
+        ShiftSettings settings;
+        settings.exposureShare = 0.0975;
+        VersionShifts shifts(settings);
+        shifts.takeOrder({ service, "v2", 24s, 10 }, m_clock.now());
+        const auto state = [&] { return shifts.due(service, m_clock.now())->state; };
+        m_clock.advance(22'970ms);
+        EXPECT_EQ(state(), ShiftState::running) << "the move has only begun";
+        m_clock.advance(50ms);
+        EXPECT_EQ(state(), ShiftState::completed);
+    }
+
     TEST_F(VersionShiftTest, KeepsASessionOnItsVersionDuringTheTrial)
     {
         m_shifts.noteSession(service, drawnFirst, "v1", m_clock.now());
