Test two guards of the forwarding path

Cause: two guards could be taken out without a test that noticed: that nothing promises 'not run' after an attempt that may have run, and that the engine's work is cancelled when the caller leaves. Change: a test for each, and one for work that must run to its end. Each guard was taken out once: its test failed, and no other did.

--- a/packages/router/test/ForwarderTest.cpp
+++ b/packages/router/test/ForwarderTest.cpp
@@ -100,6 +100,45 @@
         }
     }
 
+    // The last reason alone would say that nothing has run.
+    TEST_F(ForwarderTest, PromisesNothingAfterAnAttemptThatMayHaveRun)
+    {
+        m_bench.lose(50);
+        for (int full = 0; full < 6; ++full)
+            m_bench.script(503, { { "not-run", "1" } }, {});
+        const FakeResponder caller = m_bench.send();
+        EXPECT_GE(m_bench.client.requests.size(), 2U) << "it was repeated";
+        EXPECT_EQ(caller.response.status, 502);
+    }
+
+    TEST_F(ForwarderTest, CancelsTheEnginesWorkWhenTheCallerLeaves)
+    {
+        FakeResponder caller;
+        std::size_t reads = 0;
+        m_bench.answer(200, std::vector<std::string>(20, "piece")).onRead = [&] {
+            if (++reads == 3)
+                caller.leave();
+        };
+        m_bench.send(caller);
+        EXPECT_EQ(reads, 3U) << "nothing is read after the cancelling";
+        EXPECT_EQ(m_bench.client.requests.size(), 1U) << "and no other engine is asked";
+        EXPECT_FALSE(caller.ended);
+    }
+
+    // Its outcome is known then, and the engine's work isn't left half done.
+    TEST_F(ForwarderTest, LetsWorkThatCanNotBeRepeatedEndWhenTheCallerLeaves)
+    {
+        m_bench.useRoute(RequestKind::nonIdempotent);
+        FakeResponder caller;
+        std::size_t reads = 0;
+        m_bench.answer(200, { "a", "b", "c" }).onRead = [&] {
+            if (++reads == 1)
+                caller.leave();
+        };
+        m_bench.send(caller);
+        EXPECT_EQ(reads, 4U) << "all pieces and the end";
+    }
+
     TEST_F(ForwarderTest, ShowsTheEndpointsFailureWhenNoAttemptDoesBetter)
     {
         for (int i = 0; i < 2; ++i)
--- a/packages/router/testing/whinyard/router/ForwarderFakes.h
+++ b/packages/router/testing/whinyard/router/ForwarderFakes.h
@@ -152,13 +152,18 @@
     }
 
     FakeResponder send(std::vector<net::HttpField> more = {})
+    {
+        FakeResponder responder;
+        send(responder, std::move(more));
+        return responder;
+    }
+
+    void send(FakeResponder& responder, std::vector<net::HttpField> more = {})
     {
         net::HttpRequest request { .method = "POST", .target = "/p/x", .fields = { { "id", "q" }, { "host", "a.example" }, { "key", "k1" } }, .body = "body" };
         for (net::HttpField& field : more)
             request.fields.push_back(std::move(field));
-        FakeResponder responder;
         forwarder.handle(request, responder);
-        return responder;
     }
 
     std::string sent(std::size_t attempt, std::string_view field) const { return std::string(net::fieldValue(client.requests.at(attempt).fields, field)); }
--- a/packages/router/testing/whinyard/router/RouterFakes.h
+++ b/packages/router/testing/whinyard/router/RouterFakes.h
@@ -189,6 +189,15 @@
 
     void abort() override { }
     bool peerGone() const override { return m_pieces >= goneAfterPieces; }
+    void whenPeerGone(std::function<void()> observer) override { m_observer = std::move(observer); }
+
+    // Closes the caller's connection before the answer's end.
+    void leave()
+    {
+        goneAfterPieces = 0;
+        if (m_observer)
+            m_observer();
+    }
 
     std::string field(std::string_view name) const { return std::string(net::fieldValue(response.fields, name)); }
 
@@ -201,6 +210,7 @@
     }
 
 private:
+    std::function<void()> m_observer;
     std::size_t m_pieces = 0;
 };
 
