Remove engines of their own for small models

Cause: ablation. With engines' time priced and placements told, dividing the engines is worth nothing. The soak's callers go over to keys that instances had time to learn. Conclusion: removed.

--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -33,7 +33,6 @@
     SteadyTime deadline = SteadyTime::max();
     std::chrono::nanoseconds tokenTime { 0 }; // See policy::EndpointRequest.
     bool stallsOthers = false;
-    policy::EndpointPart part {};
     std::vector<float> prefixShares;
     std::vector<EndpointName> excluded; // Tried already.
 };
@@ -48,12 +47,6 @@
 
 using policy::EndpointOutcome;
 
-struct ServicePlaces {
-    std::uint64_t endpoints = 0;
-    std::uint64_t slots = 0;
-    std::chrono::nanoseconds backlog { 0 }; // Mean time until an endpoint has read the prompts that it was given.
-};
-
 class EndpointDirectory {
 public:
     // `zone` is the instance's own.
@@ -97,8 +90,8 @@
     // Returns the engines that are listed and not leaving, in the order of their names.
     std::vector<backing::ListedEndpoint> engines() const;
 
-    // Returns the live endpoints of all versions of a service, their places together, and what waits before them.
-    ServicePlaces places(const ServiceName& service, SteadyTime now) const;
+    // Returns the mean time until a live endpoint of any version of the service has read the prompts that it was given.
+    std::chrono::nanoseconds meanBacklog(const ServiceName& service, SteadyTime now) const;
 
     // Returns how many endpoints are listed and not leaving.
     std::size_t size() const;
--- a/packages/endpoint/src/EndpointDirectory.cpp
+++ b/packages/endpoint/src/EndpointDirectory.cpp
@@ -91,7 +91,6 @@
         request.excluded = excluded;
         request.tokenTime = wish.tokenTime;
         request.stallsOthers = wish.stallsOthers;
-        request.part = wish.part;
         request.prefixShares = wish.prefixShares;
         plan = m_selector->choose(m_table, request, now, m_random);
     }
@@ -232,20 +231,17 @@
     return engines;
 }
 
-ServicePlaces EndpointDirectory::places(const ServiceName& service, SteadyTime now) const
+std::chrono::nanoseconds EndpointDirectory::meanBacklog(const ServiceName& service, SteadyTime now) const
 {
-    ServicePlaces places;
-    std::chrono::nanoseconds backlogs { 0 };
+    std::chrono::nanoseconds sum { 0 };
+    std::int64_t endpoints = 0;
     for (const auto& [name, endpoint] : m_listed) {
         if (endpoint.service != service || !isLive(endpoint))
             continue;
-        ++places.endpoints;
-        places.slots += endpoint.slots;
-        backlogs += backlog(name, now);
+        ++endpoints;
+        sum += backlog(name, now);
     }
-    if (places.endpoints > 0)
-        places.backlog = backlogs / places.endpoints;
-    return places;
+    return sum / std::max<std::int64_t>(1, endpoints);
 }
 
 std::size_t EndpointDirectory::size() const
--- a/packages/policy/include/whinyard/policy/EndpointChoice.h
+++ b/packages/policy/include/whinyard/policy/EndpointChoice.h
@@ -16,15 +16,6 @@
 
 namespace whinyard::policy {
 
-// Endpoints whose place lies from `from` up to `to`.
-struct EndpointPart {
-    double from = 0;
-    double to = 1;
-    double weight = 1; // Of the penalty for an endpoint outside.
-
-    bool holds(double place) const { return place >= from && place < to; }
-};
-
 // What a choice needs to know about a request.
 struct EndpointRequest {
     TargetIndex target {}; // The version or plain service.
@@ -41,8 +32,6 @@
     // Reading this prompt stalls the streams that run beside it. Such requests are kept together, on the few endpoints that
     // the affinity names, while these aren't too busy.
     bool stallsOthers = false;
-    // The endpoints that requests of this kind keep to, by EndpointRow::place, as long as they aren't much busier.
-    EndpointPart part {};
     std::span<const float> prefixShares; // Of the prompt, up to the end of each part of `prefix`; empty: equal parts.
     std::span<const EndpointIndex> excluded; // Endpoints that this request has tried already.
 };
@@ -95,8 +84,6 @@
     std::chrono::nanoseconds rereadPenalty { 0 };
     double stalledPart = 0.1; // Of the endpoints, that take the requests that stall others; at least affinityChoices.
     std::chrono::microseconds stallPenalty { 2'000'000 }; // Added to the wait of such a request at any other endpoint.
-    // Added to the wait at an endpoint outside of the request's part. Compares endpoints only; it is no wait.
-    std::chrono::microseconds outsidePenalty { 300'000 };
     double affinityCachedShare = 0.5; // Of a prompt that an affine endpoint is taken to hold.
     double zoneFactor = 1.5; // The own zone is kept while its load is at most this many times the other's.
     std::chrono::microseconds zonePenalty { 1'500 }; // One more way between zones, there and back.
--- a/packages/policy/include/whinyard/policy/EndpointTable.h
+++ b/packages/policy/include/whinyard/policy/EndpointTable.h
@@ -107,7 +107,6 @@
     SteadyTime comeBackAt; // The endpoint asked for no new work before this.
     double slowness = 1; // Moving mean of the time to the first event, as a multiple of what was expected.
     SteadyTime slownessAt; // When it was last measured.
-    double place = 0; // Among the endpoints of its target and zone, from 0 to 1; all instances place them alike.
     SteadyTime busyUntil; // When the prompts that it was given are read, as far as is known.
 };
 
@@ -219,7 +218,6 @@
 
     EndpointRow& rowAt(EndpointIndex endpoint) { return m_rows[static_cast<std::size_t>(endpoint)]; }
     EndpointIndex rowFor(const EndpointName& name);
-    void assignPlaces();
     TargetIndex targetFor(std::unordered_map<std::string, TargetIndex>& names, const std::string& name);
     ZoneIndex zoneFor(const ZoneName& zone);
     void takeMember(const EndpointMember& member, std::vector<std::uint8_t>& listed);
--- a/packages/policy/src/EndpointTable.cpp
+++ b/packages/policy/src/EndpointTable.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
 
 namespace whinyard::policy {
 
@@ -80,7 +79,6 @@
         rowAt(endpoint).present = false;
         freeIfGone(endpoint);
     }
-    assignPlaces();
 }
 
 void EndpointTable::takeMember(const EndpointMember& member, std::vector<std::uint8_t>& listed)
@@ -110,25 +108,6 @@
     placeInTargets(endpoint, std::move(targets));
 }
 
-// By a hash of the name: the list may reach instances in any order.
-void EndpointTable::assignPlaces()
-{
-    for (const TargetMembers& target : m_targets) {
-        std::map<ZoneIndex, std::vector<EndpointIndex>> byZone;
-        for (const std::vector<EndpointIndex>* list : { &target.healthy, &target.probing, &target.ejected }) {
-            for (const EndpointIndex endpoint : *list)
-                byZone[row(endpoint).zone].push_back(endpoint);
-        }
-        for (auto& [zone, endpoints] : byZone) {
-            std::sort(endpoints.begin(), endpoints.end(), [this](EndpointIndex left, EndpointIndex right) {
-                return stableHash(m_names[at(left)].value) < stableHash(m_names[at(right)].value);
-            });
-            for (std::size_t i = 0; i < endpoints.size(); ++i)
-                rowAt(endpoints[i]).place = (static_cast<double>(i) + 0.5) / static_cast<double>(endpoints.size());
-        }
-    }
-}
-
 void EndpointTable::markLeaving(EndpointIndex endpoint)
 {
     m_saidLeaving[at(endpoint)] = 1;
--- a/packages/policy/src/WaitSelector.cpp
+++ b/packages/policy/src/WaitSelector.cpp
@@ -20,7 +20,6 @@
     constexpr std::size_t maximumCandidates = 32;
     constexpr std::size_t maximumPrefixLookups = 8;
     constexpr std::size_t maximumRingSteps = 16;
-    constexpr std::size_t mostDraws = 8; // For a random endpoint of the request's part.
     constexpr double smallestDeviation = 1e-3;
     constexpr double cautiousDeviations = 1.64; // Of a normal variable, 95 % lie below.
 
@@ -180,7 +179,7 @@
                 if (point == m_members.ring.end())
                     point = m_members.ring.begin();
                 const EndpointRow& row = m_table.row(point->endpoint);
-                if (row.health != HealthState::healthy || !m_request.part.holds(row.place))
+                if (row.health != HealthState::healthy)
                     continue;
                 m_candidates.add(point->endpoint, ChoiceReason::affinity, shared * m_settings.affinityCachedShare);
                 ++found;
@@ -190,16 +189,7 @@
         void addRandom(const std::vector<EndpointIndex>& list)
         {
             for (std::uint32_t i = 0; i < m_settings.randomChoices && !list.empty(); ++i)
-                m_candidates.add(drawn(list), ChoiceReason::leastLoaded, 0);
-        }
-
-        // A random one of the request's part, or any where none is found soon.
-        EndpointIndex drawn(const std::vector<EndpointIndex>& list)
-        {
-            EndpointIndex endpoint = list[below(m_random, list.size())];
-            for (std::size_t draw = 1; draw < mostDraws && !m_request.part.holds(m_table.row(endpoint).place); ++draw)
-                endpoint = list[below(m_random, list.size())];
-            return endpoint;
+                m_candidates.add(list[below(m_random, list.size())], ChoiceReason::leastLoaded, 0);
         }
 
         void compare()
@@ -241,7 +231,7 @@
             if (m_request.tokenTime.count() > 0) {
                 const double excess = expectedExcess(load, slots - 1);
                 const Nanoseconds reading = Nanoseconds(m_table.backlog(endpoint, m_now)) + unqueuedAt(endpoint, cachedShare);
-                const Nanoseconds penalties = failuresAt(endpoint) + rereadingAt(cachedShare) + outsideAt(endpoint);
+                const Nanoseconds penalties = failuresAt(endpoint) + rereadingAt(cachedShare);
                 return Nanoseconds(m_table.slotTime(endpoint)) * (excess / slots) + reading * m_table.slowness(endpoint, m_now) + penalties;
             }
             // Without reports nothing is known of slots: each request in flight slows the others down.
@@ -258,11 +248,6 @@
             return Nanoseconds(row.serviceTime) * row.consecutiveFailures;
         }
 
-        Nanoseconds outsideAt(EndpointIndex endpoint) const
-        {
-            return m_request.part.holds(m_table.row(endpoint).place) ? Nanoseconds(0) : Nanoseconds(m_settings.outsidePenalty) * m_request.part.weight;
-        }
-
         Nanoseconds rereadingAt(double cachedShare) const
         {
             return Nanoseconds(m_settings.rereadPenalty) * (m_request.promptTokens * (1 - cachedShare));
@@ -304,8 +289,7 @@
         {
             EndpointPlan plan;
             const Nanoseconds rereading = m_request.tokenTime.count() > 0 ? rereadingAt(best.cachedShare) : Nanoseconds(0);
-            const Nanoseconds outside = m_request.tokenTime.count() > 0 ? outsideAt(best.endpoint) : Nanoseconds(0);
-            plan.expectedWait = rounded(best.wait - failuresAt(best.endpoint) - rereading - outside);
+            plan.expectedWait = rounded(best.wait - failuresAt(best.endpoint) - rereading);
             plan.unqueuedWait = rounded(unqueuedAt(best.endpoint, best.cachedShare));
             const bool readsInTurn = m_request.tokenTime.count() > 0;
             plan.soundWait = readsInTurn ? plan.unqueuedWait + rounded(Nanoseconds(m_table.backlog(best.endpoint, m_now))) : plan.expectedWait;
--- a/packages/router/src/Forwarder.cpp
+++ b/packages/router/src/Forwarder.cpp
@@ -106,14 +106,13 @@
 
 void Forwarder::useInstances(std::size_t count)
 {
-    m_state->core.instances = count;
     m_state->core.sharedRepeats.useInstances(count, m_state->core.parts.clock.now());
 }
 
 void Forwarder::tick()
 {
     m_state->core.spreadSharedRepeats();
-    m_state->core.noteUse();
+    m_state->core.notePrices();
     for (ForwardRun* run : m_state->core.runs)
         run->look();
 }
--- a/packages/router/src/internal/ForwardChoice.cpp
+++ b/packages/router/src/internal/ForwardChoice.cpp
@@ -56,8 +56,6 @@
     if (m_admission.route->isGenerative) {
         wish.tokenTime = m_core.rates.tokenTime(model(), costOf(model()));
         wish.prefixShares = prefixShares();
-        if (m_model)
-            wish.part = m_core.splits[m_service].partFor(asksSmallModel(), now());
         wish.stallsOthers = wish.tokenTime * m_request.promptTokens > m_admission.route->pauseObjective * stallingPart;
         if (wish.stallsOthers)
             wish.affinity = stableHash(stallingGroup);
@@ -125,8 +123,6 @@
     const endpoint::ChosenEndpoint& endpoint = target.endpoint;
     const std::chrono::nanoseconds work = endpoint.plan.unqueuedWait;
     m_core.parts.directory.recordWork(endpoint.name, work, now());
-    if (m_model)
-        m_core.splits[m_service].note(asksSmallModel(), work, now());
     if (m_core.parts.work)
         m_core.parts.work->gave(endpoint.name, work, target.prefix);
 }
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "whinyard/policy/EnginePrice.h"
-#include "whinyard/policy/EngineSplit.h"
 #include "whinyard/policy/PromptRates.h"
 #include "whinyard/policy/RetryPolicy.h"
 #include "whinyard/policy/StartForecast.h"
@@ -60,18 +59,11 @@
         return started;
     }
 
-    // Each instance has about an equal part of all attempts.
-    void noteUse()
+    // Learns what engines' time costs now.
+    void notePrices()
     {
-        for (auto& [service, split] : splits) {
-            const endpoint::ServicePlaces places = parts.directory.places(service, parts.clock.now());
-            priceOf(service).note(places.backlog, parts.clock.now());
-            if (places.slots == 0)
-                continue;
-            const auto slots = static_cast<double>(places.slots);
-            const auto taken = static_cast<double>(inFlight[service] * instances);
-            split.noteUse(slots / static_cast<double>(places.endpoints), taken / slots, parts.clock.now());
-        }
+        for (auto& [service, price] : prices)
+            price.note(parts.directory.meanBacklog(service, parts.clock.now()), parts.clock.now());
     }
 
     ForwarderParts parts;
@@ -83,10 +75,7 @@
     std::map<ServiceName, policy::RetryBudget> budgets {};
     std::map<ServiceName, policy::RetryBudget> moves {};
     policy::PromptRates rates {};
-    std::map<ServiceName, policy::EngineSplit> splits {};
     std::map<ServiceName, policy::EnginePrice> prices {};
-    std::map<ServiceName, std::size_t> inFlight {}; // Attempts at engines.
-    std::size_t instances = 1;
     std::map<ServiceName, std::vector<std::string>> versions {};
     std::set<ForwardRun*> runs {}; // With an attempt that may be given up.
     std::size_t active = 0;
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -222,9 +222,7 @@
     m_stalled = false;
     m_silentSince = now();
     m_core.runs.insert(this);
-    ++m_core.inFlight[target.service];
     const AttemptEnd end = conduct(attempt);
-    --m_core.inFlight[target.service];
     m_core.runs.erase(this);
     m_current = nullptr;
     return end;
--- a/soak/EngineMain.cpp
+++ b/soak/EngineMain.cpp
@@ -33,9 +33,11 @@
     engine.namesRequests = true;
     engine.onRun = [](const whinyard::net::HttpRequest& request) {
         const auto field = [&](const char* name) { return std::string(whinyard::net::fieldValue(request.fields, name)); };
-        std::cout << "run " + field("X-Request-Id") + " " + field("X-Tenant") + "\n" << std::flush;
+        std::cout << "run " + field("X-Request-Id") + " " + field("X-Tenant") + "\n"
+                  << std::flush;
     };
-    std::cout << "listening on " + whinyard::net::toText(engine.address()) + "\n" << std::flush;
+    std::cout << "listening on " + whinyard::net::toText(engine.address()) + "\n"
+              << std::flush;
     whinyard::Random random(seed);
     // Ends by a signal of the soak.
     while (true) {
--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -152,7 +152,8 @@
     while (m_clock.now() < until) {
         pause(between(random, 300ms, 3'000ms));
         const std::uint64_t kind = below(random, 3);
-        const std::size_t fault = begin(DisturbedPart::store, 0, kind == 0 ? "away" : kind == 1 ? "silent" : "new keys");
+        const std::size_t fault = begin(DisturbedPart::store, 0, kind == 0 ? "away" : kind == 1 ? "silent"
+                                                                                                : "new keys");
         if (kind == 0)
             m_site.store().setAway(true);
         else if (kind == 1)
@@ -166,7 +167,7 @@
     }
 }
 
-// The key before stays valid for one change more, so that callers have time to learn of it.
+// Callers go over to the key that was new before this change, which all instances had time to learn.
 void Faults::changeKeys()
 {
     std::uint64_t newest = 0;
@@ -174,7 +175,9 @@
         const std::lock_guard lock(m_mutex);
         newest = ++m_keys;
     }
-    m_site.configure({ "key-" + std::to_string(newest - 1), "key-" + std::to_string(newest) });
+    const std::string before = "key-" + std::to_string(newest - 1);
+    m_callers.useKey(before);
+    m_site.configure({ before, "key-" + std::to_string(newest) });
 }
 
 void Faults::disturbLinks(Random random, SteadyTime until)
