Ask no engine for a caller that left while its request waited for the start

Cause: read in the change: a request that waits up to a second for the configuration would go to an engine also where its caller has closed meanwhile. Change: whoever waited is looked for before the request goes on.

--- a/packages/router/src/Forwarder.cpp
+++ b/packages/router/src/Forwarder.cpp
@@ -40,11 +40,11 @@
     ForwardCore core;
 
     // Waits until this instance knows what it may serve, at most as long as is good for the request. The time counts
-    // towards what the caller has left.
-    void awaitStart(ForwardedRequest& request)
+    // towards what the caller has left. Returns whether the request had to wait.
+    bool awaitStart(ForwardedRequest& request)
     {
         if (core.isStarted())
-            return;
+            return false;
         const SteadyTime arrived = core.parts.clock.now();
         const SteadyTime latest = arrived + core.start.holdFor(request.timeLeft);
         while (!core.isStarted() && core.parts.clock.now() < latest)
@@ -54,6 +54,7 @@
             *request.timeLeft -= std::min(held, *request.timeLeft);
         log::info("waited for the start", { { "request", request.id }, { "heldMs", std::to_string(held.count()) }, { "started", core.started ? "true" : "false" } });
         core.parts.metrics.add("whinyard_held_at_start_total");
+        return true;
     }
 
     // Refuses a request before any attempt.
@@ -85,7 +86,11 @@
         m_state->refuse("", failure, responder);
         return;
     }
-    m_state->awaitStart(*request);
+    if (m_state->awaitStart(*request) && responder.peerGone()) {
+        log::info("caller left", { { "request", request->id }, { "attempts", "0" } });
+        core.parts.metrics.add("whinyard_callers_left_total");
+        return;
+    }
     std::optional<Admission> admission = admit(core.parts.routing, *request, failure);
     if (!admission) {
         m_state->refuse(request->id, failure, responder);
--- a/packages/router/test/ForwarderTest.cpp
+++ b/packages/router/test/ForwarderTest.cpp
@@ -182,6 +182,19 @@
         EXPECT_EQ(m_bench.sent(0, "timeLeft"), "1940") << "the wait counts";
     }
 
+    TEST_F(ForwarderTest, AsksNoEngineForACallerThatLeftDuringTheStart)
+    {
+        m_bench.source.table = nullptr;
+        FakeResponder caller;
+        m_bench.fibers.onWait = [&] {
+            caller.leave();
+            m_bench.publish();
+            m_bench.forwarder.noteNews();
+        };
+        m_bench.send(caller, { { "wait", "2000" } });
+        EXPECT_TRUE(m_bench.client.requests.empty());
+    }
+
     TEST_F(ForwarderTest, RefusesARequestThatWaitedForAConfigurationInVain)
     {
         m_bench.source.table = nullptr;
