--- a/packages/policy/include/whinyard/policy/ModelChoice.h
+++ b/packages/policy/include/whinyard/policy/ModelChoice.h
@@ -34,7 +34,7 @@
     // urgent priority, and its factor for each further one. Operators set both; the defaults are rounded from the sheets of
     // five deployments, where an answer of the largest model costs 0.1 to 0.2 of its worth, of the last priority 0.4 to 0.6.
     double worthPerThousandTokens = 2;
-    double worthByPriority = 0.5;
+    double worthByPriority = 0.7;
 
     // The chance that an answer is good, by its stated confidence, is a logistic curve. From the credit of three kinds of
     // request at five bounds: 0.75 at 55, 0.85 at 61, 0.95 at 67.
