--- a/packages/policy/include/whinyard/policy/ModelChoice.h
+++ b/packages/policy/include/whinyard/policy/ModelChoice.h
@@ -31,8 +31,8 @@
     double cheapFirstBelow = 0; // Ask a smaller model first when it costs less than this share of the largest one.
 
     // Worth of an answer for each thousand tokens generated, where those read count a quarter as in costs: of the most
-    // urgent priority, and its factor for each further one. Operators set both; the defaults are rounded from the sheets of
-    // five deployments, where an answer of the largest model costs 0.1 to 0.2 of its worth, of the last priority 0.4 to 0.6.
+    // urgent priority, and its factor for each further one. Operators set both; the defaults are rounded from
+    // three deployments, where an answer of the largest model costs 0.1 to 0.2 of its worth, of the last priority 0.3 to 0.6.
     double worthPerThousandTokens = 2;
     double worthByPriority = 0.7;
 
