Let a read of the store that makes progress end, however long it takes

Change: JsonCalls::read() bounds the wait for an answer's begin and each pause after that, not the whole; interruptSilentReads() ends only reads of whose answer nothing has come. Connections to the store are probed by the system, so that a watch on one that went silent ends after three seconds, whatever its wait.

--- a/packages/backing/include/whinyard/backing/JsonCalls.h
+++ b/packages/backing/include/whinyard/backing/JsonCalls.h
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -35,18 +36,28 @@
 public:
     JsonCalls(net::HttpClient& client, const JsonCallOptions& options);
 
-    // `cancellation` lets another fiber end the call; null: nobody does.
-    std::optional<JsonReply> get(const std::string& target, std::chrono::milliseconds timeout, Failure& failure, net::HttpCancellation* cancellation = nullptr) const;
+    std::optional<JsonReply> get(const std::string& target, std::chrono::milliseconds timeout, Failure& failure) const;
+
+    // Reads a reply that may be large. `timeout` bounds the wait for its begin, and callTimeout() each pause after that: a
+    // configuration of a thousand routes takes a 10 Mbit/s link, which it shares with answers, a second and more, and a bound
+    // of the whole read would begin it again for ever.
+    std::optional<JsonReply> read(const std::string& target, std::chrono::milliseconds timeout, Failure& failure);
+
+    // Ends every read() whose reply has not begun. One that has begun makes progress, or ends by its own bound.
+    void interruptSilentReads();
+
     std::optional<JsonReply> post(const std::string& target, const nlohmann::json& body, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure) const;
     std::optional<JsonReply> remove(const std::string& target, std::chrono::milliseconds timeout, Failure& failure) const;
 
     std::chrono::milliseconds callTimeout() const { return m_options.callTimeout; }
 
 private:
-    std::optional<JsonReply> call(const net::HttpRequest& request, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure, net::HttpCancellation* cancellation = nullptr) const;
+    std::optional<JsonReply> call(const net::HttpRequest& request, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure) const;
+    net::HttpCallOptions optionsFor(std::chrono::milliseconds timeout) const;
 
     net::HttpClient& m_client;
     JsonCallOptions m_options;
+    std::set<net::HttpCancellation*> m_silentReads; // Of the reads whose reply has not begun.
 };
 
 // Fills `failure` for a reply that the protocol doesn't foresee: corruptRecord for a read,
--- a/packages/backing/include/whinyard/backing/KeyValueStore.h
+++ b/packages/backing/include/whinyard/backing/KeyValueStore.h
@@ -22,12 +22,6 @@
 // A value's largest size.
 inline constexpr std::size_t largestValue = 1'000'000;
 
-struct Record {
-    std::string key;
-    std::string value;
-    Revision revision = 0;
-};
-
 // Identifies a lease; records written under it vanish when it lapses.
 struct LeaseId {
     std::uint64_t number = 0;
@@ -35,6 +29,13 @@
     auto operator<=>(const LeaseId&) const = default;
 };
 
+struct Record {
+    std::string key;
+    std::string value;
+    Revision revision = 0;
+    LeaseId lease {}; // Under which it stands; number zero: it lasts, or the service doesn't say.
+};
+
 // A compare-and-swap: writes `value` only if the record's revision is `expected`.
 struct Swap {
     std::string key;
--- a/packages/backing/include/whinyard/backing/WatchableStore.h
+++ b/packages/backing/include/whinyard/backing/WatchableStore.h
@@ -74,7 +74,7 @@
     // Fails with notFound when the service has dropped the history that it would take: read the range again.
     virtual std::optional<ChangePage> watch(const std::string& prefix, Revision after, std::chrono::milliseconds wait, Failure& failure) = 0;
 
-    // Ends every range and watch that waits now, with storeUnavailable.
+    // Ends every range and watch of whose answer nothing has come yet, with storeUnavailable.
     virtual void interruptReads() = 0;
 
     // Returns whether the service answers, by its cheapest call.
--- a/packages/backing/src/JsonCalls.cpp
+++ b/packages/backing/src/JsonCalls.cpp
@@ -29,6 +29,15 @@
         return parsed.is_object() ? parsed : nlohmann::json();
     }
 
+    // Returns nothing with storeUnavailable for a status by which the service says that it did nothing.
+    std::optional<JsonReply> judged(int status, const std::string& body, Failure& failure)
+    {
+        if (status != unavailableStatus && status != overRateStatus)
+            return JsonReply { status, parsedObject(body) };
+        failure = { .kind = ErrorKind::storeUnavailable, .reason = "the service refused the call without effect, status " + std::to_string(status) };
+        return std::nullopt;
+    }
+
     bool isUnreserved(char character)
     {
         const bool letter = (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
@@ -44,9 +53,32 @@
 {
 }
 
-std::optional<JsonReply> JsonCalls::get(const std::string& target, std::chrono::milliseconds timeout, Failure& failure, net::HttpCancellation* cancellation) const
+std::optional<JsonReply> JsonCalls::get(const std::string& target, std::chrono::milliseconds timeout, Failure& failure) const
+{
+    return call({ .method = "GET", .target = target, .fields = {}, .body = {} }, CallEffect::none, timeout, failure);
+}
+
+std::optional<JsonReply> JsonCalls::read(const std::string& target, std::chrono::milliseconds timeout, Failure& failure)
+{
+    net::HttpCancellation cancellation;
+    net::HttpCallOptions options = optionsFor(timeout);
+    options.cancellation = &cancellation;
+    net::HttpCallProgress progress;
+    Failure cause;
+    m_silentReads.insert(&cancellation);
+    const auto stream = m_client.open(m_options.address, { .method = "GET", .target = target, .fields = {}, .body = {} }, options, progress, cause);
+    m_silentReads.erase(&cancellation);
+    const std::optional<std::string> body = stream ? net::readToEnd(*stream, cause) : std::nullopt;
+    if (body)
+        return judged(stream->head().status, *body, failure);
+    failure = missingReply(CallEffect::none, progress, cause);
+    return std::nullopt;
+}
+
+void JsonCalls::interruptSilentReads()
 {
-    return call({ .method = "GET", .target = target, .fields = {}, .body = {} }, CallEffect::none, timeout, failure, cancellation);
+    for (net::HttpCancellation* silent : m_silentReads)
+        silent->cancel();
 }
 
 std::optional<JsonReply> JsonCalls::post(const std::string& target, const nlohmann::json& body, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure) const
@@ -66,28 +98,27 @@
     return call({ .method = "DELETE", .target = target, .fields = {}, .body = {} }, CallEffect::write, timeout, failure);
 }
 
-std::optional<JsonReply> JsonCalls::call(const net::HttpRequest& request, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure, net::HttpCancellation* cancellation) const
+std::optional<JsonReply> JsonCalls::call(const net::HttpRequest& request, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure) const
 {
-    const net::HttpCallOptions options {
+    net::HttpCallProgress progress;
+    Failure cause;
+    const auto response = m_client.call(m_options.address, request, optionsFor(timeout), progress, cause);
+    if (response)
+        return judged(response->status, response->body, failure);
+    failure = missingReply(effect, progress, cause);
+    return std::nullopt;
+}
+
+net::HttpCallOptions JsonCalls::optionsFor(std::chrono::milliseconds timeout) const
+{
+    return {
         .connectTimeout = std::min(timeout, m_options.callTimeout),
         .timeout = timeout,
-        .pieceTimeout = timeout,
+        .pieceTimeout = m_options.callTimeout,
         .freshConnection = false,
+        .findsDeadPeer = true,
         .bodyLimit = largestReply,
-        .cancellation = cancellation,
     };
-    net::HttpCallProgress progress;
-    Failure cause;
-    const auto response = m_client.call(m_options.address, request, options, progress, cause);
-    if (!response) {
-        failure = missingReply(effect, progress, cause);
-        return std::nullopt;
-    }
-    if (response->status == unavailableStatus || response->status == overRateStatus) {
-        failure = { .kind = ErrorKind::storeUnavailable, .reason = "the service refused the call without effect, status " + std::to_string(response->status) };
-        return std::nullopt;
-    }
-    return JsonReply { response->status, parsedObject(response->body) };
 }
 
 void failUnforeseen(const JsonReply& reply, CallEffect effect, Failure& failure)
--- a/packages/backing/testing/whinyard/backing/FakeWatchableStore.h
+++ b/packages/backing/testing/whinyard/backing/FakeWatchableStore.h
@@ -23,7 +23,7 @@
     // Writes as somebody else would.
     Revision write(const std::string& key, std::string value, LeaseId lease = {})
     {
-        m_records[key] = { { key, std::move(value), ++m_revision }, lease };
+        m_records[key] = { { key, std::move(value), ++m_revision, lease }, lease };
         m_history.push_back({ m_records[key].record, false });
         return m_revision;
     }
@@ -31,7 +31,7 @@
     void erase(const std::string& key)
     {
         if (m_records.erase(key) > 0)
-            m_history.push_back({ { key, {}, ++m_revision }, true });
+            m_history.push_back({ { key, {}, ++m_revision, {} }, true });
     }
 
     // Forgets what led to the present records.
--- a/packages/net/include/whinyard/net/HttpClient.h
+++ b/packages/net/include/whinyard/net/HttpClient.h
@@ -47,6 +47,7 @@
     std::chrono::milliseconds pieceTimeout { 30'000 }; // For each further piece of a stream.
     bool freshConnection = false; // Never reuse a connection: for calls that may not be repeated.
     bool lastRequest = false; // Asks the server to close after its answer, and closes.
+    bool findsDeadPeer = false; // Ends the call some three seconds after its server or the way to it is gone, also while it waits.
     std::size_t bodyLimit = 16 * 1024 * 1024;
     HttpCancellation* cancellation = nullptr; // Must outlive the call, for a stream until its head.
 };
@@ -77,6 +78,9 @@
     virtual void cancel() = 0;
 };
 
+// Reads the rest of an answer. Returns nothing, with the reason, when it broke off.
+std::optional<std::string> readToEnd(HttpStream& stream, Failure& failure);
+
 // Makes calls. One client belongs to one duty; a call suspends the calling fiber.
 class HttpClient {
 public:
--- a/packages/net/src/HttpClient.cpp
+++ b/packages/net/src/HttpClient.cpp
@@ -65,6 +65,17 @@
 
 }
 
+std::optional<std::string> readToEnd(HttpStream& stream, Failure& failure)
+{
+    std::string body;
+    while (std::optional<std::string> piece = stream.read(failure)) {
+        if (piece->empty())
+            return body;
+        body += *piece;
+    }
+    return std::nullopt;
+}
+
 std::unique_ptr<HttpClient> HttpClient::create(Duty& duty)
 {
     return std::make_unique<HttpClientImpl>(duty);
--- a/packages/net/src/internal/FiberSocket.cpp
+++ b/packages/net/src/internal/FiberSocket.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio.hpp>
 #include <boost/fiber/operations.hpp>
+#include <netinet/tcp.h>
 #include <poll.h>
 
 namespace whinyard::net::internal {
@@ -225,6 +226,22 @@
     pause->async_wait([core = shared_from_this(), watch = std::move(watch), pause](const error_code&) mutable { core->lookAtPeer(std::move(watch)); });
 }
 
+void FiberSocket::findDeadPeer()
+{
+    // Sites let connections go silent without a reset, and count an instance as in touch again after three seconds.
+    constexpr int idleSeconds = 1;
+    constexpr int probeSeconds = 1;
+    constexpr int probes = 2;
+    using Idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using Interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using Count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    error_code ignored; // Without it the call's own bound holds.
+    m_core->socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    m_core->socket.set_option(Idle(idleSeconds), ignored);
+    m_core->socket.set_option(Interval(probeSeconds), ignored);
+    m_core->socket.set_option(Count(probes), ignored);
+}
+
 bool FiberSocket::peerClosed() const
 {
     return hasPeerClosed(m_core->socket);
--- a/packages/net/src/internal/FiberSocket.h
+++ b/packages/net/src/internal/FiberSocket.h
@@ -94,6 +94,9 @@
     std::size_t bytesWritten() const { return m_bytesWritten; }
     void resetBytesWritten() { m_bytesWritten = 0; }
 
+    // Lets the system probe a connection on which nothing comes, and end it when the peer doesn't answer.
+    void findDeadPeer();
+
     // Returns whether the peer has closed its side, without reading.
     bool peerClosed() const;
 
--- a/packages/net/src/internal/HttpExchange.cpp
+++ b/packages/net/src/internal/HttpExchange.cpp
@@ -105,6 +105,8 @@
     if (!m_connection)
         return false;
     m_connection->socket.expireAt(m_deadline);
+    if (m_options.findsDeadPeer)
+        m_connection->socket.findDeadPeer();
     if (isCancelled()) {
         failure = failureFor({});
         return false;
