--- a/packages/backing/include/whinyard/backing/InstanceList.h
+++ b/packages/backing/include/whinyard/backing/InstanceList.h
@@ -29,6 +29,7 @@
     ServiceName service; // The service of a plain service's process.
     bool leaving = false;
     std::uint32_t slots = 0; // Requests that it runs at once; 0 if it doesn't say.
+    std::uint64_t born = 0; // When its process started, by its own clock, in milliseconds; 0 if it doesn't say. Another one is another process.
 
     bool operator==(const ListedEndpoint&) const = default;
 };
--- a/packages/endpoint/src/EndpointDirectory.cpp
+++ b/packages/endpoint/src/EndpointDirectory.cpp
@@ -18,6 +18,7 @@
             member.services = { listed.service };
         member.leaving = listed.leaving;
         member.slots = listed.slots;
+        member.incarnation = listed.born;
         return member;
     }
 
--- a/packages/policy/include/whinyard/policy/EndpointTable.h
+++ b/packages/policy/include/whinyard/policy/EndpointTable.h
@@ -56,6 +56,7 @@
     std::vector<ServiceName> services;
     bool leaving = false;
     std::uint32_t slots = 0; // Requests that it runs at once; 0 if it didn't say.
+    std::uint64_t incarnation = 0; // Another one is another process under the name; 0 if it doesn't say.
 };
 
 // A load report of an engine. It counts the requests of all instances.
@@ -91,6 +92,7 @@
     bool present = false; // In the platform's list.
     bool leaving = false;
     std::uint32_t slots = 0;
+    std::uint64_t incarnation = 0;
     std::uint32_t ownInFlight = 0;
     float othersInFlight = 0; // Of other instances, when the last report was measured.
     float othersPrior = 0; // The mean of the above over the target's endpoints, for an outdated report.
@@ -139,7 +141,8 @@
 public:
     explicit EndpointTable(EndpointTableSettings settings = {});
 
-    // Replaces the list of members. Rows of members that stay keep what was learnt about them. This allocates.
+    // Replaces the list of members. Rows of members that stay keep what was learnt about them, but for those that started
+    // again: they hold no memory, have no backlog, and failed nobody yet. This allocates.
     void replaceMembers(std::span<const EndpointMember> members);
 
     // Takes an endpoint out of all choices at once, for example when it answered that it is leaving.
@@ -221,6 +224,7 @@
     TargetIndex targetFor(std::unordered_map<std::string, TargetIndex>& names, const std::string& name);
     ZoneIndex zoneFor(const ZoneName& zone);
     void takeMember(const EndpointMember& member, std::vector<std::uint8_t>& listed);
+    void forgetEarlierProcess(EndpointIndex endpoint);
     void placeInTargets(EndpointIndex endpoint, std::vector<TargetIndex> targets);
     void removeFromTargets(EndpointIndex endpoint);
     void addToRing(TargetMembers& target, EndpointIndex endpoint);
--- a/packages/policy/src/EndpointTable.cpp
+++ b/packages/policy/src/EndpointTable.cpp
@@ -90,6 +90,10 @@
     if (member.leaving)
         m_saidLeaving[at(endpoint)] = 0;
     EndpointRow& row = rowAt(endpoint);
+    if (row.incarnation != 0 && member.incarnation != 0 && row.incarnation != member.incarnation)
+        forgetEarlierProcess(endpoint);
+    if (member.incarnation != 0)
+        row.incarnation = member.incarnation;
     row.present = true;
     if (member.slots > 0)
         row.slots = member.slots;
@@ -108,6 +112,17 @@
     placeInTargets(endpoint, std::move(targets));
 }
 
+void EndpointTable::forgetEarlierProcess(EndpointIndex endpoint)
+{
+    removeFromTargets(endpoint);
+    m_prefixes.forget(static_cast<std::uint32_t>(endpoint));
+    m_saidLeaving[at(endpoint)] = 0;
+    EndpointRow fresh;
+    fresh.zone = rowAt(endpoint).zone;
+    fresh.ownInFlight = rowAt(endpoint).ownInFlight; // Their ends are still to come.
+    rowAt(endpoint) = fresh;
+}
+
 void EndpointTable::markLeaving(EndpointIndex endpoint)
 {
     m_saidLeaving[at(endpoint)] = 1;
--- a/packages/policy/test/EndpointTableTest.cpp
+++ b/packages/policy/test/EndpointTableTest.cpp
@@ -51,6 +51,31 @@
     EXPECT_NEAR(table.inFlight(endpoint, start + 1h), 4, 0.01) << "an old report no longer counts";
 }
 
+TEST(EndpointTableTest, ForgetsWhatItLearntOfAnEarlierProcessUnderTheName)
+{
+    EndpointTable table;
+    std::vector<EndpointMember> list = members(2);
+    list[0].incarnation = 1'000;
+    table.replaceMembers(list);
+    const EndpointIndex endpoint = *table.find(list[0].name);
+    const std::vector<std::uint64_t> prefix { 7 };
+    table.recordDispatch(endpoint, prefix, start);
+    table.recordWork(endpoint, 5s, start);
+    fail(table, endpoint, 5, start);
+    ASSERT_EQ(table.row(endpoint).health, HealthState::ejected);
+    table.replaceMembers(list);
+    EXPECT_EQ(table.row(endpoint).health, HealthState::ejected) << "it is the same process";
+    list[0].incarnation = 2'000;
+    table.replaceMembers(list);
+    EXPECT_EQ(table.row(endpoint).health, HealthState::healthy);
+    EXPECT_EQ(table.backlog(endpoint, start), 0ns);
+    EXPECT_EQ(table.prefixes().find(7).count, 0U);
+    EXPECT_EQ(table.members(*table.find(version)).healthy.size(), 2U);
+    EXPECT_EQ(table.row(endpoint).ownInFlight, 1U) << "its request has not ended yet";
+    table.recordEnd(endpoint, EndpointOutcome::failed, 1ms, start);
+    EXPECT_EQ(table.row(endpoint).ownInFlight, 0U);
+}
+
 TEST(EndpointTableTest, WaitingRequestOutweighsAnEarlierReport)
 {
     EndpointTable table;
