--- a/apps/whinyardd/entry/InstanceWatch.cpp
+++ b/apps/whinyardd/entry/InstanceWatch.cpp
@@ -33,13 +33,22 @@
             log::error("instance's record not taken", { { "key", record.key }, { "reason", failure.reason } });
     }
     std::erase_if(m_announced, [now = m_shared.clock.now()](const auto& entry) { return now - entry.second.at > announcedFor; });
-    m_isKnown = true;
-    handOn();
+    m_knowsOthers = std::any_of(m_listed.begin(), m_listed.end(), [this](const auto& entry) { return entry.first != m_shared.settings.instance; });
+    if (m_knowsOthers)
+        m_isKnown = true;
+    if (m_isKnown)
+        handOn();
     // At the first read, others that start with this one don't stand in the store yet.
     if (std::exchange(m_wasRead, true))
         m_serving.takeInstanceCount(std::max<std::size_t>(1, m_handedOn.size()));
 }
 
+void InstanceWatch::noteKnown()
+{
+    m_isKnown = true;
+    handOn();
+}
+
 void InstanceWatch::takeNotice(const peer::InstanceNotice& notice)
 {
     m_announced[notice.instance] = { notice, m_shared.clock.now() };
@@ -50,6 +59,7 @@
 void InstanceWatch::handOn()
 {
     std::map<InstanceName, peer::InstanceNotice> instances = m_listed;
+    instances[m_shared.settings.instance] = { m_shared.settings.instance, *m_shared.settings.peers, m_shared.settings.linkMegabits };
     for (const auto& [name, announced] : m_announced)
         instances[name] = announced.notice;
     if (instances == m_handedOn)
--- a/apps/whinyardd/entry/InstanceWatch.h
+++ b/apps/whinyardd/entry/InstanceWatch.h
@@ -23,10 +23,16 @@
     // Takes all instances' records, as they are or were a moment ago.
     void replaced(const std::vector<backing::Record>& records);
 
+    // Returns whether the records that were taken name another instance.
+    bool knowsOthers() const { return m_knowsOthers; }
+
+    // Notes that the records show whoever started before this instance.
+    void noteKnown();
+
     // Takes an instance that has just started.
     void takeNotice(const peer::InstanceNotice& notice);
 
-    // Returns whether the records were read at least once.
+    // Returns whether the other instances are known.
     bool isKnown() const { return m_isKnown; }
 
 private:
@@ -35,6 +41,7 @@
     EntryShared& m_shared;
     ServeDuty& m_serving;
     RosterWatch& m_roster;
+
     struct Announced {
         peer::InstanceNotice notice;
         SteadyTime at;
@@ -44,6 +51,7 @@
     std::map<InstanceName, Announced> m_announced; // By their own notices, which come before their records.
     std::map<InstanceName, peer::InstanceNotice> m_handedOn;
     bool m_isKnown = false;
+    bool m_knowsOthers = false;
     bool m_wasRead = false; // Before the present read.
 };
 
--- a/apps/whinyardd/entry/OperatorWatch.cpp
+++ b/apps/whinyardd/entry/OperatorWatch.cpp
@@ -14,20 +14,46 @@
 
 void OperatorWatch::replaced(const std::vector<backing::Record>& records)
 {
+    const bool isFirst = m_revision == 0;
     std::set<ServiceName> gone = m_ordered;
+    m_records.clear();
     for (const backing::Record& record : records) {
+        m_records[record.key] = record;
+        m_revision = std::max(m_revision, record.revision);
         if (const auto service = platform::orderedService(record.key))
             gone.erase(*service);
         take(record);
     }
     for (const ServiceName& service : gone)
         dropOrder(service);
+    m_beganWithOrders = isFirst ? hasOrders() : m_beganWithOrders;
+}
+
+void OperatorWatch::takeSnapshot(const peer::RecordSnapshot& snapshot)
+{
+    if (snapshot.revision <= m_revision)
+        return;
+    replaced(snapshot.records);
+    m_revision = snapshot.revision;
+}
+
+peer::RecordSnapshot OperatorWatch::snapshot() const
+{
+    peer::RecordSnapshot snapshot { m_revision, {} };
+    for (const auto& [key, record] : m_records)
+        snapshot.records.push_back(record);
+    return snapshot;
 }
 
 void OperatorWatch::changed(const std::vector<backing::RecordChange>& changes)
 {
     for (const backing::RecordChange& change : changes) {
         const auto service = platform::orderedService(change.record.key);
+        m_revision = std::max(m_revision, change.record.revision);
+        if (change.deleted)
+            m_records.erase(change.record.key);
+        else
+            m_records[change.record.key] = change.record;
         if (!change.deleted)
             take(change.record);
         else if (service)
--- a/apps/whinyardd/entry/OperatorWatch.h
+++ b/apps/whinyardd/entry/OperatorWatch.h
@@ -4,9 +4,13 @@
 #include "entry/EntryShared.h"
 #include "entry/ServeDuty.h"
 #include "whinyard/backing/PrefixFollower.h"
+#include "whinyard/peer/RecordSnapshot.h"
 
-#include <atomic>
+#include <algorithm>
+#include <cstdint>
+#include <map>
 #include <set>
+#include <string>
 
 namespace whinyard::daemon {
 
@@ -20,9 +24,27 @@
     void proven(SteadyTime) override { }
     void failed(const Failure&) override { } // The probe of the store tells of outages.
 
+    // Takes all records as another instance tells them, unless they are no newer than the known ones.
+    void takeSnapshot(const peer::RecordSnapshot& snapshot);
+
+    // Notes that a read of the store has told everything up to `revision` of it.
+    void noteRead(std::uint64_t revision) { m_knownUpTo = std::max(m_knownUpTo, revision); }
+
+    // Returns all records, for other instances.
+    peer::RecordSnapshot snapshot() const;
+
+    // Returns the revision of the newest change that is known; 0 before the first read.
+    std::uint64_t revision() const { return m_revision; }
+
+    // Returns the revision of the store up to which no change is missing.
+    std::uint64_t knownUpTo() const { return std::max(m_revision, m_knownUpTo); }
+
     // Returns whether there is any order.
     bool hasOrders() const { return !m_ordered.empty(); }
 
+    // Returns whether the first records that this instance saw held an order: it may be under way for long.
+    bool beganWithOrders() const { return m_beganWithOrders; }
+
 private:
     void take(const backing::Record& record);
     void takeConfiguration(const backing::Record& record);
@@ -32,6 +54,10 @@
     EntryShared& m_shared;
     ServeDuty& m_serving;
     std::set<ServiceName> m_ordered; // Services with an order.
+    std::map<std::string, backing::Record> m_records; // By key.
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_knownUpTo = 0;
+    bool m_beganWithOrders = false;
 };
 
 }
--- a/apps/whinyardd/entry/RosterWatch.cpp
+++ b/apps/whinyardd/entry/RosterWatch.cpp
@@ -8,27 +8,28 @@
 
 namespace whinyard::daemon {
 
-namespace {
-
-    std::optional<backing::ListedEndpoint> read(const backing::Record& record)
-    {
-        Failure failure;
-        std::optional<backing::ListedEndpoint> endpoint = platform::parseEndpoint(record.key, record.value, failure);
-        if (!endpoint)
-            log::error("endpoint's entry not taken", { { "key", record.key }, { "reason", failure.reason } });
-        return endpoint;
-    }
-
-}
-
-RosterWatch::RosterWatch(EntryShared& shared, ServeDuty& serving)
+RosterWatch::RosterWatch(EntryShared& shared, ServeDuty& serving, OperatorRelay& operators)
     : m_shared(shared)
     , m_serving(serving)
+    , m_operators(operators)
     , m_relay(shared.settings.instance, endpoint::relaySettingsFor(shared.settings.bounds.drain))
     , m_life(seededRandom()())
 {
 }
 
+// An entry may come from any writer. One that can't be read names no endpoint to use; it is said once for each key, not each
+// time that it is written.
+std::optional<backing::ListedEndpoint> RosterWatch::read(const backing::Record& record)
+{
+    Failure failure;
+    std::optional<backing::ListedEndpoint> endpoint = platform::parseEndpoint(record.key, record.value, failure);
+    if (endpoint)
+        m_unreadable.erase(record.key);
+    else if (m_unreadable.insert(record.key).second)
+        log::error("endpoint's entry not taken", { { "key", record.key }, { "reason", failure.reason } });
+    return endpoint;
+}
+
 void RosterWatch::replaced(const std::vector<backing::Record>& records)
 {
     const SteadyTime now = m_shared.clock.now();
@@ -47,21 +48,26 @@
     const SteadyTime now = m_shared.clock.now();
     m_roster.storeAnswered(now);
     for (const backing::RecordChange& change : changes) {
-        if (change.deleted)
-            m_roster.remove({ change.record.key.substr(std::min(platform::endpointPrefix.size(), change.record.key.size())) }, now);
-        else if (const std::optional<backing::ListedEndpoint> endpoint = read(change.record))
+        const std::optional<backing::ListedEndpoint> endpoint = change.deleted ? std::nullopt : read(change.record);
+        if (endpoint)
             m_roster.put(*endpoint);
+        else
+            m_roster.remove({ change.record.key.substr(std::min(platform::endpointPrefix.size(), change.record.key.size())) }, now);
+        if (change.deleted)
+            m_unreadable.erase(change.record.key);
     }
 }
 
 void RosterWatch::proven(SteadyTime)
 {
     m_roster.storeAnswered(m_shared.clock.now());
+    m_storeFails = false;
 }
 
 void RosterWatch::failed(const Failure&)
 {
     m_roster.storeFailed();
+    m_storeFails = true;
     m_relay.noteFailed(m_shared.clock.now());
 }
 
@@ -82,8 +88,9 @@
     std::vector<endpoint::RelayCandidate> candidates;
     for (const auto& [name, instance] : instances)
         candidates.push_back({ name, instance.linkMegabits });
+    m_operators.useInstances(instances);
     m_instances = std::move(instances);
-    m_relay.useInstances(std::move(candidates));
+    m_relay.useInstances(std::move(candidates), m_shared.clock.now());
 }
 
 bool RosterWatch::mustFollow()
@@ -100,17 +107,6 @@
     return false;
 }
 
-std::uint64_t RosterWatch::ownConfiguration() const
-{
-    const std::shared_ptr<const config::RoutingTable> newest = m_shared.routing.newest();
-    return newest ? newest->version() : 0;
-}
-
-bool RosterWatch::isConfigurationBehind()
-{
-    return m_heardConfiguration.isBehind(ownConfiguration(), m_shared.clock.now());
-}
-
 void RosterWatch::noteFollowing() const
 {
     log::info("following endpoints in the store", { { "reason", std::string(m_relay.followReason(m_shared.clock.now())) } });
@@ -134,7 +130,7 @@
     for (std::size_t part = 0; part < parts; ++part) {
         const std::size_t begin = part * peer::mostRosterChanges;
         const std::size_t end = std::min(begin + peer::mostRosterChanges, list.size());
-        peer::RosterPart notice { m_shared.settings.instance, m_life, m_sequence, static_cast<std::uint32_t>(part), static_cast<std::uint32_t>(parts), {} };
+        peer::RosterPart notice { m_shared.settings.instance, m_life, m_sequence, static_cast<std::uint32_t>(part), static_cast<std::uint32_t>(parts), {}, m_operators.revision() };
         notice.endpoints.assign(list.begin() + static_cast<std::ptrdiff_t>(begin), list.begin() + static_cast<std::ptrdiff_t>(end));
         m_serving.send(asker, std::move(notice));
     }
@@ -142,6 +138,7 @@
 
 void RosterWatch::takePart(const peer::RosterPart& part)
 {
+    m_operators.hear(part.instance, part.operators);
     const auto isOfAnotherList = [&](const peer::RosterPart& known) {
         return known.instance != part.instance || known.life != part.life || known.sequence != part.sequence || known.parts != part.parts;
     };
@@ -165,8 +162,8 @@
 void RosterWatch::takeNotice(const peer::RosterNotice& notice)
 {
     const SteadyTime now = m_shared.clock.now();
-    m_heardConfiguration.hear(notice.configuration, now);
-    const endpoint::RosterStatement statement { notice.instance, notice.life, notice.sequence, !notice.changed.empty() || !notice.gone.empty() };
+    m_operators.hear(notice.instance, notice.operators);
+    const endpoint::RosterStatement statement { notice.instance, notice.life, notice.sequence, !notice.changed.empty() || !notice.gone.empty(), notice.isCurrent };
     switch (m_relay.hear(statement, now)) {
     case endpoint::RelayAction::ignore:
         return;
@@ -184,8 +181,11 @@
 
 void RosterWatch::tell()
 {
-    if (!mayTell())
+    if (!mayTell()) {
+        if (isFollower() && m_storeFails)
+            m_serving.broadcast(peer::RosterNotice { m_shared.settings.instance, m_life, m_sequence, {}, {}, m_operators.revision(), false });
         return;
+    }
     std::map<EndpointName, backing::ListedEndpoint> now;
     std::vector<backing::ListedEndpoint> changed;
     for (backing::ListedEndpoint& endpoint : m_roster.list()) {
@@ -206,7 +206,7 @@
 void RosterWatch::broadcast(std::vector<backing::ListedEndpoint> changed, std::vector<EndpointName> gone)
 {
     do {
-        peer::RosterNotice notice { m_shared.settings.instance, m_life, m_sequence, {}, {}, ownConfiguration() };
+        peer::RosterNotice notice { m_shared.settings.instance, m_life, m_sequence, {}, {}, m_operators.revision(), true };
         const std::size_t taken = std::min(changed.size(), peer::mostRosterChanges);
         notice.changed.assign(changed.begin(), changed.begin() + static_cast<std::ptrdiff_t>(taken));
         changed.erase(changed.begin(), changed.begin() + static_cast<std::ptrdiff_t>(taken));
--- a/apps/whinyardd/entry/RosterWatch.h
+++ b/apps/whinyardd/entry/RosterWatch.h
@@ -2,14 +2,17 @@
 #pragma once
 
 #include "entry/EntryShared.h"
+#include "entry/OperatorRelay.h"
 #include "entry/ServeDuty.h"
 #include "whinyard/backing/PrefixFollower.h"
 #include "whinyard/endpoint/EndpointRoster.h"
 #include "whinyard/endpoint/RosterRelay.h"
-#include "whinyard/peer/HeardVersion.h"
 #include "whinyard/peer/Notices.h"
 
 #include <map>
+#include <optional>
+#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -17,8 +20,8 @@
 
 class RosterWatch final : public backing::PrefixObserver {
 public:
-    // Both must outlive the object.
-    RosterWatch(EntryShared& shared, ServeDuty& serving);
+    // All must outlive the object. `operators` is told what other instances state, and says what this one does.
+    RosterWatch(EntryShared& shared, ServeDuty& serving, OperatorRelay& operators);
 
     void replaced(const std::vector<backing::Record>& records) override;
     void changed(const std::vector<backing::RecordChange>& changes) override;
@@ -42,9 +45,8 @@
     // Asks followers for the whole list where that is needed. Returns whether the store is to be followed instead.
     bool mustFollow();
 
-    // Returns whether other instances act on a newer configuration that this one should know by now; true now and then for
-    // as long as it is so.
-    bool isConfigurationBehind();
+    // Returns whether this instance follows the store for the others.
+    bool isFollower() const { return m_relay.isFollower(m_shared.clock.now()); }
 
     // Notes that this instance begins to follow the store.
     void noteFollowing() const;
@@ -52,25 +54,27 @@
     // Notes that the store has just told what changed, so that the list is current.
     void noteCurrent() { m_relay.noteCurrent(m_shared.clock.now()); }
 
-    // Tells the others what changed since the last call, or that nothing did. Call it after each call to the store, and a
-    // few times within the silence that the others bear; it does nothing where this instance doesn't follow the store for
-    // others, or hasn't heard of the store for too long.
+    // Tells the others what changed since the last call, that nothing did, or that the store fails this instance. Call it
+    // after each call to the store, and a few times within the silence that the others bear; it does nothing where this
+    // instance doesn't follow the store for others.
     void tell();
 
 private:
     bool mayTell() const;
-    std::uint64_t ownConfiguration() const;
+    std::optional<backing::ListedEndpoint> read(const backing::Record& record);
     void broadcast(std::vector<backing::ListedEndpoint> changed, std::vector<EndpointName> gone);
 
     EntryShared& m_shared;
     ServeDuty& m_serving;
+    OperatorRelay& m_operators;
     endpoint::EndpointRoster m_roster;
     endpoint::RosterRelay m_relay;
     const std::uint64_t m_life; // Names this process's notices.
     std::uint64_t m_sequence = 0; // Of the last notice with changes.
     std::map<EndpointName, backing::ListedEndpoint> m_told; // The list as the others were told.
     std::map<InstanceName, peer::InstanceNotice> m_instances;
-    peer::HeardVersion m_heardConfiguration;
+    std::set<std::string> m_unreadable; // Keys whose entries couldn't be read when they were written last.
+    bool m_storeFails = false;
     std::vector<peer::RosterPart> m_parts; // Of a whole list that isn't complete yet.
 };
 
--- a/apps/whinyardd/entry/RoutingKeeper.h
+++ b/apps/whinyardd/entry/RoutingKeeper.h
@@ -3,6 +3,7 @@
 
 #include "whinyard/router/RoutingSource.h"
 
+#include <atomic>
 #include <memory>
 #include <mutex>
 
@@ -18,9 +19,14 @@
     std::shared_ptr<const config::RoutingTable> newest() const override;
     bool mayServe(Failure& failure) const override;
 
+    // Notes whether another instance knows newer records of the operators.
+    void noteBehind(bool isBehind) { m_isBehind = isBehind; }
+    bool isBehind() const override { return m_isBehind; }
+
 private:
     mutable std::mutex m_mutex;
     std::shared_ptr<const config::RoutingTable> m_table;
+    std::atomic<bool> m_isBehind = false;
 };
 
 }
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -4,6 +4,7 @@
 #include "platform/Configuration.h"
 #include "platform/Endpoints.h"
 #include "platform/Store.h"
+#include "whinyard/backing/CountedStore.h"
 #include "whinyard/base/Log.h"
 
 #include <utility>
@@ -12,13 +13,17 @@
 
 namespace {
 
-    // One watch waits so long. Every call of the store has its price, so watches are long, and a probe, which costs a
-    // tenth, finds out when a partition or an outage has silenced them: 0.8 instead of 3.1 full calls a second.
-    constexpr std::chrono::milliseconds watchWait { 30'000 };
+    // Of a follower's watch of the operators' records. Every call has its price, so it is long: a connection that went silent
+    // is found by the system's own probes, and a change that one follower's watch doesn't tell by the other follower's word.
+    constexpr std::chrono::milliseconds operatorWait { 10'000 };
 
-    // Must be so short that an outage is noticed, and watches begin anew, before the instance counts as in touch again.
+    // Of a follower. Must be so short that an outage is noticed, and watches begin anew, before the instance counts as in
+    // touch again.
     constexpr std::chrono::milliseconds probeInterval { 2'000 };
     constexpr std::chrono::milliseconds probeAgain { 300 }; // While it fails.
+    // Of the other instances, who need the store for their record's lease alone, with as much again at random.
+    constexpr std::chrono::milliseconds renewalInterval { 4'000 };
+    constexpr std::chrono::milliseconds renewalAgain { 1'000 }; // While it fails.
     constexpr std::chrono::milliseconds outageLook { 100 };
     // An instance without a configuration can serve nobody, so it asks beside a probe that hangs, whose connection may
     // have met a store that was silent then: first after this, then after a tenth of the time since its start. The store's
@@ -33,19 +38,22 @@
     constexpr std::chrono::milliseconds endpointWait { 250 };
     constexpr std::chrono::milliseconds relayLook { 100 };
     constexpr std::chrono::milliseconds startLook { 10 }; // Until the first list is known: callers wait for it.
-    // What other instances write of roll-outs arrives by notices; reading is for those that were lost.
-    constexpr std::chrono::milliseconds shiftInterval { 3'000 };
+    // What other instances write of roll-outs arrives by notices; reading is for those that were lost. A notice is sent three
+    // times, so a follower reads soon, and the others seldom.
+    constexpr std::chrono::milliseconds followerShiftInterval { 3'000 };
+    constexpr std::chrono::milliseconds shiftInterval { 8'000 };
     constexpr std::chrono::milliseconds noPause { 0 };
 
     // Instances that start together stand in the store after a moment. Later ones tell of their start themselves, and
     // those that are gone cost a datagram a notice until the list is read again, at a tenth of the price.
     constexpr std::chrono::milliseconds startPause { 800 };
-    constexpr std::chrono::milliseconds instanceInterval { 10'000 };
-    // A list of endpoints that another instance could tell is waited for, unless the instances can't be read so soon.
-    constexpr std::chrono::milliseconds instancesWait { 300 };
+    constexpr std::chrono::milliseconds instanceInterval { 15'000 };
+    // A list of endpoints that another instance could tell is waited for, unless the instances can't be read so soon: this
+    // and as much again at random, so that not all read at once then.
+    constexpr std::chrono::milliseconds instancesWait { 400 };
 
-    // Other instances reach this one by a record that lapses so long after its end.
-    constexpr std::chrono::milliseconds instanceTimeToLive { 12'000 };
+    // Other instances reach this one by a record that lapses so long after its end: two renewals may fail.
+    constexpr std::chrono::milliseconds instanceTimeToLive { 20'000 };
     constexpr std::chrono::milliseconds recordLook { 1'000 }; // Until the record stands; then each probe renews its lease.
 
     // Between calls while the store fails, with as much again at random, so that instances don't return in step.
@@ -72,9 +80,10 @@
 bool StoreDuty::openOnDuty(Failure& failure)
 {
     m_client = net::HttpClient::create(m_duty);
-    m_store = platform::makeStore(*m_client, m_shared.settings.store.address);
+    m_store = std::make_unique<backing::CountedStore>(platform::makeStore(*m_client, m_shared.settings.store.address), m_shared.metrics);
     m_operators = std::make_unique<OperatorWatch>(m_shared, m_serving);
-    m_roster = std::make_unique<RosterWatch>(m_shared, m_serving);
+    m_operatorRelay = std::make_unique<OperatorRelay>(m_shared, *m_operators, *m_client, *m_store);
+    m_roster = std::make_unique<RosterWatch>(m_shared, m_serving, *m_operatorRelay);
     m_shifts = std::make_unique<ShiftKeeper>(m_shared, m_serving, *m_store);
     m_instances = std::make_unique<InstanceWatch>(m_shared, m_serving, *m_roster);
     m_serving.useNoticeHandlers({
@@ -92,8 +101,13 @@
         if (!m_metricsServer)
             return false;
     }
+    if (!m_operatorRelay->open(m_duty, failure))
+        return false;
+    if (m_shared.settings.peers)
+        m_ownRecord.emplace(*m_store, std::string(InstanceWatch::prefix) + m_shared.settings.instance.value, peer::writeInstanceRecord(ownNotice()), instanceTimeToLive);
     m_duty.spawn([this] { followOperators(); });
     m_duty.spawn([this] { followEndpoints(); });
+    m_duty.spawn([this] { readFromOthers(); });
     m_duty.spawn([this] { readShifts(); });
     m_duty.spawn([this] { writeShifts(); });
     m_duty.spawn([this] { settleRoster(); });
@@ -120,35 +134,57 @@
         net::sleepFor(pause);
 }
 
+// Only followers watch the operators' records; the others read them from those when they state something newer.
 void StoreDuty::followOperators()
 {
-    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::operatorPrefix), watchWait, *m_operators);
+    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::operatorPrefix), operatorWait, *m_operators);
+    bool followed = false; // In the last round: a watch may go on where it was.
     while (!m_shared.stopping) {
-        if (std::exchange(m_readOperatorsAnew, false))
+        if (!m_follows) {
+            followed = false;
+            m_followsNow.wait(relayLook);
+            continue;
+        }
+        if (!std::exchange(followed, true))
             follower.readAnew();
+        const std::uint64_t known = m_operators->revision();
         turn(follower, noPause);
+        if (m_operators->revision() != known)
+            m_roster->tell();
     }
 }
 
-void StoreDuty::followEndpoints()
+void StoreDuty::readFromOthers()
 {
-    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::endpointPrefix), endpointWait, *m_roster);
-    const SteadyTime latest = m_shared.clock.now() + instancesWait;
+    while (!m_shared.stopping) {
+        m_operatorRelay->turn(m_follows);
+        m_operatorRelay->awaitNews(relayLook);
+    }
+}
+
+void StoreDuty::awaitInstances()
+{
+    const SteadyTime latest = m_shared.clock.now() + instancesWait + std::chrono::milliseconds(below(m_random, instancesWait.count()));
     while (m_shared.settings.peers && !m_instances->isKnown() && m_shared.clock.now() < latest && !m_shared.stopping)
         net::sleepFor(startLook);
+}
+
+void StoreDuty::followEndpoints()
+{
+    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::endpointPrefix), endpointWait, *m_roster);
+    awaitInstances();
     const std::chrono::milliseconds pause = endpoint::relaySettingsFor(m_shared.settings.bounds.drain).pause;
-    bool followed = false; // In the last round: a watch may go on where it was.
     while (!m_shared.stopping) {
-        if (!m_roster->mustFollow()) {
-            followed = false;
+        const bool followed = std::exchange(m_follows, m_roster->mustFollow());
+        if (!m_follows) {
             net::sleepFor(m_shared.endpointsKnown ? relayLook : startLook);
             continue;
         }
         if (!followed) {
             follower.readAnew();
             m_roster->noteFollowing();
+            m_followsNow.notify();
         }
-        followed = true;
         awaitStore();
         const std::uint64_t interruptions = m_interruptions;
         const bool reached = follower.turn();
@@ -189,21 +225,36 @@
 void StoreDuty::readInstances()
 {
     const auto read = [this](backing::ReadAge age) {
-        if (const auto records = readUntilAnswered(InstanceWatch::prefix, age))
+        if (const auto records = readUntilAnswered(InstanceWatch::prefix, age)) {
             m_instances->replaced(*records);
+            adoptOwnRecord(*records);
+        }
     };
-    // Whoever started long ago stands in an old state too, and those that start now tell of it themselves.
+    // Whoever started long ago stands in an old state too. Where nobody does, all start for the first time: once the own
+    // record stands, whoever comes later sees it, and whoever came before stands in the newest state.
     read(backing::ReadAge::mayBeOld);
+    m_mayKeepRecord.notify();
+    if (!m_instances->knowsOthers()) {
+        while (!m_ownRecord->isHeld() && !m_shared.stopping)
+            net::sleepFor(startLook);
+        read(backing::ReadAge::newest);
+        m_instances->noteKnown();
+    }
     m_serving.broadcast(ownNotice());
     net::sleepFor(startPause);
-    read(backing::ReadAge::newest);
-    m_serving.broadcast(ownNotice());
+    read(backing::ReadAge::mayBeOld);
     while (!m_shared.stopping) {
         net::sleepFor(instanceInterval + std::chrono::milliseconds(below(m_random, instanceInterval.count())));
         read(backing::ReadAge::mayBeOld);
     }
 }
 
+void StoreDuty::adoptOwnRecord(const std::vector<backing::Record>& records)
+{
+    for (const backing::Record& record : records)
+        m_ownRecord->adopt(record);
+}
+
 // Apart from the watch, whose return may take longer than the others bear.
 void StoreDuty::tellEndpoints()
 {
@@ -216,11 +267,14 @@
 
 void StoreDuty::keepOwnRecord()
 {
-    m_ownRecord.emplace(*m_store, std::string(InstanceWatch::prefix) + m_shared.settings.instance.value, peer::writeInstanceRecord(ownNotice()), instanceTimeToLive);
+    bool isAdopted = false; // Its lease must be renewed once, as it may be about to end.
+    while (!m_mayKeepRecord.wait(recordLook) && !m_instances->isKnown() && !m_shared.stopping)
+        ;
+    isAdopted = m_ownRecord->isHeld();
     while (!m_shared.stopping) {
         awaitStore();
         Failure failure; // The probe tells of an outage.
-        if (!m_ownRecord->isHeld())
+        if (!m_ownRecord->isHeld() || std::exchange(isAdopted, false))
             m_ownRecord->turn(failure);
         net::sleepFor(recordLook);
     }
@@ -247,10 +301,18 @@
         probeBesideOthers();
     while (!m_shared.stopping) {
         probeOnce();
-        m_suspected.wait(m_answers ? probeInterval : probeAgain);
+        m_suspected.wait(probePause());
     }
 }
 
+std::chrono::milliseconds StoreDuty::probePause()
+{
+    if (m_follows || !m_shared.settings.peers)
+        return m_answers ? probeInterval : probeAgain;
+    const std::chrono::milliseconds pause = m_answers ? renewalInterval : renewalAgain;
+    return pause + std::chrono::milliseconds(below(m_random, pause.count()));
+}
+
 void StoreDuty::probeBesideOthers()
 {
     m_duty.spawn([this] { probeOnce(); });
@@ -298,16 +360,18 @@
 // Instances' own records are read only while there is an order: they say nothing else.
 void StoreDuty::readShifts()
 {
-    backing::ReadAge age = backing::ReadAge::newest;
+    while (!m_operators->hasOrders() && !m_shared.stopping)
+        net::sleepFor(shiftTurn);
+    // An order that came while this instance ran has no record that it could have missed; one that it found at its start may
+    // have been decided just now.
+    backing::ReadAge age = m_operators->beganWithOrders() ? backing::ReadAge::newest : backing::ReadAge::mayBeOld;
     while (!m_shared.stopping) {
-        if (!m_operators->hasOrders()) {
-            net::sleepFor(shiftTurn);
-            continue;
+        if (m_operators->hasOrders()) {
+            if (const auto records = readUntilAnswered(ShiftKeeper::prefix, age))
+                m_shifts->replaced(*records);
+            age = backing::ReadAge::mayBeOld;
         }
-        if (const auto records = readUntilAnswered(ShiftKeeper::prefix, age))
-            m_shifts->replaced(*records);
-        age = backing::ReadAge::mayBeOld;
-        net::sleepFor(shiftInterval);
+        net::sleepFor(m_operators->hasOrders() ? (m_follows ? followerShiftInterval : shiftInterval) : shiftTurn);
     }
 }
 
@@ -325,17 +389,15 @@
     while (!m_shared.stopping) {
         net::sleepFor(settleInterval);
         m_roster->settle();
-        if (!m_roster->isConfigurationBehind())
-            continue;
-        log::warning("configuration is behind that of other instances", { { "outcome", "it is read anew" } });
-        m_readOperatorsAnew = true;
-        interruptReads();
     }
 }
 
 void StoreDuty::stop()
 {
-    net::runOn(m_duty, [this] { m_metricsServer.reset(); });
+    net::runOn(m_duty, [this] {
+        m_metricsServer.reset();
+        m_operatorRelay->close();
+    });
     m_duty.stop();
 }
 
--- a/apps/whinyardd/entry/StoreDuty.h
+++ b/apps/whinyardd/entry/StoreDuty.h
@@ -4,6 +4,7 @@
 
 #include "entry/EntryShared.h"
 #include "entry/InstanceWatch.h"
+#include "entry/OperatorRelay.h"
 #include "entry/OperatorWatch.h"
 #include "entry/RosterWatch.h"
 #include "entry/ServeDuty.h"
@@ -35,14 +36,18 @@
 private:
     bool openOnDuty(Failure& failure);
     void followOperators();
+    void readFromOthers();
+    void awaitInstances();
     void followEndpoints();
     void readShifts();
     void writeShifts();
     peer::InstanceNotice ownNotice() const;
     void readInstances();
+    void adoptOwnRecord(const std::vector<backing::Record>& records);
     void tellEndpoints();
     void keepOwnRecord();
     void probeStore();
+    std::chrono::milliseconds probePause();
     void probeOnce();
     void probeBesideOthers();
     void noteProbe(SteadyTime began, bool answers, const Failure& failure);
@@ -66,7 +71,9 @@
     bool m_answers = true; // The last probe was answered, and no call has failed since.
     Random m_random;
     net::Duty m_duty { "store" };
-    bool m_readOperatorsAnew = false; // Their watch has missed something.
+    bool m_follows = false; // This instance follows the store.
+    net::Signal m_followsNow;
+    net::Signal m_mayKeepRecord; // What stands in the store of an earlier life is known.
     net::Signal m_suspected; // A call has failed.
     net::Signal m_returned; // The store answers again.
     std::uint64_t m_interruptions = 0; // Of reads by this duty itself; their failures say nothing about the store.
@@ -76,6 +83,7 @@
     std::unique_ptr<net::HttpClient> m_client;
     std::unique_ptr<backing::WatchableStore> m_store;
     std::unique_ptr<OperatorWatch> m_operators;
+    std::unique_ptr<OperatorRelay> m_operatorRelay;
     std::unique_ptr<RosterWatch> m_roster;
     std::unique_ptr<ShiftKeeper> m_shifts;
     std::unique_ptr<InstanceWatch> m_instances;
--- a/packages/backing/include/whinyard/backing/LeasedRecord.h
+++ b/packages/backing/include/whinyard/backing/LeasedRecord.h
@@ -21,6 +21,10 @@
     // the time to live. Returns false with the reason when the store could not be reached or refused.
     bool turn(Failure& failure);
 
+    // Takes over the record that an earlier life of this process left, if it holds the same value: its lease is then renewed,
+    // which costs a twentieth of a new record. turn() writes it anew if the lease has ended meanwhile.
+    void adopt(const Record& record);
+
     // Returns whether the record stood when turn() succeeded last, so that the next one only renews its lease.
     bool isHeld() const { return m_lease.has_value(); }
 
--- a/packages/backing/src/LeasedRecord.cpp
+++ b/packages/backing/src/LeasedRecord.cpp
@@ -22,6 +22,12 @@
     return write(failure);
 }
 
+void LeasedRecord::adopt(const Record& record)
+{
+    if (!m_lease && record.key == m_key && record.value == m_value && record.lease.number > 0)
+        m_lease = record.lease;
+}
+
 // The key is this process's own, so an earlier life's record is replaced without a condition. A write whose reply is
 // lost is made again under another lease; the first one lapses without a record.
 bool LeasedRecord::write(Failure& failure)
--- a/packages/backing/test/LeasedRecordTest.cpp
+++ b/packages/backing/test/LeasedRecordTest.cpp
@@ -52,5 +52,36 @@
         EXPECT_EQ(m_store.find("instance/a"), nullptr);
     }
 
+    TEST(LeasedRecordTakeoverTest, RenewsTheLeaseOfAnEarlierLife)
+    {
+        FakeWatchableStore store;
+        Failure failure;
+        LeasedRecord earlier(store, "i/1", "address", std::chrono::seconds(20));
+        ASSERT_TRUE(earlier.turn(failure));
+        const std::size_t before = store.calls;
+        LeasedRecord later(store, "i/1", "address", std::chrono::seconds(20));
+        later.adopt(*store.find("i/1"));
+        EXPECT_TRUE(later.isHeld());
+        EXPECT_TRUE(later.turn(failure));
+        EXPECT_EQ(store.calls, before + 1) << "one renewal in place of a grant and a write";
+    }
+
+    TEST(LeasedRecordTakeoverTest, WritesAnewWhereTheLeaseHasEndedOrAnotherValueStands)
+    {
+        FakeWatchableStore store;
+        Failure failure;
+        LeasedRecord earlier(store, "i/1", "address", std::chrono::seconds(20));
+        ASSERT_TRUE(earlier.turn(failure));
+        LeasedRecord moved(store, "i/1", "another address", std::chrono::seconds(20));
+        moved.adopt(*store.find("i/1"));
+        EXPECT_FALSE(moved.isHeld());
+        LeasedRecord later(store, "i/1", "address", std::chrono::seconds(20));
+        later.adopt(*store.find("i/1"));
+        store.lapseLeases();
+        EXPECT_TRUE(later.turn(failure));
+        ASSERT_TRUE(store.find("i/1"));
+        EXPECT_EQ(store.find("i/1")->value, "address");
+    }
+
 }
 }
--- a/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
+++ b/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
@@ -1,9 +1,13 @@
-// Decides which instances follow the list of endpoints in the store, and lets the others learn of its changes from them.
+// Decides which instances follow the operators' and the endpoints' records in the store, and lets the others learn of
+// changes from them.
 //
-// The list changes with every endpoint that comes or goes, and endpoints rewrite their entries about once a second, so
-// a watch by every instance costs a store in proportion to instances times endpoints. A few instances follow it; the
-// others take their notices. One that missed something asks a follower for the whole list, and the store only when
-// nobody answers; one that hears no follower at all follows the store itself. Pure: the daemon sends what it says and asks it what to do.
+// Endpoints rewrite their entries about once a second, and a configuration of a thousand routes has some hundred
+// kilobytes, so watches and reads by every instance cost a store in proportion to instances times records. A few instances
+// follow the store; the others take their notices. All know the same order of instances, and the first two of it that say
+// that they are current follow. One that says nothing is passed over after a moment, two at a time, so that neither a start
+// of all instances nor the loss of the first ones makes all of them read in the same second. One that missed something asks
+// a follower for the whole list, and the store only when nobody answers. Pure: the daemon sends what it says and asks it
+// what to do.
 #pragma once
 
 #include "whinyard/backing/InstanceList.h"
@@ -22,23 +26,29 @@
 struct RosterRelaySettings {
     std::size_t followers = 2; // Instances that follow the store: one, and one for when it is gone.
     std::chrono::milliseconds pause { 400 }; // Of a follower between its calls.
-    std::chrono::milliseconds currentFor { 800 }; // Without an answer of the store, after which a follower is silent.
-    std::chrono::milliseconds tellInterval { 250 }; // Of a follower's statements.
-    std::chrono::milliseconds silence { 800 }; // After which a follower that says nothing is no longer relied on.
+    std::chrono::milliseconds currentFor { 740 }; // Without an answer of the store, after which a follower isn't current.
+    std::chrono::milliseconds tellInterval { 222 }; // Of a follower's statements.
+    std::chrono::milliseconds silence { 740 }; // After which a follower that says nothing is no longer relied on.
+    std::chrono::milliseconds turn { 100 }; // For the next two instances in order to say that they are current.
+    // With nobody current after the followers were lost, an instance follows the store by itself: after this, and as much
+    // again by its name, so that not all read at once.
+    std::chrono::milliseconds lastResort { 200 };
+    // The same three times at a start, when a follower may have to read all records over a small link first.
+    std::chrono::milliseconds startTurn { 300 };
+    std::chrono::milliseconds startResort { 1'500 };
     // For a follower's whole list, before it is asked for again: many ways within a region.
     std::chrono::milliseconds answerWait { 250 };
-    // The same at the start, when callers wait already and all followers may just have started too: an answer takes a few
-    // milliseconds.
-    std::chrono::milliseconds startWait { 40 };
+    std::chrono::milliseconds startWait { 100 }; // The same at a start, when callers wait already.
     // After the store was away, for its followers to tell again: they wait 2.2 s for entries that lapsed meanwhile. Until then
     // nobody who lost them follows the store too; no endpoint that leaves is to be known sooner than three seconds after the return.
     std::chrono::milliseconds followersReturn { 2'800 };
     std::uint32_t mostRequests = 3; // Without an answer, after which the store is asked.
+    std::size_t mostFailed = 6; // So many that the store fails mean an outage for all: no further one takes over.
 };
 
-// Returns the settings by which a leaving endpoint gets no new work after `drain`, whatever single follower loses the store
-// or its life: it goes on to tell that nothing changed for `currentFor`, is found silent after `silence`, and another one is
-// asked for its list.
+// Returns the settings by which a leaving endpoint gets no new work after `drain`, whichever followers lose the store or
+// their lives: they go on to tell that nothing changed for `currentFor`, are found silent after `silence`, and the next ones
+// take over, or the store is read.
 RosterRelaySettings relaySettingsFor(std::chrono::milliseconds drain);
 
 // An instance that may follow the store for the others.
@@ -53,6 +63,7 @@
     std::uint64_t life = 0;
     std::uint64_t sequence = 0;
     bool hasChanges = false;
+    bool isCurrent = true; // The store has just answered it.
 };
 
 // What this instance has to do for its list to be right.
@@ -73,10 +84,10 @@
     explicit RosterRelay(InstanceName self, const RosterRelaySettings& settings = {});
 
     // Takes the instances that live, this one included or not.
-    void useInstances(std::vector<RelayCandidate> instances);
+    void useInstances(std::vector<RelayCandidate> instances, SteadyTime now);
 
     // Returns whether this instance is one of those that follow the store for the others.
-    bool isFollower() const;
+    bool isFollower(SteadyTime now) const;
 
     RosterNeed need(SteadyTime now) const;
 
@@ -111,20 +122,32 @@
         std::uint64_t life = 0;
         std::uint64_t sequence = 0;
         SteadyTime at;
+        std::optional<SteadyTime> failedAt; // Since when it says that it isn't current.
     };
 
-    // Returns the first follower that was heard of late; none when all are silent.
+    // Returns whether an instance said lately that it is current.
+    bool isCurrent(const InstanceName& name, SteadyTime now) const;
+
+    // Returns the first instance in order that is current; none when there is none.
     std::optional<InstanceName> source(SteadyTime now) const;
 
+    // Returns since when `instances` of the order have not been current, counting from `m_startedAt`.
+    SteadyTime lostSince(std::size_t instances) const;
+
+    std::size_t ownRank() const;
+    bool isNew() const { return m_heard.empty(); } // Nobody was ever heard: this instance has just started.
+    bool mustFollowAlone(SteadyTime now) const;
+
     const InstanceName m_self;
     const RosterRelaySettings m_settings;
-    std::vector<InstanceName> m_followers; // In the order in which they are listened to.
+    std::vector<InstanceName> m_order; // All instances, in the order in which they follow.
     std::map<InstanceName, Heard> m_heard;
     std::optional<InstanceName> m_source; // Whose changes were applied last.
+    std::optional<SteadyTime> m_startedAt; // When other instances were known first.
     bool m_incomplete = false; // Something was missed that nobody has told since.
     std::uint32_t m_requests = 0; // For the whole list, since it was needed.
     SteadyTime m_requestedAt;
-    std::optional<SteadyTime> m_failedAt; // When the store failed this instance last.
+    std::optional<SteadyTime> m_failedAt; // When the store failed this instance last, or a follower said so of itself.
     std::optional<SteadyTime> m_currentAt; // When the store answered last, unless it has failed since.
 };
 
--- a/packages/endpoint/src/RosterRelay.cpp
+++ b/packages/endpoint/src/RosterRelay.cpp
@@ -7,15 +7,19 @@
 
 RosterRelaySettings relaySettingsFor(std::chrono::milliseconds drain)
 {
-    // Parts of the time; a fifth is left for the ways and for an answer that must be asked for twice.
+    // Parts of the time; what is left is for the ways and for an answer that must be asked for twice.
     constexpr int pauseParts = 5;
-    constexpr double silentPart = 0.4;
-    constexpr int tellParts = 8; // Three statements within the silence.
+    constexpr double silentPart = 0.37;
+    constexpr int tellParts = 9; // Three statements within the silence.
+    constexpr int turnParts = 20;
+    constexpr int resortParts = 10;
     RosterRelaySettings settings;
     settings.pause = drain / pauseParts;
     settings.currentFor = std::chrono::duration_cast<std::chrono::milliseconds>(drain * silentPart);
     settings.silence = settings.currentFor;
     settings.tellInterval = drain / tellParts;
+    settings.turn = drain / turnParts;
+    settings.lastResort = drain / resortParts;
     return settings;
 }
 
@@ -25,7 +29,7 @@
 {
 }
 
-void RosterRelay::useInstances(std::vector<RelayCandidate> instances)
+void RosterRelay::useInstances(std::vector<RelayCandidate> instances, SteadyTime now)
 {
     // The largest links first; among equal ones by a hash of the name, so that followers don't share a zone by the order of
     // their names.
@@ -35,44 +39,94 @@
         return stableHash(left.name.value) < stableHash(right.name.value);
     };
     std::sort(instances.begin(), instances.end(), isBefore);
-    instances.resize(std::min(instances.size(), m_settings.followers));
-    m_followers.clear();
+    m_order.clear();
     for (const RelayCandidate& candidate : instances)
-        m_followers.push_back(candidate.name);
+        m_order.push_back(candidate.name);
+    if (!m_order.empty() && !m_startedAt)
+        m_startedAt = now;
 }
 
-bool RosterRelay::isFollower() const
+bool RosterRelay::isCurrent(const InstanceName& name, SteadyTime now) const
 {
-    return std::find(m_followers.begin(), m_followers.end(), m_self) != m_followers.end();
+    const auto heard = m_heard.find(name);
+    return heard != m_heard.end() && !heard->second.failedAt && now - heard->second.at <= m_settings.silence;
+}
+
+std::size_t RosterRelay::ownRank() const
+{
+    return static_cast<std::size_t>(std::find(m_order.begin(), m_order.end(), m_self) - m_order.begin());
+}
+
+SteadyTime RosterRelay::lostSince(std::size_t instances) const
+{
+    SteadyTime since = m_startedAt.value_or(SteadyTime());
+    for (std::size_t rank = 0; rank < instances; ++rank) {
+        if (const auto heard = m_heard.find(m_order[rank]); heard != m_heard.end())
+            since = std::max(since, heard->second.failedAt.value_or(heard->second.at + m_settings.silence));
+    }
+    return since;
+}
+
+bool RosterRelay::isFollower(SteadyTime now) const
+{
+    const std::size_t rank = ownRank();
+    if (rank == m_order.size())
+        return false;
+    std::size_t current = 0;
+    std::size_t unheard = 0; // They may say so yet: each two of them get a turn.
+    std::size_t failed = 0;
+    for (std::size_t before = 0; before < rank; ++before) {
+        const auto heard = m_heard.find(m_order[before]);
+        if (isCurrent(m_order[before], now) && ++current >= m_settings.followers)
+            return false;
+        unheard += heard == m_heard.end() ? 1 : 0;
+        failed += heard != m_heard.end() && heard->second.failedAt ? 1 : 0;
+    }
+    if (failed >= m_settings.mostFailed)
+        return false;
+    if (current + unheard < m_settings.followers)
+        return true;
+    const std::chrono::milliseconds turn = isNew() ? m_settings.startTurn : m_settings.turn;
+    return now >= lostSince(rank) + turn * static_cast<int>(unheard / m_settings.followers);
+}
+
+// Instances that lost all followers at once would read the store at once as well: each waits for a time of its own.
+bool RosterRelay::mustFollowAlone(SteadyTime now) const
+{
+    constexpr std::uint64_t steps = 64;
+    const std::chrono::milliseconds resort = isNew() ? m_settings.startResort : m_settings.lastResort;
+    const auto own = resort * static_cast<int>(stableHash(m_self.value) % steps) / static_cast<int>(steps);
+    return now >= lostSince(m_order.size()) + resort + own;
 }
 
 RosterNeed RosterRelay::need(SteadyTime now) const
 {
-    if (isFollower() || m_followers.empty())
+    if (m_order.empty() || isFollower(now))
         return RosterNeed::follow;
-    const bool isNew = m_heard.empty(); // Nobody was ever heard: this instance has just started.
-    if (!source(now) && !isNew) {
+    if (!source(now)) {
         const bool followersMayReturn = m_failedAt && now - *m_failedAt <= m_settings.followersReturn;
-        return followersMayReturn ? RosterNeed::nothing : RosterNeed::follow;
+        if (!followersMayReturn && mustFollowAlone(now))
+            return RosterNeed::follow;
+        const bool isAsked = m_requests > 0 && now - m_requestedAt < m_settings.startWait;
+        return isNew() && !isAsked ? RosterNeed::ask : RosterNeed::nothing;
     }
-    if (!isNew && !m_incomplete)
+    if (!m_incomplete)
         return RosterNeed::nothing;
-    if (m_requests > 0 && now - m_requestedAt < (isNew ? m_settings.startWait : m_settings.answerWait))
+    if (m_requests > 0 && now - m_requestedAt < m_settings.answerWait)
         return RosterNeed::nothing;
-    const std::uint32_t most = isNew ? 1 : m_settings.mostRequests;
-    return m_requests < most ? RosterNeed::ask : RosterNeed::follow;
+    return m_requests < m_settings.mostRequests ? RosterNeed::ask : RosterNeed::follow;
 }
 
 bool RosterRelay::mayTell(SteadyTime now) const
 {
-    return isFollower() && m_currentAt && now - *m_currentAt <= m_settings.currentFor;
+    return isFollower(now) && m_currentAt && now - *m_currentAt <= m_settings.currentFor;
 }
 
 std::string_view RosterRelay::followReason(SteadyTime now) const
 {
-    if (isFollower())
+    if (isFollower(now))
         return "for the other instances";
-    if (m_followers.empty())
+    if (m_order.empty())
         return "no other instance is known";
     return source(now) ? "no follower answered with its list" : "no follower is heard";
 }
@@ -83,15 +137,22 @@
     m_requestedAt = now;
     if (const std::optional<InstanceName> heard = source(now))
         return { *heard };
-    return m_followers;
+    // Nobody has said anything yet: the first ones, and those whose turn it is.
+    const std::size_t turns = static_cast<std::size_t>((now - lostSince(0)) / m_settings.startTurn);
+    std::vector<InstanceName> asked;
+    for (std::size_t rank = 0; rank < m_order.size(); ++rank) {
+        const std::size_t turn = rank / m_settings.followers;
+        if ((turn == 0 || turn == turns) && m_order[rank] != m_self)
+            asked.push_back(m_order[rank]);
+    }
+    return asked;
 }
 
 std::optional<InstanceName> RosterRelay::source(SteadyTime now) const
 {
-    for (const InstanceName& follower : m_followers) {
-        const auto heard = m_heard.find(follower);
-        if (heard != m_heard.end() && now - heard->second.at <= m_settings.silence)
-            return follower;
+    for (const InstanceName& name : m_order) {
+        if (name != m_self && isCurrent(name, now))
+            return name;
     }
     return std::nullopt;
 }
@@ -104,8 +165,13 @@
     const auto known = m_heard.find(statement.instance);
     const std::uint64_t expected = known == m_heard.end() ? 0 : known->second.sequence + (statement.hasChanges ? 1 : 0);
     const bool follows = known != m_heard.end() && known->second.life == statement.life && statement.sequence == expected;
-    m_heard[statement.instance] = { statement.life, statement.sequence, now };
-    if (isFollower() || source(now) != statement.instance)
+    std::optional<SteadyTime> failedAt;
+    if (!statement.isCurrent) {
+        m_failedAt = now;
+        failedAt = known == m_heard.end() ? now : known->second.failedAt.value_or(now);
+    }
+    m_heard[statement.instance] = { statement.life, statement.sequence, now, failedAt };
+    if (isFollower(now) || source(now) != statement.instance)
         return RelayAction::ignore;
     const bool isSame = m_source == statement.instance;
     m_source = statement.instance;
@@ -119,10 +185,9 @@
 
 bool RosterRelay::hearWhole(const RosterStatement& statement, SteadyTime now)
 {
-    const bool isNew = m_heard.empty();
-    if (isFollower() || (!isNew && source(now) != statement.instance))
+    if (isFollower(now) || (!isNew() && source(now) != statement.instance))
         return false;
-    m_heard[statement.instance] = { statement.life, statement.sequence, now };
+    m_heard[statement.instance] = { statement.life, statement.sequence, now, std::nullopt };
     m_source = statement.instance;
     noteRead();
     return true;
--- /dev/null
+++ b/packages/endpoint/test/RosterRelayFleetTest.cpp
@@ -0,0 +1,239 @@
+// Many instances that share a store, on a virtual clock: what a start of all and the loss of followers cost the store.
+#include "whinyard/base/FakeClock.h"
+#include "whinyard/endpoint/RosterRelay.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace whinyard::endpoint {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr std::chrono::milliseconds step { 20 }; // Also the way of a notice and of an answer.
+    constexpr std::chrono::milliseconds drain { 4'000 };
+
+    // One instance, as the daemon moves its relay.
+    struct Instance {
+        explicit Instance(const std::string& text)
+            : relay({ text }, relaySettingsFor(drain))
+            , name { text }
+        {
+        }
+
+        RosterRelay relay;
+        InstanceName name;
+        bool lives = true;
+        bool isTurnedAway = false; // The store fails this instance.
+        bool isFollowing = false;
+        bool hasList = false;
+        SteadyTime readEnds; // Of the whole read that is under way.
+        SteadyTime tellsAt;
+        SteadyTime listSince;
+    };
+
+    class RosterRelayFleetTest : public ::testing::TestWithParam<int> {
+    protected:
+        RosterRelayFleetTest()
+        {
+            for (int i = 0; i < GetParam(); ++i)
+                m_instances.emplace_back("entry-" + std::to_string(i));
+        }
+
+        // All start within 300 ms, as after a power cut, and know each other from the records that still stand. Those that
+        // are gone stand there too.
+        void startAll()
+        {
+            std::vector<RelayCandidate> all;
+            for (const Instance& instance : m_instances)
+                all.push_back({ instance.name, 20 });
+            for (Instance& instance : m_instances)
+                instance.relay.useInstances(all, m_clock.now() + 300ms * static_cast<int>(stableHash(instance.name.value) % 16) / 16);
+        }
+
+        void run(std::chrono::milliseconds duration)
+        {
+            for (auto passed = 0ms; passed < duration; passed += step) {
+                m_clock.advance(step);
+                for (const auto& deliver : std::exchange(m_underWay, {}))
+                    deliver();
+                for (Instance& instance : m_instances) {
+                    if (instance.lives)
+                        turn(instance);
+                }
+            }
+        }
+
+        void turn(Instance& self)
+        {
+            const SteadyTime now = m_clock.now();
+            const RosterNeed need = self.relay.need(now);
+            if (need == RosterNeed::ask)
+                ask(self);
+            follow(self, need == RosterNeed::follow);
+            if (now < self.tellsAt)
+                return;
+            if (self.relay.mayTell(now))
+                tell(self, true);
+            else if (self.isTurnedAway && self.relay.isFollower(now))
+                tell(self, false);
+        }
+
+        void follow(Instance& self, bool follows)
+        {
+            const SteadyTime now = m_clock.now();
+            if (follows && !self.isFollowing && !self.isTurnedAway) {
+                ++m_wholeReads;
+                self.readEnds = now + readTime;
+            }
+            self.isFollowing = follows && !self.isTurnedAway;
+            if (self.isTurnedAway && follows)
+                self.relay.noteFailed(now);
+            if (self.isFollowing && now >= self.readEnds) {
+                self.relay.noteRead();
+                self.relay.noteCurrent(now);
+                noteList(self);
+            }
+        }
+
+        void noteList(Instance& self)
+        {
+            if (!std::exchange(self.hasList, true))
+                self.listSince = m_clock.now();
+        }
+
+        void ask(Instance& self)
+        {
+            for (const InstanceName& name : self.relay.toAsk(m_clock.now())) {
+                m_underWay.push_back([this, &self, &asked = find(name)] {
+                    if (asked.lives && asked.relay.mayTell(m_clock.now()))
+                        m_underWay.push_back([this, &self, &asked] {
+                            if (self.relay.hearWhole({ asked.name, 1, 0, false }, m_clock.now()))
+                                noteList(self);
+                        });
+                });
+            }
+        }
+
+        void tell(Instance& self, bool isCurrent)
+        {
+            self.tellsAt = m_clock.now() + relaySettingsFor(drain).tellInterval;
+            m_underWay.push_back([this, &self, isCurrent] {
+                for (Instance& other : m_instances) {
+                    if (other.lives && &other != &self)
+                        other.relay.hear({ self.name, 1, 0, false, isCurrent }, m_clock.now());
+                }
+            });
+        }
+
+        Instance& find(const InstanceName& name)
+        {
+            return *std::find_if(m_instances.begin(), m_instances.end(), [&](const Instance& one) { return one.name == name; });
+        }
+
+        // In the order in which they follow.
+        std::vector<Instance*> ordered()
+        {
+            std::vector<Instance*> all;
+            for (Instance& instance : m_instances)
+                all.push_back(&instance);
+            std::sort(all.begin(), all.end(), [](const auto* left, const auto* right) { return stableHash(left->name.value) < stableHash(right->name.value); });
+            return all;
+        }
+
+        // Until every instance that lives has had a list.
+        std::chrono::milliseconds slowestStart() const
+        {
+            SteadyTime last;
+            for (const Instance& instance : m_instances) {
+                if (instance.lives)
+                    last = std::max(last, instance.hasList ? instance.listSince : SteadyTime::max());
+            }
+            return std::chrono::duration_cast<std::chrono::milliseconds>(last - m_began);
+        }
+
+        // A configuration of a thousand routes over a link of 20 Mbit/s.
+        static constexpr std::chrono::milliseconds readTime { 260 };
+
+        FakeClock m_clock;
+        const SteadyTime m_began = m_clock.now();
+        std::vector<Instance> m_instances;
+        std::vector<std::function<void()>> m_underWay; // Notices and answers, until the next step.
+        int m_wholeReads = 0;
+    };
+
+    INSTANTIATE_TEST_SUITE_P(Sizes, RosterRelayFleetTest, ::testing::Values(9, 30, 100, 300));
+
+    // All instances of a site start at once after a power cut. Where each read the store, its link carried 200 MB at once.
+    TEST_P(RosterRelayFleetTest, StartsAllWithAFewReadsOfTheStore)
+    {
+        startAll();
+        run(4s);
+        EXPECT_LE(m_wholeReads, 4);
+        EXPECT_LE(slowestStart(), 1s);
+    }
+
+    TEST_P(RosterRelayFleetTest, StartsAllWhereTheFirstTenthIsGone)
+    {
+        const std::vector<Instance*> all = ordered();
+        for (std::size_t rank = 0; rank < std::min<std::size_t>(6, all.size() / 4); ++rank)
+            all[rank]->lives = false;
+        startAll();
+        run(6s);
+        EXPECT_LE(m_wholeReads, 8);
+        EXPECT_LE(slowestStart(), 2s);
+    }
+
+    TEST_P(RosterRelayFleetTest, LosesBothFollowersWithoutAStorm)
+    {
+        startAll();
+        run(4s);
+        const int before = m_wholeReads;
+        for (int rank = 0; rank < 2; ++rank)
+            ordered()[static_cast<std::size_t>(rank)]->lives = false;
+        run(drain);
+        EXPECT_LE(m_wholeReads - before, 4);
+        for (Instance& instance : m_instances) {
+            const bool follows = instance.relay.need(m_clock.now()) == RosterNeed::follow;
+            EXPECT_TRUE(!instance.lives || follows == instance.isFollowing);
+        }
+    }
+
+    // The store turns a third of the instances away, the followers among them, and serves the others.
+    TEST_P(RosterRelayFleetTest, FollowsElsewhereWhereTheStoreTurnsSomeAway)
+    {
+        startAll();
+        run(4s);
+        const int before = m_wholeReads;
+        const std::vector<Instance*> all = ordered();
+        for (std::size_t rank = 0; rank < all.size(); rank += rank == 0 ? 1 : 3)
+            all[rank]->isTurnedAway = true;
+        run(drain);
+        EXPECT_LE(m_wholeReads - before, 4);
+        for (Instance& instance : m_instances) {
+            EXPECT_TRUE(instance.isTurnedAway || instance.relay.need(m_clock.now()) != RosterNeed::ask);
+        }
+    }
+
+    // The store is away from all, and comes back.
+    TEST_P(RosterRelayFleetTest, BearsAnOutageWithoutAStorm)
+    {
+        startAll();
+        run(4s);
+        const int before = m_wholeReads;
+        for (Instance& instance : m_instances)
+            instance.isTurnedAway = true;
+        run(8s);
+        for (Instance& instance : m_instances)
+            instance.isTurnedAway = false;
+        run(4s);
+        EXPECT_LE(m_wholeReads - before, 9) << "six that tried in vain, and the two that follow";
+    }
+
+}
+}
--- /dev/null
+++ b/packages/peer/include/whinyard/peer/HeardRevisions.h
@@ -0,0 +1,65 @@
+// Decides when this instance reads newer records of the operators, and from which other instance.
+//
+// Followers state up to which revision they know the operators' records. An instance that is behind reads them from one
+// that isn't, one read at a time: a read that makes progress is never begun anew, and after one that failed the next waits
+// longer each time. A follower does the same beside its own watch of the store, which may stay silent over a change
+// without being cut. Pure: the daemon makes the reads.
+#pragma once
+
+#include "whinyard/base/Clock.h"
+#include "whinyard/base/Identity.h"
+#include "whinyard/base/Random.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace whinyard::peer {
+
+struct HeardRevisionsSettings {
+    // What the store's own word may take longer than another instance's, for one that follows the store itself: the store
+    // tells all watches within some ten milliseconds of each other.
+    std::chrono::milliseconds followerPatience { 200 };
+    std::chrono::milliseconds firstPause { 100 }; // After a read that failed; it doubles with each further one.
+    std::chrono::milliseconds longestPause { 1'600 };
+    std::uint32_t failuresBeforeStore = 2; // In a row, after which the store is read, then and now.
+};
+
+// A read that is due.
+struct RevisionRead {
+    std::optional<InstanceName> from; // Nothing: the store.
+
+    bool operator==(const RevisionRead&) const = default;
+};
+
+class HeardRevisions {
+public:
+    explicit HeardRevisions(Random random, const HeardRevisionsSettings& settings = {});
+
+    // Takes up to which revision another instance knows the records.
+    void hear(const InstanceName& instance, std::uint64_t revision, SteadyTime now);
+
+    // Returns whether a newer revision than `own` was heard of.
+    bool isBehind(std::uint64_t own) const;
+
+    // Returns the read that is due now for an instance that knows the records up to `own`; nothing while none is, or one
+    // is under way.
+    std::optional<RevisionRead> due(std::uint64_t own, bool isFollower, SteadyTime now);
+
+    // Notes that the read that due() returned begins, and how it ended.
+    void noteBegun() { m_isReading = true; }
+    void noteEnded(bool succeeded, SteadyTime now);
+
+private:
+    const HeardRevisionsSettings m_settings;
+    Random m_random;
+    std::map<InstanceName, std::uint64_t> m_heard;
+    std::uint64_t m_newest = 0;
+    SteadyTime m_newestSince;
+    bool m_isReading = false;
+    std::uint32_t m_failures = 0; // In a row.
+    SteadyTime m_notBefore; // When the next read may begin.
+};
+
+}
--- a/packages/peer/include/whinyard/peer/Notices.h
+++ b/packages/peer/include/whinyard/peer/Notices.h
@@ -54,15 +54,16 @@
     bool operator==(const ShiftNotice&) const = default;
 };
 
-// How the list of endpoints has changed at an instance that follows it in the store. One without changes says that the
-// list was current when it was sent.
+// How the list of endpoints has changed at an instance that follows the store. One without changes says that the list was
+// current when it was sent, or that the store fails the instance.
 struct RosterNotice {
     InstanceName instance;
     std::uint64_t life = 0; // Of the instance's process.
     std::uint64_t sequence = 0; // Rises by one with each notice that has changes; the first has number 1.
     std::vector<backing::ListedEndpoint> changed;
     std::vector<EndpointName> gone;
-    std::uint64_t configuration = 0; // The version that the instance acts on.
+    std::uint64_t operators = 0; // The revision up to which the instance knows the operators' records.
+    bool isCurrent = true;
 
     bool operator==(const RosterNotice&) const = default;
 };
@@ -82,6 +83,7 @@
     std::uint32_t part = 0; // Counts from 0.
     std::uint32_t parts = 1;
     std::vector<backing::ListedEndpoint> endpoints;
+    std::uint64_t operators = 0; // As in RosterNotice.
 
     bool operator==(const RosterPart&) const = default;
 };
--- a/packages/peer/src/Notices.cpp
+++ b/packages/peer/src/Notices.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-    constexpr std::uint16_t noticeFormat = 6;
+    constexpr std::uint16_t noticeFormat = 7;
     constexpr std::size_t longestText = 1'024;
     constexpr std::int64_t longestWorkUs = 60'000'000; // A longer one is no work that anybody gave.
 
@@ -137,6 +137,7 @@
         writer.text(endpoint.versions.empty() ? std::string() : endpoint.versions.front().value);
         writer.number(endpoint.slots);
         writer.number(endpoint.leaving ? 1 : 0);
+        writer.number(endpoint.born);
     }
 
     void write(Writer& writer, const RosterRequest& notice)
@@ -156,6 +157,7 @@
         writer.number(notice.endpoints.size());
         for (const backing::ListedEndpoint& endpoint : notice.endpoints)
             write(writer, endpoint);
+        writer.number(notice.operators);
     }
 
     void write(Writer& writer, const InstanceNotice& notice)
@@ -178,7 +180,8 @@
         writer.number(notice.gone.size());
         for (const EndpointName& name : notice.gone)
             writer.text(name.value);
-        writer.number(notice.configuration);
+        writer.number(notice.operators);
+        writer.number(notice.isCurrent ? 1 : 0);
     }
 
     std::optional<Notice> readWork(Reader& reader)
@@ -234,6 +237,7 @@
         endpoint.versions = { { reader.text() } };
         endpoint.slots = static_cast<std::uint32_t>(reader.number(std::numeric_limits<std::uint32_t>::max()));
         endpoint.leaving = reader.number(1) == 1;
+        endpoint.born = reader.number();
         return endpoint;
     }
 
@@ -259,6 +263,7 @@
                 return std::nullopt;
             notice.endpoints.push_back(std::move(*endpoint));
         }
+        notice.operators = reader.number();
         return notice;
     }
 
@@ -291,7 +296,8 @@
         const std::uint64_t gone = reader.number(mostRosterChanges);
         for (std::uint64_t i = 0; i < gone; ++i)
             notice.gone.push_back({ reader.text() });
-        notice.configuration = reader.number();
+        notice.operators = reader.number();
+        notice.isCurrent = reader.number(1) == 1;
         return notice;
     }
 
--- a/packages/router/include/whinyard/router/RoutingSource.h
+++ b/packages/router/include/whinyard/router/RoutingSource.h
@@ -20,6 +20,9 @@
     // Returns whether this instance may act on it: it can know what is in force now. Fills `failure` with
     // configurationStale otherwise.
     virtual bool mayServe(Failure& failure) const = 0;
+
+    // Returns whether others are known to act on a newer one, so that what this one doesn't hold may be allowed all the same.
+    virtual bool isBehind() const { return false; }
 };
 
 }
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -25,6 +25,15 @@
     // attempts that failed: their answers are lost otherwise, and failures come many at once, when an engine crashes.
     constexpr double silencePart = 0.9;
 
+    // A newer configuration is read within some hundred milliseconds from another instance.
+    constexpr std::chrono::milliseconds newerConfigurationWithin { 300 };
+
+    // What a configuration that is known to be outdated doesn't hold may be allowed by now, so it isn't denied for good.
+    Failure staleFailure()
+    {
+        return { .kind = ErrorKind::configurationStale, .reason = "other instances know a newer configuration", .retryAfter = newerConfigurationWithin };
+    }
+
     std::chrono::nanoseconds part(std::chrono::nanoseconds whole, double share)
     {
         return std::chrono::duration_cast<std::chrono::nanoseconds>(whole * share);
@@ -54,6 +63,10 @@
         return std::nullopt;
     }
     admission.route = admission.table->findRoute(request.host, request.path);
+    if (!admission.route && source.isBehind()) {
+        failure = staleFailure();
+        return std::nullopt;
+    }
     if (!admission.route) {
         failure = { .kind = ErrorKind::unknownRoute, .reason = "no route of configuration " + std::to_string(admission.table->version()) + " takes this host and path" };
         return std::nullopt;
@@ -62,6 +75,10 @@
     if (!admission.table->routing().knowsCustomers || !admission.route->needsKey)
         return admission;
     const config::RoutedCustomer* customer = admission.table->findCustomer(request.key);
+    if (!customer && source.isBehind()) {
+        failure = staleFailure();
+        return std::nullopt;
+    }
     if (!customer) {
         failure = { .kind = ErrorKind::unauthenticated, .reason = "no customer of configuration " + std::to_string(admission.table->version()) + " holds this key" };
         return std::nullopt;
