Give tests of the command line files of their own

CommandLineTest.ADocumentGoesFromApplyToRollback failed once in a whole run of the suite. Cause: two tests, which ctest runs as processes beside each other, wrote the same file. The name now holds the process. Checks unchanged.

--- a/apps/whinyard/test/CommandLineTest.cpp
+++ b/apps/whinyard/test/CommandLineTest.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <gtest/gtest.h>
 #include <sstream>
+#include <unistd.h>
 
 namespace whinyard::command {
 
@@ -59,9 +60,10 @@
             return run(std::move(arguments));
         }
 
+        // In a place of this process's own: tests that run beside each other use the same names.
         std::string file(const std::string& name, const std::string& text)
         {
-            const std::string path = testing::TempDir() + "whinyard-" + name;
+            const std::string path = testing::TempDir() + "whinyard-" + std::to_string(::getpid()) + "-" + name;
             std::ofstream(path) << text;
             return path;
         }
