Read whole lists of endpoints over connections, and tell many changes by their sequence alone

The follower sent seven and more datagrams of 2.6 kB to each instance at once, answers with the whole list came in fourteen of them, its link was full, and one lost part of a list made the rest useless.

Change: PeerExchange answers and makes reads between instances over TCP, for the list of endpoints (RosterList, compressed) as for the operators' records. A notice with more than 24 changes carries its sequence alone, and whoever hears of it reads the list. The datagrams for asking and for parts of a list are gone, as is the bookkeeping of parts.

Tests: RosterListTest (a list of 330 takes less than 12 kB; any other bytes are refused). The samples of the two notices that are gone leave NoticesTest.

--- a/apps/whinyardd/entry/OperatorRelay.h
+++ b/apps/whinyardd/entry/OperatorRelay.h
@@ -3,14 +3,11 @@
 
 #include "entry/EntryShared.h"
 #include "entry/OperatorWatch.h"
+#include "entry/PeerExchange.h"
 #include "whinyard/backing/WatchableStore.h"
-#include "whinyard/net/HttpClient.h"
-#include "whinyard/net/HttpServer.h"
 #include "whinyard/peer/HeardRevisions.h"
-#include "whinyard/peer/Notices.h"
 
-#include <map>
-#include <memory>
+#include <optional>
 #include <string>
 
 namespace whinyard::daemon {
@@ -19,13 +16,7 @@
 class OperatorRelay {
 public:
     // All must outlive the object.
-    OperatorRelay(EntryShared& shared, OperatorWatch& watch, net::HttpClient& client, backing::WatchableStore& store);
-
-    // Begins to answer other instances, where the settings have an address for them.
-    bool open(net::Duty& duty, Failure& failure);
-
-    // Takes the instances that live.
-    void useInstances(std::map<InstanceName, peer::InstanceNotice> instances) { m_instances = std::move(instances); }
+    OperatorRelay(EntryShared& shared, OperatorWatch& watch, PeerExchange& exchange, backing::WatchableStore& store);
 
     // Takes up to which revision another instance knows the records.
     void hear(const InstanceName& instance, std::uint64_t revision);
@@ -39,10 +30,8 @@
     // Waits until something was heard, at most for `wait`.
     void awaitNews(std::chrono::milliseconds wait) { m_news.wait(wait); }
 
-    void close() { m_server.reset(); }
-
 private:
-    void answer(net::HttpResponder& responder);
+    std::optional<std::string> told();
     bool readFrom(const InstanceName& instance, Failure& failure);
     bool readStore(Failure& failure);
     void noteBehind();
@@ -50,11 +39,9 @@
 
     EntryShared& m_shared;
     OperatorWatch& m_watch;
-    net::HttpClient& m_client;
+    PeerExchange& m_exchange;
     backing::WatchableStore& m_store;
     peer::HeardRevisions m_heard;
-    std::map<InstanceName, peer::InstanceNotice> m_instances;
-    std::unique_ptr<net::HttpServer> m_server;
     net::Signal m_news;
     std::string m_encoded; // The snapshot of `m_encodedRevision`, as it is sent.
     std::uint64_t m_encodedRevision = 0;
--- a/apps/whinyardd/entry/PeerLink.cpp
+++ b/apps/whinyardd/entry/PeerLink.cpp
@@ -47,13 +47,6 @@
     m_shared.metrics.add("whinyard_notices_sent_total", m_peers.size());
 }
 
-void PeerLink::send(const net::Address& to, const peer::Notice& notice)
-{
-    Failure failure;
-    const bool sent = m_socket && m_socket->send(to, peer::encodeNotice(notice), failure);
-    m_shared.metrics.add(sent ? "whinyard_notices_sent_total" : "whinyard_notices_unsent_total");
-}
-
 void PeerLink::gave(const EndpointName& endpoint, std::chrono::nanoseconds work, const std::vector<std::uint64_t>& prefix)
 {
     if (work < worthTelling)
@@ -83,7 +76,6 @@
             continue;
         const std::optional<peer::Notice> notice = peer::decodeNotice(datagram->bytes);
         m_shared.metrics.add(notice ? "whinyard_notices_received_total" : "whinyard_notices_unreadable_total");
-        m_sender = datagram->from;
         if (notice)
             std::visit([this](const auto& one) { take(one); }, *notice);
     }
@@ -119,18 +111,6 @@
         m_handlers.roster(notice);
 }
 
-void PeerLink::take(const peer::RosterRequest&)
-{
-    if (m_handlers.rosterRequest)
-        m_handlers.rosterRequest(m_sender);
-}
-
-void PeerLink::take(const peer::RosterPart& notice)
-{
-    if (m_handlers.rosterPart)
-        m_handlers.rosterPart(notice);
-}
-
 void PeerLink::take(const peer::InstanceNotice& notice)
 {
     if (m_handlers.instance)
--- a/apps/whinyardd/entry/PeerLink.h
+++ b/apps/whinyardd/entry/PeerLink.h
@@ -17,8 +17,6 @@
 // Take notices that concern the store duty; called on the serve duty.
 struct NoticeHandlers {
     std::function<void(peer::RosterNotice)> roster;
-    std::function<void(net::Address)> rosterRequest; // Of the instance at this address.
-    std::function<void(peer::RosterPart)> rosterPart;
     std::function<void(peer::InstanceNotice)> instance;
     std::function<void(peer::ShiftNotice)> shift;
 };
@@ -38,9 +36,6 @@
     // Sends a notice to all other instances that are known.
     void broadcast(const peer::Notice& notice);
 
-    // Sends a notice to one instance.
-    void send(const net::Address& to, const peer::Notice& notice);
-
     // Tells which sessions the others must leave on the versions in use.
     void tellPins();
 
@@ -55,9 +50,7 @@
     void take(const peer::EvidenceNotice& notice);
     void take(const peer::ShiftNotice& notice);
     void take(const peer::RosterNotice& notice);
-    void take(const peer::RosterPart& notice);
     void take(const peer::InstanceNotice& notice);
-    void take(const peer::RosterRequest& notice);
 
     EntryShared& m_shared;
     endpoint::EndpointDirectory& m_directory;
@@ -65,7 +58,6 @@
     NoticeHandlers m_handlers;
     std::vector<net::Address> m_peers;
     std::unique_ptr<net::UdpSocket> m_socket;
-    net::Address m_sender; // Of the notice that is being taken in.
 };
 
 }
--- a/apps/whinyardd/entry/RosterWatch.cpp
+++ b/apps/whinyardd/entry/RosterWatch.cpp
@@ -8,13 +8,22 @@
 
 namespace whinyard::daemon {
 
-RosterWatch::RosterWatch(EntryShared& shared, ServeDuty& serving, OperatorRelay& operators)
+namespace {
+
+    constexpr const char* target = "/endpoints";
+
+}
+
+RosterWatch::RosterWatch(EntryShared& shared, ServeDuty& serving, OperatorRelay& operators, PeerExchange& exchange, net::Duty& duty)
     : m_shared(shared)
     , m_serving(serving)
     , m_operators(operators)
+    , m_exchange(exchange)
+    , m_duty(duty)
     , m_relay(shared.settings.instance, endpoint::relaySettingsFor(shared.settings.bounds.drain))
     , m_life(seededRandom()())
 {
+    m_exchange.serve(target, [this] { return told(); });
 }
 
 // An entry may come from any writer. One that can't be read names no endpoint to use; it is said once for each key, not each
@@ -88,8 +97,7 @@
     std::vector<endpoint::RelayCandidate> candidates;
     for (const auto& [name, instance] : instances)
         candidates.push_back({ name, instance.linkMegabits });
-    m_operators.useInstances(instances);
-    m_instances = std::move(instances);
+    m_exchange.useInstances(std::move(instances));
     m_relay.useInstances(std::move(candidates), m_shared.clock.now());
 }
 
@@ -99,10 +107,11 @@
     const endpoint::RosterNeed need = m_relay.need(now);
     if (need != endpoint::RosterNeed::ask)
         return need == endpoint::RosterNeed::follow;
+    if (m_reads > 0)
+        return false;
     for (const InstanceName& name : m_relay.toAsk(now)) {
-        const auto known = m_instances.find(name);
-        if (known != m_instances.end())
-            m_serving.send(known->second.address, peer::RosterRequest { m_shared.settings.instance });
+        ++m_reads;
+        m_duty.spawn([this, name] { readFrom(name); });
     }
     return false;
 }
@@ -118,44 +127,35 @@
     return m_relay.mayTell(now) && m_roster.isSettled(now);
 }
 
-void RosterWatch::answer(const net::Address& asker)
+// What was told last: the changes that follow build on it.
+std::optional<std::string> RosterWatch::told()
 {
     if (!mayTell())
-        return;
-    // What was told last: the changes that follow build on it.
-    std::vector<backing::ListedEndpoint> list;
-    for (const auto& [name, endpoint] : m_told)
-        list.push_back(endpoint);
-    const std::size_t parts = std::max<std::size_t>(1, (list.size() + peer::mostRosterChanges - 1) / peer::mostRosterChanges);
-    for (std::size_t part = 0; part < parts; ++part) {
-        const std::size_t begin = part * peer::mostRosterChanges;
-        const std::size_t end = std::min(begin + peer::mostRosterChanges, list.size());
-        peer::RosterPart notice { m_shared.settings.instance, m_life, m_sequence, static_cast<std::uint32_t>(part), static_cast<std::uint32_t>(parts), {}, m_operators.revision() };
-        notice.endpoints.assign(list.begin() + static_cast<std::ptrdiff_t>(begin), list.begin() + static_cast<std::ptrdiff_t>(end));
-        m_serving.send(asker, std::move(notice));
+        return std::nullopt;
+    if (m_encoded.empty() || m_encodedSequence != m_sequence) {
+        peer::RosterList list { m_shared.settings.instance, m_life, m_sequence, m_operators.revision(), {} };
+        for (const auto& [name, endpoint] : m_told)
+            list.endpoints.push_back(endpoint);
+        m_encoded = peer::encodeRoster(list);
+        m_encodedSequence = m_sequence;
     }
+    return m_encoded;
 }
 
-void RosterWatch::takePart(const peer::RosterPart& part)
+void RosterWatch::readFrom(const InstanceName& instance)
 {
-    m_operators.hear(part.instance, part.operators);
-    const auto isOfAnotherList = [&](const peer::RosterPart& known) {
-        return known.instance != part.instance || known.life != part.life || known.sequence != part.sequence || known.parts != part.parts;
-    };
-    if (!m_parts.empty() && isOfAnotherList(m_parts.front()))
-        m_parts.clear();
-    if (std::none_of(m_parts.begin(), m_parts.end(), [&](const auto& known) { return known.part == part.part; }))
-        m_parts.push_back(part);
-    if (m_parts.size() < part.parts)
-        return;
+    Failure failure;
+    const std::optional<std::string> body = m_exchange.read(instance, target, failure);
+    --m_reads;
+    const std::optional<peer::RosterList> list = body ? peer::decodeRoster(*body, failure) : std::nullopt;
+    if (!list)
+        return; // Another one is asked, and the store at last.
+    m_operators.hear(list->instance, list->operators);
     const SteadyTime now = m_shared.clock.now();
-    std::vector<backing::ListedEndpoint> listed;
-    for (const peer::RosterPart& known : std::exchange(m_parts, {}))
-        listed.insert(listed.end(), known.endpoints.begin(), known.endpoints.end());
-    if (!m_relay.hearWhole({ part.instance, part.life, part.sequence, false }, now))
+    if (!m_relay.hearWhole({ list->instance, list->life, list->sequence, false }, now))
         return;
-    log::info("endpoints told", { { "by", part.instance.value }, { "listed", std::to_string(listed.size()) }, { "sequence", std::to_string(part.sequence) } });
-    m_roster.replace(listed, now);
+    log::info("endpoints told", { { "by", list->instance.value }, { "listed", std::to_string(list->endpoints.size()) }, { "sequence", std::to_string(list->sequence) } });
+    m_roster.replace(list->endpoints, now);
     settle();
 }
 
@@ -203,20 +203,18 @@
     broadcast(std::move(changed), std::move(gone));
 }
 
+// Many changes at once are told by their sequence alone: as datagrams to hundreds of instances they filled the link of the
+// instance that tells, were lost, and a third of all had to read the store.
 void RosterWatch::broadcast(std::vector<backing::ListedEndpoint> changed, std::vector<EndpointName> gone)
 {
-    do {
-        peer::RosterNotice notice { m_shared.settings.instance, m_life, m_sequence, {}, {}, m_operators.revision(), true };
-        const std::size_t taken = std::min(changed.size(), peer::mostRosterChanges);
-        notice.changed.assign(changed.begin(), changed.begin() + static_cast<std::ptrdiff_t>(taken));
-        changed.erase(changed.begin(), changed.begin() + static_cast<std::ptrdiff_t>(taken));
-        const std::size_t left = std::min(gone.size(), peer::mostRosterChanges);
-        notice.gone.assign(gone.begin(), gone.begin() + static_cast<std::ptrdiff_t>(left));
-        gone.erase(gone.begin(), gone.begin() + static_cast<std::ptrdiff_t>(left));
-        if (!notice.changed.empty() || !notice.gone.empty())
-            notice.sequence = ++m_sequence;
-        m_serving.broadcast(std::move(notice));
-    } while (!changed.empty() || !gone.empty());
+    if (!changed.empty() || !gone.empty())
+        ++m_sequence;
+    peer::RosterNotice notice { m_shared.settings.instance, m_life, m_sequence, {}, {}, m_operators.revision(), true };
+    if (changed.size() + gone.size() <= peer::mostRosterChanges) {
+        notice.changed = std::move(changed);
+        notice.gone = std::move(gone);
+    }
+    m_serving.broadcast(std::move(notice));
 }
 
 }
--- a/apps/whinyardd/entry/RosterWatch.h
+++ b/apps/whinyardd/entry/RosterWatch.h
@@ -3,11 +3,13 @@
 
 #include "entry/EntryShared.h"
 #include "entry/OperatorRelay.h"
+#include "entry/PeerExchange.h"
 #include "entry/ServeDuty.h"
 #include "whinyard/backing/PrefixFollower.h"
 #include "whinyard/endpoint/EndpointRoster.h"
 #include "whinyard/endpoint/RosterRelay.h"
 #include "whinyard/peer/Notices.h"
+#include "whinyard/peer/RosterList.h"
 
 #include <map>
 #include <optional>
@@ -21,7 +23,7 @@
 class RosterWatch final : public backing::PrefixObserver {
 public:
     // All must outlive the object. `operators` is told what other instances state, and says what this one does.
-    RosterWatch(EntryShared& shared, ServeDuty& serving, OperatorRelay& operators);
+    RosterWatch(EntryShared& shared, ServeDuty& serving, OperatorRelay& operators, PeerExchange& exchange, net::Duty& duty);
 
     void replaced(const std::vector<backing::Record>& records) override;
     void changed(const std::vector<backing::RecordChange>& changes) override;
@@ -37,12 +39,8 @@
 
     // Takes what another instance tells of the list. Called on the store duty.
     void takeNotice(const peer::RosterNotice& notice);
-    void takePart(const peer::RosterPart& part);
 
-    // Answers an instance that asks for the whole list.
-    void answer(const net::Address& asker);
-
-    // Asks followers for the whole list where that is needed. Returns whether the store is to be followed instead.
+    // Begins to read the whole list from followers where that is needed. Returns whether the store is to be followed instead.
     bool mustFollow();
 
     // Returns whether this instance follows the store for the others.
@@ -61,21 +59,26 @@
 
 private:
     bool mayTell() const;
+    std::optional<std::string> told();
+    void readFrom(const InstanceName& instance);
     std::optional<backing::ListedEndpoint> read(const backing::Record& record);
     void broadcast(std::vector<backing::ListedEndpoint> changed, std::vector<EndpointName> gone);
 
     EntryShared& m_shared;
     ServeDuty& m_serving;
     OperatorRelay& m_operators;
+    PeerExchange& m_exchange;
+    net::Duty& m_duty;
     endpoint::EndpointRoster m_roster;
     endpoint::RosterRelay m_relay;
     const std::uint64_t m_life; // Names this process's notices.
     std::uint64_t m_sequence = 0; // Of the last notice with changes.
     std::map<EndpointName, backing::ListedEndpoint> m_told; // The list as the others were told.
-    std::map<InstanceName, peer::InstanceNotice> m_instances;
     std::set<std::string> m_unreadable; // Keys whose entries couldn't be read when they were written last.
     bool m_storeFails = false;
-    std::vector<peer::RosterPart> m_parts; // Of a whole list that isn't complete yet.
+    std::size_t m_reads = 0; // Of the whole list from other instances, under way.
+    std::string m_encoded; // The list of `m_encodedSequence`, as it is sent; empty before the first.
+    std::uint64_t m_encodedSequence = 0;
 };
 
 }
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -216,11 +216,6 @@
     m_duty.post([this, notice = std::move(notice)] { m_link.broadcast(notice); });
 }
 
-void ServeDuty::send(const net::Address& to, peer::Notice notice)
-{
-    m_duty.post([this, to, notice = std::move(notice)] { m_link.send(to, notice); });
-}
-
 void ServeDuty::useNoticeHandlers(NoticeHandlers handlers)
 {
     m_duty.post([this, handlers = std::move(handlers)]() mutable { m_link.useHandlers(std::move(handlers)); });
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -43,9 +43,6 @@
     // Sends a notice to all other instances that are known.
     void broadcast(peer::Notice notice);
 
-    // Sends a notice to one instance.
-    void send(const net::Address& to, peer::Notice notice);
-
     // Sets who takes notices that concern the store duty; they are called on this duty.
     void useNoticeHandlers(NoticeHandlers handlers);
 
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -82,14 +82,13 @@
     m_client = net::HttpClient::create(m_duty);
     m_store = std::make_unique<backing::CountedStore>(platform::makeStore(*m_client, m_shared.settings.store.address), m_shared.metrics);
     m_operators = std::make_unique<OperatorWatch>(m_shared, m_serving);
-    m_operatorRelay = std::make_unique<OperatorRelay>(m_shared, *m_operators, *m_client, *m_store);
-    m_roster = std::make_unique<RosterWatch>(m_shared, m_serving, *m_operatorRelay);
+    m_exchange = std::make_unique<PeerExchange>(m_shared, *m_client);
+    m_operatorRelay = std::make_unique<OperatorRelay>(m_shared, *m_operators, *m_exchange, *m_store);
+    m_roster = std::make_unique<RosterWatch>(m_shared, m_serving, *m_operatorRelay, *m_exchange, m_duty);
     m_shifts = std::make_unique<ShiftKeeper>(m_shared, m_serving, *m_store);
     m_instances = std::make_unique<InstanceWatch>(m_shared, m_serving, *m_roster);
     m_serving.useNoticeHandlers({
         .roster = [this](peer::RosterNotice notice) { m_duty.post([this, notice = std::move(notice)] { m_roster->takeNotice(notice); }); },
-        .rosterRequest = [this](net::Address asker) { m_duty.post([this, asker] { m_roster->answer(asker); }); },
-        .rosterPart = [this](peer::RosterPart part) { m_duty.post([this, part = std::move(part)] { m_roster->takePart(part); }); },
         .instance = [this](peer::InstanceNotice notice) { m_duty.post([this, notice = std::move(notice)] { m_instances->takeNotice(notice); }); },
         .shift = [this](peer::ShiftNotice notice) { m_duty.post([this, notice = std::move(notice)] { m_shifts->takeNotice(notice); }); },
     });
@@ -101,7 +100,7 @@
         if (!m_metricsServer)
             return false;
     }
-    if (!m_operatorRelay->open(m_duty, failure))
+    if (!m_exchange->open(m_duty, failure))
         return false;
     if (m_shared.settings.peers)
         m_ownRecord.emplace(*m_store, std::string(InstanceWatch::prefix) + m_shared.settings.instance.value, peer::writeInstanceRecord(ownNotice()), instanceTimeToLive);
@@ -396,7 +395,7 @@
 {
     net::runOn(m_duty, [this] {
         m_metricsServer.reset();
-        m_operatorRelay->close();
+        m_exchange->close();
     });
     m_duty.stop();
 }
--- a/apps/whinyardd/entry/StoreDuty.h
+++ b/apps/whinyardd/entry/StoreDuty.h
@@ -6,6 +6,7 @@
 #include "entry/InstanceWatch.h"
 #include "entry/OperatorRelay.h"
 #include "entry/OperatorWatch.h"
+#include "entry/PeerExchange.h"
 #include "entry/RosterWatch.h"
 #include "entry/ServeDuty.h"
 #include "entry/ShiftKeeper.h"
@@ -83,6 +84,7 @@
     std::unique_ptr<net::HttpClient> m_client;
     std::unique_ptr<backing::WatchableStore> m_store;
     std::unique_ptr<OperatorWatch> m_operators;
+    std::unique_ptr<PeerExchange> m_exchange;
     std::unique_ptr<OperatorRelay> m_operatorRelay;
     std::unique_ptr<RosterWatch> m_roster;
     std::unique_ptr<ShiftKeeper> m_shifts;
--- a/packages/peer/include/whinyard/peer/Notices.h
+++ b/packages/peer/include/whinyard/peer/Notices.h
@@ -55,7 +55,8 @@
 };
 
 // How the list of endpoints has changed at an instance that follows the store. One without changes says that the list was
-// current when it was sent, or that the store fails the instance.
+// current when it was sent, or that the store fails the instance. Changes that don't fit into one are told by their sequence
+// alone: who hears of them reads the whole list.
 struct RosterNotice {
     InstanceName instance;
     std::uint64_t life = 0; // Of the instance's process.
@@ -68,26 +69,6 @@
     bool operator==(const RosterNotice&) const = default;
 };
 
-// Asks an instance that follows the list of endpoints for all of it.
-struct RosterRequest {
-    InstanceName instance; // That asks.
-
-    bool operator==(const RosterRequest&) const = default;
-};
-
-// The answer: the whole list, as it stood after the notice with `sequence`, in parts.
-struct RosterPart {
-    InstanceName instance;
-    std::uint64_t life = 0;
-    std::uint64_t sequence = 0;
-    std::uint32_t part = 0; // Counts from 0.
-    std::uint32_t parts = 1;
-    std::vector<backing::ListedEndpoint> endpoints;
-    std::uint64_t operators = 0; // As in RosterNotice.
-
-    bool operator==(const RosterPart&) const = default;
-};
-
 // An instance has started, and takes notices at this address. The same stands in its record in the store.
 struct InstanceNotice {
     InstanceName instance;
@@ -97,13 +78,12 @@
     bool operator==(const InstanceNotice&) const = default;
 };
 
-using Notice = std::variant<WorkNotice, PinNotice, EvidenceNotice, ShiftNotice, RosterNotice, RosterRequest, RosterPart, InstanceNotice>;
+using Notice = std::variant<WorkNotice, PinNotice, EvidenceNotice, ShiftNotice, RosterNotice, InstanceNotice>;
 
 // The most entries of one notice, so that it fits into a datagram.
 inline constexpr std::size_t mostPins = 128;
 inline constexpr std::size_t mostPrefixes = 16;
 inline constexpr std::size_t mostRosterChanges = 24;
-inline constexpr std::uint32_t mostRosterParts = 1'024;
 
 std::string encodeNotice(const Notice& notice);
 
--- /dev/null
+++ b/packages/peer/src/Fields.cpp
@@ -0,0 +1,35 @@
+#include "internal/Fields.h"
+
+namespace whinyard::peer::internal {
+
+void writeEndpoint(Writer& writer, const backing::ListedEndpoint& endpoint)
+{
+    writer.text(endpoint.name.value);
+    writer.text(net::toText(endpoint.address));
+    writer.text(endpoint.zone.value);
+    writer.text(endpoint.service.value);
+    writer.text(endpoint.versions.empty() ? std::string() : endpoint.versions.front().value);
+    writer.number(endpoint.slots);
+    writer.number(endpoint.leaving ? 1 : 0);
+    writer.number(endpoint.born);
+}
+
+std::optional<backing::ListedEndpoint> readEndpoint(Reader& reader)
+{
+    backing::ListedEndpoint endpoint;
+    endpoint.name.value = reader.text();
+    Failure failure;
+    const std::optional<net::Address> address = net::parseAddress(reader.text(), failure);
+    if (!address)
+        return std::nullopt;
+    endpoint.address = *address;
+    endpoint.zone.value = reader.text();
+    endpoint.service.value = reader.text();
+    endpoint.versions = { { reader.text() } };
+    endpoint.slots = static_cast<std::uint32_t>(reader.number(std::numeric_limits<std::uint32_t>::max()));
+    endpoint.leaving = reader.number(1) == 1;
+    endpoint.born = reader.number();
+    return endpoint;
+}
+
+}
--- a/packages/peer/src/Notices.cpp
+++ b/packages/peer/src/Notices.cpp
@@ -1,17 +1,20 @@
 #include "whinyard/peer/Notices.h"
 
-#include <cereal/archives/portable_binary.hpp>
+#include "internal/Fields.h"
 
 #include <charconv>
 #include <limits>
-#include <sstream>
 
 namespace whinyard::peer {
 
 namespace {
 
-    constexpr std::uint16_t noticeFormat = 7;
-    constexpr std::size_t longestText = 1'024;
+    using internal::readEndpoint;
+    using internal::Reader;
+    using internal::writeEndpoint;
+    using internal::Writer;
+
+    constexpr std::uint16_t noticeFormat = 8;
     constexpr std::int64_t longestWorkUs = 60'000'000; // A longer one is no work that anybody gave.
 
     enum class NoticeKind : std::uint8_t {
@@ -20,77 +23,7 @@
         evidence = 3,
         roster = 4,
         shift = 5,
-        rosterRequest = 6,
-        rosterPart = 7,
-        instance = 8,
-    };
-
-    // Writes fields one after another.
-    class Writer {
-    public:
-        void number(std::uint64_t value) { m_archive(value); }
-
-        void text(const std::string& value)
-        {
-            m_archive(static_cast<std::uint16_t>(value.size()));
-            m_archive(cereal::binary_data(value.data(), value.size()));
-        }
-
-        std::string take() { return std::move(m_stream).str(); }
-
-    private:
-        std::ostringstream m_stream;
-        cereal::PortableBinaryOutputArchive m_archive { m_stream };
-    };
-
-    // Reads them back. Lengths are checked before anything is reserved; a fault makes every further field empty.
-    class Reader {
-    public:
-        explicit Reader(std::string_view bytes)
-            : m_stream(std::string(bytes))
-        {
-            // The archive reads its first byte at once.
-            guarded([this] { m_archive.emplace(m_stream); });
-        }
-
-        std::uint64_t number(std::uint64_t most = std::numeric_limits<std::uint64_t>::max())
-        {
-            std::uint64_t value = 0;
-            guarded([&] { (*m_archive)(value); });
-            if (value > most)
-                m_failed = true;
-            return m_failed ? 0 : value;
-        }
-
-        std::string text()
-        {
-            std::uint16_t size = 0;
-            guarded([&] { m_archive->operator()(size); });
-            m_failed = m_failed || size > longestText;
-            std::string value(m_failed ? 0 : size, '\0');
-            guarded([&] { (*m_archive)(cereal::binary_data(value.data(), value.size())); });
-            return m_failed ? std::string() : value;
-        }
-
-        // Returns whether all was read, and nothing is left.
-        bool isWhole() { return !m_failed && m_stream.peek() == std::istringstream::traits_type::eof(); }
-
-    private:
-        template <typename Read>
-        void guarded(Read read)
-        {
-            if (m_failed)
-                return;
-            try {
-                read();
-            } catch (const cereal::Exception&) {
-                m_failed = true;
-            }
-        }
-
-        std::istringstream m_stream;
-        std::optional<cereal::PortableBinaryInputArchive> m_archive;
-        bool m_failed = false;
+        instance = 6,
     };
 
     void write(Writer& writer, const WorkNotice& notice)
@@ -128,38 +61,6 @@
         writer.number(notice.revision);
     }
 
-    void write(Writer& writer, const backing::ListedEndpoint& endpoint)
-    {
-        writer.text(endpoint.name.value);
-        writer.text(net::toText(endpoint.address));
-        writer.text(endpoint.zone.value);
-        writer.text(endpoint.service.value);
-        writer.text(endpoint.versions.empty() ? std::string() : endpoint.versions.front().value);
-        writer.number(endpoint.slots);
-        writer.number(endpoint.leaving ? 1 : 0);
-        writer.number(endpoint.born);
-    }
-
-    void write(Writer& writer, const RosterRequest& notice)
-    {
-        writer.number(static_cast<std::uint64_t>(NoticeKind::rosterRequest));
-        writer.text(notice.instance.value);
-    }
-
-    void write(Writer& writer, const RosterPart& notice)
-    {
-        writer.number(static_cast<std::uint64_t>(NoticeKind::rosterPart));
-        writer.text(notice.instance.value);
-        writer.number(notice.life);
-        writer.number(notice.sequence);
-        writer.number(notice.part);
-        writer.number(notice.parts);
-        writer.number(notice.endpoints.size());
-        for (const backing::ListedEndpoint& endpoint : notice.endpoints)
-            write(writer, endpoint);
-        writer.number(notice.operators);
-    }
-
     void write(Writer& writer, const InstanceNotice& notice)
     {
         writer.number(static_cast<std::uint64_t>(NoticeKind::instance));
@@ -176,7 +77,7 @@
         writer.number(notice.sequence);
         writer.number(notice.changed.size());
         for (const backing::ListedEndpoint& endpoint : notice.changed)
-            write(writer, endpoint);
+            writeEndpoint(writer, endpoint);
         writer.number(notice.gone.size());
         for (const EndpointName& name : notice.gone)
             writer.text(name.value);
@@ -223,50 +124,6 @@
         return notice;
     }
 
-    std::optional<backing::ListedEndpoint> readEndpoint(Reader& reader)
-    {
-        backing::ListedEndpoint endpoint;
-        endpoint.name.value = reader.text();
-        Failure failure;
-        const std::optional<net::Address> address = net::parseAddress(reader.text(), failure);
-        if (!address)
-            return std::nullopt;
-        endpoint.address = *address;
-        endpoint.zone.value = reader.text();
-        endpoint.service.value = reader.text();
-        endpoint.versions = { { reader.text() } };
-        endpoint.slots = static_cast<std::uint32_t>(reader.number(std::numeric_limits<std::uint32_t>::max()));
-        endpoint.leaving = reader.number(1) == 1;
-        endpoint.born = reader.number();
-        return endpoint;
-    }
-
-    std::optional<Notice> readRosterRequest(Reader& reader)
-    {
-        return RosterRequest { { reader.text() } };
-    }
-
-    std::optional<Notice> readRosterPart(Reader& reader)
-    {
-        RosterPart notice;
-        notice.instance.value = reader.text();
-        notice.life = reader.number();
-        notice.sequence = reader.number();
-        notice.part = static_cast<std::uint32_t>(reader.number(mostRosterParts));
-        notice.parts = static_cast<std::uint32_t>(reader.number(mostRosterParts));
-        if (notice.part >= notice.parts)
-            return std::nullopt;
-        const std::uint64_t count = reader.number(mostRosterChanges);
-        for (std::uint64_t i = 0; i < count; ++i) {
-            std::optional<backing::ListedEndpoint> endpoint = readEndpoint(reader);
-            if (!endpoint)
-                return std::nullopt;
-            notice.endpoints.push_back(std::move(*endpoint));
-        }
-        notice.operators = reader.number();
-        return notice;
-    }
-
     std::optional<Notice> readInstance(Reader& reader)
     {
         InstanceNotice notice;
@@ -350,12 +207,6 @@
     case NoticeKind::shift:
         notice = readShift(reader);
         break;
-    case NoticeKind::rosterRequest:
-        notice = readRosterRequest(reader);
-        break;
-    case NoticeKind::rosterPart:
-        notice = readRosterPart(reader);
-        break;
     case NoticeKind::instance:
         notice = readInstance(reader);
         break;
--- /dev/null
+++ b/packages/peer/src/internal/Fields.h
@@ -0,0 +1,92 @@
+// Fields of messages between instances, written one after another and read back.
+#pragma once
+
+#include "whinyard/backing/InstanceList.h"
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+namespace whinyard::peer::internal {
+
+// Writes fields one after another.
+class Writer {
+public:
+    void number(std::uint64_t value) { m_archive(value); }
+
+    void text(const std::string& value)
+    {
+        m_archive(static_cast<std::uint16_t>(value.size()));
+        m_archive(cereal::binary_data(value.data(), value.size()));
+    }
+
+    std::string take() { return std::move(m_stream).str(); }
+
+private:
+    std::ostringstream m_stream;
+    cereal::PortableBinaryOutputArchive m_archive { m_stream };
+};
+
+// Reads them back. Lengths are checked before anything is reserved; a fault makes every further field empty.
+class Reader {
+public:
+    static constexpr std::size_t longestText = 1'024;
+
+    explicit Reader(std::string_view bytes)
+        : m_stream(std::string(bytes))
+    {
+        // The archive reads its first byte at once.
+        guarded([this] { m_archive.emplace(m_stream); });
+    }
+
+    std::uint64_t number(std::uint64_t most = std::numeric_limits<std::uint64_t>::max())
+    {
+        std::uint64_t value = 0;
+        guarded([&] { (*m_archive)(value); });
+        if (value > most)
+            m_failed = true;
+        return m_failed ? 0 : value;
+    }
+
+    std::string text()
+    {
+        std::uint16_t size = 0;
+        guarded([&] { m_archive->operator()(size); });
+        m_failed = m_failed || size > longestText;
+        std::string value(m_failed ? 0 : size, '\0');
+        guarded([&] { (*m_archive)(cereal::binary_data(value.data(), value.size())); });
+        return m_failed ? std::string() : value;
+    }
+
+    // Returns whether all was read, and nothing is left.
+    bool isWhole() { return !m_failed && m_stream.peek() == std::istringstream::traits_type::eof(); }
+
+private:
+    template <typename Read>
+    void guarded(Read read)
+    {
+        if (m_failed)
+            return;
+        try {
+            read();
+        } catch (const cereal::Exception&) {
+            m_failed = true;
+        }
+    }
+
+    std::istringstream m_stream;
+    std::optional<cereal::PortableBinaryInputArchive> m_archive;
+    bool m_failed = false;
+};
+
+void writeEndpoint(Writer& writer, const backing::ListedEndpoint& endpoint);
+
+// Returns nothing when what comes is no endpoint.
+std::optional<backing::ListedEndpoint> readEndpoint(Reader& reader);
+
+}
--- a/packages/peer/test/NoticesTest.cpp
+++ b/packages/peer/test/NoticesTest.cpp
@@ -26,8 +26,6 @@
             PinNotice { { "lm" }, {} },
             EvidenceNotice { { "lm" }, { "entry-1" }, "{}" },
             ShiftNotice { { "lm" }, "{}", 9 },
-            RosterRequest { { "entry-1" } },
-            RosterPart { { "entry-1" }, 77, 3, 1, 2, { endpoint }, 11 },
             InstanceNotice { { "entry-1" }, { "10.0.0.1", 7340 }, 200 },
             RosterNotice { { "entry-1" }, 77, 3, { endpoint }, { { "i-2" } }, 11, false },
         };
