--- a/apps/whinyardd/entry/OperatorRelay.cpp
+++ b/apps/whinyardd/entry/OperatorRelay.cpp
@@ -35,6 +35,8 @@
 
 void OperatorRelay::hear(const InstanceName& instance, std::uint64_t revision)
 {
+    if (!m_exchange.knows(instance))
+        return; // It was heard before the instances were read, and says so again soon.
     m_heard.hear(instance, revision, m_shared.clock.now());
     noteBehind();
     if (m_heard.isBehind(m_watch.knownUpTo()))
--- a/apps/whinyardd/entry/OperatorWatch.cpp
+++ b/apps/whinyardd/entry/OperatorWatch.cpp
@@ -4,6 +4,9 @@
 #include "platform/Rollouts.h"
 #include "whinyard/base/Log.h"
 
+#include <set>
+#include <utility>
+
 namespace whinyard::daemon {
 
 OperatorWatch::OperatorWatch(EntryShared& shared, ServeDuty& serving)
@@ -15,7 +18,9 @@
 void OperatorWatch::replaced(const std::vector<backing::Record>& records)
 {
     const bool isFirst = m_revision == 0;
-    std::set<ServiceName> gone = m_ordered;
+    std::set<ServiceName> gone;
+    for (const auto& [service, revision] : m_ordered)
+        gone.insert(service);
     m_records.clear();
     for (const backing::Record& record : records) {
         m_records[record.key] = record;
@@ -98,7 +103,8 @@
         log::error("roll-out order not taken", { { "key", record.key }, { "reason", failure.reason } });
         return;
     }
-    m_ordered.insert(order->service);
+    if (std::exchange(m_ordered[order->service], record.revision) == record.revision)
+        return; // It came with other records that changed.
     log::info("roll-out ordered", { { "service", order->service.value }, { "target", order->target }, { "periodMs", std::to_string(order->period.count()) }, { "revision", std::to_string(order->revision) } });
     m_serving.postToShifts([order = *order, now = m_shared.clock.now()](policy::VersionShifts& shifts) { shifts.takeOrder(order, now); });
 }
--- a/apps/whinyardd/entry/OperatorWatch.h
+++ b/apps/whinyardd/entry/OperatorWatch.h
@@ -9,7 +9,6 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 
 namespace whinyard::daemon {
@@ -53,7 +52,7 @@
 
     EntryShared& m_shared;
     ServeDuty& m_serving;
-    std::set<ServiceName> m_ordered; // Services with an order.
+    std::map<ServiceName, std::uint64_t> m_ordered; // Services with an order, and its revision.
     std::map<std::string, backing::Record> m_records; // By key.
     std::uint64_t m_revision = 0;
     std::uint64_t m_knownUpTo = 0;
--- a/apps/whinyardd/entry/PeerExchange.h
+++ b/apps/whinyardd/entry/PeerExchange.h
@@ -32,6 +32,9 @@
     // Takes the instances that live.
     void useInstances(std::map<InstanceName, peer::InstanceNotice> instances) { m_instances = std::move(instances); }
 
+    // Returns whether the instance can be read from.
+    bool knows(const InstanceName& instance) const { return m_instances.contains(instance); }
+
     // Reads `target` from another instance. A read that makes progress ends, however long it takes. Fails with
     // peerUnreachable where that instance doesn't know, and as net::HttpClient does.
     std::optional<std::string> read(const InstanceName& instance, const std::string& target, Failure& failure);
