Try: hand reads on from those that have read to those that ask

Change: ReadSpread, redirects in PeerExchange, RosterRelay::known() for lists that others than followers may tell, a busy end of reads that is no failure.

--- a/apps/whinyardd/entry/RosterWatch.h
+++ b/apps/whinyardd/entry/RosterWatch.h
@@ -59,7 +59,8 @@
 
 private:
     bool mayTell() const;
-    std::optional<std::string> told();
+    std::optional<PeerAnswer> told();
+    std::optional<PeerAnswer> toldForFollower() const;
     void readFrom(const InstanceName& instance);
     std::optional<backing::ListedEndpoint> read(const backing::Record& record);
     void broadcast(std::vector<backing::ListedEndpoint> changed, std::vector<EndpointName> gone);
--- a/packages/peer/src/HeardRevisions.cpp
+++ b/packages/peer/src/HeardRevisions.cpp
@@ -45,10 +45,14 @@
     return RevisionRead { newer[below(m_random, newer.size())] };
 }
 
-void HeardRevisions::noteEnded(bool succeeded, SteadyTime now)
+void HeardRevisions::noteEnded(RevisionReadEnd end, SteadyTime now)
 {
     m_isReading = false;
-    if (succeeded) {
+    if (end == RevisionReadEnd::busy) {
+        m_notBefore = now + m_settings.busyPause + std::chrono::milliseconds(below(m_random, static_cast<std::uint64_t>(m_settings.busyPause.count())));
+        return;
+    }
+    if (end == RevisionReadEnd::succeeded) {
         m_failures = 0;
         return;
     }
