--- a/apps/whinyardd/entry/OperatorRelay.cpp
+++ b/apps/whinyardd/entry/OperatorRelay.cpp
@@ -22,7 +22,7 @@
     m_exchange.serve(target, [this] { return told(); });
 }
 
-std::optional<PeerAnswer> OperatorRelay::told()
+std::optional<std::string> OperatorRelay::told()
 {
     if (m_watch.revision() == 0)
         return std::nullopt;
@@ -30,7 +30,7 @@
         m_encodedRevision = m_watch.revision();
         m_encoded = peer::encodeSnapshot(m_watch.snapshot());
     }
-    return PeerAnswer { m_encodedRevision, m_encoded };
+    return m_encoded;
 }
 
 void OperatorRelay::hear(const InstanceName& instance, std::uint64_t revision)
@@ -55,41 +55,38 @@
         return;
     m_heard.noteBegun();
     Failure failure;
-    const peer::RevisionReadEnd end = read->from ? readFrom(*read->from, failure) : readStore(failure);
-    m_heard.noteEnded(end, m_shared.clock.now());
+    const bool succeeded = read->from ? readFrom(*read->from, failure) : readStore(failure);
+    m_heard.noteEnded(succeeded, m_shared.clock.now());
     noteBehind();
-    logEnd(*read, end, failure);
+    logEnd(*read, succeeded, failure);
 }
 
-peer::RevisionReadEnd OperatorRelay::readFrom(const InstanceName& instance, Failure& failure)
+bool OperatorRelay::readFrom(const InstanceName& instance, Failure& failure)
 {
     const std::optional<std::string> body = m_exchange.read(instance, target, failure);
     const std::optional<peer::RecordSnapshot> snapshot = body ? peer::decodeSnapshot(*body, failure) : std::nullopt;
-    if (!snapshot)
-        return failure.kind == ErrorKind::overloaded ? peer::RevisionReadEnd::busy : peer::RevisionReadEnd::failed;
-    if (snapshot->revision <= m_watch.revision())
-        return peer::RevisionReadEnd::busy; // Handed on by one that is behind too.
-    m_watch.takeSnapshot(*snapshot);
-    return peer::RevisionReadEnd::succeeded;
+    if (snapshot)
+        m_watch.takeSnapshot(*snapshot);
+    return snapshot.has_value();
 }
 
-peer::RevisionReadEnd OperatorRelay::readStore(Failure& failure)
+bool OperatorRelay::readStore(Failure& failure)
 {
     const std::optional<backing::RecordPage> page = backing::readAll(m_store, std::string(platform::operatorPrefix), backing::ReadAge::newest, failure);
     if (!page)
-        return peer::RevisionReadEnd::failed;
+        return false;
     m_watch.replaced(page->records);
     m_watch.noteRead(page->storeRevision);
-    return peer::RevisionReadEnd::succeeded;
+    return true;
 }
 
 // One line when reads begin to fail and one when they no longer do.
-void OperatorRelay::logEnd(const peer::RevisionRead& read, peer::RevisionReadEnd end, const Failure& failure)
+void OperatorRelay::logEnd(const peer::RevisionRead& read, bool succeeded, const Failure& failure)
 {
     const std::string from = read.from ? read.from->value : "the store";
-    if (end == peer::RevisionReadEnd::failed && m_failures++ == 0)
+    if (!succeeded && m_failures++ == 0)
         log::warning("operators' records are behind", { { "from", from }, { "reason", failure.reason }, { "revision", std::to_string(m_watch.revision()) } });
-    if (end != peer::RevisionReadEnd::succeeded)
+    if (!succeeded)
         return;
     log::info("operators' records read", { { "from", from }, { "revision", std::to_string(m_watch.revision()) }, { "failedReads", std::to_string(std::exchange(m_failures, 0)) } });
 }
--- a/apps/whinyardd/entry/OperatorRelay.h
+++ b/apps/whinyardd/entry/OperatorRelay.h
@@ -31,11 +31,11 @@
     void awaitNews(std::chrono::milliseconds wait) { m_news.wait(wait); }
 
 private:
-    std::optional<PeerAnswer> told();
-    peer::RevisionReadEnd readFrom(const InstanceName& instance, Failure& failure);
-    peer::RevisionReadEnd readStore(Failure& failure);
+    std::optional<std::string> told();
+    bool readFrom(const InstanceName& instance, Failure& failure);
+    bool readStore(Failure& failure);
     void noteBehind();
-    void logEnd(const peer::RevisionRead& read, peer::RevisionReadEnd end, const Failure& failure);
+    void logEnd(const peer::RevisionRead& read, bool succeeded, const Failure& failure);
 
     EntryShared& m_shared;
     OperatorWatch& m_watch;
--- a/apps/whinyardd/entry/PeerExchange.h
+++ b/apps/whinyardd/entry/PeerExchange.h
@@ -5,9 +5,7 @@
 #include "whinyard/net/HttpClient.h"
 #include "whinyard/net/HttpServer.h"
 #include "whinyard/peer/Notices.h"
-#include "whinyard/peer/ReadSpread.h"
 
-#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -16,23 +14,17 @@
 
 namespace whinyard::daemon {
 
-// What an instance is told.
-struct PeerAnswer {
-    std::uint64_t content = 0; // The same for the same body.
-    std::string body;
-};
-
 // Belongs to the store duty.
 class PeerExchange {
 public:
     // Returns what an instance is to be told; nothing where this one doesn't know it.
-    using Source = std::function<std::optional<PeerAnswer>()>;
+    using Source = std::function<std::optional<std::string>()>;
 
     // Both must outlive the object.
     PeerExchange(EntryShared& shared, net::HttpClient& client);
 
     // Answers reads of `target` by `source`. Call it before open().
-    void serve(const std::string& target, Source source) { m_served[target].source = std::move(source); }
+    void serve(const std::string& target, Source source) { m_sources[target] = std::move(source); }
 
     // Begins to answer, where the settings have an address for other instances.
     bool open(net::Duty& duty, Failure& failure);
@@ -43,28 +35,18 @@
     // Returns whether the instance can be read from.
     bool knows(const InstanceName& instance) const { return m_instances.contains(instance); }
 
-    // Reads `target` from another instance, or from one that it names instead. A read that makes progress ends, however long
-    // it takes. Fails with peerUnreachable where nobody of them knows, with overloaded where they answer others just now, and
-    // as net::HttpClient does.
+    // Reads `target` from another instance. A read that makes progress ends, however long it takes. Fails with
+    // peerUnreachable where that instance doesn't know, and as net::HttpClient does.
     std::optional<std::string> read(const InstanceName& instance, const std::string& target, Failure& failure);
 
     void close() { m_server.reset(); }
 
 private:
-    // One kind of read that this instance answers.
-    struct Served {
-        Source source;
-        peer::ReadSpread spread;
-    };
-
     void answer(const net::HttpRequest& request, net::HttpResponder& responder);
 
-    // Makes one read; `instance` becomes who is to be asked instead, or empty.
-    std::optional<std::string> readOnce(InstanceName& instance, const std::string& target, Failure& failure);
-
     EntryShared& m_shared;
     net::HttpClient& m_client;
-    std::map<std::string, Served> m_served; // By target.
+    std::map<std::string, Source> m_sources;
     std::map<InstanceName, peer::InstanceNotice> m_instances;
     std::unique_ptr<net::HttpServer> m_server;
 };
--- a/apps/whinyardd/entry/RosterWatch.cpp
+++ b/apps/whinyardd/entry/RosterWatch.cpp
@@ -128,10 +128,10 @@
 }
 
 // What was told last: the changes that follow build on it.
-std::optional<PeerAnswer> RosterWatch::told()
+std::optional<std::string> RosterWatch::told()
 {
     if (!mayTell())
-        return toldForFollower();
+        return std::nullopt;
     if (m_encoded.empty() || m_encodedSequence != m_sequence) {
         peer::RosterList list { m_shared.settings.instance, m_life, m_sequence, m_operators.revision(), {} };
         for (const auto& [name, endpoint] : m_told)
@@ -139,19 +139,7 @@
         m_encoded = peer::encodeRoster(list);
         m_encodedSequence = m_sequence;
     }
-    return PeerAnswer { m_sequence, m_encoded };
-}
-
-// Another instance that has read a follower's whole list, and missed no change since, hands it on: a follower's link alone
-// would take seconds for hundreds.
-std::optional<PeerAnswer> RosterWatch::toldForFollower() const
-{
-    const SteadyTime now = m_shared.clock.now();
-    const std::optional<endpoint::RosterStatement> known = m_relay.known(now);
-    if (!known || !m_roster.isSettled(now))
-        return std::nullopt;
-    const peer::RosterList list { known->instance, known->life, known->sequence, m_operators.revision(), m_roster.list() };
-    return PeerAnswer { known->sequence, peer::encodeRoster(list) };
+    return m_encoded;
 }
 
 void RosterWatch::readFrom(const InstanceName& instance)
@@ -160,8 +148,6 @@
     const std::optional<std::string> body = m_exchange.read(instance, target, failure);
     --m_reads;
     const std::optional<peer::RosterList> list = body ? peer::decodeRoster(*body, failure) : std::nullopt;
-    if (!list && failure.kind == ErrorKind::overloaded)
-        m_relay.noteBusy();
     if (!list)
         return; // Another one is asked, and the store at last.
     m_operators.hear(list->instance, list->operators);
--- a/apps/whinyardd/entry/RosterWatch.h
+++ b/apps/whinyardd/entry/RosterWatch.h
@@ -59,8 +59,7 @@
 
 private:
     bool mayTell() const;
-    std::optional<PeerAnswer> told();
-    std::optional<PeerAnswer> toldForFollower() const;
+    std::optional<std::string> told();
     void readFrom(const InstanceName& instance);
     std::optional<backing::ListedEndpoint> read(const backing::Record& record);
     void broadcast(std::vector<backing::ListedEndpoint> changed, std::vector<EndpointName> gone);
--- a/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
+++ b/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
@@ -114,12 +114,6 @@
     // Takes the whole list of a follower, as it stood at this statement. Returns false when it isn't wanted.
     bool hearWhole(const RosterStatement& statement, SteadyTime now);
 
-    // Notes that those that were asked answer others just now: that isn't counted as silence.
-    void noteBusy() { m_requests = m_requests > 1 ? m_requests - 1 : m_requests; }
-
-    // Returns the statement that this instance's list stands for, where it may be told to others in place of a follower.
-    std::optional<RosterStatement> known(SteadyTime now) const;
-
     // Notes that the whole list was read from the store.
     void noteRead();
 
--- a/packages/endpoint/src/RosterRelay.cpp
+++ b/packages/endpoint/src/RosterRelay.cpp
@@ -187,24 +187,12 @@
 {
     if (isFollower(now) || (!isNew() && source(now) != statement.instance))
         return false;
-    const auto heard = m_heard.find(statement.instance);
-    if (heard != m_heard.end() && heard->second.life == statement.life && heard->second.sequence > statement.sequence)
-        return false; // Told by an instance that has missed something itself.
     m_heard[statement.instance] = { statement.life, statement.sequence, now, std::nullopt };
     m_source = statement.instance;
     noteRead();
     return true;
 }
 
-std::optional<RosterStatement> RosterRelay::known(SteadyTime now) const
-{
-    const std::optional<InstanceName> from = source(now);
-    if (isFollower(now) || m_incomplete || !from || from != m_source)
-        return std::nullopt;
-    const Heard& heard = m_heard.at(*from);
-    return RosterStatement { *from, heard.life, heard.sequence, false, true };
-}
-
 void RosterRelay::noteRead()
 {
     m_incomplete = false;
--- a/packages/peer/include/whinyard/peer/HeardRevisions.h
+++ b/packages/peer/include/whinyard/peer/HeardRevisions.h
@@ -23,17 +23,9 @@
     std::chrono::milliseconds followerPatience { 200 };
     std::chrono::milliseconds firstPause { 100 }; // After a read that failed; it doubles with each further one.
     std::chrono::milliseconds longestPause { 1'600 };
-    std::chrono::milliseconds busyPause { 50 }; // With as much again at random: an answer takes a small link so long.
     std::uint32_t failuresBeforeStore = 2; // In a row, after which the store is read, then and now.
 };
 
-// How a read ended.
-enum class RevisionReadEnd : std::uint8_t {
-    succeeded,
-    busy, // All that were asked answer others just now.
-    failed,
-};
-
 // A read that is due.
 struct RevisionRead {
     std::optional<InstanceName> from; // Nothing: the store.
@@ -57,7 +49,7 @@
 
     // Notes that the read that due() returned begins, and how it ended.
     void noteBegun() { m_isReading = true; }
-    void noteEnded(RevisionReadEnd end, SteadyTime now);
+    void noteEnded(bool succeeded, SteadyTime now);
 
 private:
     const HeardRevisionsSettings m_settings;
--- a/packages/peer/src/HeardRevisions.cpp
+++ b/packages/peer/src/HeardRevisions.cpp
@@ -45,14 +45,10 @@
     return RevisionRead { newer[below(m_random, newer.size())] };
 }
 
-void HeardRevisions::noteEnded(RevisionReadEnd end, SteadyTime now)
+void HeardRevisions::noteEnded(bool succeeded, SteadyTime now)
 {
     m_isReading = false;
-    if (end == RevisionReadEnd::busy) {
-        m_notBefore = now + m_settings.busyPause + std::chrono::milliseconds(below(m_random, static_cast<std::uint64_t>(m_settings.busyPause.count())));
-        return;
-    }
-    if (end == RevisionReadEnd::succeeded) {
+    if (succeeded) {
         m_failures = 0;
         return;
     }
