Count a read of operators' records that brings nothing newer as failed

By reading: an instance that stated a revision, lost its process and started again may know less (an order that was taken back leaves no record, so its revision is gone). A read from it succeeded without moving the reader on, which then read again at once, without a pause and for ever. Now it counts as failed: the pauses grow, and the third read goes to the store, which proves up to where nothing is missing. No test of the daemon's part; HeardRevisionsTest holds the pauses and the store's turn.

--- a/apps/whinyardd/entry/OperatorRelay.cpp
+++ b/apps/whinyardd/entry/OperatorRelay.cpp
@@ -65,9 +65,14 @@
 {
     const std::optional<std::string> body = m_exchange.read(instance, target, failure);
     const std::optional<peer::RecordSnapshot> snapshot = body ? peer::decodeSnapshot(*body, failure) : std::nullopt;
-    if (snapshot)
-        m_watch.takeSnapshot(*snapshot);
-    return snapshot.has_value();
+    if (!snapshot)
+        return false;
+    if (snapshot->revision <= m_watch.revision()) {
+        failure = { .kind = ErrorKind::peerUnreachable, .reason = instance.value + " has started again and knows no more" };
+        return false;
+    }
+    m_watch.takeSnapshot(*snapshot);
+    return true;
 }
 
 bool OperatorRelay::readStore(Failure& failure)
