--- a/packages/peer/test/RecordSnapshotTest.cpp
+++ b/packages/peer/test/RecordSnapshotTest.cpp
@@ -12,7 +12,7 @@
         std::string configuration = R"({"version": 7, "routes": [)";
         for (int route = 0; route < count; ++route)
             configuration += R"({"name": "r-)" + std::to_string(route * 7919) + R"(", "host": "a.example", "prefix": "/p)" + std::to_string(route * 104'729) + R"(/", "kind": "idempotent", "timeout_ms": 1500, "service": "svc", "max_attempts": 2},)";
-        return { 40, { { "op/config", configuration + "{}]}", 38 }, { "op/rollout/lm", "{}", 40 } } };
+        return { 40, { { "configuration", configuration + "{}]}", 38 }, { "order/lm", "{}", 40 } } };
     }
 
     TEST(RecordSnapshotTest, ComesBackAsItWas)
@@ -24,7 +24,7 @@
         EXPECT_EQ(read->revision, 40U);
         ASSERT_EQ(read->records.size(), 2U);
         EXPECT_EQ(read->records.front().value, snapshot.records.front().value);
-        EXPECT_EQ(read->records.back().key, "op/rollout/lm");
+        EXPECT_EQ(read->records.back().key, "order/lm");
         EXPECT_EQ(read->records.back().revision, 40U);
     }
 
