--- a/packages/peer/test/HeardRevisionsTest.cpp
+++ b/packages/peer/test/HeardRevisionsTest.cpp
@@ -67,6 +67,25 @@
         EXPECT_EQ(waited, 100ms + 200ms + 400ms + 800ms + 1'600ms + 1'600ms);
     }
 
+    // A configuration must be in force within two to four seconds. A follower that stood still right after it had told of one
+    // was asked again by a quarter of all instances, each time for a second, and then the store by all of these.
+    TEST_F(HeardRevisionsTest, AsksAnotherInstanceAfterOneThatFailed)
+    {
+        for (int draw = 0; draw < 20; ++draw) {
+            HeardRevisions heard { Random(draw) };
+            heard.hear({ "a" }, 8, m_clock.now());
+            heard.hear({ "b" }, 8, m_clock.now());
+            const std::optional<RevisionRead> first = heard.due(0, false, m_clock.now());
+            ASSERT_TRUE(first && first->from);
+            heard.noteBegun();
+            heard.noteEnded(false, m_clock.now());
+            m_clock.advance(100ms);
+            const std::optional<RevisionRead> second = heard.due(0, false, m_clock.now());
+            ASSERT_TRUE(second && second->from);
+            EXPECT_NE(second->from->value, first->from->value);
+        }
+    }
+
     TEST_F(HeardRevisionsTest, LeavesAFollowersOwnWatchAMoment)
     {
         m_heard.hear({ "a" }, 8, m_clock.now());
