Ask another instance for newer records after one that failed

Cause: an instance that is behind drew the one to ask anew for each read, so one that had stood still since it told of a change was asked again while it still stood, a second each time, and after two failures the store was read over the instance's own link. Ruled out: a shorter patience alone, which a full link would exceed. Change: instances whose reads failed since the last success are asked after the others; where all have failed they are asked as before, and the store at every third read as before.

--- a/packages/peer/include/whinyard/peer/HeardRevisions.h
+++ b/packages/peer/include/whinyard/peer/HeardRevisions.h
@@ -2,7 +2,7 @@
 //
 // Followers state up to which revision they know the operators' records. An instance that is behind reads them from one
 // that isn't, one read at a time: a read that makes progress is never begun anew, and after one that failed the next waits
-// longer each time. A follower does the same beside its own watch of the store, which may stay silent over a change
+// longer each time and is made of another instance. A follower does the same beside its own watch of the store, which may stay silent over a change
 // without being cut. Pure: the daemon makes the reads.
 #pragma once
 
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace whinyard::peer {
 
@@ -52,12 +53,17 @@
     void noteEnded(bool succeeded, SteadyTime now);
 
 private:
+    // Returns an instance that knows more than `own`; nothing where none is known.
+    std::optional<InstanceName> choose(std::uint64_t own);
+
     const HeardRevisionsSettings m_settings;
     Random m_random;
     std::map<InstanceName, std::uint64_t> m_heard;
     std::uint64_t m_newest = 0;
     SteadyTime m_newestSince;
     bool m_isReading = false;
+    std::optional<InstanceName> m_asked; // By the read that was due last.
+    std::set<InstanceName> m_failed; // Instances whose reads failed since the last that didn't; asked after the others.
     std::uint32_t m_failures = 0; // In a row.
     SteadyTime m_notBefore; // When the next read may begin.
 };
--- a/packages/peer/src/HeardRevisions.cpp
+++ b/packages/peer/src/HeardRevisions.cpp
@@ -31,18 +31,32 @@
         return std::nullopt;
     if (isFollower && now - m_newestSince < m_settings.followerPatience)
         return std::nullopt;
+    m_asked.reset();
     const std::uint32_t cycle = m_settings.failuresBeforeStore + 1;
     if (m_failures % cycle == m_settings.failuresBeforeStore)
         return RevisionRead {};
+    m_asked = choose(own);
+    return RevisionRead { m_asked };
+}
+
+// One that has stood still since it told keeps each read waiting for a quarter of the time that a change has: asking the
+// other follower next leaves that time once, where asking any again took it twice for one instance in four.
+std::optional<InstanceName> HeardRevisions::choose(std::uint64_t own)
+{
     std::vector<InstanceName> newer;
+    std::vector<InstanceName> untried;
     for (const auto& [instance, revision] : m_heard) {
-        if (revision > own)
-            newer.push_back(instance);
+        if (revision <= own)
+            continue;
+        newer.push_back(instance);
+        if (!m_failed.contains(instance))
+            untried.push_back(instance);
     }
-    if (newer.empty())
-        return RevisionRead {};
+    const std::vector<InstanceName>& candidates = untried.empty() ? newer : untried;
+    if (candidates.empty())
+        return std::nullopt;
     // Any of them, so that a part of all instances asks each.
-    return RevisionRead { newer[below(m_random, newer.size())] };
+    return candidates[below(m_random, candidates.size())];
 }
 
 void HeardRevisions::noteEnded(bool succeeded, SteadyTime now)
@@ -50,11 +64,14 @@
     m_isReading = false;
     if (succeeded) {
         m_failures = 0;
+        m_failed.clear();
         return;
     }
     constexpr std::uint32_t mostDoublings = 16;
     const std::chrono::milliseconds pause = std::min(m_settings.longestPause, m_settings.firstPause * (1 << std::min(m_failures, mostDoublings)));
     ++m_failures;
+    if (m_asked)
+        m_failed.insert(*m_asked);
     m_notBefore = now + pause;
 }
 
