Bound the wait for a change of the operators' records by the site's own time

Cause: nothing was derived from the time within which an accepted configuration must be in force. Followers' watches waited 10 s whatever it was, so a change that neither heard was late everywhere; an instance's answer had one second. The steps were nowhere added up. The first follower's watch ends within it; the second's stays long, as the first one's word comes by then.

--- a/apps/whinyardd/entry/PeerExchange.cpp
+++ b/apps/whinyardd/entry/PeerExchange.cpp
@@ -1,5 +1,7 @@
 #include "entry/PeerExchange.h"
 
+#include "whinyard/peer/RecordPaces.h"
+
 namespace whinyard::daemon {
 
 namespace {
@@ -8,18 +10,17 @@
     constexpr int unavailable = 503;
 
     // Another instance answers within milliseconds; one that is slow or behind a full link may take some hundred. The last
-    // bounds each pause of an answer that has begun.
+    // bounds each pause of an answer that has begun; peer::RecordPaces bounds the wait for its begin.
     constexpr std::chrono::milliseconds connectTimeout { 400 };
-    constexpr std::chrono::milliseconds answerTimeout { 1'000 };
     constexpr std::chrono::milliseconds pauseTimeout { 1'000 };
 
     constexpr std::size_t largestAnswer = 64 * 1'024 * 1'024;
 
-    net::HttpCallOptions readOptions()
+    net::HttpCallOptions readOptions(std::chrono::milliseconds answerWait)
     {
         net::HttpCallOptions options;
         options.connectTimeout = connectTimeout;
-        options.timeout = answerTimeout;
+        options.timeout = answerWait;
         options.pieceTimeout = pauseTimeout;
         options.freshConnection = true; // A kept one may have gone silent, and reads are rare.
         options.lastRequest = true;
@@ -32,6 +33,7 @@
 PeerExchange::PeerExchange(EntryShared& shared, net::HttpClient& client)
     : m_shared(shared)
     , m_client(client)
+    , m_answerWait(peer::recordPacesFor(shared.settings.bounds.configurationInForce).answerWait)
 {
 }
 
@@ -66,7 +68,7 @@
     }
     const net::Address address = known->second.address; // The list may change while the read waits.
     net::HttpCallProgress progress;
-    const auto stream = m_client.open(address, { .method = "GET", .target = target, .fields = {}, .body = {} }, readOptions(), progress, failure);
+    const auto stream = m_client.open(address, { .method = "GET", .target = target, .fields = {}, .body = {} }, readOptions(m_answerWait), progress, failure);
     if (!stream)
         return std::nullopt;
     if (stream->head().status == ok)
--- a/apps/whinyardd/entry/PeerExchange.h
+++ b/apps/whinyardd/entry/PeerExchange.h
@@ -46,6 +46,7 @@
 
     EntryShared& m_shared;
     net::HttpClient& m_client;
+    const std::chrono::milliseconds m_answerWait; // For the begin of another instance's answer.
     std::map<std::string, Source> m_sources;
     std::map<InstanceName, peer::InstanceNotice> m_instances;
     std::unique_ptr<net::HttpServer> m_server;
--- a/apps/whinyardd/entry/RosterWatch.h
+++ b/apps/whinyardd/entry/RosterWatch.h
@@ -46,6 +46,9 @@
     // Returns whether this instance follows the store for the others.
     bool isFollower() const { return m_relay.isFollower(m_shared.clock.now()); }
 
+    // Returns whether it is the first of those that do.
+    bool isFirstFollower() const { return m_relay.isFirstFollower(m_shared.clock.now()); }
+
     // Notes that this instance begins to follow the store.
     void noteFollowing() const;
 
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -6,6 +6,7 @@
 #include "platform/Store.h"
 #include "whinyard/backing/CountedStore.h"
 #include "whinyard/base/Log.h"
+#include "whinyard/peer/RecordPaces.h"
 
 #include <utility>
 
@@ -13,8 +14,8 @@
 
 namespace {
 
-    // Of a follower's watch of the operators' records. Every call has its price, so it is long: a connection that went silent
-    // is found by the system's own probes, and a change that one follower's watch doesn't tell by the other follower's word.
+    // Of the second follower's watch of the operators' records. Every call has its price, so it is long: a change that it
+    // doesn't tell comes by the first follower's word, whose watch ends within peer::RecordPaces.
     constexpr std::chrono::milliseconds operatorWait { 10'000 };
 
     // Of a follower. Must be so short that an outage is noticed, and watches begin anew, before the instance counts as in
@@ -137,6 +138,7 @@
 void StoreDuty::followOperators()
 {
     backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::operatorPrefix), operatorWait, *m_operators);
+    const std::chrono::milliseconds firstWait = peer::recordPacesFor(m_shared.settings.bounds.configurationInForce).watchWait;
     bool followed = false; // In the last round: a watch may go on where it was.
     while (!m_shared.stopping) {
         if (!m_follows) {
@@ -147,6 +149,7 @@
         if (!std::exchange(followed, true))
             follower.readAnew();
         const std::uint64_t known = m_operators->revision();
+        follower.useWait(m_roster->isFirstFollower() ? firstWait : operatorWait);
         turn(follower, noPause);
         if (m_operators->revision() != known)
             m_roster->tell();
--- a/packages/backing/include/whinyard/backing/PrefixFollower.h
+++ b/packages/backing/include/whinyard/backing/PrefixFollower.h
@@ -41,6 +41,9 @@
     // failure the caller pauses before the next one.
     bool turn();
 
+    // Bounds the watches that begin from now on.
+    void useWait(std::chrono::milliseconds wait) { m_wait = wait; }
+
     // Has the next turn read everything anew, after a time without turns.
     void readAnew() { m_placed = false; }
 
@@ -51,7 +54,7 @@
     WatchableStore& m_store;
     const Clock& m_clock;
     const std::string m_prefix;
-    const std::chrono::milliseconds m_wait;
+    std::chrono::milliseconds m_wait;
     PrefixObserver& m_observer;
     bool m_placed = false; // A range was read, and no change after it was missed.
     Revision m_revision = 0; // Up to which the observer knows everything.
--- a/packages/backing/include/whinyard/backing/WatchableStore.h
+++ b/packages/backing/include/whinyard/backing/WatchableStore.h
@@ -34,6 +34,10 @@
     Revision storeRevision = 0; // Where the next watch continues.
 };
 
+// What a watch may take beyond its wait before its connection counts as silent: a slow service answers within some hundred
+// milliseconds.
+inline constexpr std::chrono::milliseconds watchSlack { 600 };
+
 // How current a read must be.
 enum class ReadAge : std::uint8_t {
     newest, // Linearizable.
--- a/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
+++ b/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
@@ -89,6 +89,9 @@
     // Returns whether this instance is one of those that follow the store for the others.
     bool isFollower(SteadyTime now) const;
 
+    // Returns whether it is the first of them: no instance before it in the order is current.
+    bool isFirstFollower(SteadyTime now) const;
+
     RosterNeed need(SteadyTime now) const;
 
     // Notes that the store told this instance what changed, or failed to.
--- a/packages/endpoint/src/RosterRelay.cpp
+++ b/packages/endpoint/src/RosterRelay.cpp
@@ -90,6 +90,14 @@
     return now >= lostSince(rank) + turn * static_cast<int>(unheard / m_settings.followers);
 }
 
+bool RosterRelay::isFirstFollower(SteadyTime now) const
+{
+    if (!isFollower(now))
+        return false;
+    const auto self = m_order.begin() + static_cast<std::ptrdiff_t>(ownRank());
+    return std::none_of(m_order.begin(), self, [&](const InstanceName& name) { return isCurrent(name, now); });
+}
+
 // Instances that lost all followers at once would read the store at once as well: each waits for a time of its own.
 bool RosterRelay::mustFollowAlone(SteadyTime now) const
 {
