Tell changes of the operators' records while a list of endpoints can't be told

Cause: followers state the revision of the operators' records with their lists of endpoints, and tell neither for 2.2 s after an outage, while a list may hold what has left. A configuration accepted at the outage's end was known to the followers at once and to the others 2.2 s later. Ruled out: stating it in a notice that says the list isn't current, which would prolong the time for which instances that lost their followers wait for them. Change: a notice of its own with the revision alone, in that time only.

--- a/apps/whinyardd/entry/PeerLink.cpp
+++ b/apps/whinyardd/entry/PeerLink.cpp
@@ -117,6 +117,12 @@
         m_handlers.instance(notice);
 }
 
+void PeerLink::take(const peer::RecordsNotice& notice)
+{
+    if (m_handlers.records)
+        m_handlers.records(notice);
+}
+
 void PeerLink::close()
 {
     if (m_socket)
--- a/apps/whinyardd/entry/PeerLink.h
+++ b/apps/whinyardd/entry/PeerLink.h
@@ -19,6 +19,7 @@
     std::function<void(peer::RosterNotice)> roster;
     std::function<void(peer::InstanceNotice)> instance;
     std::function<void(peer::ShiftNotice)> shift;
+    std::function<void(peer::RecordsNotice)> records;
 };
 
 class PeerLink final : public router::WorkObserver {
@@ -51,6 +52,7 @@
     void take(const peer::ShiftNotice& notice);
     void take(const peer::RosterNotice& notice);
     void take(const peer::InstanceNotice& notice);
+    void take(const peer::RecordsNotice& notice);
 
     EntryShared& m_shared;
     endpoint::EndpointDirectory& m_directory;
--- a/apps/whinyardd/entry/RosterWatch.cpp
+++ b/apps/whinyardd/entry/RosterWatch.cpp
@@ -182,8 +182,8 @@
 void RosterWatch::tell()
 {
     if (!mayTell()) {
-        if (isFollower() && m_storeFails)
-            m_serving.broadcast(peer::RosterNotice { m_shared.settings.instance, m_life, m_sequence, {}, {}, m_operators.revision(), false });
+        if (isFollower())
+            tellWithoutList();
         return;
     }
     std::map<EndpointName, backing::ListedEndpoint> now;
@@ -203,6 +203,17 @@
     broadcast(std::move(changed), std::move(gone));
 }
 
+// For two seconds after an outage the list may hold what has left, but a change of the operators' records is as good as ever:
+// told at once it is in force 0.3 s after the store's return, not 2.3 s.
+void RosterWatch::tellWithoutList()
+{
+    const InstanceName& self = m_shared.settings.instance;
+    if (m_storeFails)
+        m_serving.broadcast(peer::RosterNotice { self, m_life, m_sequence, {}, {}, m_operators.revision(), false });
+    else if (!m_roster.isSettled(m_shared.clock.now()))
+        m_serving.broadcast(peer::RecordsNotice { self, m_operators.revision() });
+}
+
 // Many changes at once are told by their sequence alone: as datagrams to hundreds of instances they filled the link of the
 // instance that tells, were lost, and a third of all had to read the store.
 void RosterWatch::broadcast(std::vector<backing::ListedEndpoint> changed, std::vector<EndpointName> gone)
--- a/apps/whinyardd/entry/RosterWatch.h
+++ b/apps/whinyardd/entry/RosterWatch.h
@@ -62,6 +62,7 @@
 
 private:
     bool mayTell() const;
+    void tellWithoutList();
     std::optional<std::string> told();
     void readFrom(const InstanceName& instance);
     std::optional<backing::ListedEndpoint> read(const backing::Record& record);
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -92,6 +92,7 @@
         .roster = [this](peer::RosterNotice notice) { m_duty.post([this, notice = std::move(notice)] { m_roster->takeNotice(notice); }); },
         .instance = [this](peer::InstanceNotice notice) { m_duty.post([this, notice = std::move(notice)] { m_instances->takeNotice(notice); }); },
         .shift = [this](peer::ShiftNotice notice) { m_duty.post([this, notice = std::move(notice)] { m_shifts->takeNotice(notice); }); },
+        .records = [this](peer::RecordsNotice notice) { m_duty.post([this, notice = std::move(notice)] { m_operatorRelay->hear(notice.instance, notice.operators); }); },
     });
     if (m_shared.settings.metrics) {
         const net::HttpHandler handler = [this](const net::HttpRequest&, net::HttpResponder& responder) {
--- a/packages/peer/include/whinyard/peer/Notices.h
+++ b/packages/peer/include/whinyard/peer/Notices.h
@@ -69,6 +69,15 @@
     bool operator==(const RosterNotice&) const = default;
 };
 
+// Up to which revision an instance that follows the store knows the operators' records. A RosterNotice says it as well; this
+// one is for times at which there is no list of endpoints to tell.
+struct RecordsNotice {
+    InstanceName instance;
+    std::uint64_t operators = 0;
+
+    bool operator==(const RecordsNotice&) const = default;
+};
+
 // An instance has started, and takes notices at this address. The same stands in its record in the store.
 struct InstanceNotice {
     InstanceName instance;
@@ -78,7 +87,7 @@
     bool operator==(const InstanceNotice&) const = default;
 };
 
-using Notice = std::variant<WorkNotice, PinNotice, EvidenceNotice, ShiftNotice, RosterNotice, InstanceNotice>;
+using Notice = std::variant<WorkNotice, PinNotice, EvidenceNotice, ShiftNotice, RosterNotice, InstanceNotice, RecordsNotice>;
 
 // The most entries of one notice, so that it fits into a datagram.
 inline constexpr std::size_t mostPins = 128;
--- a/packages/peer/src/Notices.cpp
+++ b/packages/peer/src/Notices.cpp
@@ -14,7 +14,7 @@
     using internal::writeEndpoint;
     using internal::Writer;
 
-    constexpr std::uint16_t noticeFormat = 8;
+    constexpr std::uint16_t noticeFormat = 9;
     constexpr std::int64_t longestWorkUs = 60'000'000; // A longer one is no work that anybody gave.
 
     enum class NoticeKind : std::uint8_t {
@@ -24,6 +24,7 @@
         roster = 4,
         shift = 5,
         instance = 6,
+        records = 7,
     };
 
     void write(Writer& writer, const WorkNotice& notice)
@@ -85,6 +86,13 @@
         writer.number(notice.isCurrent ? 1 : 0);
     }
 
+    void write(Writer& writer, const RecordsNotice& notice)
+    {
+        writer.number(static_cast<std::uint64_t>(NoticeKind::records));
+        writer.text(notice.instance.value);
+        writer.number(notice.operators);
+    }
+
     std::optional<Notice> readWork(Reader& reader)
     {
         WorkNotice notice;
@@ -137,6 +145,14 @@
         return notice;
     }
 
+    std::optional<Notice> readRecords(Reader& reader)
+    {
+        RecordsNotice notice;
+        notice.instance.value = reader.text();
+        notice.operators = reader.number();
+        return notice;
+    }
+
     std::optional<Notice> readRoster(Reader& reader)
     {
         RosterNotice notice;
@@ -191,7 +207,7 @@
     if (reader.number() != noticeFormat)
         return std::nullopt;
     std::optional<Notice> notice;
-    switch (static_cast<NoticeKind>(reader.number(static_cast<std::uint64_t>(NoticeKind::instance)))) {
+    switch (static_cast<NoticeKind>(reader.number(static_cast<std::uint64_t>(NoticeKind::records)))) {
     case NoticeKind::work:
         notice = readWork(reader);
         break;
@@ -210,6 +226,9 @@
     case NoticeKind::instance:
         notice = readInstance(reader);
         break;
+    case NoticeKind::records:
+        notice = readRecords(reader);
+        break;
     }
     return reader.isWhole() ? notice : std::nullopt;
 }
--- a/packages/peer/test/NoticesTest.cpp
+++ b/packages/peer/test/NoticesTest.cpp
@@ -28,6 +28,7 @@
             ShiftNotice { { "lm" }, "{}", 9 },
             InstanceNotice { { "entry-1" }, { "10.0.0.1", 7340 }, 200 },
             RosterNotice { { "entry-1" }, 77, 3, { endpoint }, { { "i-2" } }, 11, false },
+            RecordsNotice { { "entry-1" }, 11 },
         };
     }
 
