Tell how long an instance was behind the operators' records

The record of a late configuration couldn't tell whether instances heard of it late or got it late: what was kept of their lines began after the moment, and no metric spoke of it. A summary tells the time from hearing of newer records to having them, by its maximum also between two readings, and a line says so where it took a second or more.

--- a/apps/whinyardd/entry/OperatorRelay.cpp
+++ b/apps/whinyardd/entry/OperatorRelay.cpp
@@ -10,6 +10,9 @@
 
     constexpr const char* target = "/operators";
 
+    // An instance reads what it heard of within some hundred milliseconds; more uses up the time that a change has.
+    constexpr std::chrono::milliseconds worthSaying { 1'000 };
+
 }
 
 OperatorRelay::OperatorRelay(EntryShared& shared, OperatorWatch& watch, PeerExchange& exchange, backing::WatchableStore& store)
@@ -45,11 +48,22 @@
 
 void OperatorRelay::noteBehind()
 {
-    m_shared.routing.noteBehind(m_heard.isBehind(m_watch.knownUpTo()));
+    const bool isBehind = m_heard.isBehind(m_watch.knownUpTo());
+    m_shared.routing.noteBehind(isBehind);
+    const SteadyTime now = m_shared.clock.now();
+    if (isBehind && !m_behindSince)
+        m_behindSince = now;
+    if (isBehind || !m_behindSince)
+        return;
+    const std::chrono::nanoseconds behind = now - *std::exchange(m_behindSince, std::nullopt);
+    m_shared.metrics.observe("whinyard_operators_behind_seconds", behind);
+    if (behind >= worthSaying)
+        log::warning("operators' records were behind", { { "behindMs", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(behind).count()) }, { "revision", std::to_string(m_watch.revision()) } });
 }
 
 void OperatorRelay::turn(bool isFollower)
 {
+    noteBehind(); // The own watch may have told it meanwhile.
     const std::optional<peer::RevisionRead> read = m_heard.due(m_watch.knownUpTo(), isFollower, m_shared.clock.now());
     if (!read)
         return;
--- a/apps/whinyardd/entry/OperatorRelay.h
+++ b/apps/whinyardd/entry/OperatorRelay.h
@@ -43,6 +43,7 @@
     backing::WatchableStore& m_store;
     peer::HeardRevisions m_heard;
     net::Signal m_news;
+    std::optional<SteadyTime> m_behindSince; // When something newer than what is known was heard of.
     std::string m_encoded; // The snapshot of `m_encodedRevision`, as it is sent.
     std::uint64_t m_encodedRevision = 0;
     std::uint32_t m_failures = 0; // Reads that failed since the last one that didn't.
