Keep the watch of an instance that follows the store alone short as well

The short watch was for the first follower. An instance that lost its followers and follows the store by itself has nobody's word either, and its watch was long. Now only a follower that hears another one before it has the long one.

--- a/apps/whinyardd/entry/RosterWatch.h
+++ b/apps/whinyardd/entry/RosterWatch.h
@@ -46,8 +46,8 @@
     // Returns whether this instance follows the store for the others.
     bool isFollower() const { return m_relay.isFollower(m_shared.clock.now()); }
 
-    // Returns whether it is the first of those that do.
-    bool isFirstFollower() const { return m_relay.isFirstFollower(m_shared.clock.now()); }
+    // Returns whether it does so beside a follower before it, whose word it hears.
+    bool isSecondFollower() const { return m_relay.isSecondFollower(m_shared.clock.now()); }
 
     // Notes that this instance begins to follow the store.
     void noteFollowing() const;
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -16,7 +16,7 @@
 
     // Of the second follower's watch of the operators' records. Every call has its price, so it is long: a change that it
     // doesn't tell comes by the first follower's word, whose watch ends within peer::RecordPaces.
-    constexpr std::chrono::milliseconds operatorWait { 10'000 };
+    constexpr std::chrono::milliseconds secondWait { 10'000 };
 
     // Of a follower. Must be so short that an outage is noticed, and watches begin anew, before the instance counts as in
     // touch again.
@@ -138,8 +138,8 @@
 // Only followers watch the operators' records; the others read them from those when they state something newer.
 void StoreDuty::followOperators()
 {
-    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::operatorPrefix), operatorWait, *m_operators);
-    const std::chrono::milliseconds firstWait = peer::recordPacesFor(m_shared.settings.bounds.configurationInForce).watchWait;
+    const std::chrono::milliseconds wait = peer::recordPacesFor(m_shared.settings.bounds.configurationInForce).watchWait;
+    backing::PrefixFollower follower(*m_store, m_shared.clock, std::string(platform::operatorPrefix), wait, *m_operators);
     bool followed = false; // In the last round: a watch may go on where it was.
     while (!m_shared.stopping) {
         if (!m_follows) {
@@ -150,7 +150,7 @@
         if (!std::exchange(followed, true))
             follower.readAnew();
         const std::uint64_t known = m_operators->revision();
-        follower.useWait(m_roster->isFirstFollower() ? firstWait : operatorWait);
+        follower.useWait(m_roster->isSecondFollower() ? secondWait : wait);
         turn(follower, noPause);
         if (m_operators->revision() != known)
             m_roster->tell();
--- a/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
+++ b/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
@@ -89,8 +89,8 @@
     // Returns whether this instance is one of those that follow the store for the others.
     bool isFollower(SteadyTime now) const;
 
-    // Returns whether it is the first of them: no instance before it in the order is current.
-    bool isFirstFollower(SteadyTime now) const;
+    // Returns whether it is one of them, and hears what changes from another that comes before it as well.
+    bool isSecondFollower(SteadyTime now) const;
 
     RosterNeed need(SteadyTime now) const;
 
--- a/packages/endpoint/src/RosterRelay.cpp
+++ b/packages/endpoint/src/RosterRelay.cpp
@@ -90,12 +90,12 @@
     return now >= lostSince(rank) + turn * static_cast<int>(unheard / m_settings.followers);
 }
 
-bool RosterRelay::isFirstFollower(SteadyTime now) const
+bool RosterRelay::isSecondFollower(SteadyTime now) const
 {
     if (!isFollower(now))
         return false;
     const auto self = m_order.begin() + static_cast<std::ptrdiff_t>(ownRank());
-    return std::none_of(m_order.begin(), self, [&](const InstanceName& name) { return isCurrent(name, now); });
+    return std::any_of(m_order.begin(), self, [&](const InstanceName& name) { return isCurrent(name, now); });
 }
 
 // Instances that lost all followers at once would read the store at once as well: each waits for a time of its own.
--- a/packages/endpoint/test/RosterRelayTest.cpp
+++ b/packages/endpoint/test/RosterRelayTest.cpp
@@ -70,20 +70,21 @@
         InstanceName m_second;
     };
 
-    // The first one's watch of the operators' records is short, for a call each time that it ends.
-    TEST_F(RosterRelayTest, KnowsTheFirstOfTheFollowersAndItsSuccessor)
+    // The second one's watch of the operators' records may be long, as the first one tells it what changes.
+    TEST_F(RosterRelayTest, KnowsTheSecondFollowerWhileTheFirstIsHeard)
     {
         RosterRelay first(m_lead);
         RosterRelay second(m_second);
         first.useInstances(candidates(), m_clock.now());
         second.useInstances(candidates(), m_clock.now());
-        EXPECT_TRUE(first.isFirstFollower(m_clock.now()));
+        EXPECT_FALSE(first.isSecondFollower(m_clock.now()));
+        EXPECT_FALSE(second.isSecondFollower(m_clock.now())) << "nobody has told it anything yet";
         second.hear({ m_lead, 1, 0, false }, m_clock.now());
-        EXPECT_TRUE(second.isFollower(m_clock.now()));
-        EXPECT_FALSE(second.isFirstFollower(m_clock.now()));
-        EXPECT_FALSE(m_relay->isFirstFollower(m_clock.now())) << "it isn't one of them";
+        EXPECT_TRUE(second.isSecondFollower(m_clock.now()));
+        EXPECT_FALSE(m_relay->isSecondFollower(m_clock.now())) << "it isn't one of them";
         m_clock.advance(RosterRelaySettings().silence + 1ms);
-        EXPECT_TRUE(second.isFirstFollower(m_clock.now())) << "the first one has fallen silent";
+        EXPECT_TRUE(second.isFollower(m_clock.now()));
+        EXPECT_FALSE(second.isSecondFollower(m_clock.now())) << "the first one has fallen silent";
     }
 
     TEST_F(RosterRelayTest, AgreesOnTwoFollowersWithoutAWord)
--- a/packages/peer/include/whinyard/peer/RecordPaces.h
+++ b/packages/peer/include/whinyard/peer/RecordPaces.h
@@ -15,8 +15,8 @@
 namespace whinyard::peer {
 
 struct RecordPaces {
-    // Of the first follower's watch. A change that no watch told was in force 10 s later before, and is 0.5 s later with a
-    // time of 2 s, for 2 calls a second of the whole fleet.
+    // Of the watch of whoever hears changes from no other instance: the first follower, as a rule. A change that no watch
+    // told waited for the end of watches of 10 s; now it waits 0.5 s with a time of 2 s, for 2 calls a second.
     std::chrono::milliseconds watchWait { 500 };
     std::chrono::milliseconds answerWait { 500 }; // For the begin of another instance's answer, which takes milliseconds.
 
