Give the probe of the store a file of its own

StoreDuty.cpp had grown to 407 lines; how it is found out whether the store answers is a job by itself. StoreDuty.cpp has 317 lines now.

--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -18,20 +18,6 @@
     // doesn't tell comes by the first follower's word, whose watch ends within peer::RecordPaces.
     constexpr std::chrono::milliseconds secondWait { 10'000 };
 
-    // Of a follower. Must be so short that an outage is noticed, and watches begin anew, before the instance counts as in
-    // touch again.
-    constexpr std::chrono::milliseconds probeInterval { 2'000 };
-    constexpr std::chrono::milliseconds probeAgain { 300 }; // While it fails.
-    // Of the other instances, who need the store for their record's lease alone, with as much again at random.
-    constexpr std::chrono::milliseconds renewalInterval { 4'000 };
-    constexpr std::chrono::milliseconds renewalAgain { 1'000 }; // While it fails.
-    constexpr std::chrono::milliseconds outageLook { 100 };
-    // An instance without a configuration can serve nobody, so it asks beside a probe that hangs, whose connection may
-    // have met a store that was silent then: first after this, then after a tenth of the time since its start. The store's
-    // return is so found a tenth later than it could be, for about ten probes in each doubling of the outage.
-    constexpr std::chrono::milliseconds startProbePause { 50 };
-    constexpr int startProbePart = 10;
-
     // Every endpoint writes its entry about once a second, so a watch without a pause would return at each of them; see
     // endpoint::relaySettingsFor().
     // A watch that hears of no endpoint for so long is made anew: it shows that the store is there, and that the
@@ -68,7 +54,6 @@
 StoreDuty::StoreDuty(EntryShared& shared, ServeDuty& serving)
     : m_shared(shared)
     , m_serving(serving)
-    , m_outage("the store at " + net::toText(shared.settings.store.address))
     , m_random(seededRandom())
 {
 }
@@ -86,6 +71,7 @@
     m_exchange = std::make_unique<PeerExchange>(m_shared, *m_client);
     m_operatorRelay = std::make_unique<OperatorRelay>(m_shared, *m_operators, *m_exchange, *m_store);
     m_roster = std::make_unique<RosterWatch>(m_shared, m_serving, *m_operatorRelay, *m_exchange, m_duty);
+    m_probe = std::make_unique<StoreProbe>(m_shared, m_duty, *m_store, *m_roster, m_ownRecord);
     m_shifts = std::make_unique<ShiftKeeper>(m_shared, m_serving, *m_store);
     m_instances = std::make_unique<InstanceWatch>(m_shared, m_serving, *m_roster);
     m_serving.useNoticeHandlers({
@@ -112,7 +98,7 @@
     m_duty.spawn([this] { readShifts(); });
     m_duty.spawn([this] { writeShifts(); });
     m_duty.spawn([this] { settleRoster(); });
-    m_duty.spawn([this] { probeStore(); });
+    m_duty.spawn([this] { m_probe->run(); });
     if (m_shared.settings.peers) {
         m_duty.spawn([this] { readInstances(); });
         m_duty.spawn([this] { tellEndpoints(); });
@@ -123,12 +109,12 @@
 
 void StoreDuty::turn(backing::PrefixFollower& follower, std::chrono::milliseconds pause)
 {
-    awaitStore();
-    const std::uint64_t interruptions = m_interruptions;
+    m_probe->awaitStore();
+    const std::uint64_t interruptions = m_probe->interruptions();
     if (!follower.turn()) {
-        if (m_interruptions != interruptions)
+        if (m_probe->interruptions() != interruptions)
             return;
-        noteFailure();
+        m_probe->noteFailure();
         pause = failurePause + std::chrono::milliseconds(below(m_random, failurePause.count()));
     }
     if (pause.count() > 0)
@@ -179,6 +165,7 @@
     const std::chrono::milliseconds pause = endpoint::relaySettingsFor(m_shared.settings.bounds.drain).pause;
     while (!m_shared.stopping) {
         const bool followed = std::exchange(m_follows, m_roster->mustFollow());
+        m_probe->useFollowing(m_follows);
         if (!m_follows) {
             net::sleepFor(m_shared.endpointsKnown ? relayLook : startLook);
             continue;
@@ -188,17 +175,17 @@
             m_roster->noteFollowing();
             m_followsNow.notify();
         }
-        awaitStore();
-        const std::uint64_t interruptions = m_interruptions;
+        m_probe->awaitStore();
+        const std::uint64_t interruptions = m_probe->interruptions();
         const bool reached = follower.turn();
         m_roster->settle();
-        if (m_interruptions != interruptions && !reached)
+        if (m_probe->interruptions() != interruptions && !reached)
             continue;
         if (reached) {
             m_roster->noteCurrent();
             m_roster->tell();
         } else
-            noteFailure();
+            m_probe->noteFailure();
         net::sleepFor(reached ? pause : failurePause);
     }
 }
@@ -206,15 +193,15 @@
 std::optional<std::vector<backing::Record>> StoreDuty::readUntilAnswered(std::string_view prefix, backing::ReadAge age)
 {
     while (!m_shared.stopping) {
-        awaitStore();
+        m_probe->awaitStore();
         Failure failure;
-        const std::uint64_t interruptions = m_interruptions;
+        const std::uint64_t interruptions = m_probe->interruptions();
         std::optional<backing::RecordPage> page = backing::readAll(*m_store, std::string(prefix), age, failure);
         if (page)
             return std::move(page->records);
-        if (m_interruptions != interruptions)
+        if (m_probe->interruptions() != interruptions)
             continue;
-        noteFailure();
+        m_probe->noteFailure();
         net::sleepFor(failurePause + std::chrono::milliseconds(below(m_random, failurePause.count())));
     }
     return std::nullopt;
@@ -275,7 +262,7 @@
         ;
     isAdopted = m_ownRecord->isHeld();
     while (!m_shared.stopping) {
-        awaitStore();
+        m_probe->awaitStore();
         Failure failure; // The probe tells of an outage.
         if (!m_ownRecord->isHeld() || std::exchange(isAdopted, false))
             m_ownRecord->turn(failure);
@@ -283,83 +270,6 @@
     }
 }
 
-// Calls that are refused have their price too: while the store is away only the probe asks.
-void StoreDuty::awaitStore()
-{
-    while (!m_answers && !m_shared.stopping)
-        m_returned.wait(outageLook);
-}
-
-// Lets the probe find out at once whether the store is away.
-void StoreDuty::noteFailure()
-{
-    m_answers = false;
-    m_suspected.notify();
-}
-
-void StoreDuty::probeStore()
-{
-    m_startedAt = m_shared.clock.now();
-    while (!m_shared.stopping && !m_shared.routing.newest() && m_answeredAt == SteadyTime())
-        probeBesideOthers();
-    while (!m_shared.stopping) {
-        probeOnce();
-        m_suspected.wait(probePause());
-    }
-}
-
-std::chrono::milliseconds StoreDuty::probePause()
-{
-    if (m_follows || !m_shared.settings.peers)
-        return m_answers ? probeInterval : probeAgain;
-    const std::chrono::milliseconds pause = m_answers ? renewalInterval : renewalAgain;
-    return pause + std::chrono::milliseconds(below(m_random, pause.count()));
-}
-
-void StoreDuty::probeBesideOthers()
-{
-    m_duty.spawn([this] { probeOnce(); });
-    const std::chrono::nanoseconds elapsed = m_shared.clock.now() - m_startedAt;
-    net::sleepFor(std::max<std::chrono::nanoseconds>(startProbePause, elapsed / startProbePart));
-}
-
-void StoreDuty::probeOnce()
-{
-    Failure failure;
-    const SteadyTime began = m_shared.clock.now();
-    const auto waiting = m_probes.insert(began);
-    // A renewal costs as much as the cheapest read, and shows as well that the store answers.
-    const bool answers = m_ownRecord && m_ownRecord->isHeld() ? m_ownRecord->turn(failure) : m_store->answers(failure);
-    m_probes.erase(waiting);
-    noteProbe(began, answers, failure);
-}
-
-void StoreDuty::noteProbe(SteadyTime began, bool answers, const Failure& failure)
-{
-    if (!answers && began < m_answeredAt)
-        return; // A later one was answered.
-    const bool wasAway = !m_answers;
-    const bool othersHang = !m_probes.empty() && *m_probes.begin() < began;
-    m_answers = answers;
-    m_outage.note(answers, failure);
-    if (!answers) {
-        m_roster->failed(failure);
-        return;
-    }
-    m_answeredAt = std::max(m_answeredAt, began);
-    m_roster->proven(m_shared.clock.now());
-    if (wasAway || othersHang)
-        interruptReads();
-    m_returned.notify();
-}
-
-// After an outage every read that still waits may have lost its connection without a word.
-void StoreDuty::interruptReads()
-{
-    ++m_interruptions;
-    m_store->interruptReads();
-}
-
 // Instances' own records are read only while there is an order: they say nothing else.
 void StoreDuty::readShifts()
 {
--- a/apps/whinyardd/entry/StoreDuty.h
+++ b/apps/whinyardd/entry/StoreDuty.h
@@ -10,6 +10,7 @@
 #include "entry/RosterWatch.h"
 #include "entry/ServeDuty.h"
 #include "entry/ShiftKeeper.h"
+#include "entry/StoreProbe.h"
 #include "whinyard/backing/LeasedRecord.h"
 #include "whinyard/backing/PrefixFollower.h"
 #include "whinyard/net/Duty.h"
@@ -19,7 +20,6 @@
 #include <chrono>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace whinyard::daemon {
@@ -47,16 +47,6 @@
     void adoptOwnRecord(const std::vector<backing::Record>& records);
     void tellEndpoints();
     void keepOwnRecord();
-    void probeStore();
-    std::chrono::milliseconds probePause();
-    void probeOnce();
-    void probeBesideOthers();
-    void noteProbe(SteadyTime began, bool answers, const Failure& failure);
-    void interruptReads();
-
-    // Waits while the store is known to be away.
-    void awaitStore();
-    void noteFailure();
     void settleRoster();
 
     // Reads all records under a prefix; after a failure it waits for the store and tries again. Returns nothing only when
@@ -68,25 +58,18 @@
 
     EntryShared& m_shared;
     ServeDuty& m_serving;
-    OutageLog m_outage;
-    bool m_answers = true; // The last probe was answered, and no call has failed since.
     Random m_random;
     net::Duty m_duty { "store" };
     bool m_follows = false; // This instance follows the store.
     net::Signal m_followsNow;
     net::Signal m_mayKeepRecord; // What stands in the store of an earlier life is known.
-    net::Signal m_suspected; // A call has failed.
-    net::Signal m_returned; // The store answers again.
-    std::uint64_t m_interruptions = 0; // Of reads by this duty itself; their failures say nothing about the store.
-    SteadyTime m_startedAt;
-    SteadyTime m_answeredAt; // When the latest probe that was answered began.
-    std::multiset<SteadyTime> m_probes; // When those that wait now began.
     std::unique_ptr<net::HttpClient> m_client;
     std::unique_ptr<backing::WatchableStore> m_store;
     std::unique_ptr<OperatorWatch> m_operators;
     std::unique_ptr<PeerExchange> m_exchange;
     std::unique_ptr<OperatorRelay> m_operatorRelay;
     std::unique_ptr<RosterWatch> m_roster;
+    std::unique_ptr<StoreProbe> m_probe;
     std::unique_ptr<ShiftKeeper> m_shifts;
     std::unique_ptr<InstanceWatch> m_instances;
     std::optional<backing::LeasedRecord> m_ownRecord; // By which other instances find this one.
