--- a/packages/policy/include/whinyard/policy/SequentialTest.h
+++ b/packages/policy/include/whinyard/policy/SequentialTest.h
@@ -24,6 +24,9 @@
     bool operator==(const BadShares&) const = default;
 };
 
+// Returns what was counted since `before`. Counts only grow; those of a party that lost its own are taken for none.
+RatedCounts countedSince(const RatedCounts& before, const RatedCounts& totals);
+
 // Returns log(P(counts | unacceptable) / P(counts | tolerable)).
 double logLikelihoodRatio(const RatedCounts& counts, const BadShares& shares);
 
@@ -45,8 +48,24 @@
 // at whichever moments it is looked at; so the errors hold although counts of several instances arrive in batches.
 TestVerdict judgeNewVersion(const RatedCounts& counts, const BadShares& shares, const TestErrors& errors);
 
-// Detects that a version in use turns bad: the cumulative sum test (Page, "Continuous Inspection Schemes", Biometrika
-// 41, 1954). With the bound log(ratings) a good version is stopped by mistake once in at least `ratings` ratings on
+// The sum of the cumulative sum test (Page, "Continuous Inspection Schemes", Biometrika 41, 1954): what a version answered
+// well before it turned bad doesn't count in its favour. The shares may differ from batch to batch.
+class CumulativeSum {
+public:
+    // Takes the counts so far and returns the sum.
+    double update(const RatedCounts& totals, const BadShares& shares);
+
+    // Takes the counts so far without adding them.
+    void skipTo(const RatedCounts& totals) { m_seen = totals; }
+
+    double value() const { return m_value; }
+
+private:
+    RatedCounts m_seen;
+    double m_value = 0;
+};
+
+// Detects that a version in use turns bad, by its cumulative sum. With the bound log(ratings) a good version is stopped by mistake once in at least `ratings` ratings on
 // average (Lorden, "Procedures for Reacting to a Change in Distribution", Annals of Mathematical Statistics 42, 1971).
 // Counts that come in batches can only lower the sum, so they delay a stop by a batch and cause no false one.
 class ChangeDetector {
@@ -57,15 +76,14 @@
     bool update(const RatedCounts& totals);
 
     // Takes the counts so far without judging them.
-    void skipTo(const RatedCounts& totals) { m_seen = totals; }
+    void skipTo(const RatedCounts& totals) { m_sum.skipTo(totals); }
 
-    double sum() const { return m_sum; }
+    double sum() const { return m_sum.value(); }
 
 private:
     BadShares m_shares;
     double m_bound;
-    RatedCounts m_seen;
-    double m_sum = 0;
+    CumulativeSum m_sum;
     bool m_turnedBad = false;
 };
 
--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -9,6 +9,7 @@
 #include "whinyard/base/Clock.h"
 #include "whinyard/base/Identity.h"
 #include "whinyard/policy/SequentialTest.h"
+#include "whinyard/policy/UsualValues.h"
 
 #include <chrono>
 #include <cstdint>
@@ -168,19 +169,6 @@
 
 private:
     double completionOf(const ShiftOrder& order) const;
-    // What is usual of one measure: of times as multiples of what was expected, or of pauses in microseconds. A mean of
-    // logarithms: waits have long tails, and a mean of theirs would hide an answer that takes several times the usual.
-    struct Baseline {
-        double logMean = 0;
-        std::uint32_t samples = 0;
-    };
-
-    // Whether one party's answers of the target are worse than those of the other versions.
-    struct Detector {
-        RatedCounts seen;
-        double sum = 0;
-    };
-
     // Counts of late, older ones fading.
     struct Fading {
         double good = 0;
@@ -203,9 +191,10 @@
         ShiftEvidence own;
         std::map<InstanceName, ShiftEvidence> others;
         Fading fleetOthers; // Failures of the other versions, at all instances.
-        Detector ownFailures;
-        Detector fleetFailures;
-        Detector fleetSlowness; // One for all instances: each that looks at its own makes a false alarm likelier.
+        // Whether one party's answers of the target are worse than those of the other versions.
+        CumulativeSum ownFailures;
+        CumulativeSum fleetFailures;
+        CumulativeSum fleetSlowness; // One for all instances: each that looks at its own makes a false alarm likelier.
     };
 
     struct Session {
@@ -223,24 +212,28 @@
     };
 
     struct ServiceMemory {
+        explicit ServiceMemory(const ShiftSettings& settings)
+            : times(settings.slowFactor, settings.baselineSamples)
+            , pauses(settings.slowFactor, settings.baselineSamples)
+        {
+        }
+
         std::unordered_map<std::uint64_t, Session> sessions; // By digest.
-        std::map<std::string, Baseline> times;
-        std::map<std::string, Baseline> pauses;
+        UsualValues times; // As multiples of what was expected.
+        UsualValues pauses; // In microseconds.
         Background background;
         std::map<EndpointName, SteadyTime> crashes; // When a lost connection of an endpoint was counted last.
         SteadyTime nextSweep;
     };
 
+    ServiceMemory& memoryOf(const ServiceName& service) { return m_memories.try_emplace(service, m_settings).first->second; }
     double progress(const Shift& shift, SteadyTime now) const;
     double shareNow(const Shift& shift, SteadyTime now) const;
     bool isDrawnToTrial(std::uint64_t draw) const;
-    bool isSlow(const std::map<std::string, Baseline>& baselines, const std::string& measure, double value) const;
-    static void learn(std::map<std::string, Baseline>& baselines, const std::string& measure, double value);
     bool isKnownCrash(ServiceMemory& memory, const VersionOutcome& outcome, SteadyTime now) const;
     BadShares sharesOver(double background, double observed, double excess) const;
     void judge(Shift& shift, const ServiceMemory& memory);
     void rollBack(Shift& shift, const RatedCounts& counts, const BadShares& shares, const char* what);
-    static bool update(Detector& detector, const RatedCounts& totals, const BadShares& shares, double stopAt);
     void sweepSessions(ServiceMemory& memory, SteadyTime now) const;
 
     const ShiftSettings m_settings;
--- a/packages/policy/src/SequentialTest.cpp
+++ b/packages/policy/src/SequentialTest.cpp
@@ -5,6 +5,11 @@
 
 namespace whinyard::policy {
 
+RatedCounts countedSince(const RatedCounts& before, const RatedCounts& totals)
+{
+    return { totals.good - std::min(totals.good, before.good), totals.bad - std::min(totals.bad, before.bad) };
+}
+
 double logLikelihoodRatio(const RatedCounts& counts, const BadShares& shares)
 {
     const double perBad = std::log(shares.unacceptable / shares.tolerable);
@@ -22,6 +27,14 @@
     return TestVerdict::undecided;
 }
 
+double CumulativeSum::update(const RatedCounts& totals, const BadShares& shares)
+{
+    const RatedCounts added = countedSince(m_seen, totals);
+    m_seen = { std::max(totals.good, m_seen.good), std::max(totals.bad, m_seen.bad) };
+    m_value = std::max(0.0, m_value + logLikelihoodRatio(added, shares));
+    return m_value;
+}
+
 ChangeDetector::ChangeDetector(BadShares shares, double ratingsPerFalseStop)
     : m_shares(shares)
     , m_bound(std::log(ratingsPerFalseStop))
@@ -30,10 +43,7 @@
 
 bool ChangeDetector::update(const RatedCounts& totals)
 {
-    const RatedCounts batch { totals.good - std::min(totals.good, m_seen.good), totals.bad - std::min(totals.bad, m_seen.bad) };
-    m_seen = { std::max(totals.good, m_seen.good), std::max(totals.bad, m_seen.bad) };
-    m_sum = std::max(0.0, m_sum + logLikelihoodRatio(batch, m_shares));
-    m_turnedBad = m_turnedBad || m_sum >= m_bound;
+    m_turnedBad = m_sum.update(totals, m_shares) >= m_bound || m_turnedBad;
     return m_turnedBad;
 }
 
--- a/packages/policy/src/VersionShift.cpp
+++ b/packages/policy/src/VersionShift.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-    // Weight of a new sample in a mean of times.
-    constexpr double timeWeight = 0.1;
-
     // Stands for what no expectation holds: the way to an endpoint and back, and one step of an engine.
     constexpr std::chrono::microseconds leastExpected { 15'000 };
 
@@ -20,8 +17,6 @@
         return static_cast<double>(outcome.time.count()) / static_cast<double>((outcome.expected + leastExpected).count());
     }
 
-    constexpr double smallestValue = 1e-3; // Has a logarithm.
-
     // Never takes a share of bad answers for certain.
     constexpr double largestShare = 0.95;
 
@@ -30,12 +25,6 @@
         return std::find(list.begin(), list.end(), wanted) != list.end();
     }
 
-    // Returns what was counted since `before`.
-    RatedCounts addedTo(const RatedCounts& before, const RatedCounts& counts)
-    {
-        return { counts.good - std::min(counts.good, before.good), counts.bad - std::min(counts.bad, before.bad) };
-    }
-
     // Maps a draw to [0, 1).
     double unit(std::uint64_t draw)
     {
@@ -65,9 +54,10 @@
     constexpr double trialPart = 0.35;
     // Of the move. An order may be heard of half a second late, and a completion takes as long to be written.
     constexpr double completePart = 0.25;
+    constexpr double shortestTrial = 1e-3; // Of the period; can be divided by.
     const double move = std::clamp(movePart * exposureShare, 0.0, 1.0);
     const double moveAt = 1 - move;
-    return { .trialShare = trialPart * exposureShare / std::max(moveAt, smallestValue), .moveAt = moveAt, .completeAt = moveAt + completePart * move };
+    return { .trialShare = trialPart * exposureShare / std::max(moveAt, shortestTrial), .moveAt = moveAt, .completeAt = moveAt + completePart * move };
 }
 
 VersionShifts::VersionShifts(const ShiftSettings& settings)
@@ -85,7 +75,7 @@
     shift.order = order;
     shift.since = now;
     shift.own.order = order.revision;
-    for (const auto& [session, seen] : m_memories[order.service].sessions) {
+    for (const auto& [session, seen] : memoryOf(order.service).sessions) {
         if (seen.version != order.target && now - seen.lastSeen <= m_settings.sessionGap && isDrawnToTrial(session))
             shift.pins.push_back(session);
     }
@@ -127,9 +117,9 @@
         return;
     ShiftEvidence& known = found->second.others[instance];
     // An instance that has restarted counts from nothing.
-    found->second.fleetOthers.add(addedTo(known.otherFailures, evidence.otherFailures), m_settings.backgroundMemory, now);
+    found->second.fleetOthers.add(countedSince(known.otherFailures, evidence.otherFailures), m_settings.backgroundMemory, now);
     known = evidence;
-    judge(found->second, m_memories[service]);
+    judge(found->second, memoryOf(service));
 }
 
 double VersionShifts::progress(const Shift& shift, SteadyTime now) const
@@ -181,7 +171,7 @@
     const double share = shareNow(shift, now);
     bool takesTarget = unit(draw) < share;
     preference.reason = "drawn";
-    const ServiceMemory& memory = m_memories[service];
+    const ServiceMemory& memory = memoryOf(service);
     const auto remembered = memory.sessions.find(draw);
     if (hasSession && remembered != memory.sessions.end() && now - remembered->second.lastSeen <= m_settings.sessionGap) {
         // Nobody goes back from the target, and nobody goes to it during the trial.
@@ -200,7 +190,7 @@
 
 void VersionShifts::noteSession(const ServiceName& service, std::uint64_t session, const std::string& version, SteadyTime now)
 {
-    ServiceMemory& memory = m_memories[service];
+    ServiceMemory& memory = memoryOf(service);
     memory.sessions[session] = { version, now };
     sweepSessions(memory, now);
     const auto found = m_shifts.find(service);
@@ -218,7 +208,7 @@
 
 void VersionShifts::takePinned(const ServiceName& service, const std::vector<std::uint64_t>& sessions, SteadyTime now)
 {
-    ServiceMemory& memory = m_memories[service];
+    ServiceMemory& memory = memoryOf(service);
     for (const std::uint64_t session : sessions)
         memory.sessions[session] = { std::string(), now };
     sweepSessions(memory, now);
@@ -233,25 +223,9 @@
     std::erase_if(memory.sessions, [&](const auto& entry) { return now - entry.second.lastSeen > 2 * m_settings.sessionGap; });
 }
 
-bool VersionShifts::isSlow(const std::map<std::string, Baseline>& baselines, const std::string& measure, double value) const
-{
-    const auto found = baselines.find(measure);
-    if (found == baselines.end() || found->second.samples < m_settings.baselineSamples)
-        return false;
-    return value > m_settings.slowFactor * std::exp(found->second.logMean);
-}
-
-void VersionShifts::learn(std::map<std::string, Baseline>& baselines, const std::string& measure, double value)
-{
-    Baseline& baseline = baselines[measure];
-    ++baseline.samples;
-    const double weight = std::max(timeWeight, 1.0 / baseline.samples);
-    baseline.logMean += weight * (std::log(std::max(value, smallestValue)) - baseline.logMean);
-}
-
 void VersionShifts::recordOutcome(const ServiceName& service, const std::string& version, const VersionOutcome& outcome, SteadyTime now)
 {
-    ServiceMemory& memory = m_memories[service];
+    ServiceMemory& memory = memoryOf(service);
     if (isKnownCrash(memory, outcome, now))
         return;
     Background& background = memory.background;
@@ -259,8 +233,8 @@
     const bool isRunning = found != m_shifts.end() && found->second.state == ShiftState::running;
     const double time = relativeTime(outcome);
     const auto pause = static_cast<double>(outcome.pause.count());
-    const bool startsLate = outcome.time >= m_settings.slowMinimum && isSlow(memory.times, outcome.measure, time);
-    const bool isSlowAnswer = startsLate || (outcome.pause >= m_settings.slowPause && isSlow(memory.pauses, outcome.measure, pause));
+    const bool startsLate = outcome.time >= m_settings.slowMinimum && memory.times.exceeds(outcome.measure, time);
+    const bool isSlowAnswer = startsLate || (outcome.pause >= m_settings.slowPause && memory.pauses.exceeds(outcome.measure, pause));
     const double kept = std::exp(-std::chrono::duration<double>(now - background.at) / m_settings.backgroundMemory);
     if (isRunning && found->second.order.target == version) {
         ShiftEvidence& own = found->second.own;
@@ -273,9 +247,9 @@
         return;
     }
     if (!outcome.failed && outcome.time.count() > 0)
-        learn(memory.times, outcome.measure, time);
+        memory.times.learn(outcome.measure, time);
     if (!outcome.failed && outcome.pause.count() > 0)
-        learn(memory.pauses, outcome.measure, pause);
+        memory.pauses.learn(outcome.measure, pause);
     if (isRunning) {
         RatedCounts& others = found->second.own.otherFailures;
         ++(outcome.failed ? others.bad : others.good);
@@ -308,16 +282,6 @@
     return shares;
 }
 
-// A cumulative sum test (Page, Biometrika 41, 1954): what a version answered well before it turned bad doesn't count
-// in its favour.
-bool VersionShifts::update(Detector& detector, const RatedCounts& totals, const BadShares& shares, double stopAt)
-{
-    const RatedCounts added = addedTo(detector.seen, totals);
-    detector.seen = { std::max(totals.good, detector.seen.good), std::max(totals.bad, detector.seen.bad) };
-    detector.sum = std::max(0.0, detector.sum + logLikelihoodRatio(added, shares));
-    return detector.sum >= stopAt;
-}
-
 void VersionShifts::Fading::add(const RatedCounts& counts, std::chrono::milliseconds memory, SteadyTime now)
 {
     const double kept = std::exp(-std::chrono::duration<double>(now - at) / memory);
@@ -339,11 +303,11 @@
         failures = { failures.good + evidence.failures.good, failures.bad + evidence.failures.bad };
         slowness = { slowness.good + evidence.slowness.good, slowness.bad + evidence.slowness.bad };
     }
-    const bool ownFails = update(shift.ownFailures, shift.own.failures, failing, m_settings.failureStopAt);
+    const bool ownFails = shift.ownFailures.update(shift.own.failures, failing) >= m_settings.failureStopAt;
     // One instance sees too few answers of the other versions to know what a wave of crashes makes fail.
     const BadShares fleetFailing = sharesOver(m_settings.failureBackground, shift.fleetOthers.badShare(), m_settings.failureExcess);
-    const bool fleetFails = update(shift.fleetFailures, failures, fleetFailing, m_settings.failureStopAt);
-    const bool fleetIsSlow = update(shift.fleetSlowness, slowness, slow, m_settings.slowStopAt);
+    const bool fleetFails = shift.fleetFailures.update(failures, fleetFailing) >= m_settings.failureStopAt;
+    const bool fleetIsSlow = shift.fleetSlowness.update(slowness, slow) >= m_settings.slowStopAt;
     if (ownFails || fleetFails)
         rollBack(shift, ownFails ? shift.own.failures : failures, ownFails ? failing : fleetFailing, "failed");
     else if (fleetIsSlow)
