--- a/packages/peer/include/whinyard/peer/HeardRevisions.h
+++ b/packages/peer/include/whinyard/peer/HeardRevisions.h
@@ -2,8 +2,8 @@
 //
 // Followers state up to which revision they know the operators' records. An instance that is behind reads them from one
 // that isn't, one read at a time: a read that makes progress is never begun anew, and after one that failed the next waits
-// longer each time and is made of another instance. A follower does the same beside its own watch of the store, which may stay silent over a change
-// without being cut. Pure: the daemon makes the reads.
+// longer each time and is made of another instance. A follower does the same beside its own watch of the store, which may
+// stay silent over a change without being cut. Pure: the daemon makes the reads.
 #pragma once
 
 #include "whinyard/base/Clock.h"
