Have the test of reads that make progress see a read that is ended

Its fake client went on with an answer whose call had been cancelled, so the test passed also where JsonCalls ended reads that were under way: a fault planted there wasn't seen. The fake ends such an answer now, which is stricter; the product does the same as before and passes.

--- a/packages/backing/test/JsonCallsTest.cpp
+++ b/packages/backing/test/JsonCallsTest.cpp
@@ -29,7 +29,7 @@
             if (beforeHead)
                 beforeHead();
             if (!callOptions.cancellation->cancelled())
-                return std::make_unique<Stream>(*this);
+                return std::make_unique<Stream>(*this, *callOptions.cancellation);
             failure = { .kind = ErrorKind::cancelled, .reason = "cancelled" };
             return nullptr;
         }
@@ -37,14 +37,16 @@
     private:
         class Stream final : public net::HttpStream {
         public:
-            explicit Stream(SlowClient& client)
+            Stream(SlowClient& client, const net::HttpCancellation& cancellation)
                 : m_client(client)
+                , m_cancellation(cancellation)
             {
             }
 
             const net::HttpResponse& head() const override { return m_head; }
 
-            std::optional<std::string> read(Failure&) override
+            // A call that is cancelled ends, whatever has arrived of its answer.
+            std::optional<std::string> read(Failure& failure) override
             {
                 if (m_client.pieces.empty())
                     return std::string();
@@ -52,13 +54,17 @@
                 m_client.pieces.pop_front();
                 if (before)
                     before();
-                return piece;
+                if (!m_cancellation.cancelled())
+                    return piece;
+                failure = { .kind = ErrorKind::cancelled, .reason = "cancelled" };
+                return std::nullopt;
             }
 
             void cancel() override { }
 
         private:
             SlowClient& m_client;
+            const net::HttpCancellation& m_cancellation;
             const net::HttpResponse m_head;
         };
     };
