Tell no list before what did not return is dropped from it

Cause: a list counted as settled as soon as the span after an outage had passed, while entries that hadn't returned are dropped by the next settle(), up to 200 ms later. A list told in between held what had left, and was used until the next one came. Change: isSettled() also asks that nothing is kept. What a follower told before an outage is forgotten with the outage, so that an instance that has just started can't get it either.

--- a/apps/whinyardd/entry/RosterWatch.cpp
+++ b/apps/whinyardd/entry/RosterWatch.cpp
@@ -77,6 +77,7 @@
 {
     m_roster.storeFailed();
     m_storeFails = true;
+    m_told.clear(); // Others that have lost this follower ask for the whole list anyway.
     m_relay.noteFailed(m_shared.clock.now());
 }
 
@@ -130,7 +131,7 @@
 // What was told last: the changes that follow build on it.
 std::optional<std::string> RosterWatch::told()
 {
-    if (!mayTell())
+    if (!mayTell() || m_told.empty())
         return std::nullopt;
     if (m_encoded.empty() || m_encodedSequence != m_sequence) {
         peer::RosterList list { m_shared.settings.instance, m_life, m_sequence, m_operators.revision(), {} };
--- a/packages/endpoint/include/whinyard/endpoint/EndpointRoster.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointRoster.h
@@ -35,8 +35,9 @@
     void storeFailed();
     void storeAnswered(SteadyTime now);
 
-    // Returns whether the list holds no more than the store lists: the store answers, and has for long enough. While it is
-    // not so, the list may hold endpoints that have left, and must not be told to instances that know better.
+    // Returns whether the list holds no more than the store lists: the store answers, has for long enough, and settle() has
+    // dropped what didn't return. While it is not so, the list may hold endpoints that have left, and must not be told to
+    // instances that know better.
     bool isSettled(SteadyTime now) const;
 
     // Drops the entries that were kept for long enough. Returns whether the list has changed, for any reason, since
@@ -52,6 +53,9 @@
         std::optional<SteadyTime> goneAt; // When it is dropped unless it is listed again.
     };
 
+    // Returns whether the store answers, and has for long enough that what it doesn't list is gone.
+    bool isStoreComplete(SteadyTime now) const;
+
     void drop(std::map<EndpointName, Entry>::iterator entry, SteadyTime now);
 
     const RosterSettings m_settings;
--- a/packages/endpoint/src/EndpointRoster.cpp
+++ b/packages/endpoint/src/EndpointRoster.cpp
@@ -43,7 +43,7 @@
 
 void EndpointRoster::drop(std::map<EndpointName, Entry>::iterator entry, SteadyTime now)
 {
-    if (!isSettled(now) && !entry->second.endpoint.leaving) {
+    if (!isStoreComplete(now) && !entry->second.endpoint.leaving) {
         entry->second.goneAt = m_backSince.value_or(now) + m_settings.returnWithin;
         return;
     }
@@ -63,6 +63,12 @@
 }
 
 bool EndpointRoster::isSettled(SteadyTime now) const
+{
+    const auto isKept = [](const auto& entry) { return entry.second.goneAt.has_value(); };
+    return isStoreComplete(now) && std::none_of(m_entries.begin(), m_entries.end(), isKept);
+}
+
+bool EndpointRoster::isStoreComplete(SteadyTime now) const
 {
     return !m_storeFails && (!m_backSince || now >= *m_backSince + m_settings.returnWithin);
 }
