--- a/packages/endpoint/test/EndpointRosterTest.cpp
+++ b/packages/endpoint/test/EndpointRosterTest.cpp
@@ -61,7 +61,7 @@
         EXPECT_TRUE(m_roster.isSettled(m_clock.now()));
     }
 
-    // A follower told its list after the span of an outage had passed and up to 91 ms before it dropped what had not returned: 47
+    // A follower told its list after the span of an outage had passed and up to 92 ms before it dropped what had not returned: 47
     // endpoints that had left were used by others for 0.3 s, one of them 3.7 s after it had said that it leaves.
     TEST_F(EndpointRosterTest, IsNotSettledBeforeItHasDroppedWhatDidNotReturn)
     {
