Test an endpoint that another instance says is gone after an own outage

Its lines: edge-zlin-hall-2 was turned away by the store until 26.210 s; at 26.224 s the follower told that an endpoint was gone, and all others had 24 entries, this one 25 until 28.452 s. In between it sent requests there, 2,209 ms after the endpoint had left, bound 2,000. An instance keeps what vanishes around an outage of its own, also where a follower that knows better says so.

--- a/packages/endpoint/include/whinyard/endpoint/EndpointRoster.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointRoster.h
@@ -31,6 +31,10 @@
     void put(const backing::ListedEndpoint& endpoint);
     void remove(const EndpointName& endpoint, SteadyTime now);
 
+    // Take the same from another instance whose list is settled: what it says is gone is gone.
+    void replaceByTold(const std::vector<backing::ListedEndpoint>& listed, SteadyTime now);
+    void removeByTold(const EndpointName& endpoint, SteadyTime now);
+
     // Notes that a call to the store failed, or succeeded.
     void storeFailed();
     void storeAnswered(SteadyTime now);
--- a/packages/endpoint/src/EndpointRoster.cpp
+++ b/packages/endpoint/src/EndpointRoster.cpp
@@ -41,6 +41,16 @@
         drop(entry, now);
 }
 
+void EndpointRoster::replaceByTold(const std::vector<backing::ListedEndpoint>& listed, SteadyTime now)
+{
+    replace(listed, now);
+}
+
+void EndpointRoster::removeByTold(const EndpointName& endpoint, SteadyTime now)
+{
+    remove(endpoint, now);
+}
+
 void EndpointRoster::drop(std::map<EndpointName, Entry>::iterator entry, SteadyTime now)
 {
     if (!isStoreComplete(now) && !entry->second.endpoint.leaving) {
--- a/packages/endpoint/test/EndpointRosterTest.cpp
+++ b/packages/endpoint/test/EndpointRosterTest.cpp
@@ -75,6 +75,20 @@
         EXPECT_TRUE(m_roster.isSettled(m_clock.now()));
     }
 
+    // An instance that the store had turned away heard from a follower that an endpoint was gone, and used it for 2.2 s more:
+    // it kept what its own outage might have hidden, though the follower had known better all the while.
+    TEST_F(EndpointRosterTest, DropsAtOnceWhatAnotherInstanceSaysIsGone)
+    {
+        m_roster.storeFailed();
+        m_clock.advance(4s);
+        m_roster.storeAnswered(m_clock.now());
+        m_roster.removeByTold({ "a" }, m_clock.now());
+        EXPECT_FALSE(has("a"));
+        m_roster.replaceByTold({ listed("d") }, m_clock.now());
+        EXPECT_FALSE(has("b"));
+        EXPECT_TRUE(has("d"));
+    }
+
     TEST_F(EndpointRosterTest, KeepsEntriesThatLapsedWhileTheStoreWasAway)
     {
         m_roster.storeFailed();
