Take a follower's word that an endpoint is gone, whatever the own outage hid

Cause: EndpointRoster keeps what vanishes within 2.2 s after an outage of the store, as entries may have lapsed meanwhile. It did so for a follower's word as well, which comes from a settled list only. An instance that was turned away alone so used endpoints that all others had dropped. Change: what is told replaces and removes at once; what the own reads don't list is kept as before.

--- a/apps/whinyardd/entry/RosterWatch.cpp
+++ b/apps/whinyardd/entry/RosterWatch.cpp
@@ -156,7 +156,7 @@
     if (!m_relay.hearWhole({ list->instance, list->life, list->sequence, false }, now))
         return;
     log::info("endpoints told", { { "by", list->instance.value }, { "listed", std::to_string(list->endpoints.size()) }, { "sequence", std::to_string(list->sequence) } });
-    m_roster.replaceByTold(list->endpoints, now);
+    m_roster.replaceByTold(list->endpoints);
     settle();
 }
 
@@ -176,7 +176,7 @@
     for (const backing::ListedEndpoint& endpoint : notice.changed)
         m_roster.put(endpoint);
     for (const EndpointName& name : notice.gone)
-        m_roster.removeByTold(name, now);
+        m_roster.removeByTold(name);
     settle();
 }
 
--- a/packages/endpoint/include/whinyard/endpoint/EndpointRoster.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointRoster.h
@@ -32,8 +32,8 @@
     void remove(const EndpointName& endpoint, SteadyTime now);
 
     // Take the same from another instance whose list is settled: what it says is gone is gone.
-    void replaceByTold(const std::vector<backing::ListedEndpoint>& listed, SteadyTime now);
-    void removeByTold(const EndpointName& endpoint, SteadyTime now);
+    void replaceByTold(const std::vector<backing::ListedEndpoint>& listed);
+    void removeByTold(const EndpointName& endpoint);
 
     // Notes that a call to the store failed, or succeeded.
     void storeFailed();
--- a/packages/endpoint/src/EndpointRoster.cpp
+++ b/packages/endpoint/src/EndpointRoster.cpp
@@ -11,14 +11,22 @@
 {
 }
 
+namespace {
+
+    bool lists(const std::vector<backing::ListedEndpoint>& listed, const EndpointName& name)
+    {
+        return std::any_of(listed.begin(), listed.end(), [&](const auto& endpoint) { return endpoint.name == name; });
+    }
+
+}
+
 void EndpointRoster::replace(const std::vector<backing::ListedEndpoint>& listed, SteadyTime now)
 {
     for (const backing::ListedEndpoint& endpoint : listed)
         put(endpoint);
     for (auto entry = m_entries.begin(); entry != m_entries.end();) {
         const auto next = std::next(entry);
-        const bool isListed = std::any_of(listed.begin(), listed.end(), [&](const auto& endpoint) { return endpoint.name == entry->first; });
-        if (!isListed && !entry->second.goneAt)
+        if (!lists(listed, entry->first) && !entry->second.goneAt)
             drop(entry, now);
         entry = next;
     }
@@ -41,14 +49,18 @@
         drop(entry, now);
 }
 
-void EndpointRoster::replaceByTold(const std::vector<backing::ListedEndpoint>& listed, SteadyTime now)
+void EndpointRoster::replaceByTold(const std::vector<backing::ListedEndpoint>& listed)
 {
-    replace(listed, now);
+    for (const backing::ListedEndpoint& endpoint : listed)
+        put(endpoint);
+    if (std::erase_if(m_entries, [&](const auto& entry) { return !lists(listed, entry.first); }) > 0)
+        m_changed = true;
 }
 
-void EndpointRoster::removeByTold(const EndpointName& endpoint, SteadyTime now)
+void EndpointRoster::removeByTold(const EndpointName& endpoint)
 {
-    remove(endpoint, now);
+    if (m_entries.erase(endpoint) > 0)
+        m_changed = true;
 }
 
 void EndpointRoster::drop(std::map<EndpointName, Entry>::iterator entry, SteadyTime now)
--- a/packages/endpoint/test/EndpointRosterTest.cpp
+++ b/packages/endpoint/test/EndpointRosterTest.cpp
@@ -82,9 +82,9 @@
         m_roster.storeFailed();
         m_clock.advance(4s);
         m_roster.storeAnswered(m_clock.now());
-        m_roster.removeByTold({ "a" }, m_clock.now());
+        m_roster.removeByTold({ "a" });
         EXPECT_FALSE(has("a"));
-        m_roster.replaceByTold({ listed("d") }, m_clock.now());
+        m_roster.replaceByTold({ listed("d") });
         EXPECT_FALSE(has("b"));
         EXPECT_TRUE(has("d"));
     }
