Drop what did not return before telling, not up to 0.2 s later

Since a list isn't settled before that, followers would tell theirs up to 200 ms later than before, of a bound of 2 s at the smallest sites. tell() and told() settle first.

--- a/apps/whinyardd/entry/RosterWatch.cpp
+++ b/apps/whinyardd/entry/RosterWatch.cpp
@@ -131,6 +131,7 @@
 // What was told last: the changes that follow build on it.
 std::optional<std::string> RosterWatch::told()
 {
+    settle();
     if (!mayTell() || m_told.empty())
         return std::nullopt;
     if (m_encoded.empty() || m_encodedSequence != m_sequence) {
@@ -182,6 +183,7 @@
 
 void RosterWatch::tell()
 {
+    settle(); // What didn't return is dropped now: others wait for the list, and 0.2 s are a tenth of the shortest bound.
     if (!mayTell()) {
         if (isFollower())
             tellWithoutList();
