Test what an instance takes from a follower after it has followed itself

It had followed the store itself while a follower failed, and then took that one's changes, which build on an older list.

--- a/packages/endpoint/test/RosterRelayTest.cpp
+++ b/packages/endpoint/test/RosterRelayTest.cpp
@@ -87,6 +87,22 @@
         EXPECT_FALSE(second.isSecondFollower(m_clock.now())) << "the first one has fallen silent";
     }
 
+    // While one follower fails, the third in order follows too, and takes its list from the store. What the first then tells
+    // doesn't build on that list: an endpoint that came and left meanwhile was in no change, and was used for ever.
+    TEST_F(RosterRelayTest, NeedsTheWholeListAfterItHasFollowedItself)
+    {
+        const InstanceName third = orderedNames()[2];
+        RosterRelay relay(third);
+        relay.useInstances(candidates(), m_clock.now());
+        relay.hear({ m_lead, 1, 0, false }, m_clock.now());
+        relay.hear({ m_second, 1, 0, false }, m_clock.now());
+        ASSERT_TRUE(relay.hearWhole({ m_lead, 1, 0, false }, m_clock.now()));
+        relay.hear({ m_lead, 1, 0, false, false }, m_clock.now());
+        ASSERT_TRUE(relay.isFollower(m_clock.now()));
+        EXPECT_EQ(relay.hear({ m_second, 1, 1, true }, m_clock.now()), RelayAction::ignore);
+        EXPECT_EQ(relay.hear({ m_lead, 1, 1, true }, m_clock.now()), RelayAction::incomplete);
+    }
+
     TEST_F(RosterRelayTest, AgreesOnTwoFollowersWithoutAWord)
     {
         EXPECT_EQ(m_followers.size(), 2U);
