Keep what was told before an outage as what changes build on

My change to forget it was wrong: with it the first changes after an outage name all endpoints and none as gone, so an instance that takes them keeps what has left. It stays the base of changes now, and only isn't told as a whole until it was told anew.

--- a/apps/whinyardd/entry/RosterWatch.cpp
+++ b/apps/whinyardd/entry/RosterWatch.cpp
@@ -77,7 +77,7 @@
 {
     m_roster.storeFailed();
     m_storeFails = true;
-    m_told.clear(); // Others that have lost this follower ask for the whole list anyway.
+    m_isToldCurrent = false;
     m_relay.noteFailed(m_shared.clock.now());
 }
 
@@ -132,7 +132,7 @@
 std::optional<std::string> RosterWatch::told()
 {
     settle();
-    if (!mayTell() || m_told.empty())
+    if (!mayTell() || !m_isToldCurrent)
         return std::nullopt;
     if (m_encoded.empty() || m_encodedSequence != m_sequence) {
         peer::RosterList list { m_shared.settings.instance, m_life, m_sequence, m_operators.revision(), {} };
@@ -203,6 +203,7 @@
             gone.push_back(name);
     }
     m_told = std::move(now);
+    m_isToldCurrent = true;
     broadcast(std::move(changed), std::move(gone));
 }
 
--- a/apps/whinyardd/entry/RosterWatch.h
+++ b/apps/whinyardd/entry/RosterWatch.h
@@ -78,6 +78,7 @@
     const std::uint64_t m_life; // Names this process's notices.
     std::uint64_t m_sequence = 0; // Of the last notice with changes.
     std::map<EndpointName, backing::ListedEndpoint> m_told; // The list as the others were told.
+    bool m_isToldCurrent = false; // It was told since the store failed last. Changes are told against it all the same.
     std::set<std::string> m_unreadable; // Keys whose entries couldn't be read when they were written last.
     bool m_storeFails = false;
     std::size_t m_reads = 0; // Of the whole list from other instances, under way.
