Need the whole list from a follower after having followed the store

Cause: an instance that follows the store for a while, because one of the two followers fails, ignored what others stated, and with that who its source was. Back among the listeners it took the next changes of its former source as if they built on its own list. Change: the source is forgotten while the instance follows itself, so that the next statement makes it read the whole list. Before: the test fails.

--- a/packages/endpoint/src/RosterRelay.cpp
+++ b/packages/endpoint/src/RosterRelay.cpp
@@ -179,7 +179,11 @@
         failedAt = known == m_heard.end() ? now : known->second.failedAt.value_or(now);
     }
     m_heard[statement.instance] = { statement.life, statement.sequence, now, failedAt };
-    if (isFollower(now) || source(now) != statement.instance)
+    if (isFollower(now)) {
+        m_source.reset(); // Its own list comes from the store, and nobody's changes build on it.
+        return RelayAction::ignore;
+    }
+    if (source(now) != statement.instance)
         return RelayAction::ignore;
     const bool isSame = m_source == statement.instance;
     m_source = statement.instance;
