Name the content of a request and the end of its endpoint in the lines of a lost attempt

A lost attempt now names a digest of customer, method, host, target and body, and whether anybody still listens at the endpoint's address, which a connection that is closed at once tells within a way there and back. No change of logic but that the next attempt waits for it.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -110,7 +110,8 @@
 bool ServeDuty::openOnDuty(Failure& failure)
 {
     m_client = net::HttpClient::create(m_duty);
-    const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, *m_client, m_fibers, &m_link };
+    m_listening = net::ListenProbe::create(m_duty);
+    const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, *m_client, *m_listening, m_fibers, &m_link };
     m_forwarder = std::make_unique<router::Forwarder>(parts, forwarderSettings(m_shared.settings.bounds, m_shared.settings.tuning), seededRandom());
     const net::HttpHandler forward = [this](const net::HttpRequest& request, net::HttpResponder& responder) { m_forwarder->handle(request, responder); };
     const net::HttpHandler tellReadiness = [this](const net::HttpRequest&, net::HttpResponder& responder) {
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -8,6 +8,7 @@
 #include "whinyard/endpoint/EndpointDirectory.h"
 #include "whinyard/net/Duty.h"
 #include "whinyard/net/HttpServer.h"
+#include "whinyard/net/ListenProbe.h"
 #include "whinyard/policy/ModelChoice.h"
 #include "whinyard/policy/VersionShift.h"
 #include "whinyard/router/Forwarder.h"
@@ -80,6 +81,7 @@
     net::Duty m_duty { "serve" };
     DutyFibers m_fibers { m_duty };
     std::unique_ptr<net::HttpClient> m_client;
+    std::unique_ptr<net::ListenProbe> m_listening;
     std::unique_ptr<router::Forwarder> m_forwarder;
     std::unique_ptr<net::HttpServer> m_server;
     std::unique_ptr<net::HttpServer> m_readiness;
--- /dev/null
+++ b/packages/net/include/whinyard/net/ListenProbe.h
@@ -0,0 +1,33 @@
+// Tells whether a process still listens at an address.
+//
+// A connection that is lost says nothing about its peer's process: the connection alone may have been reset. The forwarding
+// path asks this after a loss, to tell one from the other within the time of a way there and back.
+#pragma once
+
+#include "whinyard/net/Address.h"
+#include "whinyard/net/Duty.h"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+
+namespace whinyard::net {
+
+enum class Listening : std::uint8_t {
+    yes, // A connection was accepted; it is closed at once.
+    no, // The peer's machine answered that nobody listens there.
+    unknown, // No answer in time.
+};
+
+class ListenProbe {
+public:
+    // Belongs to the duty.
+    static std::unique_ptr<ListenProbe> create(Duty& duty);
+
+    virtual ~ListenProbe() = default;
+
+    // Suspends the calling fiber, at most for `patience`.
+    virtual Listening ask(const Address& address, std::chrono::milliseconds patience) = 0;
+};
+
+}
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -11,6 +11,7 @@
 #include "whinyard/endpoint/EndpointDirectory.h"
 #include "whinyard/net/HttpClient.h"
 #include "whinyard/net/HttpServer.h"
+#include "whinyard/net/ListenProbe.h"
 #include "whinyard/policy/EnginePrice.h"
 #include "whinyard/policy/ModelChoice.h"
 #include "whinyard/policy/VersionShift.h"
@@ -41,6 +42,7 @@
     policy::VersionShifts& shifts;
     policy::ModelChoice& models;
     net::HttpClient& client;
+    net::ListenProbe& listening;
     Fibers& fibers;
     WorkObserver* work = nullptr; // Null: nobody is told.
 };
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -10,6 +10,22 @@
 
 namespace {
 
+    // Many times the way there and back within a region. The next attempt waits for it.
+    constexpr std::chrono::milliseconds listenPatience { 100 };
+
+    std::string_view text(net::Listening listening)
+    {
+        switch (listening) {
+        case net::Listening::yes:
+            return "yes";
+        case net::Listening::no:
+            return "no";
+        case net::Listening::unknown:
+            break;
+        }
+        return "unknown";
+    }
+
     // What a page of 300 or more says of an endpoint: its own failures count, a caller's mistake doesn't.
     bool isEndpointFault(int status)
     {
@@ -65,10 +81,21 @@
     attempt.end(isFault ? fault : endpoint::EndpointOutcome::cancelled);
     // Silence that was not waited out is slowness, of which load has its share; a lost connection is a failure.
     noteOutcome(attempt, !m_stalled);
-    log::info("attempt failed", { { "request", m_request.id }, { "endpoint", attempt.target().endpoint.name.value }, { "reason", m_failure.reason }, { "elapsedMs", text(attempt.age()) }, { "events", std::to_string(m_events) } });
+    const net::Listening listening = attempt.connectionLost() ? askForEndpoint(attempt) : net::Listening::unknown;
+    log::info("attempt failed", { { "request", m_request.id }, { "digest", toText(m_digest) }, { "endpoint", attempt.target().endpoint.name.value }, { "endpointListens", std::string(text(listening)) }, { "reason", m_failure.reason }, { "elapsedMs", text(attempt.age()) }, { "hadHead", attempt.hasHead() ? "true" : "false" }, { "events", std::to_string(m_events) } });
     return AttemptEnd::broken;
 }
 
+// A process that has ended is told from a connection that was reset by asking whether anybody listens there: the answer comes
+// within a way there and back, long before the list of endpoints shows it.
+net::Listening ForwardRun::askForEndpoint(const ForwardAttempt& attempt)
+{
+    const net::Listening listening = m_core.parts.listening.ask(attempt.target().endpoint.address, listenPatience);
+    if (listening == net::Listening::no)
+        m_core.parts.metrics.add("whinyard_lost_with_endpoint_total");
+    return listening;
+}
+
 ForwardRun::AttemptEnd ForwardRun::answerStream(ForwardAttempt& attempt)
 {
     endpoint::EventFramer framer(m_lastEvent);
--- a/packages/router/src/internal/ForwardAttempt.cpp
+++ b/packages/router/src/internal/ForwardAttempt.cpp
@@ -32,6 +32,7 @@
     m_stream = m_core.parts.client.open(m_target.endpoint.address, m_core.parts.codec.encodeAttempt(m_request, head), options, m_progress, m_failure);
     if (m_stream)
         return judgeHead();
+    m_connectionLost = wasSent() && m_failure.kind == ErrorKind::endpointFailed;
     return wasSent() ? HeadVerdict::broken : HeadVerdict::notRun;
 }
 
@@ -75,7 +76,9 @@
 std::optional<std::string> ForwardAttempt::read(std::chrono::milliseconds patience)
 {
     m_stream->usePieceTimeout(patience);
-    return m_stream->read(m_failure);
+    std::optional<std::string> piece = m_stream->read(m_failure);
+    m_connectionLost = !piece && m_failure.kind == ErrorKind::endpointFailed;
+    return piece;
 }
 
 void ForwardAttempt::cancel()
--- a/packages/router/src/internal/ForwardAttempt.h
+++ b/packages/router/src/internal/ForwardAttempt.h
@@ -50,6 +50,8 @@
     const EndpointReply& reply() const { return m_reply; }
     const net::HttpResponse& head() const { return m_stream->head(); }
     const Failure& failure() const { return m_failure; }
+    bool connectionLost() const { return m_connectionLost; } // Without the end of an answer, and not by us.
+    bool hasHead() const { return m_stream != nullptr; }
     bool timedOut() const { return m_failure.kind == ErrorKind::deadlineExceeded; }
     bool wasSent() const { return m_progress.bytesWritten > 0; }
     std::chrono::nanoseconds age() const { return m_core.parts.clock.now() - m_use.began(); }
@@ -65,6 +67,7 @@
     net::HttpCancellation m_cancellation;
     net::HttpCallProgress m_progress;
     std::unique_ptr<net::HttpStream> m_stream;
+    bool m_connectionLost = false;
     EndpointReply m_reply;
     Failure m_failure;
 };
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -96,6 +96,7 @@
     , m_request(request)
     , m_admission(std::move(admission))
     , m_caller(caller)
+    , m_digest(digest())
     , m_arrived(core.parts.clock.now())
     , m_lastEvent(request.resumeAfter)
 {
@@ -104,6 +105,12 @@
     m_service = drawService();
 }
 
+RequestDigest ForwardRun::digest() const
+{
+    const net::HttpRequest& message = m_request.message;
+    return digestOf({ .customer = m_admission.customer.value, .method = message.method, .host = m_request.host, .target = message.target, .body = message.body });
+}
+
 std::chrono::milliseconds ForwardRun::timeLeft() const
 {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now());
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "internal/ForwardAttempt.h"
+#include "whinyard/base/RequestDigest.h"
 #include "whinyard/config/Routing.h"
 #include "whinyard/endpoint/EventFramer.h"
 
@@ -47,6 +48,7 @@
     bool prepare();
     bool passGate();
     const ServiceName& drawService() const;
+    RequestDigest digest() const;
     std::uint64_t sessionDigest() const;
     std::optional<AttemptTarget> chooseTarget(Failure& failure);
     std::optional<AttemptTarget> chooseAmong(const std::vector<std::string>& versions, endpoint::EndpointWish& wished, Failure& failure);
@@ -66,6 +68,7 @@
     bool relay(ForwardAttempt& attempt, endpoint::EventFramer& framer, std::string_view bytes);
     AttemptEnd keepFailure(ForwardAttempt& attempt);
     AttemptEnd breakOff(ForwardAttempt& attempt);
+    net::Listening askForEndpoint(const ForwardAttempt& attempt);
     bool stepsUp(const ForwardAttempt& attempt);
     AttemptHead headFor(const AttemptTarget& target) const;
     std::uint8_t endpointPriority() const;
@@ -90,6 +93,7 @@
     const ForwardedRequest& m_request;
     Admission m_admission;
     net::HttpResponder& m_caller;
+    RequestDigest m_digest; // Of what is asked, whatever its id.
     const SteadyTime m_arrived;
     SteadyTime m_deadline;
 
--- a/packages/router/testing/whinyard/router/ForwarderFakes.h
+++ b/packages/router/testing/whinyard/router/ForwarderFakes.h
@@ -82,6 +82,19 @@
     }
 };
 
+// Answers as a test says, and runs what it is to run while it is asked.
+class FakeListenProbe final : public net::ListenProbe {
+public:
+    net::Listening answer = net::Listening::yes;
+    int asked = 0;
+
+    net::Listening ask(const net::Address&, std::chrono::milliseconds) override
+    {
+        ++asked;
+        return answer;
+    }
+};
+
 // One forwarder with two endpoints of one service.
 class ForwarderBench {
 public:
@@ -177,8 +190,9 @@
     policy::VersionShifts shifts;
     policy::ModelChoice models { { .cheapFirstBelow = 1 } };
     endpoint::FakeHttpClient client;
+    FakeListenProbe listening;
     FakeFibers fibers { clock };
-    Forwarder forwarder { { clock, metrics, source, codec, directory, shifts, models, client, fibers }, { .repeatRatio = 1, .repeatsPerSecond = 10 }, Random(2) };
+    Forwarder forwarder { { clock, metrics, source, codec, directory, shifts, models, client, listening, fibers }, { .repeatRatio = 1, .repeatsPerSecond = 10 }, Random(2) };
 };
 
 }
