--- a/apps/whinyardd/entry/PeerLink.cpp
+++ b/apps/whinyardd/entry/PeerLink.cpp
@@ -1,5 +1,6 @@
 #include "entry/PeerLink.h"
 
+#include "Shared.h"
 #include "whinyard/base/Log.h"
 #include "whinyard/policy/ShiftRecords.h"
 
@@ -14,12 +15,22 @@
 
     constexpr std::chrono::seconds receiveWait { 30 };
 
+    // Notices of lost requests are sent each tick of 50 ms; so many of them at most, so that a wave of failures fills no link.
+    constexpr int mostQueryNotices = 2;
+
+    // An instance that was frozen, cut off or away when a verdict was told hears of it within some seconds: each of N tells three
+    // drawn ones each second, so that one is missed by all in a second with e^-3, and in three seconds with e^-9.
+    constexpr std::chrono::milliseconds repeatInterval { 1'000 };
+    constexpr std::size_t repeatTargets = 3;
+
 }
 
-PeerLink::PeerLink(EntryShared& shared, endpoint::EndpointDirectory& directory, policy::VersionShifts& shifts)
+PeerLink::PeerLink(EntryShared& shared, endpoint::EndpointDirectory& directory, policy::VersionShifts& shifts, policy::QueryOfDeathTable& queries)
     : m_shared(shared)
     , m_directory(directory)
     , m_shifts(shifts)
+    , m_queries(queries)
+    , m_random(seededRandom())
 {
 }
 
@@ -39,12 +50,51 @@
     if (!m_socket || m_peers.empty())
         return;
     const std::string bytes = peer::encodeNotice(notice);
-    for (const net::Address& to : m_peers) {
-        Failure failure;
-        if (!m_socket->send(to, bytes, failure))
-            m_shared.metrics.add("whinyard_notices_unsent_total");
+    for (const net::Address& to : m_peers)
+        send(to, bytes);
+}
+
+void PeerLink::send(const net::Address& to, const std::string& bytes)
+{
+    Failure failure;
+    m_shared.metrics.add(m_socket->send(to, bytes, failure) ? "whinyard_notices_sent_total" : "whinyard_notices_unsent_total");
+}
+
+void PeerLink::tellQueries()
+{
+    const SteadyTime now = m_shared.clock.now();
+    for (const policy::QueryChange& change : m_queries.takeChanges())
+        log::warning(change.isRefused ? "request refused from now on" : "request no longer refused", { { "digest", toText(change.request) }, { "service", change.service.value }, { "endpointsEnded", std::to_string(change.endpointsEnded) }, { "reason", std::string(toText(change.reason)) } });
+    for (int notices = 0; notices < mostQueryNotices; ++notices) {
+        const QueryNews news = m_queries.takeNews(now);
+        if (news.empty())
+            break;
+        for (const QueryVerdict& verdict : news.verdicts)
+            log::info("verdict told", { { "digest", toText(verdict.request) }, { "service", verdict.service.value }, { "endpointsEnded", std::to_string(verdict.lives.size()) }, { "instances", std::to_string(m_peers.size()) } });
+        broadcast(peer::QueryNotice { news });
+    }
+    if (now - m_verdictsToldAt >= repeatInterval) {
+        m_verdictsToldAt = now;
+        repeatVerdicts();
     }
-    m_shared.metrics.add("whinyard_notices_sent_total", m_peers.size());
+}
+
+// Where many hold, some of them are drawn: an instance that missed more reads them from the store.
+void PeerLink::repeatVerdicts()
+{
+    std::vector<QueryVerdict> verdicts = m_queries.standing(m_shared.clock.now());
+    m_shared.metrics.set("whinyard_queries_of_death", static_cast<double>(verdicts.size()));
+    if (!m_socket || m_peers.empty() || verdicts.empty())
+        return;
+    peer::QueryNotice notice;
+    while (!verdicts.empty() && notice.news.verdicts.size() < mostVerdicts) {
+        const auto drawn = verdicts.begin() + static_cast<std::ptrdiff_t>(below(m_random, verdicts.size()));
+        notice.news.verdicts.push_back(*drawn);
+        verdicts.erase(drawn);
+    }
+    const std::string bytes = peer::encodeNotice(notice);
+    for (std::size_t i = 0; i < repeatTargets; ++i)
+        send(m_peers[below(m_random, m_peers.size())], bytes);
 }
 
 void PeerLink::gave(const EndpointName& endpoint, std::chrono::nanoseconds work, const std::vector<std::uint64_t>& prefix)
@@ -123,6 +173,17 @@
         m_handlers.records(notice);
 }
 
+void PeerLink::take(const peer::QueryNotice& notice)
+{
+    const SteadyTime now = m_shared.clock.now();
+    for (const RequestLoss& loss : notice.news.losses)
+        m_queries.takeLoss(loss, now);
+    for (const RequestDigest& request : notice.news.completed)
+        m_queries.takeCompleted(request, now);
+    for (const QueryVerdict& verdict : notice.news.verdicts)
+        m_queries.takeVerdict(verdict, now);
+}
+
 void PeerLink::close()
 {
     if (m_socket)
--- a/apps/whinyardd/entry/PeerLink.h
+++ b/apps/whinyardd/entry/PeerLink.h
@@ -5,6 +5,7 @@
 #include "whinyard/endpoint/EndpointDirectory.h"
 #include "whinyard/net/UdpSocket.h"
 #include "whinyard/peer/Notices.h"
+#include "whinyard/policy/QueryOfDeath.h"
 #include "whinyard/policy/VersionShift.h"
 #include "whinyard/router/Forwarder.h"
 
@@ -25,7 +26,7 @@
 class PeerLink final : public router::WorkObserver {
 public:
     // All must outlive the object.
-    PeerLink(EntryShared& shared, endpoint::EndpointDirectory& directory, policy::VersionShifts& shifts);
+    PeerLink(EntryShared& shared, endpoint::EndpointDirectory& directory, policy::VersionShifts& shifts, policy::QueryOfDeathTable& queries);
 
     // Binds the address for other instances and begins to receive, where the settings have one. Called on the duty, as are
     // the functions below.
@@ -40,6 +41,9 @@
     // Tells which sessions the others must leave on the versions in use.
     void tellPins();
 
+    // Tells what was noted of requests that end endpoints, and now and then the verdicts that hold to a few of the others.
+    void tellQueries();
+
     void gave(const EndpointName& endpoint, std::chrono::nanoseconds work, const std::vector<std::uint64_t>& prefix) override;
 
     void close();
@@ -53,10 +57,16 @@
     void take(const peer::RosterNotice& notice);
     void take(const peer::InstanceNotice& notice);
     void take(const peer::RecordsNotice& notice);
+    void take(const peer::QueryNotice& notice);
+    void repeatVerdicts();
+    void send(const net::Address& to, const std::string& bytes);
 
     EntryShared& m_shared;
     endpoint::EndpointDirectory& m_directory;
     policy::VersionShifts& m_shifts;
+    policy::QueryOfDeathTable& m_queries;
+    Random m_random;
+    SteadyTime m_verdictsToldAt;
     NoticeHandlers m_handlers;
     std::vector<net::Address> m_peers;
     std::unique_ptr<net::UdpSocket> m_socket;
--- /dev/null
+++ b/apps/whinyardd/entry/QueryKeeper.h
@@ -0,0 +1,37 @@
+// Keeps the verdicts on requests that end endpoints in the store, where they outlast all instances.
+//
+// Belongs to the store duty.
+#pragma once
+
+#include "entry/ServeDuty.h"
+#include "whinyard/backing/WatchableStore.h"
+
+#include <string_view>
+#include <vector>
+
+namespace whinyard::daemon {
+
+class QueryKeeper {
+public:
+    // The prefix of the verdicts' records. An operator lifts a verdict by removing its record.
+    static constexpr std::string_view prefix = "whinyard/query/";
+
+    // Both must outlive the object.
+    QueryKeeper(ServeDuty& serving, backing::WatchableStore& store);
+
+    // Takes all records under the prefix.
+    void replaced(const std::vector<backing::Record>& records);
+
+    // Writes the verdicts that this instance came to and that don't stand there. Returns false when the store failed.
+    bool turn();
+
+private:
+    bool write(const QueryVerdict& verdict);
+    void remove(const RequestDigest& request);
+
+    ServeDuty& m_serving;
+    backing::WatchableStore& m_store;
+    std::vector<QueryVerdict> m_stored; // As it was read or written last.
+};
+
+}
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -14,6 +14,9 @@
     constexpr std::chrono::milliseconds tickInterval { 50 };
     constexpr std::chrono::milliseconds drainPoll { 50 };
 
+    // Until then another instance has objected to a verdict on a request that it has completed lately.
+    constexpr std::chrono::milliseconds storeAfter { 500 };
+
     // The site asks for readiness once a second and takes an instance out after two misses; until then, and a moment
     // longer for what is on its way, new connections still come and are served.
     constexpr std::chrono::milliseconds rotationNotice { 2'500 };
@@ -98,7 +101,7 @@
     , m_directory(shared.settings.zone, seededRandom(), tableSettings(), selectorSettings(shared.settings.tuning))
     , m_shifts(shiftSettings(shared.settings.bounds))
     , m_models(modelSettings(shared.settings.tuning))
-    , m_link(shared, m_directory, m_shifts)
+    , m_link(shared, m_directory, m_shifts, m_queries)
 {
 }
 
@@ -111,7 +114,7 @@
 {
     m_client = net::HttpClient::create(m_duty);
     m_listening = net::ListenProbe::create(m_duty);
-    const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, *m_client, *m_listening, m_fibers, &m_link };
+    const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, m_queries, *m_client, *m_listening, m_fibers, &m_link };
     m_forwarder = std::make_unique<router::Forwarder>(parts, forwarderSettings(m_shared.settings.bounds, m_shared.settings.tuning), seededRandom());
     const net::HttpHandler forward = [this](const net::HttpRequest& request, net::HttpResponder& responder) { m_forwarder->handle(request, responder); };
     const net::HttpHandler tellReadiness = [this](const net::HttpRequest&, net::HttpResponder& responder) {
@@ -160,6 +163,8 @@
     while (!m_shared.stopping) {
         m_forwarder->tick();
         m_link.tellPins();
+        m_queries.refresh(m_shared.clock.now());
+        m_link.tellQueries();
         net::sleepFor(tickInterval);
     }
 }
@@ -227,6 +232,21 @@
     m_duty.post([this, use = std::move(use)] { use(m_shifts); });
 }
 
+void ServeDuty::takeStoredVerdicts(std::vector<QueryVerdict> verdicts)
+{
+    m_duty.post([this, verdicts = std::move(verdicts)] { m_queries.takeStored(verdicts, m_shared.clock.now()); });
+}
+
+std::vector<QueryVerdict> ServeDuty::unstoredVerdicts()
+{
+    return net::callOn(m_duty, [this] { return m_queries.unstored(storeAfter, m_shared.clock.now()); }).value_or(std::vector<QueryVerdict>());
+}
+
+std::vector<RequestDigest> ServeDuty::refutedVerdicts()
+{
+    return net::callOn(m_duty, [this] { return m_queries.takeRefuted(); }).value_or(std::vector<RequestDigest>());
+}
+
 bool ServeDuty::drain(std::chrono::milliseconds bound)
 {
     const SteadyTime end = m_shared.clock.now() + bound;
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -10,6 +10,7 @@
 #include "whinyard/net/HttpServer.h"
 #include "whinyard/net/ListenProbe.h"
 #include "whinyard/policy/ModelChoice.h"
+#include "whinyard/policy/QueryOfDeath.h"
 #include "whinyard/policy/VersionShift.h"
 #include "whinyard/router/Forwarder.h"
 
@@ -57,6 +58,15 @@
         return net::callOn(m_duty, [&] { return use(m_shifts); });
     }
 
+    // Takes the verdicts on requests that stand in the store.
+    void takeStoredVerdicts(std::vector<QueryVerdict> verdicts);
+
+    // Returns the verdicts of this instance that are to be kept in the store.
+    std::vector<QueryVerdict> unstoredVerdicts();
+
+    // Returns those of its verdicts whose records are to be removed from the store.
+    std::vector<RequestDigest> refutedVerdicts();
+
     // Answers what arrives and lets every connection end, never longer than `bound`. Returns whether all have ended.
     bool drain(std::chrono::milliseconds bound);
 
@@ -75,6 +85,7 @@
     endpoint::EndpointDirectory m_directory;
     policy::VersionShifts m_shifts;
     policy::ModelChoice m_models;
+    policy::QueryOfDeathTable m_queries;
     const platform::HttpCodec m_codec;
     std::map<ServiceName, std::vector<std::string>> m_versions; // With endpoints, in the order in which they appeared.
     PeerLink m_link;
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -8,6 +8,8 @@
 #include "whinyard/base/Log.h"
 #include "whinyard/peer/RecordPaces.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace whinyard::daemon {
@@ -46,9 +48,22 @@
     // Between calls while the store fails, with as much again at random, so that instances don't return in step.
     constexpr std::chrono::milliseconds failurePause { 150 };
 
+    constexpr std::chrono::milliseconds verdictLook { 500 };
+
     constexpr std::chrono::milliseconds shiftTurn { 150 }; // With as much again at random, so that not all write at once.
     constexpr std::chrono::milliseconds settleInterval { 200 };
 
+    // All that instances write for each other stands under it. One read brings the instances and the verdicts on requests, so
+    // that an instance knows these before it serves, at no call more.
+    constexpr std::string_view fleetPrefix = "whinyard/";
+
+    std::vector<backing::Record> recordsUnder(std::string_view prefix, const std::vector<backing::Record>& records)
+    {
+        std::vector<backing::Record> found;
+        std::copy_if(records.begin(), records.end(), std::back_inserter(found), [&](const backing::Record& record) { return record.key.starts_with(prefix); });
+        return found;
+    }
+
 }
 
 StoreDuty::StoreDuty(EntryShared& shared, ServeDuty& serving)
@@ -74,6 +89,7 @@
     m_probe = std::make_unique<StoreProbe>(m_shared, m_duty, *m_store, *m_roster, m_ownRecord);
     m_shifts = std::make_unique<ShiftKeeper>(m_shared, m_serving, *m_store);
     m_instances = std::make_unique<InstanceWatch>(m_shared, m_serving, *m_roster);
+    m_queries = std::make_unique<QueryKeeper>(m_serving, *m_store);
     m_serving.useNoticeHandlers({
         .roster = [this](peer::RosterNotice notice) { m_duty.post([this, notice = std::move(notice)] { m_roster->takeNotice(notice); }); },
         .instance = [this](peer::InstanceNotice notice) { m_duty.post([this, notice = std::move(notice)] { m_instances->takeNotice(notice); }); },
@@ -103,6 +119,7 @@
         m_duty.spawn([this] { readInstances(); });
         m_duty.spawn([this] { tellEndpoints(); });
         m_duty.spawn([this] { keepOwnRecord(); });
+        m_duty.spawn([this] { writeVerdicts(); });
     }
     return true;
 }
@@ -215,9 +232,11 @@
 void StoreDuty::readInstances()
 {
     const auto read = [this](backing::ReadAge age) {
-        if (const auto records = readUntilAnswered(InstanceWatch::prefix, age)) {
-            m_instances->replaced(*records);
-            adoptOwnRecord(*records);
+        if (const auto records = readUntilAnswered(fleetPrefix, age)) {
+            m_queries->replaced(recordsUnder(QueryKeeper::prefix, *records));
+            const std::vector<backing::Record> instances = recordsUnder(InstanceWatch::prefix, *records);
+            m_instances->replaced(instances);
+            adoptOwnRecord(instances);
         }
     };
     // Whoever started long ago stands in an old state too. Where nobody does, all start for the first time: once the own
@@ -239,6 +258,16 @@
     }
 }
 
+// Verdicts are rare: one is kept once for all instances.
+void StoreDuty::writeVerdicts()
+{
+    while (!m_shared.stopping) {
+        net::sleepFor(verdictLook);
+        if (m_probe->answers() && !m_queries->turn())
+            net::sleepFor(failurePause + std::chrono::milliseconds(below(m_random, failurePause.count())));
+    }
+}
+
 void StoreDuty::adoptOwnRecord(const std::vector<backing::Record>& records)
 {
     for (const backing::Record& record : records)
--- a/apps/whinyardd/entry/StoreDuty.h
+++ b/apps/whinyardd/entry/StoreDuty.h
@@ -7,6 +7,7 @@
 #include "entry/OperatorRelay.h"
 #include "entry/OperatorWatch.h"
 #include "entry/PeerExchange.h"
+#include "entry/QueryKeeper.h"
 #include "entry/RosterWatch.h"
 #include "entry/ServeDuty.h"
 #include "entry/ShiftKeeper.h"
@@ -44,6 +45,7 @@
     void writeShifts();
     peer::InstanceNotice ownNotice() const;
     void readInstances();
+    void writeVerdicts();
     void adoptOwnRecord(const std::vector<backing::Record>& records);
     void tellEndpoints();
     void keepOwnRecord();
@@ -72,6 +74,7 @@
     std::unique_ptr<StoreProbe> m_probe;
     std::unique_ptr<ShiftKeeper> m_shifts;
     std::unique_ptr<InstanceWatch> m_instances;
+    std::unique_ptr<QueryKeeper> m_queries;
     std::optional<backing::LeasedRecord> m_ownRecord; // By which other instances find this one.
     std::unique_ptr<net::HttpServer> m_metricsServer;
 };
--- a/apps/whinyardd/entry/StoreProbe.h
+++ b/apps/whinyardd/entry/StoreProbe.h
@@ -33,6 +33,9 @@
     // Waits while the store is known to be away.
     void awaitStore();
 
+    // Returns whether the store is not known to be away.
+    bool answers() const { return m_answers; }
+
     // Notes that a call has failed.
     void noteFailure();
 
--- a/packages/base/include/whinyard/base/Error.h
+++ b/packages/base/include/whinyard/base/Error.h
@@ -34,6 +34,7 @@
     deadlineExceeded, // The deadline passed.
     noEndpoint, // No live endpoint serves this version or service.
     endpointFailed, // The endpoint failed and no attempt is left.
+    queryOfDeath, // Endpoints that ran this request have ended; it is sent to no other one.
     answerCut, // The answer began and can't be completed.
     configurationStale, // This instance can't know what is permitted now.
     storeUnavailable, // The key-value service had no effect and gave no answer.
--- a/packages/base/src/Error.cpp
+++ b/packages/base/src/Error.cpp
@@ -27,6 +27,7 @@
         { ErrorKind::deadlineExceeded, "deadlineExceeded", 504, true },
         { ErrorKind::noEndpoint, "noEndpoint", 503, true },
         { ErrorKind::endpointFailed, "endpointFailed", 502, true },
+        { ErrorKind::queryOfDeath, "queryOfDeath", 400, false },
         { ErrorKind::answerCut, "answerCut", 502, true },
         { ErrorKind::configurationStale, "configurationStale", 503, true },
         { ErrorKind::storeUnavailable, "storeUnavailable", 503, true },
--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -42,6 +42,7 @@
     EndpointName name;
     net::Address address;
     std::string reason;
+    std::uint64_t incarnation = 0; // Of its process; 0 if it doesn't say.
     policy::EndpointPlan plan; // With the waits that are expected, for policy::planRedispatch().
 };
 
--- a/packages/endpoint/src/EndpointDirectory.cpp
+++ b/packages/endpoint/src/EndpointDirectory.cpp
@@ -97,7 +97,7 @@
     }
     const auto listed = plan ? m_listed.find(m_table.name(plan.endpoint)) : m_listed.end();
     if (listed != m_listed.end())
-        return ChosenEndpoint { listed->first, listed->second.address, std::string(toText(plan.reason)), plan };
+        return ChosenEndpoint { listed->first, listed->second.address, std::string(toText(plan.reason)), listed->second.born, plan };
     failure = refusalOf(plan, wish.service.empty() ? wish.version.value : wish.service.value);
     return std::nullopt;
 }
--- a/packages/peer/include/whinyard/peer/Notices.h
+++ b/packages/peer/include/whinyard/peer/Notices.h
@@ -6,6 +6,7 @@
 
 #include "whinyard/backing/InstanceList.h"
 #include "whinyard/base/Identity.h"
+#include "whinyard/base/QueryNews.h"
 
 #include <chrono>
 #include <cstdint>
@@ -87,7 +88,15 @@
     bool operator==(const InstanceNotice&) const = default;
 };
 
-using Notice = std::variant<WorkNotice, PinNotice, EvidenceNotice, ShiftNotice, RosterNotice, InstanceNotice, RecordsNotice>;
+// What the sender has noted of requests that end endpoints. Verdicts are told again by all that know them, so that one datagram
+// that is lost keeps nobody from learning of them.
+struct QueryNotice {
+    QueryNews news;
+
+    bool operator==(const QueryNotice&) const = default;
+};
+
+using Notice = std::variant<WorkNotice, PinNotice, EvidenceNotice, ShiftNotice, RosterNotice, InstanceNotice, RecordsNotice, QueryNotice>;
 
 // The most entries of one notice, so that it fits into a datagram.
 inline constexpr std::size_t mostPins = 128;
--- a/packages/peer/src/Fields.cpp
+++ b/packages/peer/src/Fields.cpp
@@ -2,7 +2,7 @@
 
 namespace whinyard::peer::internal {
 
-void writeEndpoint(Writer& writer, const backing::ListedEndpoint& endpoint)
+void writeEndpoint(FieldWriter& writer, const backing::ListedEndpoint& endpoint)
 {
     writer.text(endpoint.name.value);
     writer.text(net::toText(endpoint.address));
@@ -14,7 +14,7 @@
     writer.number(endpoint.born);
 }
 
-std::optional<backing::ListedEndpoint> readEndpoint(Reader& reader)
+std::optional<backing::ListedEndpoint> readEndpoint(FieldReader& reader)
 {
     backing::ListedEndpoint endpoint;
     endpoint.name.value = reader.text();
--- a/packages/peer/src/Notices.cpp
+++ b/packages/peer/src/Notices.cpp
@@ -2,20 +2,23 @@
 
 #include "internal/Fields.h"
 
+#include <array>
 #include <charconv>
+#include <cstring>
 #include <limits>
 
 namespace whinyard::peer {
 
 namespace {
 
+    using internal::FieldReader;
+    using internal::FieldWriter;
     using internal::readEndpoint;
-    using internal::Reader;
     using internal::writeEndpoint;
-    using internal::Writer;
 
-    constexpr std::uint16_t noticeFormat = 9;
+    constexpr std::uint16_t noticeFormat = 10;
     constexpr std::int64_t longestWorkUs = 60'000'000; // A longer one is no work that anybody gave.
+    constexpr std::int64_t longestVerdictMs = 3'600'000; // Longer than any verdict holds.
 
     enum class NoticeKind : std::uint8_t {
         work = 1,
@@ -25,9 +28,10 @@
         shift = 5,
         instance = 6,
         records = 7,
+        queries = 8,
     };
 
-    void write(Writer& writer, const WorkNotice& notice)
+    void write(FieldWriter& writer, const WorkNotice& notice)
     {
         writer.number(static_cast<std::uint64_t>(NoticeKind::work));
         writer.text(notice.endpoint.value);
@@ -37,7 +41,7 @@
             writer.number(prefix);
     }
 
-    void write(Writer& writer, const PinNotice& notice)
+    void write(FieldWriter& writer, const PinNotice& notice)
     {
         writer.number(static_cast<std::uint64_t>(NoticeKind::pins));
         writer.text(notice.service.value);
@@ -46,7 +50,7 @@
             writer.number(session);
     }
 
-    void write(Writer& writer, const EvidenceNotice& notice)
+    void write(FieldWriter& writer, const EvidenceNotice& notice)
     {
         writer.number(static_cast<std::uint64_t>(NoticeKind::evidence));
         writer.text(notice.service.value);
@@ -54,7 +58,7 @@
         writer.text(notice.evidence);
     }
 
-    void write(Writer& writer, const ShiftNotice& notice)
+    void write(FieldWriter& writer, const ShiftNotice& notice)
     {
         writer.number(static_cast<std::uint64_t>(NoticeKind::shift));
         writer.text(notice.service.value);
@@ -62,7 +66,7 @@
         writer.number(notice.revision);
     }
 
-    void write(Writer& writer, const InstanceNotice& notice)
+    void write(FieldWriter& writer, const InstanceNotice& notice)
     {
         writer.number(static_cast<std::uint64_t>(NoticeKind::instance));
         writer.text(notice.instance.value);
@@ -70,7 +74,7 @@
         writer.number(notice.linkMegabits);
     }
 
-    void write(Writer& writer, const RosterNotice& notice)
+    void write(FieldWriter& writer, const RosterNotice& notice)
     {
         writer.number(static_cast<std::uint64_t>(NoticeKind::roster));
         writer.text(notice.instance.value);
@@ -86,14 +90,46 @@
         writer.number(notice.isCurrent ? 1 : 0);
     }
 
-    void write(Writer& writer, const RecordsNotice& notice)
+    void write(FieldWriter& writer, const RecordsNotice& notice)
     {
         writer.number(static_cast<std::uint64_t>(NoticeKind::records));
         writer.text(notice.instance.value);
         writer.number(notice.operators);
     }
 
-    std::optional<Notice> readWork(Reader& reader)
+    void write(FieldWriter& writer, const RequestDigest& digest)
+    {
+        std::array<std::uint64_t, 2> halves {};
+        static_assert(sizeof halves == sizeof digest.bytes);
+        std::memcpy(halves.data(), digest.bytes.data(), sizeof halves);
+        writer.number(halves[0]);
+        writer.number(halves[1]);
+    }
+
+    void write(FieldWriter& writer, const QueryNotice& notice)
+    {
+        writer.number(static_cast<std::uint64_t>(NoticeKind::queries));
+        writer.number(notice.news.losses.size());
+        for (const RequestLoss& loss : notice.news.losses) {
+            write(writer, loss.request);
+            writer.number(loss.life.digest);
+            writer.number(static_cast<std::uint64_t>(loss.stage));
+        }
+        writer.number(notice.news.completed.size());
+        for (const RequestDigest& request : notice.news.completed)
+            write(writer, request);
+        writer.number(notice.news.verdicts.size());
+        for (const QueryVerdict& verdict : notice.news.verdicts) {
+            write(writer, verdict.request);
+            writer.text(verdict.service.value);
+            writer.number(verdict.lives.size());
+            for (const EndpointLife life : verdict.lives)
+                writer.number(life.digest);
+            writer.number(static_cast<std::uint64_t>(verdict.left.count()));
+        }
+    }
+
+    std::optional<Notice> readWork(FieldReader& reader)
     {
         WorkNotice notice;
         notice.endpoint.value = reader.text();
@@ -104,7 +140,7 @@
         return notice;
     }
 
-    std::optional<Notice> readPins(Reader& reader)
+    std::optional<Notice> readPins(FieldReader& reader)
     {
         PinNotice notice;
         notice.service.value = reader.text();
@@ -114,7 +150,7 @@
         return notice;
     }
 
-    std::optional<Notice> readEvidence(Reader& reader)
+    std::optional<Notice> readEvidence(FieldReader& reader)
     {
         EvidenceNotice notice;
         notice.service.value = reader.text();
@@ -123,7 +159,7 @@
         return notice;
     }
 
-    std::optional<Notice> readShift(Reader& reader)
+    std::optional<Notice> readShift(FieldReader& reader)
     {
         ShiftNotice notice;
         notice.service.value = reader.text();
@@ -132,7 +168,7 @@
         return notice;
     }
 
-    std::optional<Notice> readInstance(Reader& reader)
+    std::optional<Notice> readInstance(FieldReader& reader)
     {
         InstanceNotice notice;
         notice.instance.value = reader.text();
@@ -145,7 +181,7 @@
         return notice;
     }
 
-    std::optional<Notice> readRecords(Reader& reader)
+    std::optional<Notice> readRecords(FieldReader& reader)
     {
         RecordsNotice notice;
         notice.instance.value = reader.text();
@@ -153,7 +189,45 @@
         return notice;
     }
 
-    std::optional<Notice> readRoster(Reader& reader)
+    RequestDigest readDigest(FieldReader& reader)
+    {
+        const std::array<std::uint64_t, 2> halves { reader.number(), reader.number() };
+        RequestDigest digest;
+        std::memcpy(digest.bytes.data(), halves.data(), sizeof halves);
+        return digest;
+    }
+
+    QueryVerdict readVerdict(FieldReader& reader)
+    {
+        QueryVerdict verdict;
+        verdict.request = readDigest(reader);
+        verdict.service.value = reader.text();
+        const std::uint64_t lives = reader.number(mostLives);
+        for (std::uint64_t i = 0; i < lives; ++i)
+            verdict.lives.push_back({ reader.number() });
+        verdict.left = std::chrono::milliseconds(static_cast<std::int64_t>(reader.number(longestVerdictMs)));
+        return verdict;
+    }
+
+    std::optional<Notice> readQueries(FieldReader& reader)
+    {
+        QueryNotice notice;
+        const std::uint64_t losses = reader.number(mostLosses);
+        for (std::uint64_t i = 0; i < losses; ++i) {
+            const RequestDigest request = readDigest(reader);
+            const EndpointLife life { reader.number() };
+            notice.news.losses.push_back({ request, life, static_cast<LossStage>(reader.number(static_cast<std::uint64_t>(LossStage::begun))) });
+        }
+        const std::uint64_t completed = reader.number(mostCompleted);
+        for (std::uint64_t i = 0; i < completed; ++i)
+            notice.news.completed.push_back(readDigest(reader));
+        const std::uint64_t verdicts = reader.number(mostVerdicts);
+        for (std::uint64_t i = 0; i < verdicts; ++i)
+            notice.news.verdicts.push_back(readVerdict(reader));
+        return notice;
+    }
+
+    std::optional<Notice> readRoster(FieldReader& reader)
     {
         RosterNotice notice;
         notice.instance.value = reader.text();
@@ -195,7 +269,7 @@
 
 std::string encodeNotice(const Notice& notice)
 {
-    Writer writer;
+    FieldWriter writer;
     writer.number(noticeFormat);
     std::visit([&](const auto& one) { write(writer, one); }, notice);
     return writer.take();
@@ -203,11 +277,11 @@
 
 std::optional<Notice> decodeNotice(std::string_view bytes)
 {
-    Reader reader(bytes);
+    FieldReader reader(bytes);
     if (reader.number() != noticeFormat)
         return std::nullopt;
     std::optional<Notice> notice;
-    switch (static_cast<NoticeKind>(reader.number(static_cast<std::uint64_t>(NoticeKind::records)))) {
+    switch (static_cast<NoticeKind>(reader.number(static_cast<std::uint64_t>(NoticeKind::queries)))) {
     case NoticeKind::work:
         notice = readWork(reader);
         break;
@@ -229,6 +303,9 @@
     case NoticeKind::records:
         notice = readRecords(reader);
         break;
+    case NoticeKind::queries:
+        notice = readQueries(reader);
+        break;
     }
     return reader.isWhole() ? notice : std::nullopt;
 }
--- a/packages/peer/src/RosterList.cpp
+++ b/packages/peer/src/RosterList.cpp
@@ -13,7 +13,7 @@
 
     std::optional<RosterList> readRoster(const std::string& text)
     {
-        internal::Reader reader(text);
+        internal::FieldReader reader(text);
         if (reader.number() != rosterFormat)
             return std::nullopt;
         RosterList list;
@@ -35,7 +35,7 @@
 
 std::string encodeRoster(const RosterList& list)
 {
-    internal::Writer writer;
+    internal::FieldWriter writer;
     writer.number(rosterFormat);
     writer.text(list.instance.value);
     writer.number(list.life);
--- a/packages/peer/src/internal/Fields.h
+++ b/packages/peer/src/internal/Fields.h
@@ -15,7 +15,7 @@
 namespace whinyard::peer::internal {
 
 // Writes fields one after another.
-class Writer {
+class FieldWriter {
 public:
     void number(std::uint64_t value) { m_archive(value); }
 
@@ -33,11 +33,11 @@
 };
 
 // Reads them back. Lengths are checked before anything is reserved; a fault makes every further field empty.
-class Reader {
+class FieldReader {
 public:
     static constexpr std::size_t longestText = 1'024;
 
-    explicit Reader(std::string_view bytes)
+    explicit FieldReader(std::string_view bytes)
         : m_stream(std::string(bytes))
     {
         // The archive reads its first byte at once.
@@ -84,9 +84,9 @@
     bool m_failed = false;
 };
 
-void writeEndpoint(Writer& writer, const backing::ListedEndpoint& endpoint);
+void writeEndpoint(FieldWriter& writer, const backing::ListedEndpoint& endpoint);
 
 // Returns nothing when what comes is no endpoint.
-std::optional<backing::ListedEndpoint> readEndpoint(Reader& reader);
+std::optional<backing::ListedEndpoint> readEndpoint(FieldReader& reader);
 
 }
--- a/packages/peer/test/NoticesTest.cpp
+++ b/packages/peer/test/NoticesTest.cpp
@@ -19,6 +19,7 @@
         endpoint.versions = { { "v1" } };
         endpoint.slots = 64;
         endpoint.leaving = true;
+        const RequestDigest digest = digestOf({ .customer = "school", .method = "POST", .host = "a.example", .target = "/p/x", .body = "body" });
         return {
             WorkNotice { { "i-1" }, 350ms, { 7, 8 } },
             WorkNotice { { "i-1" }, 350ms, {} },
@@ -29,6 +30,8 @@
             InstanceNotice { { "entry-1" }, { "10.0.0.1", 7340 }, 200 },
             RosterNotice { { "entry-1" }, 77, 3, { endpoint }, { { "i-2" } }, 11, false },
             RecordsNotice { { "entry-1" }, 11 },
+            QueryNotice { { { { digest, { 7 }, LossStage::begun } }, { digest }, { { digest, { "lm" }, { { 7 }, { 8 }, { 9 } }, 600s } } } },
+            QueryNotice {},
         };
     }
 
--- /dev/null
+++ b/packages/policy/src/QueryRecords.cpp
@@ -0,0 +1,38 @@
+#include "whinyard/policy/QueryRecords.h"
+
+#include <nlohmann/json.hpp>
+
+namespace whinyard::policy {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+std::string writeQueryVerdict(const QueryVerdict& verdict, std::chrono::system_clock::time_point now)
+{
+    json lives = json::array();
+    for (const EndpointLife life : verdict.lives)
+        lives.push_back(life.digest);
+    const auto until = std::chrono::duration_cast<milliseconds>((now + verdict.left).time_since_epoch());
+    const json object = { { "service", verdict.service.value }, { "lives", lives }, { "untilMs", until.count() } };
+    return object.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<QueryVerdict> readQueryVerdict(const RequestDigest& request, std::string_view text, std::chrono::system_clock::time_point now)
+{
+    const json object = json::parse(text, nullptr, false);
+    if (!object.is_object())
+        return std::nullopt;
+    try {
+        QueryVerdict verdict;
+        verdict.request = request;
+        verdict.service.value = object.at("service").get<std::string>();
+        for (const json& life : object.at("lives"))
+            verdict.lives.push_back({ life.get<std::uint64_t>() });
+        verdict.left = milliseconds(object.at("untilMs").get<std::int64_t>()) - std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
+        return verdict;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+}
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -14,6 +14,7 @@
 #include "whinyard/net/ListenProbe.h"
 #include "whinyard/policy/EnginePrice.h"
 #include "whinyard/policy/ModelChoice.h"
+#include "whinyard/policy/QueryOfDeath.h"
 #include "whinyard/policy/VersionShift.h"
 #include "whinyard/router/Fibers.h"
 #include "whinyard/router/ForwardedRequest.h"
@@ -41,6 +42,7 @@
     endpoint::EndpointDirectory& directory;
     policy::VersionShifts& shifts;
     policy::ModelChoice& models;
+    policy::QueryOfDeathTable& queries;
     net::HttpClient& client;
     net::ListenProbe& listening;
     Fibers& fibers;
@@ -78,8 +80,8 @@
     // policy::SharedAllowance.
     void useInstances(std::size_t count);
 
-    // Looks at the attempts that wait, and gives up those that are silent for much longer than was expected. Call it
-    // about every 50 ms.
+    // Looks at the attempts that wait, and gives up those that are silent for much longer than was expected, or whose request is
+    // refused by now. Call it about every 50 ms.
     void tick();
 
     // Tells that a configuration or a list of endpoints has come: requests that wait for their first look again.
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-    // Many times the way there and back within a region. The next attempt waits for it.
-    constexpr std::chrono::milliseconds listenPatience { 100 };
-
     std::string_view text(net::Listening listening)
     {
         switch (listening) {
@@ -42,6 +39,7 @@
         return breakOff(attempt);
     attempt.end(endpoint::EndpointOutcome::succeeded);
     noteOutcome(attempt, false);
+    m_core.parts.queries.noteCompleted(m_digest, now());
     m_runState = RunState::ran;
     const bool delivered = m_caller.send(*response);
     m_core.parts.metrics.add("whinyard_answers_total");
@@ -71,7 +69,7 @@
     if (m_stalled)
         m_failure = { .kind = ErrorKind::endpointFailed, .reason = "the endpoint was silent for " + text(now() - m_silentSince) + " ms", .runState = RunState::unknown };
     m_runState = std::max(m_runState, RunState::unknown);
-    if (m_callerLeft) {
+    if (m_callerLeft || isRefused()) {
         attempt.end(endpoint::EndpointOutcome::cancelled);
         return AttemptEnd::broken;
     }
@@ -81,21 +79,11 @@
     attempt.end(isFault ? fault : endpoint::EndpointOutcome::cancelled);
     // Silence that was not waited out is slowness, of which load has its share; a lost connection is a failure.
     noteOutcome(attempt, !m_stalled);
-    const net::Listening listening = attempt.connectionLost() ? askForEndpoint(attempt) : net::Listening::unknown;
+    const net::Listening listening = attempt.connectionLost() ? inquire(attempt) : net::Listening::unknown;
     log::info("attempt failed", { { "request", m_request.id }, { "digest", toText(m_digest) }, { "endpoint", attempt.target().endpoint.name.value }, { "endpointListens", std::string(text(listening)) }, { "reason", m_failure.reason }, { "elapsedMs", text(attempt.age()) }, { "hadHead", attempt.hasHead() ? "true" : "false" }, { "events", std::to_string(m_events) } });
     return AttemptEnd::broken;
 }
 
-// A process that has ended is told from a connection that was reset by asking whether anybody listens there: the answer comes
-// within a way there and back, long before the list of endpoints shows it.
-net::Listening ForwardRun::askForEndpoint(const ForwardAttempt& attempt)
-{
-    const net::Listening listening = m_core.parts.listening.ask(attempt.target().endpoint.address, listenPatience);
-    if (listening == net::Listening::no)
-        m_core.parts.metrics.add("whinyard_lost_with_endpoint_total");
-    return listening;
-}
-
 ForwardRun::AttemptEnd ForwardRun::answerStream(ForwardAttempt& attempt)
 {
     endpoint::EventFramer framer(m_lastEvent);
@@ -118,6 +106,7 @@
     }
     attempt.end(endpoint::EndpointOutcome::succeeded);
     noteOutcome(attempt, false);
+    m_core.parts.queries.noteCompleted(m_digest, now());
     m_runState = RunState::ran;
     const bool delivered = m_caller.end();
     m_core.parts.metrics.add("whinyard_answers_total");
--- a/packages/router/src/internal/ForwardChoice.cpp
+++ b/packages/router/src/internal/ForwardChoice.cpp
@@ -72,7 +72,13 @@
     const policy::VersionPreference preference = m_core.parts.shifts.prefer(m_service, !m_request.session.empty(), sessionDigest(), available, now());
     failure = { .kind = ErrorKind::noEndpoint, .reason = "no endpoint of " + m_service.value + " is known", .retryAfter = m_core.settings.comeBackAfter };
     endpoint::EndpointWish wished = wish();
+    std::vector<EndpointName> others = endpointsOfOtherSuspects();
+    wished.excluded.insert(wished.excluded.end(), others.begin(), others.end());
     std::optional<AttemptTarget> target = chooseAmong(preference.versions, wished, failure);
+    if (!target && !others.empty()) {
+        wished.excluded = m_tried;
+        target = chooseAmong(preference.versions, wished, failure);
+    }
     if (!target && repeatable() && m_tried.size() > 1) {
         // All were tried. The one that failed first has had the longest time to recover.
         wished.excluded = { m_tried.back() };
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -105,12 +105,6 @@
     m_service = drawService();
 }
 
-RequestDigest ForwardRun::digest() const
-{
-    const net::HttpRequest& message = m_request.message;
-    return digestOf({ .customer = m_admission.customer.value, .method = message.method, .host = m_request.host, .target = message.target, .body = message.body });
-}
-
 std::chrono::milliseconds ForwardRun::timeLeft() const
 {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now());
@@ -120,6 +114,10 @@
 void ForwardRun::run()
 {
     log::info("request admitted", { { "request", m_request.id }, { "route", m_admission.route->name }, { "customer", m_admission.customer.value }, { "configuration", std::to_string(m_admission.table->version()) }, { "timeLeftMs", text(timeLeft()) } });
+    if (!passQueryGate()) {
+        refuse(m_failure);
+        return;
+    }
     m_core.budgetOf(m_service).earn(now());
     m_core.movesOf(m_service).earn(now());
     m_caller.whenPeerGone([this] { callerLeft(); });
@@ -142,10 +140,12 @@
         m_current->cancel();
 }
 
-// The gate before every attempt: the newest configuration decides. A stream that the caller already reads goes on as
+// The gate before every attempt: the newest configuration decides, and whether the request has ended endpoints. A stream that the caller already reads goes on as
 // it was admitted.
 bool ForwardRun::passGate()
 {
+    if (!passQueryGate())
+        return false;
     if (m_streaming)
         return true;
     std::optional<Admission> admission = admit(m_core.parts.routing, m_request, m_failure);
@@ -153,6 +153,7 @@
         return false;
     const bool changed = admission->table->version() != m_admission.table->version();
     m_admission = std::move(*admission);
+    m_digest = digest();
     if (changed)
         m_service = drawService();
     return true;
@@ -234,6 +235,11 @@
 
 void ForwardRun::look()
 {
+    // A copy that waits when others have ended their endpoints would end this one too.
+    if (m_current && isRefused()) {
+        m_current->cancel();
+        return;
+    }
     if (!m_current || m_stalled || !mayMove() || now() - m_silentSince < patience())
         return;
     // Silence alone is no reason to end an answer: it is given up only for another attempt that is granted already.
@@ -304,6 +310,8 @@
         return false;
     if (end == AttemptEnd::steppedUp)
         return true;
+    if (repeatable() && !passQueryGate())
+        return false;
     const bool mayHaveRun = end != AttemptEnd::notRun;
     if (mayHaveRun && (!repeatable() || m_sent >= m_admission.route->maximumAttempts))
         return false;
@@ -348,9 +356,9 @@
     if (m_runState != RunState::notRun && promisesNotRun(failure.kind))
         failure.kind = ErrorKind::endpointFailed;
     // Nothing was begun, whatever kept it from being sent: the caller may try again.
-    if (m_runState == RunState::notRun && !promisesNotRun(failure.kind) && failure.kind != ErrorKind::unknownRoute && failure.kind != ErrorKind::unauthenticated)
+    if (m_runState == RunState::notRun && !promisesNotRun(failure.kind) && failure.kind != ErrorKind::unknownRoute && failure.kind != ErrorKind::unauthenticated && failure.kind != ErrorKind::queryOfDeath)
         failure.kind = ErrorKind::overloaded;
-    if (m_runState == RunState::notRun && failure.retryAfter.count() == 0)
+    if (m_runState == RunState::notRun && failure.retryAfter.count() == 0 && failure.kind != ErrorKind::queryOfDeath)
         failure.retryAfter = m_core.settings.comeBackAfter;
     log::info("refused", { { "request", m_request.id }, { "kind", std::string(answerFor(failure.kind).name) }, { "notRun", failure.runState == RunState::notRun ? "true" : "false" }, { "reason", failure.reason }, { "retryAfterMs", text(failure.retryAfter) }, { "elapsedMs", text(now() - m_arrived) } });
     m_core.parts.metrics.add("whinyard_refusals_total{kind=\"" + std::string(answerFor(failure.kind).name) + "\"}");
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -68,7 +68,10 @@
     bool relay(ForwardAttempt& attempt, endpoint::EventFramer& framer, std::string_view bytes);
     AttemptEnd keepFailure(ForwardAttempt& attempt);
     AttemptEnd breakOff(ForwardAttempt& attempt);
-    net::Listening askForEndpoint(const ForwardAttempt& attempt);
+    net::Listening inquire(const ForwardAttempt& attempt);
+    bool passQueryGate(); // False, with the failure: the request would end the endpoint that runs it, or might.
+    bool isRefused() const;
+    std::vector<EndpointName> endpointsOfOtherSuspects() const;
     bool stepsUp(const ForwardAttempt& attempt);
     AttemptHead headFor(const AttemptTarget& target) const;
     std::uint8_t endpointPriority() const;
--- /dev/null
+++ b/packages/router/test/ForwarderQueryTest.cpp
@@ -0,0 +1,189 @@
+// Requests that end the endpoints that run them: what counts as that, which dispatches are kept back, and what callers see.
+#include "whinyard/router/Forwarder.h"
+
+#include "whinyard/router/ForwarderFakes.h"
+
+#include <gtest/gtest.h>
+
+namespace whinyard::router {
+namespace {
+
+    using namespace std::chrono_literals;
+    using config::RequestKind;
+
+    class ForwarderQueryTest : public ::testing::Test {
+    protected:
+        ForwarderQueryTest()
+        {
+            m_bench.listEndpoints({ "e1", "e2", "e3", "e4", "e5", "e6" });
+            m_bench.listening.answer = net::Listening::no;
+        }
+
+        // Endpoints end with the request until it is refused, and that is known everywhere.
+        void learn()
+        {
+            for (int attempt = 0; attempt < 3; ++attempt)
+                m_bench.lose(50);
+            m_bench.send();
+            m_bench.clock.advance(400ms);
+            m_bench.queries.refresh(m_bench.clock.now());
+        }
+
+        std::size_t sends() const { return m_bench.client.requests.size(); }
+
+        ForwarderBench m_bench;
+    };
+
+    TEST_F(ForwarderQueryTest, SendsNoRequestThatHasEndedThreeEndpoints)
+    {
+        learn();
+        EXPECT_EQ(sends(), 3U);
+        const FakeResponder caller = m_bench.send();
+        EXPECT_EQ(caller.response.status, 400);
+        EXPECT_EQ(caller.field("retry-after"), "0") << "it isn't to come again";
+        EXPECT_EQ(sends(), 3U);
+        m_bench.answer(200, { "sound" });
+        EXPECT_EQ(m_bench.send({ { "host", "a.example" } }).response.status, 400) << "whatever its fields and id";
+        EXPECT_EQ(sends(), 3U);
+    }
+
+    TEST_F(ForwarderQueryTest, ServesOtherRequestsOfTheCustomer)
+    {
+        learn();
+        m_bench.answer(200, { "sound" });
+        FakeResponder caller;
+        const net::HttpRequest other { .method = "POST", .target = "/p/x", .fields = { { "id", "q" }, { "host", "a.example" }, { "key", "k1" } }, .body = "other" };
+        m_bench.forwarder.handle(other, caller);
+        EXPECT_EQ(caller.response.status, 200);
+    }
+
+    TEST_F(ForwarderQueryTest, RefusesACustomersRequestForNoOtherCustomer)
+    {
+        learn();
+        m_bench.routing.customers.push_back({ { "college" }, { "k2" }, std::nullopt });
+        m_bench.publish();
+        m_bench.answer(200, { "sound" });
+        FakeResponder caller;
+        const net::HttpRequest same { .method = "POST", .target = "/p/x", .fields = { { "id", "q" }, { "host", "a.example" }, { "key", "k2" } }, .body = "body" };
+        m_bench.forwarder.handle(same, caller);
+        EXPECT_EQ(caller.response.status, 200);
+    }
+
+    // A reset of connections loses as many requests as the end of an engine does.
+    TEST_F(ForwarderQueryTest, SuspectsNothingWhileTheEndpointStillListens)
+    {
+        for (const net::Listening answer : { net::Listening::yes, net::Listening::unknown }) {
+            m_bench.listening.answer = answer;
+            learn();
+            EXPECT_EQ(m_bench.queries.suspects(), 0U);
+        }
+        EXPECT_EQ(m_bench.listening.asked, 6);
+    }
+
+    TEST_F(ForwarderQueryTest, AsksForTheEndpointOnlyAfterALostConnection)
+    {
+        m_bench.answer(200, { "sound" });
+        m_bench.send();
+        m_bench.answer(500, { "x" });
+        m_bench.answer(200, { "sound" });
+        m_bench.send();
+        m_bench.lose(0);
+        m_bench.answer(200, { "sound" });
+        m_bench.send();
+        EXPECT_EQ(m_bench.listening.asked, 0);
+    }
+
+    // The run that meets the third end has no attempt left, and would have its caller come again with a 502.
+    TEST_F(ForwarderQueryTest, AnswersTheRunThatShowsItForGood)
+    {
+        m_bench.useRoute(RequestKind::streaming, true);
+        for (int attempt = 0; attempt < 3; ++attempt)
+            m_bench.script(200, { { "id", "q" }, { "signed", "s" } }, { "id: " }, true);
+        const FakeResponder caller = m_bench.send();
+        EXPECT_EQ(sends(), 3U);
+        EXPECT_EQ(caller.response.status, 400);
+    }
+
+    TEST_F(ForwarderQueryTest, KeepsTheAnswerOfWhatCanNotBeRepeated)
+    {
+        m_bench.useRoute(RequestKind::nonIdempotent);
+        for (int caller = 0; caller < 3; ++caller) {
+            m_bench.lose(50);
+            EXPECT_EQ(m_bench.send().response.status, 502) << "it may have run";
+        }
+        m_bench.clock.advance(400ms);
+        m_bench.queries.refresh(m_bench.clock.now());
+        EXPECT_EQ(m_bench.send().response.status, 400) << "this one has not";
+        EXPECT_EQ(sends(), 3U);
+    }
+
+    TEST_F(ForwarderQueryTest, SendsNoRetryAfterTheVerdictOfAnotherInstance)
+    {
+        const RequestDigest digest = digestOf({ .customer = "school", .method = "POST", .host = "a.example", .target = "/p/x", .body = "body" });
+        m_bench.lose(50);
+        m_bench.client.onCall = [&] { m_bench.queries.takeVerdict({ digest, { "svc" }, { { 1 }, { 2 }, { 3 } }, 10min }, m_bench.clock.now()); };
+        EXPECT_EQ(m_bench.send().response.status, 400);
+        EXPECT_EQ(sends(), 1U);
+    }
+
+    TEST_F(ForwarderQueryTest, EndsACopyThatIsUnderWayAtTheVerdict)
+    {
+        const RequestDigest digest = digestOf({ .customer = "school", .method = "POST", .host = "a.example", .target = "/p/x", .body = "body" });
+        std::size_t reads = 0;
+        m_bench.answer(200, std::vector<std::string>(20, "piece")).onRead = [&] {
+            if (++reads == 3) {
+                m_bench.queries.takeVerdict({ digest, { "svc" }, { { 1 }, { 2 }, { 3 } }, 10min }, m_bench.clock.now());
+                m_bench.forwarder.tick();
+            }
+        };
+        EXPECT_EQ(m_bench.send().response.status, 400);
+        EXPECT_EQ(reads, 3U);
+        EXPECT_EQ(sends(), 1U);
+    }
+
+    TEST_F(ForwarderQueryTest, HoldsARequestUntilItIsKnownWhichOneEndedTheEndpoints)
+    {
+        for (int attempt = 0; attempt < 3; ++attempt)
+            m_bench.lose(50);
+        EXPECT_EQ(m_bench.send().response.status, 502);
+        const FakeResponder caller = m_bench.send();
+        EXPECT_EQ(caller.response.status, 503);
+        EXPECT_EQ(caller.field("retry-after"), "350");
+        EXPECT_EQ(sends(), 3U);
+    }
+
+    // Of the streams that an engine takes along most were answered for a while.
+    TEST_F(ForwarderQueryTest, DoesNotSuspectAStreamThatWasAnsweredForLong)
+    {
+        m_bench.useRoute(RequestKind::streaming, true);
+        m_bench.answer(200, { "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" }, true).onRead = [&] { m_bench.clock.advance(600ms); };
+        m_bench.answer(200, { "id: 3\ndata: c\n\n" });
+        m_bench.send();
+        EXPECT_EQ(sends(), 2U);
+        EXPECT_EQ(m_bench.queries.suspects(), 0U);
+    }
+
+    TEST_F(ForwarderQueryTest, SendsSuspectsToDifferentEndpoints)
+    {
+        m_bench.lose(50);
+        // While the first suspect is under way again, another one that was lost with the same endpoint comes.
+        const auto sendOther = [&] {
+            const RequestDigest other = digestOf({ .customer = "school", .method = "POST", .host = "a.example", .target = "/p/x", .body = "other" });
+            m_bench.queries.takeLoss({ other, { 1 }, LossStage::begun }, m_bench.clock.now());
+            FakeResponder caller;
+            const net::HttpRequest request { .method = "POST", .target = "/p/x", .fields = { { "id", "q" }, { "host", "a.example" }, { "key", "k1" } }, .body = "other" };
+            m_bench.forwarder.handle(request, caller);
+        };
+        bool isNested = false;
+        m_bench.answer(200, { "a" }).onRead = [&] {
+            if (!std::exchange(isNested, true))
+                sendOther();
+        };
+        m_bench.answer(200, { "b" });
+        m_bench.send();
+        ASSERT_EQ(sends(), 3U);
+        EXPECT_NE(m_bench.sent(1, "endpoint"), m_bench.sent(2, "endpoint"));
+    }
+
+}
+}
--- a/packages/router/test/ForwarderTest.cpp
+++ b/packages/router/test/ForwarderTest.cpp
@@ -321,7 +321,7 @@
         route.timeout = std::chrono::seconds(60);
         route.maximumAttempts = attempts;
         bench.publish();
-        Forwarder forwarder({ bench.clock, bench.metrics, bench.source, bench.codec, bench.directory, bench.shifts, bench.models, bench.client, bench.fibers }, { .repeatRatio = 0, .repeatsPerSecond = repeatsPerSecond }, Random(2));
+        Forwarder forwarder({ bench.clock, bench.metrics, bench.source, bench.codec, bench.directory, bench.shifts, bench.models, bench.queries, bench.client, bench.listening, bench.fibers }, { .repeatRatio = 0, .repeatsPerSecond = repeatsPerSecond }, Random(2));
         forwarder.useVersions({ "svc" }, { "v1" });
         bench.answer(200, { event(1), event(2) }).onRead = [&bench, &forwarder] {
             bench.clock.advance(std::chrono::seconds(5));
@@ -367,7 +367,7 @@
         config::Route& route = m_bench.useRoute(RequestKind::streaming, true);
         route.models = { { "small" }, { "large" } };
         m_bench.publish();
-        Forwarder forwarder({ m_bench.clock, m_bench.metrics, m_bench.source, m_bench.codec, m_bench.directory, m_bench.shifts, m_bench.models, m_bench.client, m_bench.fibers }, { .repeatRatio = 0.5, .repeatsPerSecond = 0 }, Random(2));
+        Forwarder forwarder({ m_bench.clock, m_bench.metrics, m_bench.source, m_bench.codec, m_bench.directory, m_bench.shifts, m_bench.models, m_bench.queries, m_bench.client, m_bench.listening, m_bench.fibers }, { .repeatRatio = 0.5, .repeatsPerSecond = 0 }, Random(2));
         forwarder.useVersions({ "svc" }, { "v1" });
         const net::HttpRequest request { .method = "POST", .target = "/p/x", .fields = { { "id", "q" }, { "host", "a.example" }, { "key", "k1" }, { "model", "any" } }, .body = {} };
         const auto poor = [this] { m_bench.script(200, { { "id", "q" }, { "signed", "s" }, { "confidence", "20" } }, { event(1) }); };
@@ -393,7 +393,7 @@
 
     TEST_F(ForwarderTest, StopsRepeatingWhenTheBudgetIsSpent)
     {
-        Forwarder thrifty({ m_bench.clock, m_bench.metrics, m_bench.source, m_bench.codec, m_bench.directory, m_bench.shifts, m_bench.models, m_bench.client, m_bench.fibers }, { .repeatRatio = 0.1, .repeatsPerSecond = 0 }, Random(2));
+        Forwarder thrifty({ m_bench.clock, m_bench.metrics, m_bench.source, m_bench.codec, m_bench.directory, m_bench.shifts, m_bench.models, m_bench.queries, m_bench.client, m_bench.listening, m_bench.fibers }, { .repeatRatio = 0.1, .repeatsPerSecond = 0 }, Random(2));
         thrifty.useVersions({ "svc" }, { "v1" });
         const net::HttpRequest request { .method = "GET", .target = "/p/x", .fields = { { "id", "q" }, { "host", "a.example" }, { "key", "k1" } }, .body = {} };
         for (int i = 0; i < 100; ++i)
--- a/packages/router/testing/whinyard/router/ForwarderFakes.h
+++ b/packages/router/testing/whinyard/router/ForwarderFakes.h
@@ -189,10 +189,11 @@
     endpoint::EndpointDirectory directory { { "z" }, Random(1) };
     policy::VersionShifts shifts;
     policy::ModelChoice models { { .cheapFirstBelow = 1 } };
+    policy::QueryOfDeathTable queries;
     endpoint::FakeHttpClient client;
     FakeListenProbe listening;
     FakeFibers fibers { clock };
-    Forwarder forwarder { { clock, metrics, source, codec, directory, shifts, models, client, listening, fibers }, { .repeatRatio = 1, .repeatsPerSecond = 10 }, Random(2) };
+    Forwarder forwarder { { clock, metrics, source, codec, directory, shifts, models, queries, client, listening, fibers }, { .repeatRatio = 1, .repeatsPerSecond = 10 }, Random(2) };
 };
 
 }
