Keep requests of the product's own API from endpoints that they end

The same cause stood on the path of chat completions and plain services: a request that ends engines was tried by each call anew. QueryGuard is now what all paths pass before a dispatch and tell of lost connections; the forwarding path had its own copy of both. Instances of the product tell each other the requests that they refuse by gossip; losses they don't tell, so each comes to a verdict by its own until one has, and nothing is kept in the store yet.

--- a/apps/whinyardd/FleetNews.cpp
+++ b/apps/whinyardd/FleetNews.cpp
@@ -1,8 +1,11 @@
 #include "FleetNews.h"
 
+#include "Shared.h"
 #include "whinyard/base/Log.h"
 #include "whinyard/policy/DemandCodec.h"
 
+#include <sstream>
+
 namespace whinyard::daemon {
 
 namespace {
@@ -11,6 +14,7 @@
     // Judgements come in parts, since a gossip entry is small.
     std::string judgementTopicOf(std::size_t part) { return "judgement-" + std::to_string(part); }
     const std::string refusalTopic = "leaving";
+    const std::string verdictTopic = "queries";
 
     // An instance tells its numbers at most this often for each instance there is: a value of 256 bytes
     // then costs every instance at most 8 KB a second, whatever their number.
@@ -37,12 +41,13 @@
 
 }
 
-FleetNews::FleetNews(Shared& shared, peer::Peers& peers, endpoint::EndpointDirectory& directory, policy::CustomerLimits& limits, policy::RolloutJudge& judge)
+FleetNews::FleetNews(Shared& shared, peer::Peers& peers, endpoint::EndpointDirectory& directory, policy::CustomerLimits& limits, policy::RolloutJudge& judge, policy::QueryOfDeathTable& queries)
     : m_shared(shared)
     , m_peers(peers)
     , m_directory(directory)
     , m_limits(limits)
     , m_judge(judge)
+    , m_queries(queries)
 {
 }
 
@@ -64,9 +69,12 @@
     takeDemands();
     takeJudgements();
     takeRefusals();
+    takeVerdicts();
     m_judge.refresh(now);
+    m_queries.refresh(now);
     noteStops();
     tellRefusals();
+    tellVerdicts();
     const auto instances = static_cast<std::int64_t>(m_peers.view()->members.size());
     const std::chrono::milliseconds interval = std::max(m_shared.settings.timing.heartbeat, intervalPerInstance * instances);
     if (now - m_toldAt < interval)
@@ -125,6 +133,39 @@
     }
 }
 
+// Requests that are refused stand on a line each, with the milliseconds for which that holds.
+void FleetNews::takeVerdicts()
+{
+    for (const peer::GossipEntry& entry : freshEntries(verdictTopic)) {
+        std::istringstream lines(entry.value);
+        std::string digest;
+        std::int64_t left = 0;
+        while (lines >> digest >> left) {
+            if (const std::optional<RequestDigest> request = parseRequestDigest(digest))
+                m_queries.takeVerdict({ *request, {}, {}, std::chrono::milliseconds(left) }, m_shared.clock.now());
+        }
+    }
+}
+
+// As many as fit; told anew when one comes or goes.
+void FleetNews::tellVerdicts()
+{
+    logQueryChanges(m_queries);
+    std::string lines;
+    std::set<RequestDigest> told;
+    for (const QueryVerdict& verdict : m_queries.standing(m_shared.clock.now())) {
+        const std::string line = toText(verdict.request) + " " + std::to_string(verdict.left.count()) + "\n";
+        if (lines.size() + line.size() > peer::largestGossipValue)
+            break;
+        lines += line;
+        told.insert(verdict.request);
+    }
+    if (told == m_toldVerdicts)
+        return;
+    m_peers.publish(verdictTopic, lines);
+    m_toldVerdicts = std::move(told);
+}
+
 void FleetNews::tellDemand()
 {
     const policy::DemandReport report = m_limits.makeReport(m_shared.clock.now());
--- a/apps/whinyardd/FleetNews.h
+++ b/apps/whinyardd/FleetNews.h
@@ -9,10 +9,12 @@
 #include "whinyard/endpoint/EndpointDirectory.h"
 #include "whinyard/peer/Peers.h"
 #include "whinyard/policy/CustomerLimits.h"
+#include "whinyard/policy/QueryOfDeath.h"
 #include "whinyard/policy/RolloutJudge.h"
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,7 +23,7 @@
 class FleetNews {
 public:
     // All must outlive the object.
-    FleetNews(Shared& shared, peer::Peers& peers, endpoint::EndpointDirectory& directory, policy::CustomerLimits& limits, policy::RolloutJudge& judge);
+    FleetNews(Shared& shared, peer::Peers& peers, endpoint::EndpointDirectory& directory, policy::CustomerLimits& limits, policy::RolloutJudge& judge, policy::QueryOfDeathTable& queries);
 
     // Takes the instances of the platform's list.
     void takeList(const std::vector<backing::ListedEndpoint>& listed);
@@ -47,9 +49,11 @@
     void takeDemands();
     void takeJudgements();
     void takeRefusals();
+    void takeVerdicts();
     void tellDemand();
     void tellJudgement();
     void tellRefusals();
+    void tellVerdicts();
     void noteStops();
 
     Shared& m_shared;
@@ -57,11 +61,13 @@
     endpoint::EndpointDirectory& m_directory;
     policy::CustomerLimits& m_limits;
     policy::RolloutJudge& m_judge;
+    policy::QueryOfDeathTable& m_queries;
     std::vector<InstanceName> m_listed; // Other instances of the platform's list.
     std::map<std::string, std::map<InstanceName, Seen>> m_seen;
     std::deque<Refusal> m_refusals;
     std::vector<std::string> m_toldJudgement; // By part.
     std::string m_toldRefusals;
+    std::set<RequestDigest> m_toldVerdicts;
     SteadyTime m_toldAt {};
     std::size_t m_nextAck = 0;
     bool m_demandFits = true;
--- a/apps/whinyardd/Serving.cpp
+++ b/apps/whinyardd/Serving.cpp
@@ -102,12 +102,13 @@
 bool Serving::openOnDuty(Failure& failure)
 {
     m_client = net::HttpClient::create(m_duty);
+    m_listening = net::ListenProbe::create(m_duty);
     m_engines = endpoint::makeHttpEngineClient(*m_client);
     m_services = endpoint::makeHttpServiceClient(*m_client);
     m_ratings = backing::makeHttpRatingService(*m_client, { .address = m_shared.settings.platform });
     m_endpointWatch = std::make_unique<EndpointWatch>(m_duty, m_shared.clock, m_directory, *m_engines);
-    m_news = std::make_unique<FleetNews>(m_shared, m_peering.service(), m_directory, m_limits, m_judge);
-    const router::RouterParts parts { m_shared.clock, m_shared.hybridClock, m_shared.events, m_shared.metrics, m_peering, m_directory, *m_engines, *m_services, m_storing.intents(), m_storing.usage(), *m_ratings, m_sessionPins, m_judge, m_limits, m_fibers, &m_peering.service() };
+    m_news = std::make_unique<FleetNews>(m_shared, m_peering.service(), m_directory, m_limits, m_judge, m_queries);
+    const router::RouterParts parts { m_shared.clock, m_shared.hybridClock, m_shared.events, m_shared.metrics, m_peering, m_directory, *m_engines, *m_services, m_storing.intents(), m_storing.usage(), *m_ratings, m_sessionPins, m_judge, m_limits, m_queries, *m_listening, m_fibers, &m_peering.service() };
     m_router = std::make_unique<router::Router>(parts, routerSettings(m_shared), seededRandom());
     const net::HttpHandler handler = [this](const net::HttpRequest& request, net::HttpResponder& responder) { m_router->handle(request, responder); };
     m_server = net::HttpServer::open(m_duty, m_shared.settings.callers, serverLimits(m_shared.settings.limits), handler, failure);
--- a/apps/whinyardd/Serving.h
+++ b/apps/whinyardd/Serving.h
@@ -63,10 +63,12 @@
     policy::SessionPins m_sessionPins;
     policy::RolloutJudge m_judge;
     policy::CustomerLimits m_limits;
+    policy::QueryOfDeathTable m_queries;
     endpoint::EndpointDirectory m_directory;
     net::Duty m_duty { "serve" };
     DutyFibers m_fibers { m_duty };
     std::unique_ptr<net::HttpClient> m_client;
+    std::unique_ptr<net::ListenProbe> m_listening;
     std::unique_ptr<endpoint::EngineClient> m_engines;
     std::unique_ptr<endpoint::ServiceClient> m_services;
     std::unique_ptr<backing::RatingService> m_ratings;
--- a/apps/whinyardd/Shared.cpp
+++ b/apps/whinyardd/Shared.cpp
@@ -41,6 +41,12 @@
     return Random((static_cast<std::uint64_t>(device()) << 32) | device());
 }
 
+void logQueryChanges(policy::QueryOfDeathTable& queries)
+{
+    for (const policy::QueryChange& change : queries.takeChanges())
+        log::warning(change.isRefused ? "request refused from now on" : "request no longer refused", { { "digest", toText(change.request) }, { "service", change.service.value }, { "endpointsEnded", std::to_string(change.endpointsEnded) }, { "reason", std::string(toText(change.reason)) } });
+}
+
 OutageLog::OutageLog(std::string what)
     : m_what(std::move(what))
 {
--- a/apps/whinyardd/Shared.h
+++ b/apps/whinyardd/Shared.h
@@ -6,6 +6,7 @@
 #include "whinyard/base/HybridTime.h"
 #include "whinyard/base/Metrics.h"
 #include "whinyard/base/Random.h"
+#include "whinyard/policy/QueryOfDeath.h"
 #include "whinyard/settings/DaemonSettings.h"
 #include "whinyard/timeline/EventStore.h"
 
@@ -43,6 +44,9 @@
 // Returns a generator with a seed from the system.
 Random seededRandom();
 
+// Writes a line for each request that is refused from now on, or no longer.
+void logQueryChanges(policy::QueryOfDeathTable& queries);
+
 // Tells the log once that something keeps failing, and once that it works again.
 class OutageLog {
 public:
--- a/apps/whinyardd/entry/PeerLink.cpp
+++ b/apps/whinyardd/entry/PeerLink.cpp
@@ -63,8 +63,7 @@
 void PeerLink::tellQueries()
 {
     const SteadyTime now = m_shared.clock.now();
-    for (const policy::QueryChange& change : m_queries.takeChanges())
-        log::warning(change.isRefused ? "request refused from now on" : "request no longer refused", { { "digest", toText(change.request) }, { "service", change.service.value }, { "endpointsEnded", std::to_string(change.endpointsEnded) }, { "reason", std::string(toText(change.reason)) } });
+    logQueryChanges(m_queries);
     for (int notices = 0; notices < mostQueryNotices; ++notices) {
         const QueryNews news = m_queries.takeNews(now);
         if (news.empty())
--- a/packages/router/include/whinyard/router/Router.h
+++ b/packages/router/include/whinyard/router/Router.h
@@ -17,9 +17,11 @@
 #include "whinyard/ledger/IntentLedger.h"
 #include "whinyard/ledger/UsageLedger.h"
 #include "whinyard/net/HttpServer.h"
+#include "whinyard/net/ListenProbe.h"
 #include "whinyard/peer/Peers.h"
 #include "whinyard/policy/Cascade.h"
 #include "whinyard/policy/CustomerLimits.h"
+#include "whinyard/policy/QueryOfDeath.h"
 #include "whinyard/policy/Redispatch.h"
 #include "whinyard/policy/RetryPolicy.h"
 #include "whinyard/policy/RolloutJudge.h"
@@ -47,6 +49,8 @@
     const policy::SessionPins& sessionPins;
     policy::RolloutJudge& judge;
     policy::CustomerLimits& limits;
+    policy::QueryOfDeathTable& queries;
+    net::ListenProbe& listening;
     Fibers& fibers;
     peer::Peers* peers = nullptr; // Null: keyed calls are never forwarded.
 };
--- a/packages/router/src/internal/EngineDispatch.cpp
+++ b/packages/router/src/internal/EngineDispatch.cpp
@@ -29,6 +29,10 @@
         context.record(EventKind::gateRefused, { .version = version, .reason = failure.reason });
         return false;
     }
+    if (context.guard && !context.guard->pass(failure)) {
+        context.record(EventKind::gateRefused, { .version = version, .reason = failure.reason });
+        return false;
+    }
     const std::shared_ptr<const config::Configuration> newest = source.newest();
     if (config::permitsVersion(*newest, context.customer, version, failure)) {
         context.record(EventKind::gatePassed, { .version = version, .amount = newest->revision });
@@ -95,6 +99,7 @@
     attempt.call.body = engineBody(m_work.request, m_work.version, m_context.priority);
     attempt.call.timeout = m_context.timeLeft();
     attempt.endpoint = chosen->name;
+    attempt.incarnation = chosen->incarnation;
     attempt.unqueuedWait = chosen->plan.unqueuedWait;
     attempt.elsewhere = std::move(wish);
     attempt.elsewhere.excluded.push_back(chosen->name);
@@ -129,6 +134,12 @@
     return true;
 }
 
+void EngineDispatch::noteLost(const Attempt& attempt, std::optional<std::chrono::nanoseconds> answeredFor)
+{
+    if (m_context.guard && m_context.accounts.back().bytesWritten > 0)
+        m_context.guard->noteLost({ attempt.endpoint, attempt.call.engine, attempt.incarnation, { m_work.version.value } }, answeredFor);
+}
+
 void EngineDispatch::cancelInBackground(const Attempt& attempt)
 {
     RouterCore& core = m_context.core;
@@ -152,6 +163,8 @@
         std::optional<endpoint::EngineAnswer> answer = once(*attempt, failure);
         if (answer)
             return answer;
+        if (failure.kind == ErrorKind::endpointFailed)
+            noteLost(*attempt, std::nullopt);
         if (!mayRetry(*attempt, failure))
             return std::nullopt;
     }
--- a/packages/router/src/internal/EngineDispatch.h
+++ b/packages/router/src/internal/EngineDispatch.h
@@ -20,6 +20,7 @@
 struct Attempt {
     endpoint::EngineCall call;
     EndpointName endpoint;
+    std::uint64_t incarnation = 0; // Of its process; 0 if it doesn't say.
     std::chrono::microseconds unqueuedWait { 0 }; // To the first byte, if a slot is free.
     endpoint::EndpointWish elsewhere; // What another endpoint would be chosen by.
 };
@@ -48,6 +49,9 @@
     // another one may follow, after having waited as long as it is to wait.
     bool mayRetry(const Attempt& attempt, const Failure& failure);
 
+    // Notes that the connection of an attempt was lost: its endpoint may have ended. `answeredFor` as in QueryGuard::noteLost().
+    void noteLost(const Attempt& attempt, std::optional<std::chrono::nanoseconds> answeredFor);
+
     // Notes that an attempt left its endpoint's queue, and has the engine drop it. Another one follows.
     void redispatch(const Attempt& attempt);
 
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -39,7 +39,7 @@
         return breakOff(attempt);
     attempt.end(endpoint::EndpointOutcome::succeeded);
     noteOutcome(attempt, false);
-    m_core.parts.queries.noteCompleted(m_digest, now());
+    m_guard.noteCompleted();
     m_runState = RunState::ran;
     const bool delivered = m_caller.send(*response);
     m_core.parts.metrics.add("whinyard_answers_total");
@@ -69,7 +69,7 @@
     if (m_stalled)
         m_failure = { .kind = ErrorKind::endpointFailed, .reason = "the endpoint was silent for " + text(now() - m_silentSince) + " ms", .runState = RunState::unknown };
     m_runState = std::max(m_runState, RunState::unknown);
-    if (m_callerLeft || isRefused()) {
+    if (m_callerLeft || m_guard.isRefused()) {
         attempt.end(endpoint::EndpointOutcome::cancelled);
         return AttemptEnd::broken;
     }
@@ -80,7 +80,7 @@
     // Silence that was not waited out is slowness, of which load has its share; a lost connection is a failure.
     noteOutcome(attempt, !m_stalled);
     const net::Listening listening = attempt.connectionLost() ? inquire(attempt) : net::Listening::unknown;
-    log::info("attempt failed", { { "request", m_request.id }, { "digest", toText(m_digest) }, { "endpoint", attempt.target().endpoint.name.value }, { "endpointListens", std::string(text(listening)) }, { "reason", m_failure.reason }, { "elapsedMs", text(attempt.age()) }, { "hadHead", attempt.hasHead() ? "true" : "false" }, { "events", std::to_string(m_events) } });
+    log::info("attempt failed", { { "request", m_request.id }, { "digest", toText(m_guard.request()) }, { "endpoint", attempt.target().endpoint.name.value }, { "endpointListens", std::string(text(listening)) }, { "reason", m_failure.reason }, { "elapsedMs", text(attempt.age()) }, { "hadHead", attempt.hasHead() ? "true" : "false" }, { "events", std::to_string(m_events) } });
     return AttemptEnd::broken;
 }
 
@@ -106,7 +106,7 @@
     }
     attempt.end(endpoint::EndpointOutcome::succeeded);
     noteOutcome(attempt, false);
-    m_core.parts.queries.noteCompleted(m_digest, now());
+    m_guard.noteCompleted();
     m_runState = RunState::ran;
     const bool delivered = m_caller.end();
     m_core.parts.metrics.add("whinyard_answers_total");
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -96,7 +96,7 @@
     , m_request(request)
     , m_admission(std::move(admission))
     , m_caller(caller)
-    , m_digest(digest())
+    , m_guard({ core.parts.clock, core.parts.metrics, core.parts.queries, core.parts.listening }, digest())
     , m_arrived(core.parts.clock.now())
     , m_lastEvent(request.resumeAfter)
 {
@@ -114,7 +114,7 @@
 void ForwardRun::run()
 {
     log::info("request admitted", { { "request", m_request.id }, { "route", m_admission.route->name }, { "customer", m_admission.customer.value }, { "configuration", std::to_string(m_admission.table->version()) }, { "timeLeftMs", text(timeLeft()) } });
-    if (!passQueryGate()) {
+    if (!m_guard.pass(m_failure)) {
         refuse(m_failure);
         return;
     }
@@ -144,7 +144,7 @@
 // it was admitted.
 bool ForwardRun::passGate()
 {
-    if (!passQueryGate())
+    if (!m_guard.pass(m_failure))
         return false;
     if (m_streaming)
         return true;
@@ -153,9 +153,10 @@
         return false;
     const bool changed = admission->table->version() != m_admission.table->version();
     m_admission = std::move(*admission);
-    m_digest = digest();
-    if (changed)
+    if (changed) {
+        m_guard.useRequest(digest());
         m_service = drawService();
+    }
     return true;
 }
 
@@ -236,7 +237,7 @@
 void ForwardRun::look()
 {
     // A copy that waits when others have ended their endpoints would end this one too.
-    if (m_current && isRefused()) {
+    if (m_current && m_guard.isRefused()) {
         m_current->cancel();
         return;
     }
@@ -310,7 +311,7 @@
         return false;
     if (end == AttemptEnd::steppedUp)
         return true;
-    if (repeatable() && !passQueryGate())
+    if (repeatable() && !m_guard.pass(m_failure))
         return false;
     const bool mayHaveRun = end != AttemptEnd::notRun;
     if (mayHaveRun && (!repeatable() || m_sent >= m_admission.route->maximumAttempts))
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "internal/ForwardAttempt.h"
-#include "whinyard/base/RequestDigest.h"
+#include "internal/QueryGuard.h"
 #include "whinyard/config/Routing.h"
 #include "whinyard/endpoint/EventFramer.h"
 
@@ -69,8 +69,6 @@
     AttemptEnd keepFailure(ForwardAttempt& attempt);
     AttemptEnd breakOff(ForwardAttempt& attempt);
     net::Listening inquire(const ForwardAttempt& attempt);
-    bool passQueryGate(); // False, with the failure: the request would end the endpoint that runs it, or might.
-    bool isRefused() const;
     std::vector<EndpointName> endpointsOfOtherSuspects() const;
     bool stepsUp(const ForwardAttempt& attempt);
     AttemptHead headFor(const AttemptTarget& target) const;
@@ -96,7 +94,7 @@
     const ForwardedRequest& m_request;
     Admission m_admission;
     net::HttpResponder& m_caller;
-    RequestDigest m_digest; // Of what is asked, whatever its id.
+    QueryGuard m_guard;
     const SteadyTime m_arrived;
     SteadyTime m_deadline;
 
--- a/packages/router/src/internal/RequestContext.cpp
+++ b/packages/router/src/internal/RequestContext.cpp
@@ -36,6 +36,11 @@
     return std::max(left, std::chrono::milliseconds(0));
 }
 
+void RequestContext::useContent(const RequestContent& content)
+{
+    guard.emplace(QueryParts { core.parts.clock, core.parts.metrics, core.parts.queries, core.parts.listening }, digestOf(content));
+}
+
 endpoint::AttemptId RequestContext::beginAttempt()
 {
     accounts.emplace_back();
--- a/packages/router/src/internal/RequestContext.h
+++ b/packages/router/src/internal/RequestContext.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "internal/CapacityQueue.h"
+#include "internal/QueryGuard.h"
 #include "whinyard/config/Document.h"
 #include "whinyard/endpoint/Attempt.h"
 #include "whinyard/router/Router.h"
@@ -60,6 +61,9 @@
     // Returns the time until the deadline, at least zero.
     std::chrono::milliseconds timeLeft() const;
 
+    // Takes what is asked: from now on the request is kept from endpoints that it would end.
+    void useContent(const RequestContent& content);
+
     // Adds an attempt and returns its identity. Its account is `accounts.back()`.
     endpoint::AttemptId beginAttempt();
 
@@ -73,6 +77,7 @@
     std::shared_ptr<const config::Configuration> configuration; // In force at arrival.
     CustomerName customer;
     std::uint8_t priority = 1;
+    std::optional<QueryGuard> guard; // Once it is known what is asked.
     std::vector<endpoint::AttemptAccount> accounts; // Of the attempts, in order.
     const net::HttpResponder* caller = nullptr; // Null for a forwarded call.
     std::uint32_t redispatches = 0;
--- a/packages/router/src/internal/ServiceDispatch.cpp
+++ b/packages/router/src/internal/ServiceDispatch.cpp
@@ -24,12 +24,13 @@
     : m_context(context)
     , m_work(work)
 {
+    m_context.useContent({ .customer = m_context.customer.value, .method = work.request.method, .host = work.service.name.value, .target = work.request.target, .body = work.request.body });
 }
 
 bool ServiceDispatch::passGate(Failure& failure)
 {
     std::uint64_t revision = 0;
-    if (awaitServable(m_context, failure)) {
+    if (awaitServable(m_context, failure) && m_context.guard->pass(failure)) {
         const std::shared_ptr<const config::Configuration> newest = m_context.core.parts.configuration.newest();
         revision = newest->revision;
         if (config::permitsService(*newest, m_context.customer, m_work.service.name, failure)) {
@@ -94,11 +95,14 @@
     m_context.accounts.back() = account;
     if (!response) {
         use.end(outcomeOf(account, failure));
+        if (failure.kind == ErrorKind::endpointFailed && account.bytesWritten > 0)
+            m_context.guard->noteLost({ chosen->name, chosen->address, chosen->incarnation, m_work.service.name }, std::nullopt);
         m_context.record(EventKind::attemptFailed, { .attempt = number, .endpoint = chosen->name, .amount = account.bytesWritten, .reason = failure.reason });
         return std::nullopt;
     }
     use.firstByte();
     use.end(endpoint::EndpointOutcome::succeeded);
+    m_context.guard->noteCompleted();
     m_context.record(EventKind::attemptFinished, { .attempt = number, .endpoint = chosen->name, .amount = response->body.size(), .reason = "status " + std::to_string(response->status) });
     return response;
 }
--- a/packages/router/src/internal/StreamReader.cpp
+++ b/packages/router/src/internal/StreamReader.cpp
@@ -40,6 +40,8 @@
         if (m_watch->givenUp() == GivenUp::callerGone)
             failure.kind = ErrorKind::cancelled;
         m_use->end(outcomeOf(m_context.accounts.back(), failure));
+        if (failure.kind == ErrorKind::endpointFailed)
+            m_dispatch.noteLost(*m_attempt, std::nullopt);
         if (!m_dispatch.mayRetry(*m_attempt, failure))
             return false;
     }
@@ -100,6 +102,7 @@
         return begin(failure);
     }
     m_use->end(endpoint::EndpointOutcome::failed);
+    m_dispatch.noteLost(*m_attempt, m_next > 0 ? m_context.now() - m_firstAt : std::chrono::nanoseconds(0));
     if (m_shown) {
         failure = { .kind = ErrorKind::answerCut, .reason = "the answer can't be completed: " + failure.reason };
         return false;
@@ -130,6 +133,7 @@
 void StreamReader::takeIn(const endpoint::StreamPiece& piece)
 {
     if (m_next == 0) {
+        m_firstAt = m_context.now();
         m_use->firstByte();
         m_watch->noteFirstByte();
         m_context.record(EventKind::attemptFirstByte, { .attempt = m_attempt->call.attempt.number, .endpoint = m_attempt->endpoint });
--- a/packages/router/src/internal/StreamReader.h
+++ b/packages/router/src/internal/StreamReader.h
@@ -50,6 +50,7 @@
     std::unique_ptr<AttemptWatch> m_watch;
     std::unique_ptr<endpoint::EngineStream> m_stream;
     std::uint64_t m_next = 0; // Offset of the first piece that was not delivered.
+    SteadyTime m_firstAt; // When the first piece came.
     std::uint32_t m_resumes = 0; // Since the last piece.
     std::optional<TokenUsage> m_reported;
     bool m_shown = false;
--- a/packages/router/testing/whinyard/router/ForwarderFakes.h
+++ b/packages/router/testing/whinyard/router/ForwarderFakes.h
@@ -82,19 +82,6 @@
     }
 };
 
-// Answers as a test says, and runs what it is to run while it is asked.
-class FakeListenProbe final : public net::ListenProbe {
-public:
-    net::Listening answer = net::Listening::yes;
-    int asked = 0;
-
-    net::Listening ask(const net::Address&, std::chrono::milliseconds) override
-    {
-        ++asked;
-        return answer;
-    }
-};
-
 // One forwarder with two endpoints of one service.
 class ForwarderBench {
 public:
--- a/packages/router/testing/whinyard/router/RouterFakes.h
+++ b/packages/router/testing/whinyard/router/RouterFakes.h
@@ -32,6 +32,19 @@
     }
 };
 
+// Answers as a test says whether a process listens.
+class FakeListenProbe final : public net::ListenProbe {
+public:
+    net::Listening answer = net::Listening::yes;
+    int asked = 0;
+
+    net::Listening ask(const net::Address&, std::chrono::milliseconds) override
+    {
+        ++asked;
+        return answer;
+    }
+};
+
 // Waiting moves the clock; background work waits until a test runs it.
 class FakeFibers final : public Fibers {
 public:
@@ -329,9 +342,11 @@
     policy::SessionPins sessionPins { { { 1, "0123456789abcdef" } } };
     policy::RolloutJudge judge { { "entry-1" }, { 1 } };
     policy::CustomerLimits limits { { "entry-1" }, { 1 } };
+    policy::QueryOfDeathTable queries;
+    FakeListenProbe listening;
     FakeFibers fibers { clock };
     peer::FakePeers peers { alone() };
-    Router router { { clock, hybridClock, events, metrics, configuration, directory, engines, services, intents, usage, ratings, sessionPins, judge, limits, fibers, &peers }, settings(), Random(7) };
+    Router router { { clock, hybridClock, events, metrics, configuration, directory, engines, services, intents, usage, ratings, sessionPins, judge, limits, queries, listening, fibers, &peers }, settings(), Random(7) };
 
 private:
     static peer::MembershipView alone()
