Count ages and deadlines by a clock that goes on during a suspension

Cause: SystemClock read std::chrono::steady_clock, which stands still while a machine is suspended. A configuration, a lease, another instance's statement or a connection that was kept open was then as young when the machine woke as when it stopped, and a request went on as if no time had passed.

Change: SystemClock reads CLOCK_BOOTTIME, and so do the ages of kept connections.

--- a/packages/base/include/whinyard/base/Clock.h
+++ b/packages/base/include/whinyard/base/Clock.h
@@ -13,7 +13,8 @@
 public:
     virtual ~Clock() = default;
 
-    // Returns a time that never goes back; its origin is arbitrary.
+    // Returns a time that never goes back and counts also while the machine is suspended; its origin is arbitrary. Ages,
+    // leases and deadlines are counted by it, never by std::chrono::steady_clock, which stands still meanwhile.
     virtual SteadyTime now() const = 0;
 
     // Returns the time of day, which may jump when the machine's clock is set.
@@ -23,7 +24,7 @@
 // The machine's clock.
 class SystemClock final : public Clock {
 public:
-    SteadyTime now() const override { return std::chrono::steady_clock::now(); }
+    SteadyTime now() const override;
     WallTime wallNow() const override { return std::chrono::system_clock::now(); }
 };
 
--- a/packages/net/src/internal/ConnectionPool.cpp
+++ b/packages/net/src/internal/ConnectionPool.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-    // Shorter than the idle timeout of usual servers, so that the client closes first.
+    // Shorter than the idle timeout of usual servers, so that the client closes first, also after a suspension.
     constexpr std::chrono::seconds keepTime { 30 };
     constexpr std::chrono::seconds sweepInterval { 10 };
     constexpr std::size_t maximumKept = 512; // For each address.
@@ -25,7 +25,7 @@
     if (found == m_kept.end())
         return nullptr;
     Kept& kept = found->second;
-    const SteadyTime oldest = std::chrono::steady_clock::now() - keepTime;
+    const SteadyTime oldest = SystemClock().now() - keepTime;
     while (!kept.empty()) {
         auto connection = std::move(kept.back());
         kept.pop_back();
@@ -57,7 +57,7 @@
 
 void ConnectionPool::keep(const Address& address, std::unique_ptr<ClientConnection> connection)
 {
-    const SteadyTime now = std::chrono::steady_clock::now();
+    const SteadyTime now = SystemClock().now();
     dropOld(now);
     if (connection->requestCut)
         return;
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -68,8 +68,10 @@
     m_failure = attempt.failure();
     if (m_stalled)
         m_failure = { .kind = ErrorKind::endpointFailed, .reason = "the endpoint was silent for " + text(now() - m_silentSince) + " ms", .runState = RunState::unknown };
+    if (m_isOverdue)
+        m_failure = { .kind = ErrorKind::deadlineExceeded, .reason = "the deadline passed", .runState = RunState::unknown };
     m_runState = std::max(m_runState, RunState::unknown);
-    if (m_callerLeft || m_guard.isRefused()) {
+    if (m_callerLeft || m_isOverdue || m_guard.isRefused()) {
         attempt.end(endpoint::EndpointOutcome::cancelled);
         return AttemptEnd::broken;
     }
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+    // The timer of an attempt's call ends it at the deadline; this much later it has not counted all of the time.
+    constexpr std::chrono::milliseconds timerSlack { 200 };
+
     // Attempts that no endpoint began, beyond which a request is refused: every endpoint is full, or the list is wrong.
     constexpr std::uint32_t mostRefusals = 4;
 
@@ -236,8 +239,10 @@
 
 void ForwardRun::look()
 {
-    // A copy that waits when others have ended their endpoints would end this one too.
-    if (m_current && m_guard.isRefused()) {
+    // A copy that waits when others have ended their endpoints would end this one too. And the call's own timer doesn't count
+    // the time for which the machine was suspended.
+    m_isOverdue = now() > m_deadline + timerSlack;
+    if (m_current && (m_guard.isRefused() || m_isOverdue)) {
         m_current->cancel();
         return;
     }
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -113,6 +113,7 @@
     bool m_streaming = false; // The caller has the head of the answer.
     bool m_callerLeft = false;
     bool m_stalled = false; // The present attempt was given up for its silence, and another one is granted.
+    bool m_isOverdue = false; // The present attempt was ended after the deadline: its own timer had not.
     SteadyTime m_silentSince; // The last sign of the present attempt.
     std::optional<SteadyTime> m_firstEventAt; // Of the present attempt.
     std::optional<SteadyTime> m_latestEventAt;
