--- a/packages/net/test/ListenProbeTest.cpp
+++ b/packages/net/test/ListenProbeTest.cpp
@@ -1,5 +1,5 @@
-#include "whinyard/net/HttpServer.h"
 #include "whinyard/net/ListenProbe.h"
+#include "whinyard/net/HttpServer.h"
 
 #include <gtest/gtest.h>
 
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -71,17 +71,19 @@
     if (m_isOverdue)
         m_failure = { .kind = ErrorKind::deadlineExceeded, .reason = "the deadline passed", .runState = RunState::unknown };
     m_runState = std::max(m_runState, RunState::unknown);
-    if (m_callerLeft || m_isOverdue || m_guard.isRefused()) {
+    const bool wasGivenUp = m_callerLeft || m_isOverdue || m_guard.isRefused();
+    const net::Listening listening = attempt.connectionLost() ? inquire(attempt) : net::Listening::unknown;
+    if (wasGivenUp) {
         attempt.end(endpoint::EndpointOutcome::cancelled);
         return AttemptEnd::broken;
     }
     // Silence until the caller's own deadline says little about an endpoint that had no time left.
     const bool isFault = !attempt.timedOut() || timeLeft() >= shortestAttempt;
-    const endpoint::EndpointOutcome fault = m_stalled ? endpoint::EndpointOutcome::stalled : endpoint::EndpointOutcome::failed;
+    const endpoint::EndpointOutcome lost = listening == net::Listening::no ? endpoint::EndpointOutcome::unreachable : endpoint::EndpointOutcome::failed;
+    const endpoint::EndpointOutcome fault = m_stalled ? endpoint::EndpointOutcome::stalled : lost;
     attempt.end(isFault ? fault : endpoint::EndpointOutcome::cancelled);
     // Silence that was not waited out is slowness, of which load has its share; a lost connection is a failure.
     noteOutcome(attempt, !m_stalled);
-    const net::Listening listening = attempt.connectionLost() ? inquire(attempt) : net::Listening::unknown;
     log::info("attempt failed", { { "request", m_request.id }, { "digest", toText(m_guard.request()) }, { "endpoint", attempt.target().endpoint.name.value }, { "endpointListens", std::string(text(listening)) }, { "reason", m_failure.reason }, { "elapsedMs", text(attempt.age()) }, { "hadHead", attempt.hasHead() ? "true" : "false" }, { "events", std::to_string(m_events) } });
     return AttemptEnd::broken;
 }
--- a/packages/router/test/ForwarderQueryTest.cpp
+++ b/packages/router/test/ForwarderQueryTest.cpp
@@ -152,6 +152,30 @@
         EXPECT_EQ(sends(), 3U);
     }
 
+    // What can't be repeated runs on when its caller leaves, and may end its endpoint then.
+    TEST_F(ForwarderQueryTest, SuspectsARequestWhoseCallerHasLeft)
+    {
+        m_bench.useRoute(RequestKind::nonIdempotent);
+        FakeResponder caller;
+        m_bench.answer(200, { "x" }, true).onRead = [&] { caller.leave(); };
+        m_bench.send(caller);
+        EXPECT_EQ(m_bench.queries.suspects(), 1U);
+    }
+
+    // Otherwise it would take two further failures.
+    TEST_F(ForwarderQueryTest, SendsNothingMoreToAnEndpointThatHasEnded)
+    {
+        m_bench.lose(50);
+        m_bench.answer(200, { "x" });
+        m_bench.send();
+        const std::string ended = m_bench.sent(0, "endpoint");
+        for (int call = 0; call < 20; ++call) {
+            m_bench.answer(200, { "x" });
+            m_bench.send();
+            EXPECT_NE(m_bench.sent(sends() - 1, "endpoint"), ended);
+        }
+    }
+
     // Of the streams that an engine takes along most were answered for a while.
     TEST_F(ForwarderQueryTest, DoesNotSuspectAStreamThatWasAnsweredForLong)
     {
