Let a verdict end before its record, and have no reader extend it

Read as a newcomer would: how much longer a verdict holds was kept as a duration in the copy of what the store holds and in gossip, and taken from then on each time it was read again, so that instances that started late would have passed it on for ever. The copy is gone, and gossip has the time of day. A record that lapsed at the same moment as its verdict could be taken for one that an operator removed: verdicts hold for nine minutes, their records for ten. A write that fails is tried at growing intervals, up to 8 s, and said once in a row.

--- a/apps/whinyardd/FleetNews.cpp
+++ b/apps/whinyardd/FleetNews.cpp
@@ -133,16 +133,18 @@
     }
 }
 
-// Requests that are refused stand on a line each, with the milliseconds for which that holds.
+// Requests that are refused stand on a line each, with the time of day until which that holds: an entry is read long after it
+// was written, by instances that start.
 void FleetNews::takeVerdicts()
 {
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(m_shared.clock.wallNow().time_since_epoch());
     for (const peer::GossipEntry& entry : freshEntries(verdictTopic)) {
         std::istringstream lines(entry.value);
         std::string digest;
-        std::int64_t left = 0;
-        while (lines >> digest >> left) {
+        std::int64_t until = 0;
+        while (lines >> digest >> until) {
             if (const std::optional<RequestDigest> request = parseRequestDigest(digest))
-                m_queries.takeVerdict({ *request, {}, {}, std::chrono::milliseconds(left) }, m_shared.clock.now());
+                m_queries.takeVerdict({ *request, {}, {}, std::chrono::milliseconds(until) - now }, m_shared.clock.now());
         }
     }
 }
@@ -151,10 +153,11 @@
 void FleetNews::tellVerdicts()
 {
     logQueryChanges(m_queries);
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(m_shared.clock.wallNow().time_since_epoch());
     std::string lines;
     std::set<RequestDigest> told;
     for (const QueryVerdict& verdict : m_queries.standing(m_shared.clock.now())) {
-        const std::string line = toText(verdict.request) + " " + std::to_string(verdict.left.count()) + "\n";
+        const std::string line = toText(verdict.request) + " " + std::to_string((now + verdict.left).count()) + "\n";
         if (lines.size() + line.size() > peer::largestGossipValue)
             break;
         lines += line;
--- a/apps/whinyardd/entry/QueryKeeper.h
+++ b/apps/whinyardd/entry/QueryKeeper.h
@@ -22,7 +22,8 @@
     // Takes all records under the prefix.
     void replaced(const std::vector<backing::Record>& records);
 
-    // Writes the verdicts that this instance came to and that don't stand there. Returns false when the store failed.
+    // Writes the verdicts that this instance came to and that don't stand there, and removes those that were refuted. Returns
+    // false when the store failed; the log tells of the first failure in a row.
     bool turn();
 
 private:
@@ -31,7 +32,7 @@
 
     ServeDuty& m_serving;
     backing::WatchableStore& m_store;
-    std::vector<QueryVerdict> m_stored; // As it was read or written last.
+    bool m_fails = false; // The last write failed.
 };
 
 }
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -164,6 +164,7 @@
         m_forwarder->tick();
         m_link.tellPins();
         m_queries.refresh(m_shared.clock.now());
+        m_hasVerdicts = !m_queries.hasNoVerdicts();
         m_link.tellQueries();
         net::sleepFor(tickInterval);
     }
@@ -242,6 +243,11 @@
     return net::callOn(m_duty, [this] { return m_queries.unstored(storeAfter, m_shared.clock.now()); }).value_or(std::vector<QueryVerdict>());
 }
 
+void ServeDuty::noteStoredVerdict(const RequestDigest& request)
+{
+    m_duty.post([this, request] { m_queries.noteStored(request, m_shared.clock.now()); });
+}
+
 std::vector<RequestDigest> ServeDuty::refutedVerdicts()
 {
     return net::callOn(m_duty, [this] { return m_queries.takeRefuted(); }).value_or(std::vector<RequestDigest>());
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -14,6 +14,7 @@
 #include "whinyard/policy/VersionShift.h"
 #include "whinyard/router/Forwarder.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -64,6 +65,12 @@
     // Returns the verdicts of this instance that are to be kept in the store.
     std::vector<QueryVerdict> unstoredVerdicts();
 
+    // Notes that the record of such a verdict stands there.
+    void noteStoredVerdict(const RequestDigest& request);
+
+    // Returns whether there are any verdicts, at no cost.
+    bool hasVerdicts() const { return m_hasVerdicts; }
+
     // Returns those of its verdicts whose records are to be removed from the store.
     std::vector<RequestDigest> refutedVerdicts();
 
@@ -96,6 +103,7 @@
     std::unique_ptr<router::Forwarder> m_forwarder;
     std::unique_ptr<net::HttpServer> m_server;
     std::unique_ptr<net::HttpServer> m_readiness;
+    std::atomic<bool> m_hasVerdicts = false;
     bool m_wasReady = false; // At the last question.
 };
 
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -49,6 +49,7 @@
     constexpr std::chrono::milliseconds failurePause { 150 };
 
     constexpr std::chrono::milliseconds verdictLook { 500 };
+    constexpr std::chrono::milliseconds longestVerdictPause { 8'000 }; // While writes fail.
 
     constexpr std::chrono::milliseconds shiftTurn { 150 }; // With as much again at random, so that not all write at once.
     constexpr std::chrono::milliseconds settleInterval { 200 };
@@ -261,10 +262,11 @@
 // Verdicts are rare: one is kept once for all instances.
 void StoreDuty::writeVerdicts()
 {
+    std::chrono::milliseconds pause = verdictLook;
     while (!m_shared.stopping) {
-        net::sleepFor(verdictLook);
-        if (m_probe->answers() && !m_queries->turn())
-            net::sleepFor(failurePause + std::chrono::milliseconds(below(m_random, failurePause.count())));
+        net::sleepFor(pause);
+        const bool failed = m_probe->answers() && !m_queries->turn();
+        pause = failed ? std::min(2 * pause, longestVerdictPause) : verdictLook;
     }
 }
 
--- a/packages/policy/include/whinyard/policy/QueryOfDeath.h
+++ b/packages/policy/include/whinyard/policy/QueryOfDeath.h
@@ -50,9 +50,9 @@
     std::chrono::milliseconds weakDelay { 300 };
     std::chrono::seconds completionMemory { 30 }; // A request that was completed so lately ends no endpoint.
     std::chrono::minutes suspicionMemory { 10 };
-    // Then it may be tried once more, by a repaired version perhaps: one more loss brings the verdict back. As long as the store
-    // keeps a record without a renewal.
-    std::chrono::minutes verdictLifetime { 10 };
+    // Then it may be tried once more, by a repaired version perhaps: one more loss brings the verdict back. A minute less than a
+    // store keeps a record without a renewal.
+    std::chrono::minutes verdictLifetime { 9 };
     std::chrono::seconds oldestRead { 10 }; // Of the store, in a state that may be seconds old.
     std::chrono::seconds explanationMemory { 60 }; // Losses with one process are told within seconds.
     // One that is suspected takes some 150 bytes. Where a third of 1,700 engines is lost at once, 13,000 are; the oldest go first.
@@ -88,12 +88,18 @@
     // longer and doesn't now is lifted: an operator has removed its record.
     void takeStored(const std::vector<QueryVerdict>& stored, SteadyTime now);
 
+    // Notes that this instance has seen a verdict's record written.
+    void noteStored(const RequestDigest& request, SteadyTime now);
+
     // Reaches verdicts that were due for a better explanation, and drops what is over. Call it about every 50 ms.
     void refresh(SteadyTime now);
 
     // Returns what is to be told now, as much as one notice holds; the rest comes with the next calls.
     QueryNews takeNews(SteadyTime now);
 
+    // Returns whether no verdict was reached, or all are over.
+    bool hasNoVerdicts() const { return m_verdicts.empty(); }
+
     // Returns all verdicts that hold, for instances that missed a notice.
     std::vector<QueryVerdict> standing(SteadyTime now) const;
 
@@ -137,6 +143,7 @@
     void place(const RequestDigest& request, Verdict verdict, QueryChangeReason reason, SteadyTime now);
     void explain(const RequestDigest& request, const std::vector<EndpointLife>& lives, SteadyTime now);
     void releaseExplained();
+    void forgetOld(SteadyTime now);
     void lift(const RequestDigest& request, Verdict& verdict, QueryChangeReason reason);
     void remember(const RequestDigest& request, SteadyTime now);
     bool wasCompleted(const RequestDigest& request, SteadyTime now) const;
@@ -155,6 +162,7 @@
     std::deque<RequestDigest> m_untoldVerdicts;
     std::vector<RequestDigest> m_refuted;
     std::vector<QueryChange> m_changes;
+    SteadyTime m_forgotAt;
 };
 
 }
--- a/packages/policy/src/QueryOfDeath.cpp
+++ b/packages/policy/src/QueryOfDeath.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+    constexpr std::chrono::seconds forgetInterval { 1 }; // A look at some thousand suspects takes a part of a millisecond.
+
     bool contains(const std::vector<EndpointLife>& lives, EndpointLife life)
     {
         return std::find(lives.begin(), lives.end(), life) != lives.end();
@@ -239,8 +241,7 @@
     for (const QueryVerdict& verdict : stored) {
         present.insert(verdict.request);
         takeVerdict(verdict, now);
-        if (const auto found = m_verdicts.find(verdict.request); found != m_verdicts.end())
-            found->second.storedAt = found->second.storedAt.value_or(now);
+        noteStored(verdict.request, now);
     }
     for (auto& [request, verdict] : m_verdicts) {
         if (!verdict.isLifted && !present.contains(request) && verdict.storedAt && now - *verdict.storedAt > m_settings.oldestRead)
@@ -248,10 +249,23 @@
     }
 }
 
+void QueryOfDeathTable::noteStored(const RequestDigest& request, SteadyTime now)
+{
+    if (const auto found = m_verdicts.find(request); found != m_verdicts.end())
+        found->second.storedAt = found->second.storedAt.value_or(now);
+}
+
 void QueryOfDeathTable::refresh(SteadyTime now)
 {
     for (const RequestDigest& request : std::set<RequestDigest>(m_weak))
         judge(request, now);
+    if (now - m_forgotAt >= forgetInterval)
+        forgetOld(now);
+}
+
+void QueryOfDeathTable::forgetOld(SteadyTime now)
+{
+    m_forgotAt = now;
     std::erase_if(m_suspects, [&](const auto& entry) { return now - entry.second.latest > m_settings.suspicionMemory; });
     releaseExplained();
     std::erase_if(m_explained, [&](const auto& entry) { return now - entry.second > m_settings.explanationMemory; });
