--- a/packages/policy/include/whinyard/policy/QueryOfDeath.h
+++ b/packages/policy/include/whinyard/policy/QueryOfDeath.h
@@ -23,8 +23,8 @@
 
 // Why a request is refused from now on, or no longer.
 enum class QueryChangeReason : std::uint8_t {
-    ownLoss, // Endpoints ended with it, the last of them under an attempt of this instance.
-    toldLosses, // The same, but other instances made the attempts.
+    ownLoss, // Endpoints ended with it, some of them under attempts of this instance.
+    toldLosses, // The same, but other instances made all the attempts.
     toldVerdict,
     completed,
     recordRemoved,
--- a/packages/policy/src/QueryOfDeath.cpp
+++ b/packages/policy/src/QueryOfDeath.cpp
@@ -220,6 +220,8 @@
         m_untoldCompleted.insert(verdict.request);
         return;
     }
+    if (verdict.left.count() <= 0)
+        return;
     const auto found = m_verdicts.find(verdict.request);
     const SteadyTime until = now + std::min<std::chrono::milliseconds>(verdict.left, m_settings.verdictLifetime);
     if (found != m_verdicts.end()) {
--- a/packages/policy/test/QueryOfDeathTest.cpp
+++ b/packages/policy/test/QueryOfDeathTest.cpp
@@ -217,6 +217,8 @@
         EXPECT_TRUE(m_other.isRefused(deadly, m_now));
         EXPECT_FALSE(m_other.isRefused(deadly, m_now + 5min));
         EXPECT_TRUE(m_other.unstored(0s, m_now).empty());
+        m_other.takeStored({ { innocent, service, { life("e1") }, -1ms } }, m_now);
+        EXPECT_EQ(m_other.takeChanges().size(), 1U) << "a record outlives its verdict";
     }
 
     TEST_F(QueryOfDeathTableTest, DropsTheOldestSuspicionWhenItIsFull)
