Count the second end of an engine whose new start the list doesn't show yet

An engine may start again under its name, and the list tells so up to two seconds late. A request that ended it twice was counted once then: what is lost 1.5 s after the first loss was held by another process. Test first, in the table's tests; it fails without the time.

--- a/packages/policy/include/whinyard/policy/QueryOfDeath.h
+++ b/packages/policy/include/whinyard/policy/QueryOfDeath.h
@@ -45,6 +45,9 @@
 struct QueryOfDeathSettings {
     // A wave of failures takes a request along once or twice; a third time in a row without an end it was hardly chance.
     std::size_t livesToVerdict = 3;
+    // All that a process held is lost within some hundred milliseconds. What is lost so much later was held by another process, of
+    // whose start under the same name the list of endpoints hasn't told yet.
+    std::chrono::milliseconds sameLoss { 1'500 };
     // How long one that had not begun everywhere waits for a better explanation of the same losses: notices take milliseconds,
     // and instances tell each 50 ms.
     std::chrono::milliseconds weakDelay { 300 };
@@ -118,6 +121,7 @@
     struct Loss {
         EndpointLife life;
         LossStage stage = LossStage::waiting;
+        SteadyTime at;
     };
 
     struct Suspect {
--- a/packages/policy/src/QueryOfDeath.cpp
+++ b/packages/policy/src/QueryOfDeath.cpp
@@ -82,9 +82,9 @@
         return;
     makeRoom();
     Suspect& suspect = m_suspects[loss.request];
-    const auto known = std::find_if(suspect.losses.begin(), suspect.losses.end(), [&](const Loss& one) { return one.life == loss.life; });
+    const auto known = std::find_if(suspect.losses.begin(), suspect.losses.end(), [&](const Loss& one) { return one.life == loss.life && now - one.at <= m_settings.sameLoss; });
     if (known == suspect.losses.end())
-        suspect.losses.push_back({ loss.life, loss.stage });
+        suspect.losses.push_back({ loss.life, loss.stage, now });
     else
         known->stage = std::max(known->stage, loss.stage);
     suspect.latest = now;
@@ -278,7 +278,7 @@
         if (!verdict.isLifted) {
             Suspect& suspect = m_suspects[request];
             for (std::size_t i = 0; i + 1 < m_settings.livesToVerdict && i < verdict.lives.size(); ++i)
-                suspect.losses.push_back({ verdict.lives[i], LossStage::begun });
+                suspect.losses.push_back({ verdict.lives[i], LossStage::begun, verdict.madeAt });
             suspect.latest = now;
         }
         return true;
--- a/packages/policy/test/QueryOfDeathTest.cpp
+++ b/packages/policy/test/QueryOfDeathTest.cpp
@@ -81,6 +81,17 @@
         EXPECT_TRUE(isRefused(deadly)) << "two processes more under the same name";
     }
 
+    // The list of endpoints shows an engine's new start up to two seconds late.
+    TEST_F(QueryOfDeathTableTest, CountsAProcessThatStartedAgainBeforeTheListSaysSo)
+    {
+        for (int start = 0; start < 3; ++start) {
+            lose(deadly, "e1");
+            lose(deadly, "e1");
+            EXPECT_EQ(isRefused(deadly), start == 2);
+            pass(2s);
+        }
+    }
+
     // Engines of one rack fail together, and a request that many callers send is under way on several of them.
     TEST_F(QueryOfDeathTableTest, SparesARequestThatWasCompletedLately)
     {
