Serve requests only in the regions that their route and their customer allow

Ruled out: bodies reach no other instance on any path (notices carry digests, reads between instances carry records and lists), so the choice of an endpoint is the only place where a request can leave its regions.

The choice compares endpoints of the allowed zones only, draws among them, and tries an unsound one of them rather than none; a stream that goes on keeps to the regions that are allowed by then. No common region: refused at once, not run, with a time to come back. Between regions a way is weighed beside that between zones (`regionPenaltyMs`).

Sites without regions choose as before: the order of comparison is the same.

Not done: the product's own configuration document has no restriction to regions yet.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -56,6 +56,7 @@
         policy::WaitSelectorSettings settings;
         settings.zoneFactor = tuning.zoneFactor;
         settings.zonePenalty = tuning.zonePenalty;
+        settings.regionPenalty = tuning.regionPenalty;
         settings.affinityCachedShare = tuning.affinityCachedShare;
         settings.rereadPenalty = tuning.rereadPenalty;
         settings.randomChoices = tuning.randomChoices;
@@ -105,6 +106,7 @@
     , m_models(modelSettings(shared.settings.tuning))
     , m_link(shared, m_directory, m_shifts, m_queries)
 {
+    m_directory.useRegions(shared.settings.regions);
 }
 
 bool ServeDuty::open(Failure& failure)
--- a/packages/base/include/whinyard/base/Identity.h
+++ b/packages/base/include/whinyard/base/Identity.h
@@ -22,6 +22,7 @@
 
 using InstanceName = Name<struct InstanceTag>; // A whinyardd process's place, kept over restarts.
 using ZoneName = Name<struct ZoneTag>; // An availability zone.
+using RegionName = Name<struct RegionTag>; // Of one or several availability zones.
 using EndpointName = Name<struct EndpointTag>; // A model engine or a plain service's process.
 using CustomerName = Name<struct CustomerTag>;
 using ModelName = Name<struct ModelTag>;
--- a/packages/config/include/whinyard/config/Routing.h
+++ b/packages/config/include/whinyard/config/Routing.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -47,6 +48,7 @@
     bool needsKey = true;
     bool resumable = false;
     bool isGenerative = false; // Requests carry a prompt for a model.
+    std::set<RegionName> allowedRegions {}; // Where requests may be served; empty: anywhere.
 
     // Returns whether a request may run again after it may have run.
     bool repeatable() const { return kind == RequestKind::idempotent || (kind == RequestKind::streaming && resumable); }
@@ -81,10 +83,34 @@
     CustomerName name;
     std::vector<std::string> keys;
     std::optional<std::uint8_t> priority; // Goes before the route's.
+    std::set<RegionName> allowedRegions {}; // Where its requests may be served; empty: anywhere.
 
     bool operator==(const RoutedCustomer&) const = default;
 };
 
+// The regions in which one request may be served.
+class Residency {
+public:
+    // No restriction.
+    Residency() = default;
+
+    // The restrictions of a route and of the customer that calls it, null where no key is asked for. Both hold.
+    Residency(const Route& route, const RoutedCustomer* customer);
+
+    bool isRestricted() const { return m_allowed.has_value(); }
+    bool allows(const RegionName& region) const { return !m_allowed || m_allowed->contains(region); }
+
+    // Returns whether the restrictions leave no region.
+    bool allowsNone() const { return m_allowed && m_allowed->empty(); }
+
+    bool operator==(const Residency&) const = default;
+
+private:
+    void restrictTo(const std::set<RegionName>& regions);
+
+    std::optional<std::set<RegionName>> m_allowed; // Absent: any region.
+};
+
 // What callers may send and how long they may take.
 struct CallerLimits {
     std::size_t headerBytes = 16 * 1024;
--- a/packages/config/src/Routing.cpp
+++ b/packages/config/src/Routing.cpp
@@ -18,6 +18,24 @@
 
 }
 
+Residency::Residency(const Route& route, const RoutedCustomer* customer)
+{
+    restrictTo(route.allowedRegions);
+    if (customer)
+        restrictTo(customer->allowedRegions);
+}
+
+void Residency::restrictTo(const std::set<RegionName>& regions)
+{
+    if (regions.empty())
+        return;
+    if (!m_allowed) {
+        m_allowed = regions;
+        return;
+    }
+    std::erase_if(*m_allowed, [&](const RegionName& region) { return !regions.contains(region); });
+}
+
 RoutingTable::RoutingTable(Routing routing)
     : m_routing(std::move(routing))
 {
--- a/packages/config/test/RoutingTest.cpp
+++ b/packages/config/test/RoutingTest.cpp
@@ -37,6 +37,28 @@
         EXPECT_EQ(table.findCustomer(""), nullptr);
     }
 
+    TEST(ResidencyTest, HoldsARequestToTheRegionsOfItsRouteAndItsCustomer)
+    {
+        const RegionName north { "north" };
+        const RegionName south { "south" };
+        Route anywhere = route("r", "a.example", "/");
+        Route northern = anywhere;
+        northern.allowedRegions = { north };
+        RoutedCustomer customer;
+        EXPECT_FALSE(Residency().isRestricted());
+        EXPECT_FALSE(Residency(anywhere, nullptr).isRestricted());
+        EXPECT_TRUE(Residency(anywhere, &customer).allows(south));
+        EXPECT_TRUE(Residency(northern, &customer).allows(north));
+        EXPECT_FALSE(Residency(northern, &customer).allows(south));
+        customer.allowedRegions = { north, south };
+        EXPECT_EQ(Residency(northern, &customer), Residency(northern, nullptr));
+        EXPECT_FALSE(Residency(anywhere, &customer).allows({ "west" }));
+        customer.allowedRegions = { south };
+        EXPECT_TRUE(Residency(northern, &customer).allowsNone());
+        EXPECT_FALSE(Residency(northern, &customer).allows(north));
+        EXPECT_FALSE(Residency(anywhere, &customer).allowsNone());
+    }
+
     TEST(RoutingTest, RepeatsStreamsOnlyWhereTheyResume)
     {
         Route stream = route("s", "a", "/");
--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -8,6 +8,7 @@
 #include "whinyard/backing/InstanceList.h"
 #include "whinyard/base/Clock.h"
 #include "whinyard/base/Random.h"
+#include "whinyard/config/Routing.h"
 #include "whinyard/endpoint/EndpointStatement.h"
 #include "whinyard/endpoint/EngineClient.h"
 #include "whinyard/policy/Cascade.h"
@@ -38,6 +39,7 @@
     bool stallsOthers = false;
     std::vector<float> prefixShares;
     std::vector<EndpointName> excluded; // Tried already.
+    config::Residency residency; // Only endpoints of these regions may get the request.
 };
 
 // The endpoint that was chosen.
@@ -70,6 +72,10 @@
     // `zone` is the instance's own.
     EndpointDirectory(ZoneName zone, Random random, const policy::EndpointTableSettings& table = {}, const policy::WaitSelectorSettings& selector = {});
 
+    // Takes the region of each availability zone. The endpoints of a zone that isn't named get no request that is restricted
+    // to regions.
+    void useRegions(std::map<ZoneName, RegionName> regions) { m_regions = std::move(regions); }
+
     // Takes the platform's list. Entries of other instances are ignored.
     void replace(const std::vector<backing::ListedEndpoint>& listed, SteadyTime now);
 
@@ -164,9 +170,12 @@
     void placeMembers();
     policy::EndpointMember memberOf(const backing::ListedEndpoint& listed) const;
     std::optional<policy::TargetIndex> targetOf(const EndpointWish& wish) const;
+    std::vector<policy::ZoneIndex> zonesOf(const config::Residency& residency) const;
+    std::vector<policy::ZoneIndex> zonesOfOwnRegion() const;
     void useRate(const EndpointName& endpoint);
 
     ZoneName m_zone;
+    std::map<ZoneName, RegionName> m_regions; // Of each zone.
     Random m_random;
     policy::EndpointTable m_table;
     std::unique_ptr<policy::EndpointSelector> m_selector;
--- a/packages/endpoint/src/EndpointDirectory.cpp
+++ b/packages/endpoint/src/EndpointDirectory.cpp
@@ -166,6 +166,29 @@
     return wish.service.empty() ? m_table.find(wish.version) : m_table.find(wish.service);
 }
 
+std::vector<policy::ZoneIndex> EndpointDirectory::zonesOf(const config::Residency& residency) const
+{
+    std::vector<policy::ZoneIndex> zones;
+    for (const auto& [name, region] : m_regions) {
+        const std::optional<policy::ZoneIndex> zone = m_table.find(name);
+        if (zone && residency.allows(region))
+            zones.push_back(*zone);
+    }
+    return zones;
+}
+
+std::vector<policy::ZoneIndex> EndpointDirectory::zonesOfOwnRegion() const
+{
+    std::vector<policy::ZoneIndex> zones;
+    const auto own = m_regions.find(m_zone);
+    for (const auto& [name, region] : m_regions) {
+        const std::optional<policy::ZoneIndex> zone = m_table.find(name);
+        if (zone && own != m_regions.end() && region == own->second)
+            zones.push_back(*zone);
+    }
+    return zones;
+}
+
 std::optional<ChosenEndpoint> EndpointDirectory::choose(const EndpointWish& wish, SteadyTime now, Failure& failure)
 {
     const std::optional<policy::TargetIndex> target = targetOf(wish);
@@ -176,9 +199,14 @@
             if (const std::optional<policy::EndpointIndex> index = m_table.find(name))
                 excluded.push_back(*index);
         }
+        const std::vector<policy::ZoneIndex> allowedZones = zonesOf(wish.residency);
+        const std::vector<policy::ZoneIndex> nearZones = zonesOfOwnRegion();
         policy::EndpointRequest request;
         request.target = *target;
         request.zone = m_table.find(m_zone);
+        request.nearZones = nearZones;
+        request.allowedZones = allowedZones;
+        request.isZoneRestricted = wish.residency.isRestricted();
         request.affinity = wish.affinity;
         request.prefix = wish.prefix;
         request.promptTokens = wish.promptTokens;
--- a/packages/policy/include/whinyard/policy/EndpointChoice.h
+++ b/packages/policy/include/whinyard/policy/EndpointChoice.h
@@ -20,6 +20,9 @@
 struct EndpointRequest {
     TargetIndex target {}; // The version or plain service.
     std::optional<ZoneIndex> zone; // The instance's own zone.
+    std::span<const ZoneIndex> nearZones; // Of the instance's own region, its own zone included; empty: there are no regions.
+    std::span<const ZoneIndex> allowedZones; // Where it may be served, if it is restricted to zones.
+    bool isZoneRestricted = false;
     std::uint64_t affinity = 0; // Digest of the session, or of the prompt's first block; 0 for none.
     std::span<const std::uint64_t> prefix; // Chained digests of the prompt's blocks, the longest prefix last.
     std::uint32_t promptTokens = 0; // 0 for plain services.
@@ -87,6 +90,7 @@
     double affinityCachedShare = 0.5; // Of a prompt that an affine endpoint is taken to hold.
     double zoneFactor = 1.5; // The own zone is kept while its load is at most this many times the other's.
     std::chrono::microseconds zonePenalty { 1'500 }; // One more way between zones, there and back.
+    std::chrono::microseconds regionPenalty { 0 }; // The same between regions, beside the one above.
     std::chrono::nanoseconds prefillPerToken { 50'000 }; // Of a prompt's token that isn't cached.
     double probeShare = 0.05; // Of the decisions that may probe while an endpoint waits for a probe.
 };
--- a/packages/policy/src/WaitSelector.cpp
+++ b/packages/policy/src/WaitSelector.cpp
@@ -96,12 +96,19 @@
                 return planAmongEjected();
             collect();
             compare();
-            if (m_ownZone.endpoint == noEndpointIndex && m_otherZone.endpoint == noEndpointIndex)
+            if (foundNone())
                 compareAll();
+            if (foundNone() && m_request.isZoneRestricted)
+                compareUnhealthy();
             return decide();
         }
 
     private:
+        bool foundNone() const
+        {
+            return std::all_of(m_best.begin(), m_best.end(), [](const Best& best) { return best.endpoint == noEndpointIndex; });
+        }
+
         EndpointIndex endpointToProbe()
         {
             if (m_members.probing.empty() || !m_request.mayProbe || uniform(m_random) >= m_settings.probeShare)
@@ -133,11 +140,22 @@
                     m_candidates.add(endpoint, ChoiceReason::leastLoaded, 0);
                 return;
             }
-            if (m_request.zone && static_cast<std::size_t>(*m_request.zone) < m_members.healthyByZone.size())
-                addRandom(m_members.healthyByZone[static_cast<std::size_t>(*m_request.zone)]);
+            if (m_request.zone)
+                addRandomOf(*m_request.zone);
+            if (m_request.isZoneRestricted) {
+                for (const ZoneIndex zone : m_request.allowedZones)
+                    addRandomOf(zone);
+                return;
+            }
             addRandom(m_members.healthy);
         }
 
+        void addRandomOf(ZoneIndex zone)
+        {
+            if (static_cast<std::size_t>(zone) < m_members.healthyByZone.size())
+                addRandom(m_members.healthyByZone[static_cast<std::size_t>(zone)]);
+        }
+
         // The first digest from the end that is known anywhere decides; shorter ones add less.
         void addCached()
         {
@@ -179,7 +197,7 @@
                 if (point == m_members.ring.end())
                     point = m_members.ring.begin();
                 const EndpointRow& row = m_table.row(point->endpoint);
-                if (row.health != HealthState::healthy)
+                if (row.health != HealthState::healthy || !isInAllowedZone(m_table, m_request, point->endpoint))
                     continue;
                 m_candidates.add(point->endpoint, ChoiceReason::affinity, shared * m_settings.affinityCachedShare);
                 ++found;
@@ -205,10 +223,40 @@
                 takeByZone({ endpoint, ChoiceReason::leastLoaded, 0 });
         }
 
+        // The zones that a request is restricted to may have no healthy endpoint while others have.
+        void compareUnhealthy()
+        {
+            for (const std::vector<EndpointIndex>* list : { &m_members.probing, &m_members.ejected }) {
+                for (const EndpointIndex endpoint : *list)
+                    takeByZone({ endpoint, ChoiceReason::allEjected, 0 });
+            }
+        }
+
         void takeByZone(const Candidate& candidate)
         {
-            const bool isOwnZone = !m_request.zone || m_table.row(candidate.endpoint).zone == *m_request.zone;
-            take(isOwnZone ? m_ownZone : m_otherZone, candidate);
+            take(m_best[distanceTo(m_table.row(candidate.endpoint).zone)], candidate);
+        }
+
+        // The nearest first.
+        enum Distance : std::size_t {
+            ownZone,
+            ownRegion, // Any other zone where there are no regions.
+            otherRegion,
+            distances,
+        };
+
+        Distance distanceTo(ZoneIndex zone) const
+        {
+            if (!m_request.zone || zone == *m_request.zone)
+                return ownZone;
+            const auto& near = m_request.nearZones;
+            return near.empty() || std::find(near.begin(), near.end(), zone) != near.end() ? ownRegion : otherRegion;
+        }
+
+        Nanoseconds penaltyOf(std::size_t distance) const
+        {
+            const Nanoseconds zone = distance == ownZone ? Nanoseconds(0) : Nanoseconds(m_settings.zonePenalty);
+            return distance == otherRegion ? zone + m_settings.regionPenalty : zone;
         }
 
         void take(Best& best, const Candidate& candidate)
@@ -273,16 +321,23 @@
 
         EndpointPlan decide()
         {
-            const bool hasOwn = m_ownZone.endpoint != noEndpointIndex;
-            const bool hasOther = m_otherZone.endpoint != noEndpointIndex;
-            if (!hasOwn && !hasOther)
+            if (foundNone())
                 return planForNone(m_table, m_request, m_members.healthy, m_now);
-            if (hasOwn && (!hasOther || m_ownZone.wait <= m_otherZone.wait * m_settings.zoneFactor + m_settings.zonePenalty))
-                return planFor(m_ownZone);
-            if (m_otherZone.reason == ChoiceReason::leastLoaded)
-                m_otherZone.reason = ChoiceReason::otherZone;
-            m_otherZone.wait += m_settings.zonePenalty;
-            return planFor(m_otherZone);
+            std::size_t chosen = distances;
+            for (std::size_t distance = ownZone; distance < distances; ++distance) {
+                if (m_best[distance].endpoint != noEndpointIndex && (chosen == distances || isWorthTheWay(chosen, distance)))
+                    chosen = distance;
+            }
+            Best best = m_best[chosen];
+            if (chosen != ownZone && best.reason == ChoiceReason::leastLoaded)
+                best.reason = ChoiceReason::otherZone;
+            best.wait += penaltyOf(chosen);
+            return planFor(best);
+        }
+
+        bool isWorthTheWay(std::size_t nearer, std::size_t farther) const
+        {
+            return m_best[nearer].wait > m_best[farther].wait * m_settings.zoneFactor + penaltyOf(farther) - penaltyOf(nearer);
         }
 
         EndpointPlan planFor(const Best& best) const
@@ -310,8 +365,7 @@
         const SteadyTime m_now;
         Random& m_random;
         Candidates m_candidates;
-        Best m_ownZone;
-        Best m_otherZone;
+        std::array<Best, distances> m_best;
     };
 
     class WaitSelector final : public EndpointSelector {
--- a/packages/router/src/internal/ForwardChoice.cpp
+++ b/packages/router/src/internal/ForwardChoice.cpp
@@ -62,6 +62,7 @@
     }
     wish.mayProbe = repeatable();
     wish.excluded = m_tried;
+    wish.residency = m_admission.residency;
     return wish;
 }
 
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -41,6 +41,13 @@
         return { .kind = ErrorKind::configurationStale, .reason = "other instances know a newer configuration", .retryAfter = newerConfigurationWithin };
     }
 
+    // Only another configuration can change it.
+    Failure noRegionFailure(std::uint64_t version)
+    {
+        constexpr std::chrono::milliseconds comeBack { 1'000 };
+        return { .kind = ErrorKind::noEndpoint, .reason = "configuration " + std::to_string(version) + " allows the route and the customer no common region", .retryAfter = comeBack };
+    }
+
     std::chrono::nanoseconds part(std::chrono::nanoseconds whole, double share)
     {
         return std::chrono::duration_cast<std::chrono::nanoseconds>(whole * share);
@@ -79,6 +86,7 @@
         return std::nullopt;
     }
     admission.priority = admission.route->priority;
+    admission.residency = config::Residency(*admission.route, nullptr);
     if (!admission.table->routing().knowsCustomers || !admission.route->needsKey)
         return admission;
     const config::RoutedCustomer* customer = admission.table->findCustomer(request.key);
@@ -92,6 +100,11 @@
     }
     admission.customer = customer->name;
     admission.priority = customer->priority.value_or(admission.priority);
+    admission.residency = config::Residency(*admission.route, customer);
+    if (admission.residency.allowsNone()) {
+        failure = noRegionFailure(admission.table->version());
+        return std::nullopt;
+    }
     return admission;
 }
 
@@ -151,8 +164,12 @@
     m_core.followRouting();
     if (!m_guard.pass(m_failure))
         return false;
-    if (m_streaming)
+    if (m_streaming) {
+        Failure ignored; // The stream may end, even where a new request wouldn't begin.
+        if (const std::optional<Admission> newest = admit(m_core.parts.routing, m_request, ignored))
+            m_admission.residency = newest->residency;
         return true;
+    }
     std::optional<Admission> admission = admit(m_core.parts.routing, m_request, m_failure);
     if (!admission)
         return false;
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -19,9 +19,11 @@
     const config::Route* route = nullptr;
     CustomerName customer; // Empty where no key is asked for.
     std::uint8_t priority = 1;
+    config::Residency residency; // No endpoint of another region may get the request.
 };
 
-// Finds the route and the customer of a request. Fails with configurationStale, unknownRoute or unauthenticated.
+// Finds the route and the customer of a request. Fails with configurationStale, unknownRoute, unauthenticated or noEndpoint where
+// its route and its customer have no region in common.
 std::optional<Admission> admit(const RoutingSource& source, const ForwardedRequest& request, Failure& failure);
 
 class ForwardRun {
--- a/packages/settings/include/whinyard/settings/EntrySettings.h
+++ b/packages/settings/include/whinyard/settings/EntrySettings.h
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -47,7 +48,8 @@
 struct EntrySettings {
     InstanceName instance;
     ZoneName zone;
-    std::string region;
+    RegionName region;
+    std::map<ZoneName, RegionName> regions; // Of each availability zone.
     net::Address callers; // Where callers connect.
     net::Address readiness; // Where the site asks whether this instance takes callers.
     std::optional<net::Address> metrics; // Where counters and latencies are read.
--- a/packages/settings/include/whinyard/settings/EntryTuning.h
+++ b/packages/settings/include/whinyard/settings/EntryTuning.h
@@ -27,6 +27,8 @@
     double zoneFactor = 1;
     // Added to the expected wait at an endpoint of another zone.
     std::chrono::milliseconds zonePenalty { 40 };
+    // Added beside it at an endpoint of another region.
+    std::chrono::milliseconds regionPenalty { 40 };
     // Of the shared parts of a prompt that an endpoint named by its hash is taken to hold.
     double affinityCachedShare = 0.5;
     // What a token that is read again costs beyond the time of reading it.
--- a/packages/settings/src/EntryTuning.cpp
+++ b/packages/settings/src/EntryTuning.cpp
@@ -22,6 +22,7 @@
         object.number("delayShare", tuning.delayShare, Presence::optional, { 0, 100 });
         object.number("zoneFactor", tuning.zoneFactor, Presence::optional, { 0, 100 });
         object.milliseconds("zonePenaltyMs", tuning.zonePenalty, Presence::optional, { milliseconds(0), milliseconds(10'000) });
+        object.milliseconds("regionPenaltyMs", tuning.regionPenalty, Presence::optional, { milliseconds(0), milliseconds(10'000) });
         std::uint32_t rereadPenalty = static_cast<std::uint32_t>(tuning.rereadPenalty.count());
         object.integer<std::uint32_t>("rereadPenaltyUs", rereadPenalty, Presence::optional, { 0, 10'000 });
         tuning.rereadPenalty = std::chrono::microseconds(rereadPenalty);
