Elect one instance that reports usage and orders endpoints

Cause: nothing reported usage or ordered endpoints on the platform.

Change, a package of its own (`packages/leadership`) that knows nothing of the wire: - LeaderLease: a leased record in the store; its revision is the fencing token. The provider doesn't check tokens, so the leader proves before each call, by a clock that counts suspension, that its lease outlasts the call; a lease is renewed once more after the record was written, so that nobody acts for a whole time to live after another leader's last action (no A, B, A). A leader that stops lets it lapse. - UsageCounter and UsageTotals: each instance counts requests by customer and window when an endpoint begins one, in a wall clock without jumps, and tells both followers of the store counts that only rise, so that notices may be lost, repeated and reordered and one instance's end costs at most what it counted in the last 0.4 s. Told each 4 ms times the instances at the most: a follower takes 250 notices a second whatever the fleet's size. - UsageReporter: a window is fixed in the store by a conditional write, under the leader's record, before it is sent; a successor repeats it. - policy::CapacityPlanner: spot endpoints spread so that the loss of a zone leaves what is needed, lasting ones stand in while spot ones are missing; rises at once, falls after ten seconds. DemandMeter: rates from counters that instances tell. Only instances that follow the store may lead, so there is no further election of candidates.

Two ways weighed for the sums: a tree by zone (fewer notices at the root, one more loss and delay a level, and a parent's end loses its part) against each instance to two; at 985 instances the second is 250 notices a second of some 300 bytes at a follower, 0.6 Mbit/s, so the tree (the combining of partial results, as in Mitra et al., EuroSys 2016) buys nothing that is needed. Two ways for the moment that counts: the first event at the caller (missed 5 of 5 windows by up to 16 %, since a request that steps up to a larger model began seconds earlier) and the first head (0 of 5 missed): the second.

--- a/apps/whinyardd/entry/InstanceWatch.cpp
+++ b/apps/whinyardd/entry/InstanceWatch.cpp
@@ -53,6 +53,12 @@
     m_serving.takeInstances(std::move(names));
 }
 
+std::optional<net::Address> InstanceWatch::addressOf(const InstanceName& instance) const
+{
+    const auto known = m_handedOn.find(instance);
+    return known == m_handedOn.end() ? std::nullopt : std::optional(known->second.address);
+}
+
 void InstanceWatch::noteKnown()
 {
     m_isKnown = true;
--- a/apps/whinyardd/entry/InstanceWatch.h
+++ b/apps/whinyardd/entry/InstanceWatch.h
@@ -7,6 +7,7 @@
 #include "whinyard/backing/KeyValueStore.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -26,12 +27,18 @@
     // Returns whether the records that were taken name another instance.
     bool knowsOthers() const { return m_knowsOthers; }
 
+    // Returns where an instance takes notices; nothing where it isn't known.
+    std::optional<net::Address> addressOf(const InstanceName& instance) const;
+
     // Notes that the records show whoever started before this instance.
     void noteKnown();
 
     // Takes an instance that has just started.
     void takeNotice(const peer::InstanceNotice& notice);
 
+    // Returns how many instances are known, this one included.
+    std::size_t size() const { return m_handedOn.size(); }
+
     // Returns whether the other instances are known.
     bool isKnown() const { return m_isKnown; }
 
--- a/apps/whinyardd/entry/PeerLink.cpp
+++ b/apps/whinyardd/entry/PeerLink.cpp
@@ -80,6 +80,12 @@
         send(to, bytes);
 }
 
+void PeerLink::sendTo(const net::Address& to, const peer::Notice& notice)
+{
+    if (m_socket)
+        send(to, peer::encodeNotice(notice));
+}
+
 void PeerLink::send(const net::Address& to, const std::string& bytes)
 {
     Failure failure;
@@ -231,6 +237,18 @@
         m_handlers.records(notice);
 }
 
+void PeerLink::take(const peer::UsageNotice& notice)
+{
+    if (m_handlers.usage)
+        m_handlers.usage(notice);
+}
+
+void PeerLink::take(const peer::DemandNotice& notice)
+{
+    if (m_handlers.demand)
+        m_handlers.demand(notice);
+}
+
 void PeerLink::take(const peer::QueryNotice& notice)
 {
     const SteadyTime now = m_shared.clock.now();
--- a/apps/whinyardd/entry/PeerLink.h
+++ b/apps/whinyardd/entry/PeerLink.h
@@ -21,6 +21,8 @@
     std::function<void(peer::InstanceNotice)> instance;
     std::function<void(peer::ShiftNotice)> shift;
     std::function<void(peer::RecordsNotice)> records;
+    std::function<void(peer::UsageNotice)> usage;
+    std::function<void(peer::DemandNotice)> demand;
 };
 
 class PeerLink final : public router::WorkObserver {
@@ -38,6 +40,9 @@
     // Sends a notice to all other instances that are known.
     void broadcast(const peer::Notice& notice);
 
+    // Sends a notice to one of them.
+    void sendTo(const net::Address& to, const peer::Notice& notice);
+
     // Tells which sessions the others must leave on the versions in use.
     void tellPins();
 
@@ -62,6 +67,8 @@
     void take(const peer::RecordsNotice& notice);
     void take(const peer::QueryNotice& notice);
     void take(const peer::RateNotice& notice);
+    void take(const peer::UsageNotice& notice);
+    void take(const peer::DemandNotice& notice);
     void repeatVerdicts();
     void broadcastRates(const std::vector<RateNews>& rates);
     void spreadRates(const std::vector<RateNews>& rates);
--- a/apps/whinyardd/entry/RosterWatch.h
+++ b/apps/whinyardd/entry/RosterWatch.h
@@ -46,6 +46,12 @@
     // Returns whether this instance follows the store for the others.
     bool isFollower() const { return m_relay.isFollower(m_shared.clock.now()); }
 
+    // Returns the instances that do, as far as this one knows.
+    std::vector<InstanceName> followers() const { return m_relay.followers(m_shared.clock.now()); }
+
+    // Returns all endpoints, as far as this instance knows.
+    std::vector<backing::ListedEndpoint> endpoints() const { return m_roster.list(); }
+
     // Returns whether it does so beside a follower before it, whose word it hears.
     bool isSecondFollower() const { return m_relay.isSecondFollower(m_shared.clock.now()); }
 
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -104,6 +104,8 @@
     , m_directory(shared.settings.zone, seededRandom(), tableSettings(), selectorSettings(shared.settings.tuning))
     , m_shifts(shiftSettings(shared.settings.bounds))
     , m_models(modelSettings(shared.settings.tuning))
+    , m_usage(shared.settings.bounds.usageWindow, shared.settings.bounds.usageDue)
+    , m_wallClock(shared.clock)
     , m_link(shared, m_directory, m_shifts, m_queries)
 {
     m_directory.useRegions(shared.settings.regions);
@@ -118,7 +120,7 @@
 {
     m_client = net::HttpClient::create(m_duty);
     m_listening = net::ListenProbe::create(m_duty);
-    const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, m_queries, *m_client, *m_listening, m_fibers, &m_link };
+    const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, m_queries, *m_client, *m_listening, m_fibers, &m_link, m_shared.settings.provider && m_shared.settings.provider->takesUsage ? this : nullptr };
     m_forwarder = std::make_unique<router::Forwarder>(parts, forwarderSettings(m_shared.settings.bounds, m_shared.settings.tuning), seededRandom());
     const net::HttpHandler forward = [this](const net::HttpRequest& request, net::HttpResponder& responder) { m_forwarder->handle(request, responder); };
     const net::HttpHandler tellReadiness = [this](const net::HttpRequest&, net::HttpResponder& responder) {
@@ -239,6 +241,31 @@
     m_duty.post([this, notice = std::move(notice)] { m_link.broadcast(notice); });
 }
 
+void ServeDuty::sendTo(const net::Address& to, peer::Notice notice)
+{
+    m_duty.post([this, to, notice = std::move(notice)] { m_link.sendTo(to, notice); });
+}
+
+void ServeDuty::began(const CustomerName& customer)
+{
+    m_usage.note(customer, m_wallClock.now());
+}
+
+std::vector<leadership::UsageWindow> ServeDuty::takeUsageNews()
+{
+    return net::callOn(m_duty, [this] { return m_usage.takeNews(m_wallClock.now()); }).value_or(std::vector<leadership::UsageWindow>());
+}
+
+void ServeDuty::tellUsageAgain()
+{
+    m_duty.post([this] { m_usage.tellAgain(); });
+}
+
+std::vector<policy::ServiceLoad> ServeDuty::loads()
+{
+    return net::callOn(m_duty, [this] { return m_forwarder->loads(); }).value_or(std::vector<policy::ServiceLoad>());
+}
+
 void ServeDuty::useNoticeHandlers(NoticeHandlers handlers)
 {
     m_duty.post([this, handlers = std::move(handlers)]() mutable { m_link.useHandlers(std::move(handlers)); });
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -5,7 +5,9 @@
 #include "entry/EntryShared.h"
 #include "entry/PeerLink.h"
 #include "platform/HttpCodec.h"
+#include "whinyard/base/SettledWallClock.h"
 #include "whinyard/endpoint/EndpointDirectory.h"
+#include "whinyard/leadership/UsageWindows.h"
 #include "whinyard/net/Duty.h"
 #include "whinyard/net/HttpServer.h"
 #include "whinyard/net/ListenProbe.h"
@@ -23,7 +25,7 @@
 
 namespace whinyard::daemon {
 
-class ServeDuty {
+class ServeDuty final : private router::UsageObserver {
 public:
     // `shared` must outlive the object.
     explicit ServeDuty(EntryShared& shared);
@@ -49,6 +51,18 @@
     // Sends a notice to all other instances that are known.
     void broadcast(peer::Notice notice);
 
+    // Sends a notice to one of them.
+    void sendTo(const net::Address& to, peer::Notice notice);
+
+    // Returns what is to be told of the usage that this instance has counted; see leadership::UsageCounter.
+    std::vector<leadership::UsageWindow> takeUsageNews();
+
+    // Has all of it told again.
+    void tellUsageAgain();
+
+    // Returns what this instance has done for each service.
+    std::vector<policy::ServiceLoad> loads();
+
     // Sets who takes notices that concern the store duty; they are called on this duty.
     void useNoticeHandlers(NoticeHandlers handlers);
 
@@ -84,6 +98,7 @@
     void stop();
 
 private:
+    void began(const CustomerName& customer) override;
     bool openOnDuty(Failure& failure);
     bool drainOnDuty(SteadyTime end);
     bool isReady();
@@ -98,6 +113,8 @@
     policy::QueryOfDeathTable m_queries;
     const platform::HttpCodec m_codec;
     std::map<ServiceName, std::vector<std::string>> m_versions; // With endpoints, in the order in which they appeared.
+    leadership::UsageCounter m_usage;
+    SettledWallClock m_wallClock;
     PeerLink m_link;
     net::Duty m_duty { "serve" };
     DutyFibers m_fibers { m_duty };
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -3,6 +3,7 @@
 #include "Shared.h"
 #include "platform/Configuration.h"
 #include "platform/Endpoints.h"
+#include "platform/Provider.h"
 #include "platform/Store.h"
 #include "whinyard/backing/CountedStore.h"
 #include "whinyard/base/Log.h"
@@ -54,6 +55,9 @@
     constexpr std::chrono::milliseconds shiftTurn { 150 }; // With as much again at random, so that not all write at once.
     constexpr std::chrono::milliseconds settleInterval { 200 };
 
+    constexpr std::chrono::milliseconds leaseTurn { 900 }; // Four times within the time to live.
+    constexpr std::chrono::milliseconds leaderLook { 300 };
+
     // All that instances write for each other stands under it. One read brings the instances and the verdicts on requests, so
     // that an instance knows these before it serves, at no call more.
     constexpr std::string_view fleetPrefix = "whinyard/";
@@ -91,11 +95,15 @@
     m_shifts = std::make_unique<ShiftKeeper>(m_shared, m_serving, *m_store);
     m_instances = std::make_unique<InstanceWatch>(m_shared, m_serving, *m_roster);
     m_queries = std::make_unique<QueryKeeper>(m_serving, *m_store);
+    if (m_shared.settings.provider && m_shared.settings.peers)
+        m_leaderWork = std::make_unique<LeaderWork>(m_shared, m_serving, *m_roster, *m_instances, *m_store, platform::makeProvider(*m_client, m_shared.settings.provider->address));
     m_serving.useNoticeHandlers({
         .roster = [this](peer::RosterNotice notice) { m_duty.post([this, notice = std::move(notice)] { m_roster->takeNotice(notice); }); },
         .instance = [this](peer::InstanceNotice notice) { m_duty.post([this, notice = std::move(notice)] { m_instances->takeNotice(notice); }); },
         .shift = [this](peer::ShiftNotice notice) { m_duty.post([this, notice = std::move(notice)] { m_shifts->takeNotice(notice); }); },
         .records = [this](peer::RecordsNotice notice) { m_duty.post([this, notice = std::move(notice)] { m_operatorRelay->hear(notice.instance, notice.operators); }); },
+        .usage = [this](peer::UsageNotice notice) { postToLeaderWork([notice = std::move(notice)](LeaderWork& work) { work.takeUsage(notice); }); },
+        .demand = [this](peer::DemandNotice notice) { postToLeaderWork([notice = std::move(notice)](LeaderWork& work) { work.takeDemand(notice); }); },
     });
     if (m_shared.settings.metrics) {
         const net::HttpHandler handler = [this](const net::HttpRequest&, net::HttpResponder& responder) {
@@ -122,9 +130,43 @@
         m_duty.spawn([this] { keepOwnRecord(); });
         m_duty.spawn([this] { writeVerdicts(); });
     }
+    if (m_leaderWork)
+        spawnLeaderWork();
     return true;
 }
 
+void StoreDuty::postToLeaderWork(std::function<void(LeaderWork&)> use)
+{
+    m_duty.post([this, use = std::move(use)] {
+        if (m_leaderWork)
+            use(*m_leaderWork);
+    });
+}
+
+void StoreDuty::spawnLeaderWork()
+{
+    const auto repeat = [this](std::chrono::milliseconds pause, void (LeaderWork::*use)()) {
+        m_duty.spawn([this, pause, use] {
+            while (!m_shared.stopping) {
+                net::sleepFor(pause);
+                m_probe->awaitStore();
+                (*m_leaderWork.*use)();
+            }
+        });
+    };
+    m_duty.spawn([this] {
+        while (!m_shared.stopping) {
+            net::sleepFor(m_leaderWork->tellInterval());
+            m_leaderWork->tell();
+        }
+    });
+    repeat(leaseTurn, &LeaderWork::keepLease);
+    if (m_leaderWork->takesUsage())
+        repeat(leaderLook, &LeaderWork::reportUsage);
+    if (m_leaderWork->takesOrders())
+        repeat(leaderLook, &LeaderWork::orderCapacity);
+}
+
 void StoreDuty::turn(backing::PrefixFollower& follower, std::chrono::milliseconds pause)
 {
     m_probe->awaitStore();
--- a/apps/whinyardd/entry/StoreDuty.h
+++ b/apps/whinyardd/entry/StoreDuty.h
@@ -4,6 +4,7 @@
 
 #include "entry/EntryShared.h"
 #include "entry/InstanceWatch.h"
+#include "entry/LeaderWork.h"
 #include "entry/OperatorRelay.h"
 #include "entry/OperatorWatch.h"
 #include "entry/PeerExchange.h"
@@ -19,6 +20,7 @@
 #include "whinyard/net/HttpServer.h"
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -50,6 +52,8 @@
     void tellEndpoints();
     void keepOwnRecord();
     void settleRoster();
+    void spawnLeaderWork();
+    void postToLeaderWork(std::function<void(LeaderWork&)> use);
 
     // Reads all records under a prefix; after a failure it waits for the store and tries again. Returns nothing only when
     // the daemon stops.
@@ -75,6 +79,7 @@
     std::unique_ptr<ShiftKeeper> m_shifts;
     std::unique_ptr<InstanceWatch> m_instances;
     std::unique_ptr<QueryKeeper> m_queries;
+    std::unique_ptr<LeaderWork> m_leaderWork; // Null where the site has no provider.
     std::optional<backing::LeasedRecord> m_ownRecord; // By which other instances find this one.
     std::unique_ptr<net::HttpServer> m_metricsServer;
 };
--- a/packages/backing/include/whinyard/backing/InstanceList.h
+++ b/packages/backing/include/whinyard/backing/InstanceList.h
@@ -31,6 +31,7 @@
     bool leaving = false;
     std::uint32_t slots = 0; // Requests that it runs at once; 0 if it doesn't say.
     std::chrono::milliseconds coldLeft { 0 }; // How much longer it bears but few requests, when it said so.
+    bool isSpot = false; // Its provider may take it away, with all others like it in its zone.
     std::uint64_t born = 0; // When its process started, by its own clock, in milliseconds; 0 if it doesn't say. Another one is another process.
 
     bool operator==(const ListedEndpoint&) const = default;
--- a/packages/backing/include/whinyard/backing/JsonCalls.h
+++ b/packages/backing/include/whinyard/backing/JsonCalls.h
@@ -29,6 +29,7 @@
 struct JsonCallOptions {
     net::Address address;
     std::chrono::milliseconds callTimeout { 500 };
+    bool freshConnections = false; // One for each call, closed when the call ends.
 };
 
 // Makes calls to one address.
@@ -46,7 +47,8 @@
     // Ends every read() whose reply has not begun. One that has begun makes progress, or ends by its own bound.
     void interruptSilentReads();
 
-    std::optional<JsonReply> post(const std::string& target, const nlohmann::json& body, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure) const;
+    // `fields` are sent beside the usual ones.
+    std::optional<JsonReply> post(const std::string& target, const nlohmann::json& body, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure, std::vector<net::HttpField> fields = {}) const;
     std::optional<JsonReply> remove(const std::string& target, std::chrono::milliseconds timeout, Failure& failure) const;
 
     std::chrono::milliseconds callTimeout() const { return m_options.callTimeout; }
--- a/packages/backing/src/JsonCalls.cpp
+++ b/packages/backing/src/JsonCalls.cpp
@@ -81,9 +81,10 @@
         silent->cancel();
 }
 
-std::optional<JsonReply> JsonCalls::post(const std::string& target, const nlohmann::json& body, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure) const
+std::optional<JsonReply> JsonCalls::post(const std::string& target, const nlohmann::json& body, CallEffect effect, std::chrono::milliseconds timeout, Failure& failure, std::vector<net::HttpField> fields) const
 {
-    net::HttpRequest request { .method = "POST", .target = target, .fields = { { "Content-Type", "application/json" } }, .body = {} };
+    fields.push_back({ "Content-Type", "application/json" });
+    net::HttpRequest request { .method = "POST", .target = target, .fields = std::move(fields), .body = {} };
     try {
         request.body = body.dump();
     } catch (const nlohmann::json::exception&) {
@@ -115,7 +116,8 @@
         .connectTimeout = std::min(timeout, m_options.callTimeout),
         .timeout = timeout,
         .pieceTimeout = m_options.callTimeout,
-        .freshConnection = false,
+        .freshConnection = m_options.freshConnections,
+        .lastRequest = m_options.freshConnections,
         .findsDeadPeer = true,
         .bodyLimit = largestReply,
     };
--- a/packages/config/include/whinyard/config/Routing.h
+++ b/packages/config/include/whinyard/config/Routing.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -64,6 +65,17 @@
     bool operator==(const PricedModel&) const = default;
 };
 
+// How many endpoints of a service may be ordered, and what they cost.
+struct CapacityLimits {
+    std::uint32_t minimum = 0; // In each zone, of lasting and spot endpoints together.
+    std::uint32_t maximum = 0;
+    std::chrono::milliseconds startTime { 0 }; // Until an ordered endpoint serves.
+    double spotPrice = 1; // Of a spot endpoint, as a share of a lasting one's.
+    std::map<ZoneName, double> zonePrices; // Of a lasting endpoint, for each second.
+
+    bool operator==(const CapacityLimits&) const = default;
+};
+
 // A service and what its endpoints are able to do.
 struct RoutedService {
     ServiceName name;
@@ -74,6 +86,7 @@
     std::vector<PricedModel> models;
     std::chrono::milliseconds coldFor { 0 }; // How long an endpoint is cold after its start.
     double coldRequestsPerSecond = 0; // That one cold endpoint bears, of all instances; 0: as many as a warm one.
+    std::optional<CapacityLimits> capacity {}; // Absent: its endpoints aren't ordered by the instances.
 
     bool operator==(const RoutedService&) const = default;
 };
--- a/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
+++ b/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
@@ -92,6 +92,9 @@
     // Returns whether it is one of them, and hears what changes from another that comes before it as well.
     bool isSecondFollower(SteadyTime now) const;
 
+    // Returns the instances that follow the store for the others, as far as this one knows.
+    std::vector<InstanceName> followers(SteadyTime now) const;
+
     RosterNeed need(SteadyTime now) const;
 
     // Notes that the store told this instance what changed, or failed to.
--- a/packages/endpoint/src/RosterRelay.cpp
+++ b/packages/endpoint/src/RosterRelay.cpp
@@ -98,6 +98,17 @@
     return std::any_of(m_order.begin(), self, [&](const InstanceName& name) { return isCurrent(name, now); });
 }
 
+std::vector<InstanceName> RosterRelay::followers(SteadyTime now) const
+{
+    std::vector<InstanceName> followers;
+    for (const InstanceName& name : m_order) {
+        const bool follows = name == m_self ? isFollower(now) : isCurrent(name, now);
+        if (follows && followers.size() < m_settings.followers)
+            followers.push_back(name);
+    }
+    return followers;
+}
+
 // Instances that lost all followers at once would read the store at once as well: each waits for a time of its own.
 bool RosterRelay::mustFollowAlone(SteadyTime now) const
 {
--- a/packages/endpoint/test/RosterRelayTest.cpp
+++ b/packages/endpoint/test/RosterRelayTest.cpp
@@ -109,6 +109,15 @@
         EXPECT_EQ(m_others.size(), 6U);
     }
 
+    TEST_F(RosterRelayTest, NamesTheFollowersThatAreHeard)
+    {
+        EXPECT_EQ(m_relay->followers(m_clock.now()), (std::vector<InstanceName> { m_lead, m_second }));
+        m_clock.advance(600ms);
+        hear(m_second, 1, 0, false);
+        m_clock.advance(600ms);
+        EXPECT_EQ(m_relay->followers(m_clock.now()).front(), m_second) << "the first one is silent";
+    }
+
     TEST_F(RosterRelayTest, TakesChangesThatFollowOnEachOther)
     {
         EXPECT_NE(need(), RosterNeed::follow);
--- /dev/null
+++ b/packages/leadership/test/LeaderLeaseTest.cpp
@@ -0,0 +1,97 @@
+#include "whinyard/leadership/LeaderLease.h"
+
+#include "whinyard/backing/FakeWatchableStore.h"
+#include "whinyard/base/FakeClock.h"
+
+#include <gtest/gtest.h>
+
+namespace whinyard::leadership {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr auto callTime = 800ms;
+
+    class LeaderLeaseTest : public ::testing::Test {
+    protected:
+        FakeClock m_clock;
+        backing::FakeWatchableStore m_store;
+        Failure m_failure;
+        LeaderLease m_first { m_store, m_clock, { "first" } };
+        LeaderLease m_second { m_store, m_clock, { "second" } };
+    };
+
+    TEST_F(LeaderLeaseTest, LetsOneInstanceLead)
+    {
+        EXPECT_TRUE(m_first.turn(m_failure));
+        EXPECT_FALSE(m_second.turn(m_failure));
+        EXPECT_EQ(m_second.leader().value, "first");
+        EXPECT_TRUE(m_first.fenceFor(callTime));
+        EXPECT_FALSE(m_second.fenceFor(callTime));
+    }
+
+    TEST_F(LeaderLeaseTest, ActsOnlyWhileTheLeaseOutlastsTheAction)
+    {
+        m_first.turn(m_failure);
+        m_clock.advance(2'100ms);
+        EXPECT_TRUE(m_first.fenceFor(callTime));
+        m_clock.advance(100ms);
+        EXPECT_FALSE(m_first.fenceFor(callTime)) << "2.2 s of 3 s have passed, and the clocks may differ";
+        EXPECT_TRUE(m_first.turn(m_failure));
+        EXPECT_TRUE(m_first.fenceFor(callTime));
+    }
+
+    TEST_F(LeaderLeaseTest, StopsByItsOwnClockWhileTheStoreIsAway)
+    {
+        m_first.turn(m_failure);
+        m_store.isAway = true;
+        m_clock.advance(1s);
+        EXPECT_TRUE(m_first.turn(m_failure)) << "the record still stands";
+        m_clock.advance(2s);
+        EXPECT_FALSE(m_first.turn(m_failure));
+        EXPECT_FALSE(m_first.fenceFor(0ms));
+    }
+
+    TEST_F(LeaderLeaseTest, FencesRiseFromLeaderToLeader)
+    {
+        m_first.turn(m_failure);
+        const std::uint64_t before = *m_first.fenceFor(0ms);
+        m_store.lapseLeases();
+        EXPECT_TRUE(m_second.turn(m_failure));
+        EXPECT_GT(*m_second.fenceFor(0ms), before);
+        EXPECT_FALSE(m_first.turn(m_failure)) << "its lease has ended";
+        EXPECT_FALSE(m_first.isHeld());
+    }
+
+    // The other one may have found the record gone as well.
+    TEST_F(LeaderLeaseTest, LosesARaceForTheRecord)
+    {
+        m_store.beforeTransaction = [this] { m_second.turn(m_failure); };
+        EXPECT_FALSE(m_first.turn(m_failure));
+        EXPECT_TRUE(m_second.isHeld());
+        EXPECT_FALSE(m_first.fenceFor(0ms));
+    }
+
+    TEST_F(LeaderLeaseTest, TakesUpAWriteWhoseAnswerWasLost)
+    {
+        m_store.losesReplies = true;
+        EXPECT_FALSE(m_first.turn(m_failure));
+        EXPECT_FALSE(m_first.fenceFor(0ms));
+        m_store.losesReplies = false;
+        EXPECT_TRUE(m_first.turn(m_failure));
+        EXPECT_EQ(m_first.fenceFor(0ms), m_store.find("whinyard/leader")->revision);
+    }
+
+    TEST_F(LeaderLeaseTest, LeavesTheRecordStandingWhenItResigns)
+    {
+        m_first.turn(m_failure);
+        m_first.resign();
+        EXPECT_FALSE(m_first.fenceFor(0ms));
+        EXPECT_FALSE(m_second.turn(m_failure)) << "a successor waits until the lease has ended";
+        EXPECT_FALSE(m_first.turn(m_failure)) << "and so does the same instance";
+        m_store.lapseLeases();
+        EXPECT_TRUE(m_second.turn(m_failure));
+    }
+
+}
+}
--- a/packages/peer/include/whinyard/peer/Notices.h
+++ b/packages/peer/include/whinyard/peer/Notices.h
@@ -8,6 +8,8 @@
 #include "whinyard/base/Identity.h"
 #include "whinyard/base/QueryNews.h"
 #include "whinyard/base/RateNews.h"
+#include "whinyard/leadership/UsageWindows.h"
+#include "whinyard/policy/ServiceDemand.h"
 
 #include <chrono>
 #include <cstdint>
@@ -104,13 +106,33 @@
     bool operator==(const RateNotice&) const = default;
 };
 
-using Notice = std::variant<WorkNotice, PinNotice, EvidenceNotice, ShiftNotice, RosterNotice, InstanceNotice, RecordsNotice, QueryNotice, RateNotice>;
+// A part of what the sender has counted in one window, for the instances that may report it.
+struct UsageNotice {
+    InstanceName instance;
+    std::uint64_t life = 0; // Of the instance's process.
+    leadership::UsageWindow window;
+
+    bool operator==(const UsageNotice&) const = default;
+};
+
+// What the sender has done for services, for the instances that may order endpoints.
+struct DemandNotice {
+    InstanceName instance;
+    std::uint64_t life = 0;
+    std::vector<policy::ServiceLoad> loads;
+
+    bool operator==(const DemandNotice&) const = default;
+};
+
+using Notice = std::variant<WorkNotice, PinNotice, EvidenceNotice, ShiftNotice, RosterNotice, InstanceNotice, RecordsNotice, QueryNotice, RateNotice, UsageNotice, DemandNotice>;
 
 // The most entries of one notice, so that it fits into a datagram.
 inline constexpr std::size_t mostPins = 128;
 inline constexpr std::size_t mostPrefixes = 16;
 inline constexpr std::size_t mostRosterChanges = 24;
 inline constexpr std::size_t mostRates = 16;
+inline constexpr std::size_t mostCustomers = 32;
+inline constexpr std::size_t mostLoads = 16;
 
 std::string encodeNotice(const Notice& notice);
 
--- a/packages/peer/src/Notices.cpp
+++ b/packages/peer/src/Notices.cpp
@@ -18,7 +18,7 @@
     using internal::readEndpoint;
     using internal::writeEndpoint;
 
-    constexpr std::uint16_t noticeFormat = 11;
+    constexpr std::uint16_t noticeFormat = 12;
     constexpr std::int64_t longestWorkUs = 60'000'000; // A longer one is no work that anybody gave.
     constexpr std::int64_t longestVerdictMs = 3'600'000; // Longer than any verdict holds.
     constexpr std::uint64_t longestRateAgeMs = 86'400'000; // An older statement is of no use.
@@ -35,6 +35,8 @@
         records = 7,
         queries = 8,
         rates = 9,
+        usage = 10,
+        demand = 11,
     };
 
     void write(FieldWriter& writer, const WorkNotice& notice)
@@ -150,6 +152,34 @@
         }
     }
 
+    void write(FieldWriter& writer, const UsageNotice& notice)
+    {
+        writer.number(static_cast<std::uint64_t>(NoticeKind::usage));
+        writer.text(notice.instance.value);
+        writer.number(notice.life);
+        writer.number(notice.window.number);
+        writer.number(notice.window.counts.size());
+        for (const auto& [customer, count] : notice.window.counts) {
+            writer.text(customer.value);
+            writer.number(count);
+        }
+    }
+
+    void write(FieldWriter& writer, const DemandNotice& notice)
+    {
+        writer.number(static_cast<std::uint64_t>(NoticeKind::demand));
+        writer.text(notice.instance.value);
+        writer.number(notice.life);
+        writer.number(notice.loads.size());
+        for (const policy::ServiceLoad& load : notice.loads) {
+            writer.text(load.service.value);
+            writer.number(load.requests);
+            writer.number(load.unserved);
+            writer.number(static_cast<std::uint64_t>(load.work.count()));
+            writer.number(load.running);
+        }
+    }
+
     std::optional<Notice> readWork(FieldReader& reader)
     {
         WorkNotice notice;
@@ -267,6 +297,38 @@
         return notice;
     }
 
+    std::optional<Notice> readUsage(FieldReader& reader)
+    {
+        UsageNotice notice;
+        notice.instance.value = reader.text();
+        notice.life = reader.number();
+        notice.window.number = reader.number();
+        const std::uint64_t customers = reader.number(mostCustomers);
+        for (std::uint64_t i = 0; i < customers; ++i) {
+            const CustomerName customer { reader.text() };
+            notice.window.counts[customer] = reader.number();
+        }
+        return notice;
+    }
+
+    std::optional<Notice> readDemand(FieldReader& reader)
+    {
+        DemandNotice notice;
+        notice.instance.value = reader.text();
+        notice.life = reader.number();
+        const std::uint64_t loads = reader.number(mostLoads);
+        for (std::uint64_t i = 0; i < loads; ++i) {
+            policy::ServiceLoad load;
+            load.service.value = reader.text();
+            load.requests = reader.number();
+            load.unserved = reader.number();
+            load.work = std::chrono::microseconds(static_cast<std::int64_t>(reader.number(std::numeric_limits<std::int64_t>::max())));
+            load.running = static_cast<std::uint32_t>(reader.number(std::numeric_limits<std::uint32_t>::max()));
+            notice.loads.push_back(std::move(load));
+        }
+        return notice;
+    }
+
     std::optional<Notice> readRoster(FieldReader& reader)
     {
         RosterNotice notice;
@@ -321,7 +383,7 @@
     if (reader.number() != noticeFormat)
         return std::nullopt;
     std::optional<Notice> notice;
-    switch (static_cast<NoticeKind>(reader.number(static_cast<std::uint64_t>(NoticeKind::rates)))) {
+    switch (static_cast<NoticeKind>(reader.number(static_cast<std::uint64_t>(NoticeKind::demand)))) {
     case NoticeKind::work:
         notice = readWork(reader);
         break;
@@ -349,6 +411,12 @@
     case NoticeKind::rates:
         notice = readRates(reader);
         break;
+    case NoticeKind::usage:
+        notice = readUsage(reader);
+        break;
+    case NoticeKind::demand:
+        notice = readDemand(reader);
+        break;
     }
     return reader.isWhole() ? notice : std::nullopt;
 }
--- a/packages/peer/test/NoticesTest.cpp
+++ b/packages/peer/test/NoticesTest.cpp
@@ -19,6 +19,7 @@
         endpoint.versions = { { "v1" } };
         endpoint.slots = 64;
         endpoint.leaving = true;
+        endpoint.isSpot = true;
         const RequestDigest digest = digestOf({ .customer = "school", .method = "POST", .host = "a.example", .target = "/p/x", .body = "body" });
         return {
             WorkNotice { { "i-1" }, 350ms, { 7, 8 } },
@@ -34,6 +35,10 @@
             QueryNotice {},
             RateNotice { { { { "i-1" }, 2.3, 70ms, std::nullopt }, { { "i-2" }, 0, 0ms, 12'000ms } } },
             RateNotice {},
+            UsageNotice { { "entry-1" }, 77, { 353'445'120, { { { "school" }, 412 }, { { "town" }, 1 } } } },
+            UsageNotice {},
+            DemandNotice { { "entry-1" }, 77, { { { "lm" }, 9, 1, 350ms, 4 } } },
+            DemandNotice {},
         };
     }
 
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -15,6 +15,7 @@
 #include "whinyard/policy/EnginePrice.h"
 #include "whinyard/policy/ModelChoice.h"
 #include "whinyard/policy/QueryOfDeath.h"
+#include "whinyard/policy/ServiceDemand.h"
 #include "whinyard/policy/VersionShift.h"
 #include "whinyard/router/Fibers.h"
 #include "whinyard/router/ForwardedRequest.h"
@@ -33,6 +34,14 @@
     virtual void gave(const EndpointName& endpoint, std::chrono::nanoseconds work, const std::vector<std::uint64_t>& prefix) = 0;
 };
 
+// Is told of each request that an endpoint has begun to run, for the customers' bills.
+class UsageObserver {
+public:
+    virtual ~UsageObserver() = default;
+
+    virtual void began(const CustomerName& customer) = 0;
+};
+
 // What the forwarder works with; everything must outlive it.
 struct ForwarderParts {
     const Clock& clock;
@@ -47,6 +56,7 @@
     net::ListenProbe& listening;
     Fibers& fibers;
     WorkObserver* work = nullptr; // Null: nobody is told.
+    UsageObserver* usage = nullptr;
 };
 
 struct ForwarderSettings {
@@ -90,6 +100,9 @@
     // Tells that a configuration, an evacuation or a list of endpoints has come: requests that wait for their first look again.
     void noteNews();
 
+    // Returns what this instance has done for each service since its start.
+    std::vector<policy::ServiceLoad> loads() const;
+
     // Returns how many requests are running.
     std::size_t active() const;
 
--- a/packages/router/src/Forwarder.cpp
+++ b/packages/router/src/Forwarder.cpp
@@ -123,6 +123,14 @@
         run->look();
 }
 
+std::vector<policy::ServiceLoad> Forwarder::loads() const
+{
+    std::vector<policy::ServiceLoad> loads;
+    for (const auto& [service, load] : m_state->core.loads)
+        loads.push_back(load);
+    return loads;
+}
+
 std::size_t Forwarder::active() const
 {
     return m_state->core.active;
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -5,6 +5,7 @@
 #include "whinyard/base/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace whinyard::router {
 
@@ -31,6 +32,13 @@
 
 }
 
+// A request counts once, whichever of its attempts an endpoint began.
+void ForwardRun::noteBegun()
+{
+    if (m_core.parts.usage && !std::exchange(m_isCounted, true) && !m_admission.customer.empty())
+        m_core.parts.usage->began(m_admission.customer);
+}
+
 ForwardRun::AttemptEnd ForwardRun::answerWhole(ForwardAttempt& attempt)
 {
     attempt.firstByte();
--- a/packages/router/src/internal/ForwardChoice.cpp
+++ b/packages/router/src/internal/ForwardChoice.cpp
@@ -130,6 +130,7 @@
     const endpoint::ChosenEndpoint& endpoint = target.endpoint;
     const std::chrono::nanoseconds work = endpoint.plan.unqueuedWait;
     m_core.parts.directory.recordWork(endpoint.name, work, now());
+    m_core.loadOf(target.service).work += std::chrono::duration_cast<std::chrono::microseconds>(work);
     if (m_core.parts.work)
         m_core.parts.work->gave(endpoint.name, work, target.prefix);
 }
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -50,6 +50,14 @@
         return returns[service].next(wait, perSecond, parts.clock.now(), random);
     }
 
+    policy::ServiceLoad& loadOf(const ServiceName& service)
+    {
+        const auto [entry, isNew] = loads.try_emplace(service);
+        if (isNew)
+            entry->second.service = service;
+        return entry->second;
+    }
+
     policy::EnginePrice& priceOf(const ServiceName& service)
     {
         return prices.try_emplace(service, settings.enginePrice).first->second;
@@ -111,6 +119,7 @@
     policy::PromptRates rates {};
     std::map<ServiceName, policy::EnginePrice> prices {};
     std::map<ServiceName, policy::ReturnSchedule> returns {};
+    std::map<ServiceName, policy::ServiceLoad> loads {};
     std::map<ServiceName, std::vector<std::string>> versions {};
     std::set<ForwardRun*> runs {}; // With an attempt that may be given up.
     std::size_t active = 0;
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -120,6 +120,7 @@
     const std::chrono::milliseconds wait = std::min(request.timeLeft.value_or(m_admission.route->timeout), m_admission.route->timeout);
     m_deadline = m_arrived + wait;
     m_service = drawService();
+    ++m_core.loadOf(m_service).requests;
 }
 
 std::chrono::milliseconds ForwardRun::timeLeft() const
@@ -292,7 +293,9 @@
     m_stalled = false;
     m_silentSince = now();
     m_core.runs.insert(this);
+    ++m_core.loadOf(target.service).running;
     const AttemptEnd end = conduct(attempt);
+    --m_core.loadOf(target.service).running;
     m_core.runs.erase(this);
     m_current = nullptr;
     return end;
@@ -302,6 +305,8 @@
 {
     const HeadVerdict verdict = attempt.open(headFor(attempt.target()), timeLeft());
     AttemptEnd end = AttemptEnd::broken;
+    if (verdict == HeadVerdict::answer || verdict == HeadVerdict::failedAnswer)
+        noteBegun();
     switch (verdict) {
     case HeadVerdict::notRun:
         ++m_refused;
@@ -380,6 +385,8 @@
 void ForwardRun::refuse(Failure failure)
 {
     failure.runState = m_runState;
+    if (failure.kind == ErrorKind::overloaded || failure.kind == ErrorKind::noEndpoint || failure.kind == ErrorKind::deadlineExceeded)
+        ++m_core.loadOf(m_service).unserved;
     if (m_runState != RunState::notRun && promisesNotRun(failure.kind))
         failure.kind = ErrorKind::endpointFailed;
     // Nothing was begun, whatever kept it from being sent: the caller may try again.
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -82,6 +82,7 @@
     bool mayGoOn(AttemptEnd end);
     void conclude();
     void refuse(Failure failure);
+    void noteBegun();
     void noteEvents(std::uint32_t count);
     void noteOutcome(const ForwardAttempt& attempt, bool failed);
     void callerLeft();
@@ -114,6 +115,7 @@
     std::optional<std::uint64_t> m_lastEvent; // That the caller has.
     bool m_streaming = false; // The caller has the head of the answer.
     bool m_callerLeft = false;
+    bool m_isCounted = false; // As a request that an endpoint began.
     bool m_stalled = false; // The present attempt was given up for its silence, and another one is granted.
     bool m_isOverdue = false; // The present attempt was ended after the deadline: its own timer had not.
     SteadyTime m_silentSince; // The last sign of the present attempt.
--- a/packages/settings/include/whinyard/settings/EntrySettings.h
+++ b/packages/settings/include/whinyard/settings/EntrySettings.h
@@ -35,6 +35,17 @@
     double coldFactor = 1.5;
     double coldSlack = 5;
     std::chrono::milliseconds sessionGap { 5'000 }; // Requests of one session follow each other within this.
+    std::chrono::milliseconds leaderGap { 3'000 }; // In which no two leaders act by turns.
+    std::chrono::milliseconds usageWindow { 5'000 }; // Whose usage is reported at a time.
+    std::chrono::milliseconds usageDue { 10'000 }; // After a window's end.
+};
+
+// The provider of the endpoints, who takes reports of usage and orders of capacity from one instance at a time.
+struct ProviderSettings {
+    net::Address address;
+    bool takesUsage = false;
+    bool takesOrders = false;
+    double callsPerSecond = 50; // Of all instances together; it refuses more.
 };
 
 // The site's store.
@@ -56,6 +67,7 @@
     std::optional<net::Address> peers; // Where other instances connect.
     std::vector<net::Address> seeds; // Of other instances; they may be outdated.
     StoreSettings store;
+    std::optional<ProviderSettings> provider; // Absent: nothing is reported or ordered.
     ServiceBounds bounds;
     std::uint32_t linkMegabits = 0; // A second, of the instance's own link; 0 if unknown.
     std::uint32_t memoryMegabytes = 0; // The process is killed above it; 0 if unknown.
