Take changes of the endpoints' list at a cost that doesn't grow with the list

What grows faster than the fleet: - each name of a list was looked for in the whole list (quadratic); - hash rings were kept in order point by point (quadratic): now built at once where more than sixteen members change; - every change handed the whole list to the serve duty, which placed every member anew: now changes alone; - the price of engines' time walked all endpoints by name twenty times a second: now those with a backlog, by index; - each endpoint had room for a quota's latest sends, 0.4 kB of 2 kB: now those with a quota or a request of the last seconds; - followers compared the whole list at each statement: now what changed. A large list leaves freed memory behind, which is given back to the system.

A change that the serve duty is too busy to take is given back to the roster and comes with the next one.

--- a/apps/whinyardd/Shared.cpp
+++ b/apps/whinyardd/Shared.cpp
@@ -1,11 +1,18 @@
 #include "Shared.h"
 
+#include <malloc.h>
+
 #include "whinyard/base/Log.h"
 
 #include <random>
 
 namespace whinyard::daemon {
 
+void releaseFreeMemory()
+{
+    malloc_trim(0);
+}
+
 namespace {
 
     Incarnation incarnationOf(const Clock& clock)
--- a/apps/whinyardd/Shared.h
+++ b/apps/whinyardd/Shared.h
@@ -44,6 +44,9 @@
 // Returns a generator with a seed from the system.
 Random seededRandom();
 
+// Gives memory back to the system that was needed for a moment only: a large list that was decoded and taken in.
+void releaseFreeMemory();
+
 // Writes a line for each request that is refused from now on, or no longer.
 void logQueryChanges(policy::QueryOfDeathTable& queries);
 
--- a/apps/whinyardd/entry/RosterWatch.cpp
+++ b/apps/whinyardd/entry/RosterWatch.cpp
@@ -5,6 +5,7 @@
 #include "whinyard/base/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace whinyard::daemon {
 
@@ -85,14 +86,42 @@
 {
     if (!m_roster.settle(m_shared.clock.now()))
         return;
-    std::vector<backing::ListedEndpoint> listed = m_roster.list();
-    const auto leaving = std::count_if(listed.begin(), listed.end(), [](const auto& endpoint) { return endpoint.leaving; });
-    log::info("endpoints changed", { { "listed", std::to_string(listed.size()) }, { "leaving", std::to_string(leaving) } });
-    m_shared.metrics.set("whinyard_endpoints", static_cast<double>(listed.size()));
-    m_serving.takeEndpoints(std::move(listed));
+    endpoint::RosterChanges changes = m_roster.takeChanges();
+    noteUntold(changes);
+    const auto leaving = std::count_if(changes.changed.begin(), changes.changed.end(), [](const auto& endpoint) { return endpoint.leaving; });
+    log::info("endpoints changed", { { "listed", std::to_string(m_roster.size()) }, { "changed", std::to_string(changes.changed.size()) }, { "leaving", std::to_string(leaving) }, { "gone", std::to_string(changes.gone.size()) } });
+    m_shared.metrics.set("whinyard_endpoints", static_cast<double>(m_roster.size()));
+    if (!m_serving.takeEndpoints(changes)) {
+        m_roster.giveBack(changes);
+        return;
+    }
     m_shared.endpointsKnown = true;
 }
 
+// Only a follower keeps what it has to tell; one that begins to follow compares everything once.
+void RosterWatch::noteUntold(const endpoint::RosterChanges& changes)
+{
+    if (!isFollower()) {
+        m_mayDiffer = true;
+        m_untold.clear();
+        return;
+    }
+    for (const backing::ListedEndpoint& endpoint : changes.changed)
+        m_untold.insert(endpoint.name);
+    m_untold.insert(changes.gone.begin(), changes.gone.end());
+}
+
+std::set<EndpointName> RosterWatch::takeUntold()
+{
+    if (std::exchange(m_mayDiffer, false)) {
+        for (const backing::ListedEndpoint& endpoint : m_roster.list())
+            m_untold.insert(endpoint.name);
+        for (const auto& [name, endpoint] : m_told)
+            m_untold.insert(name);
+    }
+    return std::exchange(m_untold, {});
+}
+
 void RosterWatch::takeInstances(std::map<InstanceName, peer::InstanceNotice> instances)
 {
     std::vector<endpoint::RelayCandidate> candidates;
@@ -189,20 +218,19 @@
             tellWithoutList();
         return;
     }
-    std::map<EndpointName, backing::ListedEndpoint> now;
     std::vector<backing::ListedEndpoint> changed;
-    for (backing::ListedEndpoint& endpoint : m_roster.list()) {
-        const auto told = m_told.find(endpoint.name);
-        if (told == m_told.end() || !(told->second == endpoint))
-            changed.push_back(endpoint);
-        now.emplace(endpoint.name, endpoint);
-    }
     std::vector<EndpointName> gone;
-    for (const auto& [name, endpoint] : m_told) {
-        if (!now.contains(name))
+    for (const EndpointName& name : takeUntold()) {
+        const backing::ListedEndpoint* endpoint = m_roster.find(name);
+        const auto told = m_told.find(name);
+        if (!endpoint && told != m_told.end()) {
             gone.push_back(name);
+            m_told.erase(told);
+        } else if (endpoint && (told == m_told.end() || !(told->second == *endpoint))) {
+            changed.push_back(*endpoint);
+            m_told.insert_or_assign(name, *endpoint);
+        }
     }
-    m_told = std::move(now);
     m_isToldCurrent = true;
     broadcast(std::move(changed), std::move(gone));
 }
--- a/apps/whinyardd/entry/RosterWatch.h
+++ b/apps/whinyardd/entry/RosterWatch.h
@@ -68,6 +68,8 @@
 
 private:
     bool mayTell() const;
+    void noteUntold(const endpoint::RosterChanges& changes);
+    std::set<EndpointName> takeUntold();
     void tellWithoutList();
     std::optional<std::string> told();
     void readFrom(const InstanceName& instance);
@@ -84,6 +86,8 @@
     const std::uint64_t m_life; // Names this process's notices.
     std::uint64_t m_sequence = 0; // Of the last notice with changes.
     std::map<EndpointName, backing::ListedEndpoint> m_told; // The list as the others were told.
+    std::set<EndpointName> m_untold; // What may differ from it.
+    bool m_mayDiffer = true; // Anything may.
     bool m_isToldCurrent = false; // It was told since the store failed last. Changes are told against it all the same.
     std::set<std::string> m_unreadable; // Keys whose entries couldn't be read when they were written last.
     bool m_storeFails = false;
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -25,6 +25,9 @@
     // that a request never meets our close.
     constexpr int idleQuarters = 5;
 
+    // So many changes of the list of endpoints leave megabytes behind, which a process of a small machine can't keep.
+    constexpr std::size_t manyChanges = 1'000;
+
     bool contains(const std::vector<std::string>& list, const std::string& wanted)
     {
         return std::find(list.begin(), list.end(), wanted) != list.end();
@@ -193,21 +196,17 @@
     m_duty.post([this] { m_forwarder->noteNews(); });
 }
 
-void ServeDuty::takeEndpoints(std::vector<backing::ListedEndpoint> listed)
+bool ServeDuty::takeEndpoints(endpoint::RosterChanges changes)
 {
-    m_duty.post([this, listed = std::move(listed)]() mutable {
-        std::map<ServiceName, std::vector<std::string>> present;
-        for (backing::ListedEndpoint& endpoint : listed) {
-            const std::string version = endpoint.versions.front().value;
-            endpoint.versions = { router::targetName(endpoint.service, version) };
-            std::vector<std::string>& versions = present[endpoint.service];
-            if (!endpoint.leaving && !contains(versions, version))
-                versions.push_back(version);
-        }
-        m_directory.replace(listed, m_shared.clock.now());
-        for (const auto& entry : present)
-            useVersions(entry.first, entry.second);
+    return m_duty.post([this, changes = std::move(changes)]() mutable {
+        for (backing::ListedEndpoint& endpoint : changes.changed)
+            endpoint.versions = { router::targetName(endpoint.service, endpoint.versions.front().value) };
+        m_directory.change(changes.changed, changes.gone, m_shared.clock.now());
+        for (const auto& [service, versions] : m_directory.liveVersions())
+            useVersions(service, router::versionsOf(service, versions));
         m_forwarder->noteNews();
+        if (changes.changed.size() > manyChanges)
+            releaseFreeMemory();
     });
 }
 
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -7,6 +7,7 @@
 #include "platform/HttpCodec.h"
 #include "whinyard/base/SettledWallClock.h"
 #include "whinyard/endpoint/EndpointDirectory.h"
+#include "whinyard/endpoint/EndpointRoster.h"
 #include "whinyard/leadership/UsageWindows.h"
 #include "whinyard/net/Duty.h"
 #include "whinyard/net/HttpServer.h"
@@ -39,8 +40,8 @@
     // Tells that the configuration or the evacuations have changed.
     void noteRouting();
 
-    // Takes the list of endpoints.
-    void takeEndpoints(std::vector<backing::ListedEndpoint> listed);
+    // Takes what has changed of the list of endpoints. Returns false where the duty is too busy to take it.
+    bool takeEndpoints(endpoint::RosterChanges changes);
 
     // Takes the addresses of the other instances.
     void takePeers(std::vector<net::Address> peers);
--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -79,6 +79,12 @@
     // Takes the platform's list. Entries of other instances are ignored.
     void replace(const std::vector<backing::ListedEndpoint>& listed, SteadyTime now);
 
+    // Takes what has changed of the list.
+    void change(const std::vector<backing::ListedEndpoint>& changed, const std::vector<EndpointName>& gone, SteadyTime now);
+
+    // Returns the versions of each service that was ever listed, with endpoints that the list doesn't have as leaving.
+    std::map<ServiceName, std::vector<VersionName>> liveVersions() const;
+
     // Takes the zones whose endpoints get nothing more. Those of a zone that is taken back may have become cold meanwhile, and
     // count as cold until they had the time to become warm.
     void useEvacuatedZones(const std::set<ZoneName>& zones, SteadyTime now);
@@ -150,7 +156,7 @@
 
     // Returns the mean time until a live endpoint of any version of the service has read the prompts that it was given; where
     // all hold work off, the time until the first one takes any.
-    std::chrono::nanoseconds meanBacklog(const ServiceName& service, SteadyTime now) const;
+    std::chrono::nanoseconds meanBacklog(const ServiceName& service, SteadyTime now);
 
     // Returns how many endpoints are listed and not leaving.
     std::size_t size() const;
@@ -168,6 +174,9 @@
 private:
     bool isLive(const backing::ListedEndpoint& endpoint) const;
     void placeMembers();
+    void countVersions(const backing::ListedEndpoint& listed, int change);
+    std::vector<policy::TargetIndex> targetsOf(const ServiceName& service) const;
+    bool servesAny(policy::EndpointIndex endpoint, const std::vector<policy::TargetIndex>& targets) const;
     policy::EndpointMember memberOf(const backing::ListedEndpoint& listed) const;
     std::optional<policy::TargetIndex> targetOf(const EndpointWish& wish) const;
     std::vector<policy::ZoneIndex> zonesOf(const config::Residency& residency) const;
@@ -180,6 +189,7 @@
     policy::EndpointTable m_table;
     std::unique_ptr<policy::EndpointSelector> m_selector;
     std::map<EndpointName, backing::ListedEndpoint> m_listed;
+    std::map<ServiceName, std::map<VersionName, int>> m_live; // How many endpoints of each version are listed and don't leave.
     std::set<ZoneName> m_evacuated;
     std::map<ServiceName, ColdBound> m_coldBounds;
     policy::StatedRates m_rates;
--- a/packages/endpoint/include/whinyard/endpoint/EndpointRoster.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointRoster.h
@@ -11,6 +11,9 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
+#include <string_view>
+#include <unordered_set>
 #include <vector>
 
 namespace whinyard::endpoint {
@@ -20,6 +23,12 @@
     std::chrono::milliseconds returnWithin { 2'200 };
 };
 
+// What has changed of a list.
+struct RosterChanges {
+    std::vector<backing::ListedEndpoint> changed; // As they stand now.
+    std::vector<EndpointName> gone;
+};
+
 class EndpointRoster {
 public:
     explicit EndpointRoster(const RosterSettings& settings = {});
@@ -50,6 +59,18 @@
     // the last call.
     bool settle(SteadyTime now);
 
+    // Returns what has changed since the last call: what a change costs doesn't grow with the list.
+    RosterChanges takeChanges();
+
+    // Has the changes returned again by the next call, since whom they were for could not take them.
+    void giveBack(const RosterChanges& changes);
+
+    // Returns how many endpoints the list has.
+    std::size_t size() const { return m_entries.size(); }
+
+    // Returns an endpoint of the list; null where it isn't there.
+    const backing::ListedEndpoint* find(const EndpointName& name) const;
+
     // Returns the endpoints in the order of their names. A cold one keeps the time that it said first until it is warm, or cold
     // again: it says a shorter one each second, and that is no change to tell.
     std::vector<backing::ListedEndpoint> list() const;
@@ -64,6 +85,10 @@
     // Returns whether the store answers, and has for long enough that what it doesn't list is gone.
     bool isStoreComplete(SteadyTime now) const;
 
+    using ListedNames = std::unordered_set<std::string_view>;
+
+    static ListedNames namesOf(const std::vector<backing::ListedEndpoint>& listed);
+    void noteChange(const EndpointName& name);
     void take(Entry& entry, const backing::ListedEndpoint& endpoint);
     void drop(std::map<EndpointName, Entry>::iterator entry, SteadyTime now);
 
@@ -72,6 +97,7 @@
     bool m_storeFails = false;
     std::optional<SteadyTime> m_backSince; // Since when the store has answered again.
     bool m_changed = false;
+    std::set<EndpointName> m_touched; // Changed or gone since the changes were taken.
 };
 
 }
--- a/packages/endpoint/src/EndpointDirectory.cpp
+++ b/packages/endpoint/src/EndpointDirectory.cpp
@@ -1,6 +1,8 @@
 #include "whinyard/endpoint/EndpointDirectory.h"
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 
 namespace whinyard::endpoint {
@@ -58,22 +60,90 @@
 
 void EndpointDirectory::replace(const std::vector<backing::ListedEndpoint>& listed, SteadyTime now)
 {
-    const std::map<EndpointName, backing::ListedEndpoint> before = std::exchange(m_listed, {});
-    for (const backing::ListedEndpoint& endpoint : listed) {
-        if (endpoint.kind != backing::ListedKind::instance)
-            m_listed.insert_or_assign(endpoint.name, endpoint);
-    }
-    placeMembers();
+    std::unordered_set<std::string_view> names;
+    for (const backing::ListedEndpoint& endpoint : listed)
+        names.insert(endpoint.name.value);
+    std::vector<EndpointName> gone;
     for (const auto& [name, endpoint] : m_listed) {
-        const auto known = before.find(name);
-        const bool isSame = known != before.end() && known->second.coldLeft == endpoint.coldLeft && known->second.born == endpoint.born;
-        if (!isSame)
-            recordCold(name, endpoint.coldLeft, now);
-        const bool isOtherProcess = known != before.end() && known->second.born != endpoint.born && endpoint.born != 0;
-        if (isOtherProcess)
-            m_rates.forget(name);
-        useRate(name);
+        if (!names.contains(name.value))
+            gone.push_back(name);
+    }
+    change(listed, gone, now);
+}
+
+void EndpointDirectory::change(const std::vector<backing::ListedEndpoint>& changed, const std::vector<EndpointName>& gone, SteadyTime now)
+{
+    std::vector<policy::EndpointMember> members;
+    std::vector<const backing::ListedEndpoint*> becameCold;
+    for (const backing::ListedEndpoint& endpoint : changed) {
+        if (endpoint.kind == backing::ListedKind::instance)
+            continue;
+        const auto [known, isNew] = m_listed.try_emplace(endpoint.name);
+        if (isNew || known->second.coldLeft != endpoint.coldLeft || known->second.born != endpoint.born)
+            becameCold.push_back(&endpoint);
+        if (!isNew && known->second.born != endpoint.born && endpoint.born != 0)
+            m_rates.forget(endpoint.name);
+        if (!isNew)
+            countVersions(known->second, -1);
+        known->second = endpoint;
+        countVersions(endpoint, 1);
+        members.push_back(memberOf(endpoint));
+    }
+    for (const EndpointName& name : gone) {
+        if (const auto known = m_listed.find(name); known != m_listed.end()) {
+            countVersions(known->second, -1);
+            m_listed.erase(known);
+        }
+    }
+    m_table.changeMembers(members, gone);
+    for (const backing::ListedEndpoint* endpoint : becameCold)
+        recordCold(endpoint->name, endpoint->coldLeft, now);
+    for (const policy::EndpointMember& member : members)
+        useRate(member.name);
+}
+
+void EndpointDirectory::countVersions(const backing::ListedEndpoint& listed, int change)
+{
+    std::map<VersionName, int>& versions = m_live[listed.service];
+    if (listed.leaving)
+        return;
+    for (const VersionName& version : listed.versions) {
+        int& count = versions[version];
+        count += change;
+        if (count == 0)
+            versions.erase(version);
+    }
+}
+
+std::map<ServiceName, std::vector<VersionName>> EndpointDirectory::liveVersions() const
+{
+    std::map<ServiceName, std::vector<VersionName>> live;
+    for (const auto& [service, versions] : m_live) {
+        std::vector<VersionName>& names = live[service];
+        for (const auto& [version, count] : versions)
+            names.push_back(version);
     }
+    return live;
+}
+
+std::vector<policy::TargetIndex> EndpointDirectory::targetsOf(const ServiceName& service) const
+{
+    std::vector<policy::TargetIndex> targets;
+    if (const std::optional<policy::TargetIndex> plain = m_table.find(service))
+        targets.push_back(*plain);
+    const auto live = m_live.find(service);
+    if (live == m_live.end())
+        return targets;
+    for (const auto& [version, count] : live->second) {
+        if (const std::optional<policy::TargetIndex> target = m_table.find(version))
+            targets.push_back(*target);
+    }
+    return targets;
+}
+
+bool EndpointDirectory::servesAny(policy::EndpointIndex endpoint, const std::vector<policy::TargetIndex>& targets) const
+{
+    return std::any_of(targets.begin(), targets.end(), [&](policy::TargetIndex target) { return m_table.serves(endpoint, target); });
 }
 
 void EndpointDirectory::useEvacuatedZones(const std::set<ZoneName>& zones, SteadyTime now)
@@ -98,7 +168,8 @@
 
 void EndpointDirectory::recordCold(const EndpointName& endpoint, std::chrono::milliseconds left, SteadyTime now)
 {
-    if (const std::optional<policy::EndpointIndex> index = m_table.find(endpoint))
+    const std::optional<policy::EndpointIndex> index = m_table.find(endpoint);
+    if (index && (left.count() > 0 || m_table.quotas().knows(*index)))
         m_table.quotas().noteCold(*index, now + left);
 }
 
@@ -131,27 +202,25 @@
 void EndpointDirectory::useRate(const EndpointName& endpoint)
 {
     if (const std::optional<policy::EndpointIndex> index = m_table.findRemembered(endpoint))
-        m_table.quotas().useRate(*index, m_rates.rate(endpoint), m_rates.heardAt(endpoint));
+        m_table.quotas().useRate(*index, endpoint, m_rates.rate(endpoint), m_rates.heardAt(endpoint));
 }
 
 double EndpointDirectory::capacity(const ServiceName& service) const
 {
     double sum = 0;
-    for (const auto& [name, endpoint] : m_listed) {
-        const std::optional<policy::EndpointIndex> index = m_table.find(name);
-        if (index && endpoint.service == service && isLive(endpoint) && !m_evacuated.contains(endpoint.zone))
-            sum += m_table.capacity(*index);
+    for (const policy::TargetIndex target : targetsOf(service)) {
+        const policy::TargetMembers& members = m_table.members(target);
+        for (const auto* list : { &members.healthy, &members.probing, &members.ejected }) {
+            for (const policy::EndpointIndex endpoint : *list)
+                sum += m_table.capacity(endpoint);
+        }
     }
     return sum;
 }
 
 std::size_t EndpointDirectory::coldEndpoints(SteadyTime now) const
 {
-    const auto isCold = [&](const auto& entry) {
-        const std::optional<policy::EndpointIndex> index = m_table.find(entry.first);
-        return index && m_table.quotas().isCold(*index, now);
-    };
-    return static_cast<std::size_t>(std::count_if(m_listed.begin(), m_listed.end(), isCold));
+    return m_table.quotas().coldEndpoints(now);
 }
 
 void EndpointDirectory::markLeaving(const EndpointName& endpoint)
@@ -357,25 +426,29 @@
     return engines;
 }
 
-std::chrono::nanoseconds EndpointDirectory::meanBacklog(const ServiceName& service, SteadyTime now) const
+// Only endpoints with a backlog are looked at: the others add nothing, however many they are.
+std::chrono::nanoseconds EndpointDirectory::meanBacklog(const ServiceName& service, SteadyTime now)
 {
-    std::chrono::nanoseconds sum { 0 };
+    const std::vector<policy::TargetIndex> targets = targetsOf(service);
     std::int64_t endpoints = 0;
+    for (const policy::TargetIndex target : targets)
+        endpoints += static_cast<std::int64_t>(m_table.members(target).size());
+    // Little waits at an endpoint that holds work off, however short of engines the service is.
+    const std::vector<policy::EndpointIndex> holding = m_table.endpointsThatHoldOff(now);
     SteadyTime firstOpen = SteadyTime::max();
-    for (const auto& [name, endpoint] : m_listed) {
-        if (endpoint.service != service || !isLive(endpoint) || m_evacuated.contains(endpoint.zone))
+    for (const policy::EndpointIndex endpoint : holding) {
+        if (!servesAny(endpoint, targets))
             continue;
-        // Little waits at an endpoint that holds work off, however short of engines the service is.
-        const policy::EndpointIndex index = *m_table.find(name);
-        if (m_table.holdsWorkOff(index, now)) {
-            firstOpen = std::min(firstOpen, m_table.takesWorkOfAnyAt(index, now));
-            continue;
-        }
-        ++endpoints;
-        sum += backlog(name, now);
+        --endpoints;
+        firstOpen = std::min(firstOpen, m_table.takesWorkOfAnyAt(endpoint, now));
     }
-    if (endpoints == 0 && firstOpen != SteadyTime::max())
+    if (endpoints <= 0 && firstOpen != SteadyTime::max())
         return firstOpen - now;
+    std::chrono::nanoseconds sum { 0 };
+    for (const policy::EndpointIndex endpoint : m_table.busyEndpoints(now)) {
+        if (servesAny(endpoint, targets) && !std::binary_search(holding.begin(), holding.end(), endpoint))
+            sum += m_table.backlog(endpoint, now);
+    }
     return sum / std::max<std::int64_t>(1, endpoints);
 }
 
--- a/packages/endpoint/src/EndpointRoster.cpp
+++ b/packages/endpoint/src/EndpointRoster.cpp
@@ -16,20 +16,31 @@
     // Makes a coldness that is as long as the one before it another one, for who compares them.
     constexpr std::chrono::milliseconds sameAgain { 1 };
 
-    bool lists(const std::vector<backing::ListedEndpoint>& listed, const EndpointName& name)
-    {
-        return std::any_of(listed.begin(), listed.end(), [&](const auto& endpoint) { return endpoint.name == name; });
-    }
+}
+
+EndpointRoster::ListedNames EndpointRoster::namesOf(const std::vector<backing::ListedEndpoint>& listed)
+{
+    ListedNames names;
+    names.reserve(listed.size());
+    for (const backing::ListedEndpoint& endpoint : listed)
+        names.insert(endpoint.name.value);
+    return names;
+}
 
+void EndpointRoster::noteChange(const EndpointName& name)
+{
+    m_changed = true;
+    m_touched.insert(name);
 }
 
 void EndpointRoster::replace(const std::vector<backing::ListedEndpoint>& listed, SteadyTime now)
 {
+    const ListedNames names = namesOf(listed);
     for (const backing::ListedEndpoint& endpoint : listed)
         put(endpoint);
     for (auto entry = m_entries.begin(); entry != m_entries.end();) {
         const auto next = std::next(entry);
-        if (!lists(listed, entry->first) && !entry->second.goneAt)
+        if (!names.contains(entry->first.value) && !entry->second.goneAt)
             drop(entry, now);
         entry = next;
     }
@@ -60,7 +71,7 @@
     if (entry.endpoint == endpoint)
         return;
     entry.endpoint = endpoint;
-    m_changed = true;
+    noteChange(endpoint.name);
 }
 
 void EndpointRoster::remove(const EndpointName& endpoint, SteadyTime now)
@@ -74,14 +85,19 @@
 {
     for (const backing::ListedEndpoint& endpoint : listed)
         putByTold(endpoint);
-    if (std::erase_if(m_entries, [&](const auto& entry) { return !lists(listed, entry.first); }) > 0)
-        m_changed = true;
+    const ListedNames names = namesOf(listed);
+    std::erase_if(m_entries, [&](const auto& entry) {
+        const bool isGone = !names.contains(entry.first.value);
+        if (isGone)
+            noteChange(entry.first);
+        return isGone;
+    });
 }
 
 void EndpointRoster::removeByTold(const EndpointName& endpoint)
 {
     if (m_entries.erase(endpoint) > 0)
-        m_changed = true;
+        noteChange(endpoint);
 }
 
 void EndpointRoster::drop(std::map<EndpointName, Entry>::iterator entry, SteadyTime now)
@@ -90,8 +106,8 @@
         entry->second.goneAt = m_backSince.value_or(now) + m_settings.returnWithin;
         return;
     }
+    noteChange(entry->first);
     m_entries.erase(entry);
-    m_changed = true;
 }
 
 void EndpointRoster::storeFailed()
@@ -118,8 +134,39 @@
 
 bool EndpointRoster::settle(SteadyTime now)
 {
-    const std::size_t gone = std::erase_if(m_entries, [&](const auto& entry) { return entry.second.goneAt && now >= *entry.second.goneAt; });
-    return std::exchange(m_changed, false) || gone > 0;
+    std::erase_if(m_entries, [&](const auto& entry) {
+        const bool isGone = entry.second.goneAt && now >= *entry.second.goneAt;
+        if (isGone)
+            noteChange(entry.first);
+        return isGone;
+    });
+    return std::exchange(m_changed, false);
+}
+
+RosterChanges EndpointRoster::takeChanges()
+{
+    RosterChanges changes;
+    for (const EndpointName& name : std::exchange(m_touched, {})) {
+        if (const backing::ListedEndpoint* endpoint = find(name))
+            changes.changed.push_back(*endpoint);
+        else
+            changes.gone.push_back(name);
+    }
+    return changes;
+}
+
+void EndpointRoster::giveBack(const RosterChanges& changes)
+{
+    for (const backing::ListedEndpoint& endpoint : changes.changed)
+        noteChange(endpoint.name);
+    for (const EndpointName& name : changes.gone)
+        noteChange(name);
+}
+
+const backing::ListedEndpoint* EndpointRoster::find(const EndpointName& name) const
+{
+    const auto entry = m_entries.find(name);
+    return entry == m_entries.end() ? nullptr : &entry->second.endpoint;
 }
 
 std::vector<backing::ListedEndpoint> EndpointRoster::list() const
--- a/packages/endpoint/test/EndpointRosterTest.cpp
+++ b/packages/endpoint/test/EndpointRosterTest.cpp
@@ -39,6 +39,33 @@
         EndpointRoster m_roster;
     };
 
+    // What a change costs doesn't grow with the list.
+    TEST_F(EndpointRosterTest, TellsOnlyWhatHasChanged)
+    {
+        std::vector<backing::ListedEndpoint> listed;
+        for (int i = 0; i < 1'000; ++i) {
+            backing::ListedEndpoint endpoint;
+            endpoint.name.value = "i-" + std::to_string(i);
+            listed.push_back(endpoint);
+        }
+        EndpointRoster roster;
+        roster.replaceByTold(listed);
+        EXPECT_EQ(roster.takeChanges().changed.size(), 1'000U);
+        roster.replaceByTold(listed);
+        EXPECT_TRUE(roster.takeChanges().changed.empty()) << "the same list again";
+        listed[7].leaving = true;
+        roster.putByTold(listed[7]);
+        roster.removeByTold(listed[8].name);
+        const RosterChanges changes = roster.takeChanges();
+        ASSERT_EQ(changes.changed.size(), 1U);
+        EXPECT_TRUE(changes.changed[0].leaving);
+        EXPECT_EQ(changes.gone, (std::vector<EndpointName> { listed[8].name }));
+        roster.giveBack(changes);
+        EXPECT_TRUE(roster.settle(m_clock.now())) << "they were not taken";
+        EXPECT_EQ(roster.takeChanges().gone, changes.gone);
+        EXPECT_TRUE(roster.takeChanges().gone.empty());
+    }
+
     TEST_F(EndpointRosterTest, DropsAnEntryThatVanishesAtOnce)
     {
         m_roster.remove({ "a" }, m_clock.now());
--- a/packages/policy/include/whinyard/policy/EndpointQuotas.h
+++ b/packages/policy/include/whinyard/policy/EndpointQuotas.h
@@ -18,6 +18,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 namespace whinyard::policy {
@@ -48,6 +49,15 @@
     // Returns how many instances share what endpoints take; at least one.
     std::size_t instances() const { return m_instances.size() + 1; }
 
+    // Forgets what is known of an endpoint whose index is used again.
+    void forget(EndpointIndex endpoint) { m_states.erase(endpoint); }
+
+    // Returns of how many endpoints anything is known.
+    std::size_t size() const { return m_states.size(); }
+
+    // Returns whether anything is known of the endpoint.
+    bool knows(EndpointIndex endpoint) const { return find(endpoint) != nullptr; }
+
     // Sets how many requests the endpoint bears in any second while it is cold, from all instances; 0: any number. What was
     // known of an earlier endpoint under the index is forgotten where the name is another one.
     void useColdBound(EndpointIndex endpoint, const EndpointName& name, std::uint32_t requests);
@@ -56,13 +66,19 @@
     void noteCold(EndpointIndex endpoint, SteadyTime until);
 
     // Sets how many requests a second the endpoint states that it takes, and when anybody last heard it; nothing: any number.
-    void useRate(EndpointIndex endpoint, std::optional<double> requestsPerSecond, SteadyTime heardAt);
+    void useRate(EndpointIndex endpoint, const EndpointName& name, std::optional<double> requestsPerSecond, SteadyTime heardAt);
 
     // Counts a request that is being sent. What an endpoint got just before its quota was known counts.
     void noteSend(EndpointIndex endpoint, SteadyTime now);
 
     bool isCold(EndpointIndex endpoint, SteadyTime now) const;
 
+    // Returns how many endpoints are cold.
+    std::size_t coldEndpoints(SteadyTime now) const;
+
+    // Returns the endpoints that state a rate.
+    std::vector<EndpointIndex> limited() const;
+
     // Returns the rate that the endpoint states.
     std::optional<double> rate(EndpointIndex endpoint) const;
 
@@ -94,7 +110,10 @@
         std::size_t latest = 0;
     };
 
-    State& stateOf(EndpointIndex endpoint);
+    static constexpr std::size_t leastPruned = 256;
+
+    State& stateOf(EndpointIndex endpoint, const EndpointName& name);
+    void prune(SteadyTime now);
     const State* find(EndpointIndex endpoint) const;
     std::size_t rankOf(const State& state) const;
     Part coldPartOf(const State& state) const;
@@ -104,7 +123,9 @@
     SteadyTime nextCold(const State& state, SteadyTime now) const;
     SteadyTime nextOfRate(const State& state, SteadyTime now) const;
 
-    std::vector<State> m_states; // By EndpointIndex.
+    // Only of endpoints with a quota and of those that got a request lately: most of a large fleet's have neither.
+    std::unordered_map<EndpointIndex, State> m_states;
+    std::size_t m_pruneAt = leastPruned; // So many states, at which those that are no longer needed go.
     std::vector<std::uint64_t> m_instances; // Hashes of the other instances' names.
     std::uint64_t m_self = 0; // 0: the instances aren't known yet.
 };
--- a/packages/policy/include/whinyard/policy/EndpointTable.h
+++ b/packages/policy/include/whinyard/policy/EndpointTable.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <set>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -151,6 +152,10 @@
     // again: they hold no memory, have no backlog, and failed nobody yet. This allocates.
     void replaceMembers(std::span<const EndpointMember> members);
 
+    // Takes the members that have changed or are new, and those that are no longer listed. Of few ones the cost doesn't grow with
+    // the table, but for moving positions.
+    void changeMembers(std::span<const EndpointMember> changed, std::span<const EndpointName> gone);
+
     // Takes an endpoint out of all choices at once, for example when it answered that it is leaving. Leaving is final for a
     // process: replaceMembers() brings the endpoint back only as another one. Where it doesn't say which process it is, a
     // live one counts as another after the list had it as leaving or not at all; else a list lags, or lapses for a while.
@@ -169,6 +174,12 @@
     // Returns whether the endpoint has asked for fewer requests, or for none now.
     bool holdsWorkOff(EndpointIndex endpoint, SteadyTime now) const { return row(endpoint).comeBackAt > now || m_quotas.rate(endpoint).has_value(); }
 
+    // Returns the endpoints that were given prompts which aren't read yet. Of a large fleet these are few.
+    const std::vector<EndpointIndex>& busyEndpoints(SteadyTime now);
+
+    // Returns the endpoints that hold work off.
+    std::vector<EndpointIndex> endpointsThatHoldOff(SteadyTime now);
+
     // Returns how many requests a second the endpoint takes from all instances, by its stated rate or else by its slots.
     double capacity(EndpointIndex endpoint) const;
 
@@ -250,7 +261,22 @@
     EndpointIndex rowFor(const EndpointName& name);
     TargetIndex targetFor(std::unordered_map<std::string, TargetIndex>& names, const std::string& name);
     ZoneIndex zoneFor(const ZoneName& zone);
-    void takeMember(const EndpointMember& member, std::vector<std::uint8_t>& listed);
+    // While several members change, hash rings are left as they are, and built anew at the end.
+    class Batch {
+    public:
+        Batch(EndpointTable& table, std::size_t changes);
+        ~Batch();
+        Batch(const Batch&) = delete;
+        Batch& operator=(const Batch&) = delete;
+
+    private:
+        EndpointTable& m_table;
+    };
+
+    EndpointIndex takeMember(const EndpointMember& member);
+    void dropMember(EndpointIndex endpoint);
+    void reserveRows(std::size_t count);
+    void buildRing(TargetMembers& target);
     void forgetEarlierProcess(EndpointIndex endpoint);
     void placeInTargets(EndpointIndex endpoint, std::vector<TargetIndex> targets);
     void removeFromTargets(EndpointIndex endpoint);
@@ -277,6 +303,11 @@
     std::vector<std::uint8_t> m_saidLeaving; // Its process leaves, whatever the list says of it.
     std::vector<std::uint8_t> m_free; // The endpoint has left the list. Its name keeps the row until that is reused.
     std::deque<EndpointIndex> m_freeRows; // The longest free one first.
+    std::vector<EndpointIndex> m_busy; // With a backlog, or with one that has passed since busyEndpoints() was called.
+    std::vector<std::uint8_t> m_isInBusy; // By EndpointIndex.
+    std::vector<EndpointIndex> m_resting; // That asked for no new work before a time that may have passed.
+    bool m_isBatch = false;
+    std::set<TargetIndex> m_staleRings; // Of targets that changed in the batch.
     std::vector<TargetMembers> m_targets;
     std::unordered_map<std::string, EndpointIndex> m_byName;
     std::unordered_map<std::string, TargetIndex> m_versions;
--- a/packages/policy/src/EndpointQuotas.cpp
+++ b/packages/policy/src/EndpointQuotas.cpp
@@ -67,7 +67,7 @@
         return;
     m_self = own;
     m_instances = std::move(others);
-    for (State& state : m_states) {
+    for (auto& [endpoint, state] : m_states) {
         state.coldPart = coldPartOf(state);
         state.ratePart = ratePartOf(state);
     }
@@ -75,25 +75,25 @@
 
 void EndpointQuotas::useColdBound(EndpointIndex endpoint, const EndpointName& name, std::uint32_t requests)
 {
-    State& state = stateOf(endpoint);
-    const std::uint64_t hash = stableHash(name.value);
-    if (state.hash == hash && state.coldBound == requests)
+    if (requests == 0 && !knows(endpoint))
+        return;
+    State& state = stateOf(endpoint, name);
+    if (state.coldBound == requests)
         return;
-    if (state.hash != hash)
-        state = {};
-    state.hash = hash;
     state.coldBound = requests;
     state.coldPart = coldPartOf(state);
 }
 
 void EndpointQuotas::noteCold(EndpointIndex endpoint, SteadyTime until)
 {
-    stateOf(endpoint).coldUntil = until;
+    m_states[endpoint].coldUntil = until;
 }
 
-void EndpointQuotas::useRate(EndpointIndex endpoint, std::optional<double> requestsPerSecond, SteadyTime heardAt)
+void EndpointQuotas::useRate(EndpointIndex endpoint, const EndpointName& name, std::optional<double> requestsPerSecond, SteadyTime heardAt)
 {
-    State& state = stateOf(endpoint);
+    if (!requestsPerSecond && !knows(endpoint))
+        return;
+    State& state = stateOf(endpoint, name);
     state.rateHeardAt = heardAt;
     if (state.rate == requestsPerSecond)
         return;
@@ -103,7 +103,9 @@
 
 void EndpointQuotas::noteSend(EndpointIndex endpoint, SteadyTime now)
 {
-    State& state = stateOf(endpoint);
+    if (m_states.size() >= m_pruneAt)
+        prune(now);
+    State& state = m_states[endpoint];
     state.latest = (state.latest + 1) % mostSends;
     state.sends[state.latest] = now;
 }
@@ -165,18 +167,46 @@
     return earliest == SteadyTime() ? now : std::max(now, earliest + part.span);
 }
 
-EndpointQuotas::State& EndpointQuotas::stateOf(EndpointIndex endpoint)
+EndpointQuotas::State& EndpointQuotas::stateOf(EndpointIndex endpoint, const EndpointName& name)
 {
-    const auto index = static_cast<std::size_t>(endpoint);
-    if (m_states.size() <= index)
-        m_states.resize(index + 1);
-    return m_states[index];
+    State& state = m_states[endpoint];
+    const std::uint64_t hash = stableHash(name.value);
+    if (state.hash != 0 && state.hash != hash)
+        state = {};
+    state.hash = hash;
+    return state;
 }
 
 const EndpointQuotas::State* EndpointQuotas::find(EndpointIndex endpoint) const
 {
-    const auto index = static_cast<std::size_t>(endpoint);
-    return index < m_states.size() ? &m_states[index] : nullptr;
+    const auto found = m_states.find(endpoint);
+    return found == m_states.end() ? nullptr : &found->second;
+}
+
+// What an endpoint got counts for as long as a quota that comes later looks back.
+void EndpointQuotas::prune(SteadyTime now)
+{
+    std::erase_if(m_states, [now](const auto& entry) {
+        const State& state = entry.second;
+        const bool hasQuota = state.coldBound > 0 || state.rate || now < state.coldUntil;
+        return !hasQuota && now - state.sends[state.latest] > ratePeriod + arrivalSlack;
+    });
+    m_pruneAt = std::max(leastPruned, 2 * m_states.size());
+}
+
+std::size_t EndpointQuotas::coldEndpoints(SteadyTime now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_states.begin(), m_states.end(), [&](const auto& entry) { return isCold(entry.first, now); }));
+}
+
+std::vector<EndpointIndex> EndpointQuotas::limited() const
+{
+    std::vector<EndpointIndex> limited;
+    for (const auto& [endpoint, state] : m_states) {
+        if (state.rate)
+            limited.push_back(endpoint);
+    }
+    return limited;
 }
 
 std::size_t EndpointQuotas::rankOf(const State& state) const
--- a/packages/policy/src/EndpointTable.cpp
+++ b/packages/policy/src/EndpointTable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace whinyard::policy {
 
@@ -10,6 +11,9 @@
     // Positions of an endpoint on the hash ring of each of its targets.
     constexpr std::uint64_t pointsPerEndpoint = 8;
 
+    // Members that change at once, beyond which a hash ring is built anew: one by one each moves a part of it.
+    constexpr std::size_t mostSingleChanges = 16;
+
     // Free rows that must be ahead of a row before it is reused.
     constexpr std::size_t reuseDistance = 256;
 
@@ -66,29 +70,68 @@
 {
 }
 
+EndpointTable::Batch::Batch(EndpointTable& table, std::size_t changes)
+    : m_table(table)
+{
+    m_table.m_isBatch = changes > mostSingleChanges;
+}
+
+EndpointTable::Batch::~Batch()
+{
+    m_table.m_isBatch = false;
+    for (const TargetIndex target : std::exchange(m_table.m_staleRings, {}))
+        m_table.buildRing(m_table.m_targets[at(target)]);
+}
+
 void EndpointTable::replaceMembers(std::span<const EndpointMember> members)
 {
-    std::vector<std::uint8_t> listed(m_rows.size(), 0);
+    const Batch batch(*this, members.size());
+    reserveRows(members.size());
+    std::vector<std::uint8_t> listed(m_rows.size() + members.size(), 0);
     for (const EndpointMember& member : members)
-        takeMember(member, listed);
-    for (std::size_t i = 0; i < listed.size(); ++i) {
-        if (listed[i] || m_free[i])
-            continue;
-        const auto endpoint = static_cast<EndpointIndex>(i);
-        removeFromTargets(endpoint);
-        if (row(endpoint).incarnation == 0)
-            m_saidLeaving[i] = 0;
-        rowAt(endpoint).present = false;
-        freeIfGone(endpoint);
+        listed[at(takeMember(member))] = 1;
+    for (std::size_t i = 0; i < m_rows.size(); ++i) {
+        if (!listed[i] && !m_free[i])
+            dropMember(static_cast<EndpointIndex>(i));
     }
 }
 
-void EndpointTable::takeMember(const EndpointMember& member, std::vector<std::uint8_t>& listed)
+void EndpointTable::changeMembers(std::span<const EndpointMember> changed, std::span<const EndpointName> gone)
+{
+    const Batch batch(*this, changed.size() + gone.size());
+    if (m_rows.empty())
+        reserveRows(changed.size());
+    for (const EndpointMember& member : changed)
+        takeMember(member);
+    for (const EndpointName& name : gone) {
+        if (const std::optional<EndpointIndex> endpoint = find(name))
+            dropMember(*endpoint);
+    }
+}
+
+// A first list is taken without the room that growing vectors leave.
+void EndpointTable::reserveRows(std::size_t count)
+{
+    m_rows.reserve(count);
+    m_histories.reserve(count);
+    m_names.reserve(count);
+    m_targetsOf.reserve(count);
+    m_saidLeaving.reserve(count);
+    m_free.reserve(count);
+}
+
+void EndpointTable::dropMember(EndpointIndex endpoint)
+{
+    removeFromTargets(endpoint);
+    if (row(endpoint).incarnation == 0)
+        m_saidLeaving[at(endpoint)] = 0;
+    rowAt(endpoint).present = false;
+    freeIfGone(endpoint);
+}
+
+EndpointIndex EndpointTable::takeMember(const EndpointMember& member)
 {
     const EndpointIndex endpoint = rowFor(member.name);
-    if (listed.size() < m_rows.size())
-        listed.resize(m_rows.size(), 0);
-    listed[at(endpoint)] = 1;
     EndpointRow& row = rowAt(endpoint);
     if (row.incarnation != 0 && member.incarnation != 0 && row.incarnation != member.incarnation)
         forgetEarlierProcess(endpoint);
@@ -114,6 +157,7 @@
     if (row.leaving || row.isEvacuated)
         targets.clear();
     placeInTargets(endpoint, std::move(targets));
+    return endpoint;
 }
 
 void EndpointTable::forgetEarlierProcess(EndpointIndex endpoint)
@@ -165,6 +209,7 @@
         m_free.push_back(0);
     }
     place->second = endpoint;
+    m_quotas.forget(endpoint);
     rowAt(endpoint) = newRow();
     m_histories[at(endpoint)] = {};
     m_names[at(endpoint)] = name;
@@ -195,7 +240,10 @@
     removeFromTargets(endpoint);
     for (const TargetIndex target : targets) {
         addToHealthList(m_targets[at(target)], endpoint);
-        addToRing(m_targets[at(target)], endpoint);
+        if (m_isBatch)
+            m_staleRings.insert(target);
+        else
+            addToRing(m_targets[at(target)], endpoint);
     }
     m_targetsOf[at(endpoint)] = std::move(targets);
 }
@@ -205,7 +253,10 @@
     for (const TargetIndex target : m_targetsOf[at(endpoint)]) {
         TargetMembers& members = m_targets[at(target)];
         removeFromHealthList(members, endpoint);
-        std::erase_if(members.ring, [&](const RingPoint& point) { return point.endpoint == endpoint; });
+        if (m_isBatch)
+            m_staleRings.insert(target);
+        else
+            std::erase_if(members.ring, [&](const RingPoint& point) { return point.endpoint == endpoint; });
     }
     m_targetsOf[at(endpoint)].clear();
 }
@@ -218,6 +269,20 @@
     }
 }
 
+void EndpointTable::buildRing(TargetMembers& target)
+{
+    std::vector<RingPoint> ring;
+    ring.reserve(target.size() * pointsPerEndpoint);
+    for (const std::vector<EndpointIndex>* list : { &target.healthy, &target.probing, &target.ejected }) {
+        for (const EndpointIndex endpoint : *list) {
+            for (std::uint64_t i = 0; i < pointsPerEndpoint; ++i)
+                ring.push_back({ stableHash(m_names[at(endpoint)].value, i), endpoint });
+        }
+    }
+    std::sort(ring.begin(), ring.end(), isBefore);
+    target.ring = std::move(ring);
+}
+
 void EndpointTable::addToHealthList(TargetMembers& target, EndpointIndex endpoint)
 {
     const EndpointRow& added = row(endpoint);
@@ -293,6 +358,30 @@
 {
     EndpointRow& changed = rowAt(endpoint);
     changed.busyUntil = std::max(changed.busyUntil, now) + work;
+    m_isInBusy.resize(m_rows.size(), 0);
+    if (!std::exchange(m_isInBusy[at(endpoint)], 1))
+        m_busy.push_back(endpoint);
+}
+
+const std::vector<EndpointIndex>& EndpointTable::busyEndpoints(SteadyTime now)
+{
+    std::erase_if(m_busy, [&](EndpointIndex endpoint) {
+        const bool isFree = row(endpoint).busyUntil <= now;
+        if (isFree)
+            m_isInBusy[at(endpoint)] = 0;
+        return isFree;
+    });
+    return m_busy;
+}
+
+std::vector<EndpointIndex> EndpointTable::endpointsThatHoldOff(SteadyTime now)
+{
+    std::erase_if(m_resting, [&](EndpointIndex endpoint) { return row(endpoint).comeBackAt <= now; });
+    std::vector<EndpointIndex> holding = m_quotas.limited();
+    holding.insert(holding.end(), m_resting.begin(), m_resting.end());
+    std::sort(holding.begin(), holding.end());
+    holding.erase(std::unique(holding.begin(), holding.end()), holding.end());
+    return holding;
 }
 
 std::chrono::nanoseconds EndpointTable::backlog(EndpointIndex endpoint, SteadyTime now) const
@@ -370,6 +459,7 @@
 void EndpointTable::recordComeBackAt(EndpointIndex endpoint, SteadyTime time)
 {
     rowAt(endpoint).comeBackAt = std::max(rowAt(endpoint).comeBackAt, time);
+    m_resting.push_back(endpoint);
 }
 
 double EndpointTable::capacity(EndpointIndex endpoint) const
--- a/packages/policy/test/EndpointQuotasRateTest.cpp
+++ b/packages/policy/test/EndpointQuotasRateTest.cpp
@@ -27,7 +27,7 @@
             for (std::size_t i = 0; i < instances; ++i) {
                 for (std::size_t endpoint = 0; endpoint < endpoints; ++endpoint) {
                     m_instances[i].useColdBound(at(endpoint), { "i-" + std::to_string(endpoint) }, 0);
-                    m_instances[i].useRate(at(endpoint), rate, m_now);
+                    m_instances[i].useRate(at(endpoint), { "i-" + std::to_string(endpoint) }, rate, m_now);
                 }
                 useList(i, instancesNamed(0, instances));
             }
@@ -128,7 +128,7 @@
 
     TEST_F(OneInstanceRateTest, UsesNoLimitedEndpointWhileTheOtherInstancesAreUnknown)
     {
-        m_quotas.useRate(m_endpoint, 2, m_now);
+        m_quotas.useRate(m_endpoint, { "i-1" }, 2, m_now);
         EXPECT_GT(m_quotas.nextSend(m_endpoint, m_now), m_now);
         m_quotas.useInstances(instanceNamed(0), {});
         EXPECT_EQ(m_quotas.nextSend(m_endpoint, m_now), m_now);
@@ -139,7 +139,7 @@
         m_quotas.useInstances(instanceNamed(0), {});
         for (int i = 0; i < 20; ++i)
             m_quotas.noteSend(m_endpoint, m_now);
-        m_quotas.useRate(m_endpoint, 2, m_now);
+        m_quotas.useRate(m_endpoint, { "i-1" }, 2, m_now);
         EXPECT_GE(m_quotas.nextSend(m_endpoint, m_now), m_now + 4s);
     }
 
@@ -147,7 +147,7 @@
     TEST_F(OneInstanceRateTest, SendsARequestNowAndThenWhereTheRateIsNothing)
     {
         m_quotas.useInstances(instanceNamed(0), {});
-        m_quotas.useRate(m_endpoint, 0, m_now);
+        m_quotas.useRate(m_endpoint, { "i-1" }, 0, m_now);
         m_quotas.noteSend(m_endpoint, m_now);
         const SteadyTime next = m_quotas.nextSend(m_endpoint, m_now);
         EXPECT_GE(next, m_now + 20s) << "the least rate that counts is one in 20 s";
@@ -157,10 +157,10 @@
     TEST_F(OneInstanceRateTest, OpensOnceTheRateHasEnded)
     {
         m_quotas.useInstances(instanceNamed(0), {});
-        m_quotas.useRate(m_endpoint, 0.1, m_now);
+        m_quotas.useRate(m_endpoint, { "i-1" }, 0.1, m_now);
         m_quotas.noteSend(m_endpoint, m_now);
         EXPECT_GT(m_quotas.nextSend(m_endpoint, m_now), m_now);
-        m_quotas.useRate(m_endpoint, std::nullopt, m_now);
+        m_quotas.useRate(m_endpoint, { "i-1" }, std::nullopt, m_now);
         EXPECT_EQ(m_quotas.nextSend(m_endpoint, m_now), m_now);
     }
 
@@ -169,7 +169,7 @@
         m_quotas.useInstances(instanceNamed(0), {});
         m_quotas.useColdBound(m_endpoint, { "i-1" }, 2); // One of it is dealt out, in any second.
         m_quotas.noteCold(m_endpoint, m_now + 10s);
-        m_quotas.useRate(m_endpoint, 30, m_now);
+        m_quotas.useRate(m_endpoint, { "i-1" }, 30, m_now);
         m_quotas.noteSend(m_endpoint, m_now);
         EXPECT_GE(m_quotas.nextSend(m_endpoint, m_now), m_now + 1s);
         EXPECT_LT(m_quotas.nextSend(m_endpoint, m_now), m_now + 2s);
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -78,6 +78,9 @@
 // Returns the name under which the endpoints of a service's version stand in the directory.
 VersionName targetName(const ServiceName& service, const std::string& version);
 
+// Returns the versions that such names stand for.
+std::vector<std::string> versionsOf(const ServiceName& service, const std::vector<VersionName>& targets);
+
 class Forwarder {
 public:
     Forwarder(const ForwarderParts& parts, const ForwarderSettings& settings, Random random);
--- a/packages/router/src/Forwarder.cpp
+++ b/packages/router/src/Forwarder.cpp
@@ -31,6 +31,14 @@
     return { service.value + "@" + version };
 }
 
+std::vector<std::string> versionsOf(const ServiceName& service, const std::vector<VersionName>& targets)
+{
+    std::vector<std::string> versions;
+    for (const VersionName& target : targets)
+        versions.push_back(target.value.substr(service.value.size() + 1));
+    return versions;
+}
+
 struct Forwarder::State {
     State(const ForwarderParts& parts, const ForwarderSettings& settings, Random random)
         : core { .parts = parts, .settings = settings, .random = random, .sharedRepeats = policy::SharedAllowance(settings.sharedRepeats), .start = policy::StartForecast(parts.clock.now()), .news = parts.fibers.makeWakeup() }
