Tell of work given to engines no more than 96 instances

Cause: every instance told all others of each prompt: of N instances with r requests a second each gets N r datagrams a second. On the fleet's sheet that is 600 a second for each instance, each a wake-up, a read and a decoding, for endpoints of which it uses one in some minutes. Change: in a fleet of more than 97 instances a notice goes to 96 that follow on a drawn one, so that each hears of 96 r. Smaller fleets stay as they were. Two ways: all, and this one; a fixed circle by zone would leave some pairs that never hear of each other.

--- a/apps/whinyardd/entry/PeerLink.cpp
+++ b/apps/whinyardd/entry/PeerLink.cpp
@@ -2,6 +2,7 @@
 
 #include "Shared.h"
 #include "whinyard/base/Log.h"
+#include "whinyard/peer/DrawnPeers.h"
 #include "whinyard/policy/ShiftRecords.h"
 
 #include <algorithm>
@@ -13,6 +14,10 @@
     // Less work is over before a notice of it changes a choice; most requests bring less.
     constexpr std::chrono::milliseconds worthTelling { 25 };
 
+    // Of a larger fleet so many instances hear of work, drawn anew each time. The more instances there are, the less likely it is
+    // that one of them chooses the same endpoint before the work is done.
+    constexpr std::size_t mostToldOfWork = 96;
+
     constexpr std::chrono::seconds receiveWait { 30 };
 
     // Notices of lost requests are sent each tick of 50 ms; so many of them at most, so that a wave of failures fills no link.
@@ -167,7 +172,17 @@
         return;
     peer::WorkNotice notice { endpoint, std::chrono::duration_cast<std::chrono::microseconds>(work), prefix };
     notice.prefixes.resize(std::min(notice.prefixes.size(), peer::mostPrefixes));
-    broadcast(notice);
+    tellMost(notice);
+}
+
+// Each instance gets as many of these as there are requests for each instance, times this number, whatever the fleet's size.
+void PeerLink::tellMost(const peer::Notice& notice)
+{
+    if (!m_socket || m_peers.empty())
+        return;
+    const std::string bytes = peer::encodeNotice(notice);
+    for (const std::size_t drawn : peer::drawnPeers(m_peers.size(), mostToldOfWork, m_random))
+        send(m_peers[drawn], bytes);
 }
 
 void PeerLink::tellPins()
--- a/apps/whinyardd/entry/PeerLink.h
+++ b/apps/whinyardd/entry/PeerLink.h
@@ -69,6 +69,7 @@
     void take(const peer::RateNotice& notice);
     void take(const peer::UsageNotice& notice);
     void take(const peer::DemandNotice& notice);
+    void tellMost(const peer::Notice& notice);
     void repeatVerdicts();
     void broadcastRates(const std::vector<RateNews>& rates);
     void spreadRates(const std::vector<RateNews>& rates);
