--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -60,6 +60,7 @@
     std::chrono::microseconds expected { 0 }; // The same, as the load and size of the request let expect.
     bool wasSeenWhole = true; // Slowness had the time to show; a sign of it counts in any case.
     std::chrono::microseconds pause { 0 }; // Mean between the events of a stream; 0 for fewer than minimumPauses.
+    bool endpointEnded = false; // It was lost with its endpoint's process.
 };
 
 // When how much of a service's requests goes to the target, in parts of the order's period.
@@ -99,6 +100,9 @@
     double slowExcess = 0.25;
     double slowStopAt = 7.2;
     std::chrono::milliseconds sessionGap { 5'000 }; // A session is remembered so long after its last request.
+    // What was lost with an endpoint of the target counts this much later: by then all instances have told what was lost of
+    // the other versions in the same wave.
+    std::chrono::milliseconds crashPatience { 3'500 };
     std::chrono::milliseconds backgroundMemory { 6'000 }; // Time constant of the other versions' share of bad answers.
 };
 
@@ -192,6 +196,7 @@
         std::chrono::milliseconds elapsedBefore { 0 };
         std::vector<std::uint64_t> pins; // To be told.
         ShiftEvidence own;
+        std::vector<SteadyTime> crashes; // Losses with endpoints of the target that ended and don't count yet.
         std::map<InstanceName, ShiftEvidence> others;
         Fading fleetOthers; // Failures of the other versions, at all instances.
         // Whether one party's answers of the target are worse than those of the other versions.
@@ -233,6 +238,7 @@
     double progress(const Shift& shift, SteadyTime now) const;
     double shareNow(const Shift& shift, SteadyTime now) const;
     bool isDrawnToTrial(std::uint64_t draw) const;
+    void countCrashes(Shift& shift, SteadyTime now) const;
     bool isKnownCrash(ServiceMemory& memory, const VersionOutcome& outcome, SteadyTime now) const;
     BadShares sharesOver(double background, double observed, double excess) const;
     void judge(Shift& shift, const ServiceMemory& memory);
--- a/packages/policy/src/VersionShift.cpp
+++ b/packages/policy/src/VersionShift.cpp
@@ -237,6 +237,11 @@
     const bool isSlowAnswer = startsLate || (outcome.pause >= m_settings.slowPause && memory.pauses.exceeds(outcome.measure, pause));
     const double kept = std::exp(-std::chrono::duration<double>(now - background.at) / m_settings.backgroundMemory);
     if (isRunning && found->second.order.target == version) {
+        countCrashes(found->second, now);
+        if (outcome.endpointEnded) {
+            found->second.crashes.push_back(now);
+            return;
+        }
         ShiftEvidence& own = found->second.own;
         ++(outcome.failed ? own.failures.bad : own.failures.good);
         // Without answers of the other versions at the same time, slowness may be the load's.
@@ -262,6 +267,12 @@
     background.at = now;
 }
 
+void VersionShifts::countCrashes(Shift& shift, SteadyTime now) const
+{
+    const auto isDue = [&](SteadyTime at) { return now - at >= m_settings.crashPatience; };
+    shift.own.failures.bad += static_cast<std::uint32_t>(std::erase_if(shift.crashes, isDue));
+}
+
 bool VersionShifts::isKnownCrash(ServiceMemory& memory, const VersionOutcome& outcome, SteadyTime now) const
 {
     if (!outcome.connectionLost)
--- a/packages/policy/test/VersionShiftTest.cpp
+++ b/packages/policy/test/VersionShiftTest.cpp
@@ -230,6 +230,44 @@
         EXPECT_EQ(state(), ShiftState::running);
     }
 
+    // A quarter of all engines crash at once. Three instances lose an answer of the target each, and all lose more of the version in
+    // use, which they tell within three seconds: told before that, the three of 38 rolled a sound target back.
+    TEST_F(VersionShiftTest, TellsOfLossesInAWaveOfCrashesNoSoonerThanAllKnowTheWave)
+    {
+        answer(10, 0, failure());
+        VersionOutcome lost = failure();
+        lost.connectionLost = true;
+        lost.endpointEnded = true;
+        m_shifts.recordOutcome(service, "v2", lost, m_clock.now());
+        answer(10, 0, failure());
+        EXPECT_EQ(m_shifts.evidence(service)->failures.bad, 0U);
+        m_clock.advance(3s);
+        for (int i = 0; i < 6; ++i)
+            m_shifts.takeEvidence(service, { "i" + std::to_string(i) }, { 10, { 12, 0 }, { 12, 0 }, { 120, 15 } }, m_clock.now());
+        m_clock.advance(500ms);
+        answer(1, 0, failure());
+        EXPECT_EQ(m_shifts.evidence(service)->failures.bad, 1U);
+        for (int i = 0; i < 2; ++i)
+            m_shifts.takeEvidence(service, { "i" + std::to_string(i) }, { 10, { 12, 1 }, { 12, 0 }, { 120, 15 } }, m_clock.now());
+        answer(5, 0, failure());
+        EXPECT_EQ(state(), ShiftState::running);
+    }
+
+    TEST_F(VersionShiftTest, RollsATargetBackWhoseEndpointsAloneEnd)
+    {
+        answer(20, 0, failure());
+        for (int i = 0; i < 8; ++i) {
+            VersionOutcome lost = failure();
+            lost.endpoint.value = "new" + std::to_string(i);
+            lost.connectionLost = true;
+            lost.endpointEnded = true;
+            m_shifts.recordOutcome(service, "v2", lost, m_clock.now());
+        }
+        m_clock.advance(4s);
+        answer(2, 0, failure());
+        EXPECT_EQ(state(), ShiftState::rolledBack);
+    }
+
     TEST_F(VersionShiftTest, IgnoresEvidenceOfAnotherOrder)
     {
         for (int i = 0; i < 6; ++i)
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -91,7 +91,7 @@
     const endpoint::EndpointOutcome fault = m_stalled ? endpoint::EndpointOutcome::stalled : lost;
     attempt.end(isFault ? fault : endpoint::EndpointOutcome::cancelled);
     // Silence that was not waited out is slowness, of which load has its share; a lost connection is a failure.
-    noteOutcome(attempt, !m_stalled);
+    noteOutcome(attempt, !m_stalled, listening == net::Listening::no);
     log::info("attempt failed", { { "request", m_request.id }, { "digest", toText(m_guard.request()) }, { "endpoint", attempt.target().endpoint.name.value }, { "endpointListens", std::string(text(listening)) }, { "reason", m_failure.reason }, { "elapsedMs", text(attempt.age()) }, { "hadHead", attempt.hasHead() ? "true" : "false" }, { "events", std::to_string(m_events) } });
     return AttemptEnd::broken;
 }
@@ -159,12 +159,13 @@
     m_events += count;
 }
 
-void ForwardRun::noteOutcome(const ForwardAttempt& attempt, bool failed)
+void ForwardRun::noteOutcome(const ForwardAttempt& attempt, bool failed, bool endpointEnded)
 {
     policy::VersionOutcome outcome;
     outcome.endpoint = attempt.target().endpoint.name;
     outcome.failed = failed;
     outcome.connectionLost = failed && !m_failedAnswer;
+    outcome.endpointEnded = failed && endpointEnded;
     outcome.measure = m_admission.route->name + "/" + model().value;
     const SteadyTime end = m_firstEventAt.value_or(now());
     const auto began = now() - attempt.age();
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -84,7 +84,7 @@
     void refuse(Failure failure);
     void noteBegun();
     void noteEvents(std::uint32_t count);
-    void noteOutcome(const ForwardAttempt& attempt, bool failed);
+    void noteOutcome(const ForwardAttempt& attempt, bool failed, bool endpointEnded = false);
     void callerLeft();
 
     std::chrono::milliseconds timeLeft() const;
