Take in instances that announce themselves together in few steps

Each of 985 instances took in each of 984 announcements by itself: copied and sorted the list of all, dealt bounds out anew, wrote a line. That is the square of the fleet for each instance, and the cube for the fleet; meanwhile everything else that was posted to the duty waited in a fiber of its own. Change: announcements of a moment (50 ms) are handed on together.

--- a/apps/whinyardd/entry/InstanceWatch.cpp
+++ b/apps/whinyardd/entry/InstanceWatch.cpp
@@ -12,6 +12,8 @@
     // A record that was read may be seconds old, and an instance's own notice comes before its record.
     constexpr std::chrono::seconds announcedFor { 30 };
 
+    constexpr std::chrono::milliseconds announcementPause { 50 };
+
 }
 
 InstanceWatch::InstanceWatch(EntryShared& shared, ServeDuty& serving, RosterWatch& roster)
@@ -68,7 +70,16 @@
 void InstanceWatch::takeNotice(const peer::InstanceNotice& notice)
 {
     m_announced[notice.instance] = { notice, m_shared.clock.now() };
-    if (m_isKnown)
+    m_hasAnnounced = true;
+    m_announcement.notify();
+}
+
+void InstanceWatch::handOnAnnounced(std::chrono::milliseconds wait)
+{
+    if (!m_hasAnnounced && !m_announcement.wait(wait))
+        return;
+    net::sleepFor(announcementPause);
+    if (std::exchange(m_hasAnnounced, false) && m_isKnown)
         handOn();
 }
 
@@ -81,6 +92,8 @@
     if (instances == m_handedOn)
         return;
     m_handedOn = instances;
+    m_shared.metrics.add("whinyard_instance_lists_total");
+    m_shared.metrics.set("whinyard_instances", static_cast<double>(instances.size()));
     std::vector<net::Address> peers;
     for (const auto& [name, instance] : instances) {
         if (instance.address != m_shared.settings.peers)
--- a/apps/whinyardd/entry/InstanceWatch.h
+++ b/apps/whinyardd/entry/InstanceWatch.h
@@ -5,6 +5,7 @@
 #include "entry/RosterWatch.h"
 #include "entry/ServeDuty.h"
 #include "whinyard/backing/KeyValueStore.h"
+#include "whinyard/net/Duty.h"
 
 #include <map>
 #include <optional>
@@ -33,9 +34,13 @@
     // Notes that the records show whoever started before this instance.
     void noteKnown();
 
-    // Takes an instance that has just started.
+    // Takes an instance that has just started. It is handed on by handOnAnnounced().
     void takeNotice(const peer::InstanceNotice& notice);
 
+    // Waits until an instance has announced itself, at most for `wait`, and hands it on with all that follow within a moment: what
+    // handing on costs grows with the fleet, and all of it may start at once.
+    void handOnAnnounced(std::chrono::milliseconds wait);
+
     // Returns how many instances are known, this one included.
     std::size_t size() const { return m_handedOn.size(); }
 
@@ -58,6 +63,8 @@
     std::map<InstanceName, peer::InstanceNotice> m_listed; // By the records.
     std::map<InstanceName, Announced> m_announced; // By their own notices, which come before their records.
     std::map<InstanceName, peer::InstanceNotice> m_handedOn;
+    net::Signal m_announcement;
+    bool m_hasAnnounced = false; // Some that are not handed on yet.
     bool m_isKnown = false;
     bool m_knowsOthers = false;
     bool m_wasRead = false; // Before the present read.
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -55,6 +55,8 @@
     constexpr std::chrono::milliseconds shiftTurn { 150 }; // With as much again at random, so that not all write at once.
     constexpr std::chrono::milliseconds settleInterval { 200 };
 
+    constexpr std::chrono::milliseconds announcementLook { 1'000 };
+
     constexpr std::chrono::milliseconds leaseTurn { 900 }; // Four times within the time to live.
     constexpr std::chrono::milliseconds leaderLook { 300 };
 
@@ -126,6 +128,7 @@
     m_duty.spawn([this] { m_probe->run(); });
     if (m_shared.settings.peers) {
         m_duty.spawn([this] { readInstances(); });
+        m_duty.spawn([this] { handOnInstances(); });
         m_duty.spawn([this] { tellEndpoints(); });
         m_duty.spawn([this] { keepOwnRecord(); });
         m_duty.spawn([this] { writeVerdicts(); });
@@ -301,6 +304,12 @@
     }
 }
 
+void StoreDuty::handOnInstances()
+{
+    while (!m_shared.stopping)
+        m_instances->handOnAnnounced(announcementLook);
+}
+
 // Verdicts are rare: one is kept once for all instances.
 void StoreDuty::writeVerdicts()
 {
--- a/apps/whinyardd/entry/StoreDuty.h
+++ b/apps/whinyardd/entry/StoreDuty.h
@@ -47,6 +47,7 @@
     void writeShifts();
     peer::InstanceNotice ownNotice() const;
     void readInstances();
+    void handOnInstances();
     void writeVerdicts();
     void adoptOwnRecord(const std::vector<backing::Record>& records);
     void tellEndpoints();
