Deny by a routing as soon as it is in force, not once the mark of being behind is cleared

In between, a key that the newest configuration holds no longer got 503 in place of 401; the other way round, a request that had read the old routing could find the mark cleared and be denied. Ruled out: the read itself and its order, which HeardRevisionsTest holds. Change: RoutingKeeper keeps the two revisions and changes the known one together with the routing; the watch raises its revision before the first record is in force; the gate asks for the mark before it reads the routing.

--- a/apps/whinyardd/entry/OperatorRelay.cpp
+++ b/apps/whinyardd/entry/OperatorRelay.cpp
@@ -49,7 +49,7 @@
 void OperatorRelay::noteBehind()
 {
     const bool isBehind = m_heard.isBehind(m_watch.knownUpTo());
-    m_shared.routing.noteBehind(isBehind);
+    m_shared.routing.noteRevisions(m_watch.knownUpTo(), m_heard.newest());
     const SteadyTime now = m_shared.clock.now();
     if (isBehind && !m_behindSince)
         m_behindSince = now;
--- a/apps/whinyardd/entry/OperatorWatch.cpp
+++ b/apps/whinyardd/entry/OperatorWatch.cpp
@@ -19,23 +19,28 @@
 
 void OperatorWatch::replaced(const std::vector<backing::Record>& records, backing::Revision at)
 {
-    const bool isFirst = m_revision == 0;
-    const std::size_t known = m_records.size();
     std::size_t kept = 0;
-    std::set<ServiceName> gone;
-    for (const auto& [service, revision] : m_ordered)
-        gone.insert(service);
     for (const backing::Record& record : records)
         kept += m_records.contains(record.key) ? 1 : 0;
+    // No record shows a removal whose history is gone: the revision of the read lets the other instances hear of it.
+    takeAll(records, kept < m_records.size() ? at : 0);
+}
+
+void OperatorWatch::takeAll(const std::vector<backing::Record>& records, std::uint64_t revision)
+{
+    const bool isFirst = m_revision == 0;
+    // Before any of them is in force: whoever asks whether the instance is behind must not meet the new ones with the old revision.
+    m_revision = std::max(m_revision, revision);
+    for (const backing::Record& record : records)
+        m_revision = std::max(m_revision, record.revision);
+    std::set<ServiceName> gone;
+    for (const auto& [service, ordered] : m_ordered)
+        gone.insert(service);
     m_records.clear();
     for (const backing::Record& record : records)
         m_records[record.key] = record;
-    // No record shows a removal whose history is gone: the revision of the read lets the other instances hear of it.
-    if (kept < known)
-        m_revision = std::max(m_revision, at);
     takeEvacuations(); // Before the first configuration, by which requests are sent on.
     for (const backing::Record& record : records) {
-        m_revision = std::max(m_revision, record.revision);
         if (const auto service = platform::orderedService(record.key))
             gone.erase(*service);
         take(record);
@@ -49,8 +54,7 @@
 {
     if (snapshot.revision <= m_revision)
         return;
-    replaced(snapshot.records, snapshot.revision);
-    m_revision = snapshot.revision;
+    takeAll(snapshot.records, snapshot.revision);
 }
 
 peer::RecordSnapshot OperatorWatch::snapshot() const
@@ -98,7 +102,7 @@
     const std::vector<std::string> leftOut = routing->leftOut;
     const config::CallerLimits limits = routing->limits;
     const std::string counts = std::to_string(routing->routes.size()) + " routes, " + std::to_string(routing->customers.size()) + " customers";
-    if (!m_shared.routing.take(std::move(*routing)))
+    if (!m_shared.routing.take(std::move(*routing), knownUpTo()))
         return;
     for (const std::string& reason : leftOut)
         log::warning("configuration's entry left out", { { "configuration", std::to_string(version) }, { "reason", reason } });
--- a/apps/whinyardd/entry/OperatorWatch.h
+++ b/apps/whinyardd/entry/OperatorWatch.h
@@ -45,6 +45,7 @@
     bool beganWithOrders() const { return m_beganWithOrders; }
 
 private:
+    void takeAll(const std::vector<backing::Record>& records, std::uint64_t revision);
     void take(const backing::Record& record);
     void takeConfiguration(const backing::Record& record);
     void takeOrder(const backing::Record& record);
--- a/apps/whinyardd/entry/RoutingKeeper.cpp
+++ b/apps/whinyardd/entry/RoutingKeeper.cpp
@@ -1,16 +1,32 @@
 #include "entry/RoutingKeeper.h"
 
+#include <algorithm>
+
 namespace whinyard::daemon {
 
-bool RoutingKeeper::take(config::Routing routing)
+bool RoutingKeeper::take(config::Routing routing, std::uint64_t knownUpTo)
 {
     const std::lock_guard lock(m_mutex);
+    m_knownUpTo = std::max(m_knownUpTo, knownUpTo);
     if (m_table && m_table->version() >= routing.version)
         return false;
     m_table = std::make_shared<const config::RoutingTable>(std::move(routing));
     return true;
 }
 
+void RoutingKeeper::noteRevisions(std::uint64_t knownUpTo, std::uint64_t heardUpTo)
+{
+    const std::lock_guard lock(m_mutex);
+    m_knownUpTo = std::max(m_knownUpTo, knownUpTo);
+    m_heardUpTo = std::max(m_heardUpTo, heardUpTo);
+}
+
+bool RoutingKeeper::isBehind() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_knownUpTo < m_heardUpTo;
+}
+
 std::shared_ptr<const config::RoutingTable> RoutingKeeper::newest() const
 {
     const std::lock_guard lock(m_mutex);
--- a/apps/whinyardd/entry/RoutingKeeper.h
+++ b/apps/whinyardd/entry/RoutingKeeper.h
@@ -3,7 +3,7 @@
 
 #include "whinyard/router/RoutingSource.h"
 
-#include <atomic>
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -13,9 +13,9 @@
 // Safe to call from any thread.
 class RoutingKeeper final : public router::RoutingSource {
 public:
-    // Takes a routing. One that isn't newer than the known one changes nothing: an instance never goes back.
-    // Returns whether it was taken.
-    bool take(config::Routing routing);
+    // Takes a routing, with the revision of the operators' records up to which it is the newest. One that isn't newer than the known
+    // one changes nothing but that: an instance never goes back. Returns whether it was taken.
+    bool take(config::Routing routing, std::uint64_t knownUpTo);
 
     std::shared_ptr<const config::RoutingTable> newest() const override;
     bool mayServe(Failure& failure) const override;
@@ -24,15 +24,16 @@
     void useEvacuatedZones(std::set<ZoneName> zones);
     std::shared_ptr<const std::set<ZoneName>> evacuatedZones() const override;
 
-    // Notes whether another instance knows newer records of the operators.
-    void noteBehind(bool isBehind) { m_isBehind = isBehind; }
-    bool isBehind() const override { return m_isBehind; }
+    // Notes up to which revision this instance knows the operators' records, and up to which any other one states to.
+    void noteRevisions(std::uint64_t knownUpTo, std::uint64_t heardUpTo);
+    bool isBehind() const override;
 
 private:
     mutable std::mutex m_mutex;
     std::shared_ptr<const config::RoutingTable> m_table;
     std::shared_ptr<const std::set<ZoneName>> m_evacuated = std::make_shared<const std::set<ZoneName>>();
-    std::atomic<bool> m_isBehind = false;
+    std::uint64_t m_knownUpTo = 0; // Changes with the routing: a denial by the newest one must not be taken for one by an older one.
+    std::uint64_t m_heardUpTo = 0;
 };
 
 }
--- a/packages/peer/include/whinyard/peer/HeardRevisions.h
+++ b/packages/peer/include/whinyard/peer/HeardRevisions.h
@@ -41,6 +41,9 @@
     // Takes up to which revision another instance knows the records.
     void hear(const InstanceName& instance, std::uint64_t revision, SteadyTime now);
 
+    // Returns the newest revision that was heard of; 0 before the first.
+    std::uint64_t newest() const { return m_newest; }
+
     // Returns whether a newer revision than `own` was heard of.
     bool isBehind(std::uint64_t own) const;
 
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -71,13 +71,15 @@
     Admission admission;
     if (!source.mayServe(failure))
         return std::nullopt;
+    // Asked before the routing is read: one that is read later can only be newer.
+    const bool isBehind = source.isBehind();
     admission.table = source.newest();
     if (!admission.table) {
         failure = { .kind = ErrorKind::configurationStale, .reason = "no configuration is known yet" };
         return std::nullopt;
     }
     admission.route = admission.table->findRoute(request.host, request.path);
-    if (!admission.route && source.isBehind()) {
+    if (!admission.route && isBehind) {
         failure = staleFailure();
         return std::nullopt;
     }
@@ -90,7 +92,7 @@
     if (!admission.table->routing().knowsCustomers || !admission.route->needsKey)
         return admission;
     const config::RoutedCustomer* customer = admission.table->findCustomer(request.key);
-    if (!customer && source.isBehind()) {
+    if (!customer && isBehind) {
         failure = staleFailure();
         return std::nullopt;
     }
