Let a prompt's own prefill count in the price of engine time only as far as engines are busy, by a setting

The price took the whole prefill for a delay of others, whatever the other engines had to do. Change: EnginePrice weighs the own prefill by the share of the service's engines that are busy or hold work off, where delayByBusyShare is set; off by default.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -87,6 +87,7 @@
         settings.coldFactor = bounds.coldFactor;
         settings.coldSlack = bounds.coldSlack;
         settings.enginePrice.delayShare = tuning.delayShare;
+        settings.enginePrice.byBusyShare = tuning.delayByBusyShare;
         return settings;
     }
 
--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -158,6 +158,9 @@
     // all hold work off, the time until the first one takes any.
     std::chrono::nanoseconds meanBacklog(const ServiceName& service, SteadyTime now);
 
+    // Returns the share of the live endpoints of any version of the service that have prompts to read or hold work off.
+    double busyShare(const ServiceName& service, SteadyTime now);
+
     // Returns how many endpoints are listed and not leaving.
     std::size_t size() const;
 
--- a/packages/endpoint/src/EndpointDirectory.cpp
+++ b/packages/endpoint/src/EndpointDirectory.cpp
@@ -452,6 +452,20 @@
     return sum / std::max<std::int64_t>(1, endpoints);
 }
 
+double EndpointDirectory::busyShare(const ServiceName& service, SteadyTime now)
+{
+    const std::vector<policy::TargetIndex> targets = targetsOf(service);
+    std::size_t endpoints = 0;
+    for (const policy::TargetIndex target : targets)
+        endpoints += m_table.members(target).size();
+    const std::vector<policy::EndpointIndex> holding = m_table.endpointsThatHoldOff(now);
+    const auto serves = [&](policy::EndpointIndex endpoint) { return servesAny(endpoint, targets); };
+    const auto reads = [&](policy::EndpointIndex endpoint) { return serves(endpoint) && !std::binary_search(holding.begin(), holding.end(), endpoint); };
+    const std::vector<policy::EndpointIndex>& busy = m_table.busyEndpoints(now);
+    const auto taken = std::count_if(holding.begin(), holding.end(), serves) + std::count_if(busy.begin(), busy.end(), reads);
+    return std::min(1.0, static_cast<double>(taken) / static_cast<double>(std::max<std::size_t>(1, endpoints)));
+}
+
 std::size_t EndpointDirectory::size() const
 {
     return static_cast<std::size_t>(std::count_if(m_listed.begin(), m_listed.end(), [this](const auto& entry) { return isLive(entry.second); }));
--- a/packages/endpoint/test/EndpointDirectoryTest.cpp
+++ b/packages/endpoint/test/EndpointDirectoryTest.cpp
@@ -124,5 +124,26 @@
         EXPECT_EQ(m_directory.meanBacklog({ "s" }, m_now), std::chrono::seconds(3)) << "none takes work before";
     }
 
+    // Guards against a price of engines' time that takes idle engines for busy ones, or those that hold work off for idle ones.
+    TEST_F(EndpointDirectoryTest, CountsEnginesThatReadOrHoldWorkOffAsBusy)
+    {
+        std::vector<backing::ListedEndpoint> engines { engine("e1"), engine("e2"), engine("e3"), engine("e4") };
+        for (backing::ListedEndpoint& listed : engines)
+            listed.service = { "s" };
+        m_directory.replace(engines, m_now);
+        m_directory.useInstances({ "self" }, {});
+        EXPECT_DOUBLE_EQ(m_directory.busyShare({ "s" }, m_now), 0);
+        m_directory.recordWork({ "e1" }, std::chrono::seconds(2), m_now);
+        EXPECT_DOUBLE_EQ(m_directory.busyShare({ "s" }, m_now), 0.25);
+        EXPECT_DOUBLE_EQ(m_directory.busyShare({ "s" }, m_now + std::chrono::seconds(3)), 0) << "it has read its prompts";
+        m_directory.recordWork({ "e1" }, std::chrono::seconds(2), m_now);
+        EndpointStatement rest;
+        rest.rest = std::chrono::seconds(3);
+        m_directory.recordStatement({ "e1" }, rest, m_now, m_now);
+        m_directory.recordStatement({ "e2" }, rest, m_now, m_now);
+        EXPECT_DOUBLE_EQ(m_directory.busyShare({ "s" }, m_now), 0.5) << "each counts once";
+        EXPECT_DOUBLE_EQ(m_directory.busyShare({ "other" }, m_now), 0);
+    }
+
 }
 }
--- a/packages/policy/include/whinyard/policy/EnginePrice.h
+++ b/packages/policy/include/whinyard/policy/EnginePrice.h
@@ -16,14 +16,17 @@
     // What others lose, as a share of the worth of the answer that is made in the same time, when an engine is behind by
     // one objective. With a higher share too many poor answers are shown.
     double delayShare = 1.6;
+    // A prompt's own reading counts only as far as engines are busy: while others have nothing to read, requests that come
+    // meanwhile go there. Otherwise it counts whole.
+    bool byBusyShare = false;
 };
 
 class EnginePrice {
 public:
     explicit EnginePrice(const EnginePriceSettings& settings = {});
 
-    // Notes the mean time until an engine has read the prompts that it was given.
-    void note(std::chrono::nanoseconds backlog, SteadyTime now);
+    // Notes the mean time until an engine has read the prompts that it was given, and the share of the engines that have any to read.
+    void note(std::chrono::nanoseconds backlog, double busyShare, SteadyTime now);
 
     std::chrono::nanoseconds backlog() const { return std::chrono::nanoseconds(static_cast<std::int64_t>(m_backlog)); }
 
@@ -34,6 +37,7 @@
 private:
     const EnginePriceSettings m_settings;
     double m_backlog = 0; // Nanoseconds; moving mean.
+    double m_busyShare = 0; // Of the engines; moving mean.
     SteadyTime m_notedAt;
 };
 
--- a/packages/policy/test/ModelChoiceTest.cpp
+++ b/packages/policy/test/ModelChoiceTest.cpp
@@ -89,7 +89,7 @@
         std::uint32_t before = 100;
         for (const std::chrono::milliseconds backlog : { 0ms, 250ms, 500ms, 750ms }) {
             EnginePrice price;
-            price.note(backlog, SteadyTime() + 1h);
+            price.note(backlog, 1, SteadyTime() + 1h);
             ModelQuestion asked = question();
             asked.queue = price.backlog();
             for (std::size_t model = 0; model < asked.costs.size(); ++model)
@@ -136,5 +136,18 @@
         EXPECT_LT(bound(longPrompt), bound(question()) - 10);
     }
 
+    // Guards against the worst-served part of a day of uneven engines: the largest tenth of the long prompts got poor answers of
+    // the small model while most engines had nothing to read.
+    TEST(ModelChoiceTest, AsksForALongPromptLikeForAnyOtherWhileEnginesAreIdle)
+    {
+        const EnginePrice price({ .byBusyShare = true });
+        ModelQuestion longPrompt = question();
+        longPrompt.promptTokens = 54'000;
+        longPrompt.readingTimes = { 160ms, 430ms, 1600ms };
+        for (std::size_t model = 0; model < longPrompt.costs.size(); ++model)
+            longPrompt.delayShares[model] = price.share(longPrompt.readingTimes[model], 2s);
+        EXPECT_LT(bound(question()) - 5, bound(longPrompt)) << "only its tokens cost more";
+    }
+
 }
 }
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -103,7 +103,7 @@
     void notePrices()
     {
         for (auto& [service, price] : prices)
-            price.note(parts.directory.meanBacklog(service, parts.clock.now()), parts.clock.now());
+            price.note(parts.directory.meanBacklog(service, parts.clock.now()), parts.directory.busyShare(service, parts.clock.now()), parts.clock.now());
     }
 
     ForwarderParts parts;
--- a/packages/settings/include/whinyard/settings/EntryTuning.h
+++ b/packages/settings/include/whinyard/settings/EntryTuning.h
@@ -23,6 +23,8 @@
     double worthByPriority = 0.7;
     // What others lose when an engine is behind by one objective, as a share of the worth that it makes in the same time.
     double delayShare = 1.6;
+    // A prompt's own reading counts in this only as far as the service's engines are busy.
+    bool delayByBusyShare = false;
     // An endpoint of the own zone is taken while its expected wait is at most this many times the best one's.
     double zoneFactor = 1;
     // Added to the expected wait at an endpoint of another zone.
--- a/packages/settings/src/EntryTuning.cpp
+++ b/packages/settings/src/EntryTuning.cpp
@@ -20,6 +20,7 @@
         object.number("worthPerThousandTokens", tuning.worthPerThousandTokens, Presence::optional, { leastWorth, 1'000 });
         object.number("worthByPriority", tuning.worthByPriority, Presence::optional, { leastWorth, 1 });
         object.number("delayShare", tuning.delayShare, Presence::optional, { 0, 100 });
+        object.boolean("delayByBusyShare", tuning.delayByBusyShare, Presence::optional);
         object.number("zoneFactor", tuning.zoneFactor, Presence::optional, { 0, 100 });
         object.milliseconds("zonePenaltyMs", tuning.zonePenalty, Presence::optional, { milliseconds(0), milliseconds(10'000) });
         object.milliseconds("regionPenaltyMs", tuning.regionPenalty, Presence::optional, { milliseconds(0), milliseconds(10'000) });
