Forecast a request's wait from what each other customer has, and let the caller state the drain rate

Cause: AdmissionQueue assumed that all other customers have as much as the one that is served first, up to the total. A customer with two or three requests beside one with many was refused for a wait that it would not have had. And the measured rate is old when endpoints leave or come back; a caller that knows its capacity had no way to state it. Change: costAhead() sums, for each other flow, its weight's part up to what waits of it; offer() and expectedWait() look at all active flows for that. useDrainRate() replaces the measured rate.

--- a/packages/policy/include/whinyard/policy/AdmissionQueue.h
+++ b/packages/policy/include/whinyard/policy/AdmissionQueue.h
@@ -78,6 +78,9 @@
     // Takes out a request whose caller went away. Returns whether it was waiting. Slow: looks at the whole flow.
     bool remove(const QueueItem& item);
 
+    // Forecasts waits from a rate that the caller knows, as cost per second, in place of the measured one.
+    void useDrainRate(double costPerSecond) { m_statedRate = costPerSecond; }
+
     std::size_t size() const { return m_size; }
 
     // The expected wait of a new request of this customer and priority.
@@ -102,7 +105,7 @@
     static bool isLater(const Waiting& left, const Waiting& right);
     std::size_t flowIndex(CustomerIndex customer, std::uint8_t priority) const;
     Flow& flowFor(const QueueItem& item);
-    std::uint64_t costAhead(std::uint64_t ownCost, std::uint32_t weight, bool isActive) const;
+    std::uint64_t costAhead(const Flow& flow, std::uint64_t added) const;
     std::chrono::milliseconds waitFor(std::uint64_t cost) const;
     std::optional<std::uint64_t> evictFromLongest(const Flow& newcomer);
     void activate(std::size_t flow);
@@ -120,6 +123,7 @@
     std::uint64_t m_activeWeight = 0;
     double m_drainedCost = 0; // Decaying sums while requests wait.
     double m_drainSeconds = 0;
+    double m_statedRate = 0; // Zero: the measured one counts.
     std::optional<SteadyTime> m_busySince; // Since when, or since the last take(), requests have waited.
 };
 
--- a/packages/policy/src/AdmissionQueue.cpp
+++ b/packages/policy/src/AdmissionQueue.cpp
@@ -56,7 +56,7 @@
     Flow& flow = flowFor(item);
     const std::uint32_t cost = std::max<std::uint32_t>(item.cost, 1);
     QueueDecision decision;
-    decision.expectedWait = waitFor(costAhead(flow.cost + cost, flow.weight, flow.isActive));
+    decision.expectedWait = waitFor(costAhead(flow, cost));
     const bool hasDeadline = item.deadline != SteadyTime::max();
     if (hasDeadline && now + decision.expectedWait > item.deadline) {
         decision.verdict = QueueVerdict::deadlineUnreachable;
@@ -86,15 +86,23 @@
     return decision;
 }
 
-// While a flow has `ownCost` served, every other one gets its weight's part, but no more than waits.
-std::uint64_t AdmissionQueue::costAhead(std::uint64_t ownCost, std::uint32_t weight, bool isActive) const
+// While a flow has its own cost and `added` served, every other one gets its weight's part, but no more than waits of it.
+std::uint64_t AdmissionQueue::costAhead(const Flow& flow, std::uint64_t added) const
 {
-    const std::uint64_t allWeight = m_activeWeight + (isActive ? 0 : weight);
-    return std::min(ownCost * allWeight / weight, m_cost);
+    const std::uint64_t own = flow.cost + added;
+    std::uint64_t ahead = flow.cost;
+    for (std::size_t i = 0; i < m_activeCount; ++i) {
+        const Flow& other = m_flows[m_active[(m_front + i) % m_active.size()]];
+        if (&other != &flow)
+            ahead += std::min(other.cost, own * other.weight / flow.weight);
+    }
+    return ahead;
 }
 
 std::chrono::milliseconds AdmissionQueue::waitFor(std::uint64_t cost) const
 {
+    if (m_statedRate > 0)
+        return std::chrono::ceil<std::chrono::milliseconds>(Seconds(static_cast<double>(cost) / m_statedRate));
     if (m_drainSeconds < minimumDrainSeconds || m_drainedCost <= 0)
         return std::chrono::milliseconds(0);
     const Seconds wait(static_cast<double>(cost) * m_drainSeconds / m_drainedCost);
@@ -104,10 +112,11 @@
 std::chrono::milliseconds AdmissionQueue::expectedWait(CustomerIndex customer, std::uint8_t priority) const
 {
     const std::size_t index = flowIndex(customer, priority);
-    const std::uint32_t weight = m_settings.weights[index % priorityCount];
-    if (index >= m_flows.size())
-        return waitFor(costAhead(m_settings.quantum, weight, false));
-    return waitFor(costAhead(m_flows[index].cost + m_settings.quantum, weight, m_flows[index].isActive));
+    if (index < m_flows.size())
+        return waitFor(costAhead(m_flows[index], m_settings.quantum));
+    Flow flow;
+    flow.weight = m_settings.weights[index % priorityCount];
+    return waitFor(costAhead(flow, m_settings.quantum));
 }
 
 // Longest queue drop (Suter, Lakshman, Stiliadis, Choudhury, INFOCOM 1998), by cost over weight. A heap's
--- a/packages/policy/test/AdmissionQueueTest.cpp
+++ b/packages/policy/test/AdmissionQueueTest.cpp
@@ -97,4 +97,31 @@
     EXPECT_EQ(queue.size(), 10U);
 }
 
+// Guards against requests of a customer with few that are refused as if all others had as many as the one with most.
+TEST(AdmissionQueueTest, ForecastsTheWaitBehindWhatOthersHave)
+{
+    AdmissionQueue queue;
+    queue.useDrainRate(100 * 256); // 100 requests a second.
+    for (std::uint64_t i = 0; i < 100; ++i)
+        queue.offer(item(10'000 + i, 1), start);
+    queue.offer(item(20'000, 2), start);
+    for (std::uint64_t i = 0; i < 9; ++i)
+        queue.offer(item(30'000 + i, 3), start);
+    // Behind 9 of its own, 10 of the first customer and 1 of the second.
+    EXPECT_EQ(queue.offer(item(30'009, 3), start).expectedWait, 200ms);
+    EXPECT_EQ(queue.offer(item(30'010, 3, 1, start + 200ms), start).verdict, QueueVerdict::deadlineUnreachable);
+}
+
+// Guards against a stated rate that the measured one overrides.
+TEST(AdmissionQueueTest, UsesTheStatedDrainRate)
+{
+    AdmissionQueue queue;
+    SteadyTime now = start;
+    for (std::uint64_t i = 0; i < 300; ++i)
+        queue.offer(item(10'000 + i, 1), now);
+    served(queue, 100, now); // 100 a second were measured.
+    queue.useDrainRate(400 * 256);
+    EXPECT_EQ(queue.offer(item(10'300, 1), now).expectedWait, 500ms);
+}
+
 }
