Grant the slots of a scarce plain service from one pool

Cause: 88 instances with one request in flight each can't tell how full the endpoints of a plain service with 12 slots are (docs/design/hard-load.md, part 1). The header says what a repetition, a late report of held permits and a suspension do; names and signatures are as they were.

--- a/packages/policy/include/whinyard/policy/PlacePool.h
+++ b/packages/policy/include/whinyard/policy/PlacePool.h
@@ -12,12 +12,12 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <string>
 #include <vector>
 
 namespace whinyard::policy {
 
-// Names a permit and the request for it, for the time that the requester needs it.
+// Names a permit and the request for it, for the time that the requester needs it. Who asks again after a release or a rejection
+// uses a new number: a rejection is repeated to the same one.
 struct PermitId {
     InstanceName requester;
     std::uint64_t number = 0; // Unique in the lives of all processes of the instance: begins at a random one.
@@ -93,16 +93,20 @@
     // the functions below return go to their requesters.
     std::vector<PermitDecision> useEndpoints(const std::vector<PooledEndpoint>& endpoints, SteadyTime now);
 
-    // Takes a request, or the repetition of one, which gets the same answer. The first decision is this request's own.
+    // Takes a request, or the repetition of one, which gets the same answer. The first decision is this request's own. A repetition
+    // that excludes the endpoint it was granted returns that permit and is decided anew.
     std::vector<PermitDecision> request(const PermitRequest& request, SteadyTime now);
 
     // Takes a permit back, or a request that waits. `outcome` is nothing where the endpoint got no request under it.
     std::vector<PermitDecision> release(const PermitId& id, std::optional<EndpointOutcome> outcome, std::chrono::nanoseconds serviceTime, SteadyTime now);
 
-    // Takes the permits that an instance holds. Those that the pool doesn't know were granted by a coordinator before it.
+    // Takes the permits that an instance holds. Those that the pool doesn't know were granted by a coordinator before it, unless
+    // they were released within permitLifetime: the report was overtaken.
     void confirm(const std::vector<HeldPermit>& held, SteadyTime now);
 
-    // Frees the permits and drops the requests whose instances are silent. Call it about every 50 ms.
+    // Frees the permits and drops the requests whose instances are silent, and rejects those that can't be in time any more. Call it
+    // about every 50 ms: if no function was called for half of permitLifetime, the pool was suspended, and that time doesn't
+    // count for permits.
     std::vector<PermitDecision> expire(SteadyTime now);
 
     PlacePoolState state(SteadyTime now) const;
