Add the notices about permits for scarce services, and the setting that turns them on

Cause: part 1 of docs/design/hard-load.md needs messages between the instances and the coordinator of a service. Change: PlaceRequestNotice, PlaceAnswerNotice, PlaceReturnNotice and PlacesHeldNotice, encoded in a file of their own, with limits on every count, length and enumeration; notice format 13. The request also names the requester's availability zone, which the pool prefers, and the answer its coordinator, to which a late grant goes back. EntryTuning has sharePlaces, off by default.

--- a/packages/peer/include/whinyard/peer/Notices.h
+++ b/packages/peer/include/whinyard/peer/Notices.h
@@ -9,6 +9,7 @@
 #include "whinyard/base/QueryNews.h"
 #include "whinyard/base/RateNews.h"
 #include "whinyard/leadership/UsageWindows.h"
+#include "whinyard/policy/PlacePool.h"
 #include "whinyard/policy/ServiceDemand.h"
 
 #include <chrono>
@@ -124,7 +125,56 @@
     bool operator==(const DemandNotice&) const = default;
 };
 
-using Notice = std::variant<WorkNotice, PinNotice, EvidenceNotice, ShiftNotice, RosterNotice, InstanceNotice, RecordsNotice, QueryNotice, RateNotice, UsageNotice, DemandNotice>;
+// Asks the coordinator of a scarce service for a permit. Sent again with the same number until it is answered.
+struct PlaceRequestNotice {
+    ServiceName service;
+    std::string version;
+    policy::PermitRequest request;
+
+    bool operator==(const PlaceRequestNotice&) const = default;
+};
+
+// The coordinator's decision on a request.
+struct PlaceAnswerNotice {
+    InstanceName coordinator;
+    ServiceName service;
+    std::string version;
+    policy::PermitDecision decision;
+
+    bool operator==(const PlaceAnswerNotice&) const = default;
+};
+
+// Gives a permit back, or withdraws a request that waits.
+struct PlaceReturnNotice {
+    ServiceName service;
+    std::string version;
+    policy::PermitId id;
+    std::optional<policy::EndpointOutcome> outcome; // Nothing where no request was sent under it.
+    std::chrono::microseconds serviceTime { 0 };
+
+    bool operator==(const PlaceReturnNotice&) const = default;
+};
+
+// A permit of the sender, which the notice names once for all of them.
+struct NoticedPermit {
+    std::uint64_t number = 0;
+    EndpointName endpoint;
+
+    bool operator==(const NoticedPermit&) const = default;
+};
+
+// The permits that the sender holds. A coordinator that has just taken over learns from it which slots are taken.
+struct PlacesHeldNotice {
+    InstanceName requester;
+    ServiceName service;
+    std::string version;
+    std::vector<NoticedPermit> permits;
+
+    bool operator==(const PlacesHeldNotice&) const = default;
+};
+
+using Notice = std::variant<WorkNotice, PinNotice, EvidenceNotice, ShiftNotice, RosterNotice, InstanceNotice, RecordsNotice, QueryNotice, RateNotice, UsageNotice, DemandNotice, PlaceRequestNotice,
+    PlaceAnswerNotice, PlaceReturnNotice, PlacesHeldNotice>;
 
 // The most entries of one notice, so that it fits into a datagram.
 inline constexpr std::size_t mostPins = 128;
@@ -133,6 +183,8 @@
 inline constexpr std::size_t mostRates = 16;
 inline constexpr std::size_t mostCustomers = 32;
 inline constexpr std::size_t mostLoads = 16;
+inline constexpr std::size_t mostExcludedPlaces = 16;
+inline constexpr std::size_t mostHeldPlaces = 24;
 
 std::string encodeNotice(const Notice& notice);
 
--- a/packages/peer/src/Notices.cpp
+++ b/packages/peer/src/Notices.cpp
@@ -1,6 +1,7 @@
 #include "whinyard/peer/Notices.h"
 
 #include "internal/Fields.h"
+#include "internal/PlaceNotices.h"
 
 #include <algorithm>
 #include <array>
@@ -15,30 +16,17 @@
 
     using internal::FieldReader;
     using internal::FieldWriter;
+    using internal::NoticeKind;
     using internal::readEndpoint;
     using internal::writeEndpoint;
 
-    constexpr std::uint16_t noticeFormat = 12;
+    constexpr std::uint16_t noticeFormat = 13;
     constexpr std::int64_t longestWorkUs = 60'000'000; // A longer one is no work that anybody gave.
     constexpr std::int64_t longestVerdictMs = 3'600'000; // Longer than any verdict holds.
     constexpr std::uint64_t longestRateAgeMs = 86'400'000; // An older statement is of no use.
     constexpr double rateUnits = 1e6; // Rates are written as whole requests in a million seconds.
     constexpr std::uint64_t largestRate = 1'000'000'000'000; // In these units; more is no limit.
 
-    enum class NoticeKind : std::uint8_t {
-        work = 1,
-        pins = 2,
-        evidence = 3,
-        roster = 4,
-        shift = 5,
-        instance = 6,
-        records = 7,
-        queries = 8,
-        rates = 9,
-        usage = 10,
-        demand = 11,
-    };
-
     void write(FieldWriter& writer, const WorkNotice& notice)
     {
         writer.number(static_cast<std::uint64_t>(NoticeKind::work));
@@ -383,7 +371,7 @@
     if (reader.number() != noticeFormat)
         return std::nullopt;
     std::optional<Notice> notice;
-    switch (static_cast<NoticeKind>(reader.number(static_cast<std::uint64_t>(NoticeKind::demand)))) {
+    switch (static_cast<NoticeKind>(reader.number(static_cast<std::uint64_t>(NoticeKind::placesHeld)))) {
     case NoticeKind::work:
         notice = readWork(reader);
         break;
@@ -417,6 +405,18 @@
     case NoticeKind::demand:
         notice = readDemand(reader);
         break;
+    case NoticeKind::placeRequest:
+        notice = internal::readPlaceRequest(reader);
+        break;
+    case NoticeKind::placeAnswer:
+        notice = internal::readPlaceAnswer(reader);
+        break;
+    case NoticeKind::placeReturn:
+        notice = internal::readPlaceReturn(reader);
+        break;
+    case NoticeKind::placesHeld:
+        notice = internal::readPlacesHeld(reader);
+        break;
     }
     return reader.isWhole() ? notice : std::nullopt;
 }
--- a/packages/peer/test/NoticesTest.cpp
+++ b/packages/peer/test/NoticesTest.cpp
@@ -39,6 +39,14 @@
             UsageNotice {},
             DemandNotice { { "entry-1" }, 77, { { { "lm" }, 9, 1, 350ms, 4 } } },
             DemandNotice {},
+            PlaceRequestNotice { { "plain" }, "v1", { { { "entry-1" }, 0xFFFFFFFFFFFFFFFFULL }, { "z" }, { "school" }, 2, 140ms, 1'490ms, { { "i-1" }, { "i-2" } } } },
+            PlaceRequestNotice {},
+            PlaceAnswerNotice { { "entry-2" }, { "plain" }, "v1", { { { "entry-1" }, 7 }, policy::PermitVerdict::granted, { "i-1" }, 0ms } },
+            PlaceAnswerNotice { { "entry-2" }, { "plain" }, "v1", { { { "entry-1" }, 7 }, policy::PermitVerdict::noEndpoint, {}, 900ms } },
+            PlaceReturnNotice { { "plain" }, "v1", { { "entry-1" }, 7 }, policy::EndpointOutcome::leaving, 61'000us },
+            PlaceReturnNotice { { "plain" }, "v1", { { "entry-1" }, 7 }, std::nullopt, 0us },
+            PlacesHeldNotice { { "entry-1" }, { "plain" }, "v1", { { 7, { "i-1" } }, { 8, { "i-2" } } } },
+            PlacesHeldNotice {},
         };
     }
 
@@ -70,6 +78,53 @@
         EXPECT_FALSE(decodeNotice(encodeNotice(PinNotice { { "lm" }, std::vector<std::uint64_t>(mostPins + 1) })));
     }
 
+    // A datagram of a faulty or foreign sender must not make the receiver reserve memory for any number of entries.
+    TEST(NoticesTest, RefusesMorePlacesThanANoticeHolds)
+    {
+        PlaceRequestNotice request;
+        request.request.excluded.resize(mostExcludedPlaces);
+        EXPECT_TRUE(decodeNotice(encodeNotice(request)));
+        request.request.excluded.resize(mostExcludedPlaces + 1);
+        EXPECT_FALSE(decodeNotice(encodeNotice(request)));
+        PlacesHeldNotice held;
+        held.permits.resize(mostHeldPlaces);
+        EXPECT_TRUE(decodeNotice(encodeNotice(held)));
+        held.permits.resize(mostHeldPlaces + 1);
+        EXPECT_FALSE(decodeNotice(encodeNotice(held)));
+        EXPECT_FALSE(decodeNotice(encodeNotice(PlaceRequestNotice { { std::string(2'000, 's') }, "v1", {} })));
+    }
+
+    // A value outside of its list would be used as an index or compared as a time that never comes.
+    TEST(NoticesTest, RefusesPlaceValuesOutsideOfTheirRange)
+    {
+        PlaceAnswerNotice answer;
+        answer.decision.verdict = static_cast<policy::PermitVerdict>(4);
+        EXPECT_FALSE(decodeNotice(encodeNotice(answer)));
+        PlaceReturnNotice back;
+        back.outcome = static_cast<policy::EndpointOutcome>(7);
+        EXPECT_FALSE(decodeNotice(encodeNotice(back)));
+    }
+
+    // The objective of a request that is late already has passed; its notice must reach the coordinator all the same.
+    TEST(NoticesTest, WritesPassedTimesAsZero)
+    {
+        PlaceRequestNotice request;
+        request.request.objectiveLeft = -30ms;
+        const std::optional<Notice> read = decodeNotice(encodeNotice(request));
+        ASSERT_TRUE(read);
+        EXPECT_EQ(std::get<PlaceRequestNotice>(*read).request.objectiveLeft, 0ms);
+    }
+
+    // Three messages for each request of the service are affordable only as long as each is small.
+    TEST(NoticesTest, PlaceNoticesStaySmall)
+    {
+        constexpr std::size_t mostBytes = 200;
+        const policy::PermitId id { { "entry-42" }, 7 };
+        EXPECT_LE(encodeNotice(PlaceRequestNotice { { "classify" }, "v1", { id, { "zone-1" }, { "customer-7" }, 1, 300ms, 1'500ms, {} } }).size(), mostBytes);
+        EXPECT_LE(encodeNotice(PlaceAnswerNotice { { "entry-2" }, { "classify" }, "v1", { id, policy::PermitVerdict::granted, { "classify-3" }, 0ms } }).size(), mostBytes);
+        EXPECT_LE(encodeNotice(PlaceReturnNotice { { "classify" }, "v1", id, policy::EndpointOutcome::succeeded, 60'000us }).size(), mostBytes);
+    }
+
     TEST(NoticesTest, BearsAnyChangedByte)
     {
         Random random(5);
--- a/packages/policy/include/whinyard/policy/PlacePool.h
+++ b/packages/policy/include/whinyard/policy/PlacePool.h
@@ -42,6 +42,8 @@
     std::chrono::milliseconds objectiveLeft { 0 }; // Until the answer is late; zero or less: it is already.
     std::chrono::milliseconds deadlineLeft { 0 };
     std::vector<EndpointName> excluded; // Must not be granted.
+
+    bool operator==(const PermitRequest&) const = default;
 };
 
 enum class PermitVerdict : std::uint8_t {
@@ -56,6 +58,8 @@
     PermitVerdict verdict = PermitVerdict::noEndpoint;
     EndpointName endpoint; // If granted.
     std::chrono::milliseconds wait { 0 }; // If waiting the expected wait; if rejected the time after which there will be room.
+
+    bool operator==(const PermitDecision&) const = default;
 };
 
 struct HeldPermit {
--- a/packages/settings/include/whinyard/settings/EntryTuning.h
+++ b/packages/settings/include/whinyard/settings/EntryTuning.h
@@ -37,6 +37,8 @@
     std::uint32_t randomChoices = 2;
     // Endpoints of a version up to which all are compared.
     std::uint32_t fullScanLimit = 64;
+    // Whether the slots of a plain service with fewer of them than there are instances are granted by one instance.
+    bool sharePlaces = false;
     std::string logLevel = "info";
 };
 
--- a/packages/settings/test/EntryTuningTest.cpp
+++ b/packages/settings/test/EntryTuningTest.cpp
@@ -15,6 +15,15 @@
         EXPECT_EQ(tuning->logLevel, "info");
     }
 
+    // Granting of slots by a coordinator changes how requests travel; a file that doesn't name it must leave it off.
+    TEST(EntryTuningTest, SharesPlacesOnlyWhereItIsTold)
+    {
+        Failure failure;
+        EXPECT_FALSE(parseEntryTuning("{}", "t.json", failure)->sharePlaces);
+        EXPECT_TRUE(parseEntryTuning(R"({"sharePlaces": true})", "t.json", failure)->sharePlaces);
+        EXPECT_FALSE(parseEntryTuning(R"({"sharePlaces": 1})", "t.json", failure));
+    }
+
     TEST(EntryTuningTest, NamesEveryFault)
     {
         Failure failure;
