Ask for a permit before each attempt at a shared plain service

Cause: 88 instances with one request in flight each can't tell how full four endpoints are (docs/design/hard-load.md, part 1). Change: ForwardRun asks the PlaceBroker, where it has one, for routes that aren't generative. A grant names the endpoint; the instance's own gate decides once more, after the wait, and a grant that it can't use goes back unused. A rejection is answered at once as not run; without an answer the instance chooses as before. The permit belongs to the attempt's EndpointUse, which ends once on every way out. EndpointDirectory tells whether a named endpoint may be used; it doesn't ask for the endpoint's health, since the coordinator hears of all instances' failures.

--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -13,6 +13,7 @@
 #include "whinyard/endpoint/EngineClient.h"
 #include "whinyard/policy/Cascade.h"
 #include "whinyard/policy/EndpointChoice.h"
+#include "whinyard/policy/PlacePool.h"
 #include "whinyard/policy/StatedRates.h"
 
 #include <chrono>
@@ -127,6 +128,19 @@
     // the deadline, with the time to come back.
     std::optional<ChosenEndpoint> choose(const EndpointWish& wish, SteadyTime now, Failure& failure);
 
+    // Returns the endpoint as choose() does, where a request with this wish may be sent to it now: it is live, its zone isn't
+    // evacuated, the wish neither excludes it nor keeps out of its region, and it takes a request of this instance. Its
+    // health isn't asked: who names it knows of the failures that other instances had there.
+    std::optional<ChosenEndpoint> chooseNamed(const EndpointName& name, const EndpointWish& wish, SteadyTime now) const;
+
+    // Returns the endpoints of a version that are live and not in an evacuated zone. Those that don't say how many requests
+    // they run at once have no slots.
+    std::vector<policy::PooledEndpoint> liveEndpoints(const VersionName& version) const;
+
+    // Returns the slots of the service's endpoints that are live and not in an evacuated zone; nothing where there are none
+    // or one doesn't say how many it has.
+    std::optional<std::uint64_t> reportedSlots(const ServiceName& service) const;
+
     // Counts an attempt that is being sent, the time to its first byte, that it still waits after policy::patienceFor(),
     // and its end.
     void recordDispatch(const EndpointName& endpoint, const std::vector<std::uint64_t>& prefix, SteadyTime now);
@@ -179,6 +193,7 @@
     bool servesAny(policy::EndpointIndex endpoint, const std::vector<policy::TargetIndex>& targets) const;
     policy::EndpointMember memberOf(const backing::ListedEndpoint& listed) const;
     std::optional<policy::TargetIndex> targetOf(const EndpointWish& wish) const;
+    std::vector<policy::PooledEndpoint> liveEndpointsOf(policy::TargetIndex target) const;
     std::vector<policy::ZoneIndex> zonesOf(const config::Residency& residency) const;
     std::vector<policy::ZoneIndex> zonesOfOwnRegion() const;
     void useRate(const EndpointName& endpoint);
--- a/packages/policy/include/whinyard/policy/EndpointChoice.h
+++ b/packages/policy/include/whinyard/policy/EndpointChoice.h
@@ -47,6 +47,7 @@
     otherZone, // The same, but in another availability zone, since the own one is overloaded or empty.
     onlyCandidate,
     probe, // Tries out an endpoint whose ejection ended.
+    granted, // The coordinator of a scarce service named it.
     allEjected, // Every endpoint is ejected; the least loaded is tried rather than none.
     askedToWait, // None: every endpoint asked for no new work before a later time.
     noEndpoint, // None: no endpoint serves the target, or all were tried already.
--- a/packages/policy/src/EndpointChoice.cpp
+++ b/packages/policy/src/EndpointChoice.cpp
@@ -17,6 +17,8 @@
         return "onlyCandidate";
     case ChoiceReason::probe:
         return "probe";
+    case ChoiceReason::granted:
+        return "granted";
     case ChoiceReason::allEjected:
         return "allEjected";
     case ChoiceReason::askedToWait:
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -19,6 +19,7 @@
 #include "whinyard/policy/VersionShift.h"
 #include "whinyard/router/Fibers.h"
 #include "whinyard/router/ForwardedRequest.h"
+#include "whinyard/router/PlaceBroker.h"
 #include "whinyard/router/RoutingSource.h"
 
 #include <memory>
@@ -57,6 +58,7 @@
     Fibers& fibers;
     WorkObserver* work = nullptr; // Null: nobody is told.
     UsageObserver* usage = nullptr;
+    PlaceBroker* places = nullptr; // Null: this instance alone chooses the endpoints of every service.
 };
 
 struct ForwarderSettings {
--- a/packages/router/src/internal/EndpointUse.cpp
+++ b/packages/router/src/internal/EndpointUse.cpp
@@ -2,11 +2,12 @@
 
 namespace whinyard::router {
 
-EndpointUse::EndpointUse(endpoint::EndpointDirectory& directory, const Clock& clock, const EndpointName& endpoint, const std::vector<std::uint64_t>& prefix)
+EndpointUse::EndpointUse(endpoint::EndpointDirectory& directory, const Clock& clock, const EndpointName& endpoint, const std::vector<std::uint64_t>& prefix, PlacePermit permit)
     : m_directory(directory)
     , m_clock(clock)
     , m_endpoint(endpoint)
     , m_began(clock.now())
+    , m_permit(std::move(permit))
 {
     m_directory.recordDispatch(m_endpoint, prefix, m_began);
 }
@@ -36,6 +37,7 @@
     m_ended = true;
     const SteadyTime now = m_clock.now();
     m_directory.recordEnd(m_endpoint, outcome, now - m_began, now);
+    m_permit.giveBack(outcome, now - m_began);
 }
 
 }
--- a/packages/router/src/internal/EndpointUse.h
+++ b/packages/router/src/internal/EndpointUse.h
@@ -1,6 +1,7 @@
 // Counts one attempt at its endpoint, and its end exactly once.
 #pragma once
 
+#include "internal/PlacePermit.h"
 #include "whinyard/base/Clock.h"
 #include "whinyard/endpoint/EndpointDirectory.h"
 
@@ -11,8 +12,8 @@
 
 class EndpointUse {
 public:
-    // Begins an attempt now. The directory and the clock must outlive the object.
-    EndpointUse(endpoint::EndpointDirectory& directory, const Clock& clock, const EndpointName& endpoint, const std::vector<std::uint64_t>& prefix);
+    // Begins an attempt now, under a permit where its service is scarce. The directory and the clock must outlive the object.
+    EndpointUse(endpoint::EndpointDirectory& directory, const Clock& clock, const EndpointName& endpoint, const std::vector<std::uint64_t>& prefix, PlacePermit permit = {});
 
     // Ends it as cancelled, unless end() was called.
     ~EndpointUse();
@@ -32,6 +33,7 @@
     const Clock& m_clock;
     const EndpointName m_endpoint;
     const SteadyTime m_began;
+    PlacePermit m_permit;
     bool m_sawFirstByte = false;
     bool m_ended = false;
 };
--- a/packages/router/src/internal/ForwardAttempt.cpp
+++ b/packages/router/src/internal/ForwardAttempt.cpp
@@ -13,11 +13,11 @@
 
 }
 
-ForwardAttempt::ForwardAttempt(ForwardCore& core, const ForwardedRequest& request, AttemptTarget target)
+ForwardAttempt::ForwardAttempt(ForwardCore& core, const ForwardedRequest& request, AttemptTarget target, PlacePermit permit)
     : m_core(core)
     , m_request(request)
     , m_target(std::move(target))
-    , m_use(core.parts.directory, core.parts.clock, m_target.endpoint.name, m_target.prefix)
+    , m_use(core.parts.directory, core.parts.clock, m_target.endpoint.name, m_target.prefix, std::move(permit))
 {
 }
 
--- a/packages/router/src/internal/ForwardAttempt.h
+++ b/packages/router/src/internal/ForwardAttempt.h
@@ -29,7 +29,7 @@
 class ForwardAttempt {
 public:
     // All must outlive the object.
-    ForwardAttempt(ForwardCore& core, const ForwardedRequest& request, AttemptTarget target);
+    ForwardAttempt(ForwardCore& core, const ForwardedRequest& request, AttemptTarget target, PlacePermit permit);
 
     // Sends the request and waits for the head of the answer, at most for `patience`.
     HeadVerdict open(const AttemptHead& head, std::chrono::milliseconds patience);
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -183,28 +183,6 @@
     return true;
 }
 
-bool ForwardRun::prepare()
-{
-    if (timeLeft() < shortestAttempt) {
-        m_failure = { .kind = ErrorKind::deadlineExceeded, .reason = "the deadline passed" };
-        return false;
-    }
-    if (!passGate())
-        return false;
-    Failure failure;
-    m_target = chooseTarget(failure);
-    if (m_target)
-        return true;
-    if (failure.kind == ErrorKind::overloaded)
-        failure.retryAfter = m_core.returnAfter(m_service, failure.retryAfter);
-    // After an attempt its own reason says more than that no other endpoint is left.
-    if (m_sent + m_refused == 0)
-        m_failure = failure;
-    if (m_runState == RunState::notRun)
-        m_failure.retryAfter = failure.retryAfter;
-    return false;
-}
-
 AttemptHead ForwardRun::headFor(const AttemptTarget& target) const
 {
     AttemptHead head;
@@ -279,7 +257,7 @@
 
 ForwardRun::AttemptEnd ForwardRun::attempt()
 {
-    ForwardAttempt attempt(m_core, m_request, *m_target);
+    ForwardAttempt attempt(m_core, m_request, *m_target, std::move(m_permit));
     const AttemptTarget& target = attempt.target();
     m_tried.push_back(target.endpoint.name);
     m_current = &attempt;
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -47,8 +47,22 @@
         steppedUp, // A larger model is to answer.
     };
 
+    // What is known of a permit for the next attempt.
+    enum class PlaceVerdict : std::uint8_t {
+        notNeeded, // Or not to be had: the instance chooses by itself.
+        granted, // For `m_target`.
+        refused,
+        changed, // Configuration, endpoints or time have moved on: the gate decides anew.
+    };
+
     bool prepare();
     bool passGate();
+    PlaceVerdict takePlace(Failure& failure);
+    std::optional<PlaceWish> placeWish();
+    PlaceVerdict usePlace(const PlaceAnswer& answer, const PlaceWish& asked);
+    bool isAdmittedOtherwise();
+    std::optional<std::string> versionBeside(const std::vector<EndpointName>& excluded);
+    bool passesGateAgain(const PlaceWish& asked);
     const ServiceName& drawService() const;
     RequestDigest digest() const;
     std::uint64_t sessionDigest() const;
@@ -107,6 +121,9 @@
     std::vector<EndpointName> m_tried;
     ForwardAttempt* m_current = nullptr; // While an attempt runs.
     std::optional<AttemptTarget> m_target;
+    PlacePermit m_permit; // For `m_target`, until its attempt begins.
+    std::vector<EndpointName> m_declined; // Endpoints of permits that this instance could not use for the next attempt.
+    std::uint64_t m_comparedVersion = 0; // Of the newest configuration that admits the request as before.
     std::uint32_t m_sent = 0; // Attempts that an endpoint may have begun.
     std::uint32_t m_refused = 0; // Attempts that no endpoint began.
     RunState m_runState = RunState::notRun;
--- a/packages/router/testing/whinyard/router/ForwarderFakes.h
+++ b/packages/router/testing/whinyard/router/ForwarderFakes.h
@@ -96,9 +96,9 @@
 // One forwarder with two endpoints of one service.
 class ForwarderBench {
 public:
-    explicit ForwarderBench(std::uint64_t seed = 1)
+    explicit ForwarderBench(std::uint64_t seed = 1, PlaceBroker* places = nullptr)
         : directory({ "z" }, Random(seed))
-        , forwarder({ clock, metrics, source, codec, directory, shifts, models, queries, client, listening, fibers }, { .repeatRatio = 1, .repeatsPerSecond = 10 }, Random(seed + 1))
+        , forwarder({ clock, metrics, source, codec, directory, shifts, models, queries, client, listening, fibers, nullptr, nullptr, places }, { .repeatRatio = 1, .repeatsPerSecond = 10 }, Random(seed + 1))
     {
         routing.services = { { { "svc" }, 100, 0, 0, 1, { { { "small" }, 0.02 }, { { "large" }, 0.25 } } } };
         routing.customers = { { { "school" }, { "k1" }, std::nullopt } };
