Share the slots of a scarce plain service among all instances

Change: SharedPlaces implements PlaceBroker and holds the coordinator's pools. Rendezvous hashing names the coordinator; two silent tries of 40 ms have the request decided locally and the next instance by hash asked for a second, after which one request at a time asks the silent one again. A late grant goes back unused, a repeated one changes nothing. Permits are listed every 250 ms to who granted them and to who would be asked now, and at once when that changes. An instance that was frozen drops requests for 20 ms, since those in its socket are older than they say. The wait of acquire() is a loop around begin(), poll() and abandon(), so that tests run many instances without fibers.

--- /dev/null
+++ b/packages/router/test/SharedPlacesTest.cpp
@@ -0,0 +1,439 @@
+// One instance's requests for permits, its permits, and what it does as a coordinator, notice by notice.
+#include "whinyard/router/PlacesFleet.h"
+
+#include <gtest/gtest.h>
+
+namespace whinyard::router {
+namespace {
+
+    using namespace std::chrono_literals;
+    using Kind = PlaceAnswer::Kind;
+    using policy::EndpointOutcome;
+    using policy::PermitVerdict;
+
+    // Instance "edge-0" of a fleet whose others exist only as what a test has them send.
+    class SharedPlacesTest : public ::testing::Test, public PlaceTransport {
+    protected:
+        static constexpr std::size_t instances = 20;
+
+        SharedPlacesTest()
+            : m_directory({ "z0" }, Random(1))
+        {
+            m_routing.table = tableWith({ { "svc" }, 100, 0, 0, 1, {} });
+            listSlots({ 6, 6 });
+            useInstances(policy::instancesNamed(0, instances));
+        }
+
+        static std::shared_ptr<const config::RoutingTable> tableWith(const config::RoutedService& service)
+        {
+            config::Routing routing;
+            routing.version = 1;
+            routing.services = { service };
+            return std::make_shared<const config::RoutingTable>(std::move(routing));
+        }
+
+        void listSlots(const std::vector<std::uint32_t>& slots)
+        {
+            std::vector<backing::ListedEndpoint> listed;
+            for (std::size_t i = 0; i < slots.size(); ++i) {
+                listed.push_back(ForwarderBench::endpointIn({ "z0" }, "e" + std::to_string(i)));
+                listed.back().slots = slots[i];
+            }
+            m_directory.replace(listed, m_clock.now());
+            m_places.noteNews();
+        }
+
+        void useInstances(const std::vector<InstanceName>& names)
+        {
+            m_directory.useInstances(self, names);
+            m_places.useInstances(names);
+        }
+
+        void send(const InstanceName& to, const peer::Notice& notice) override { m_sent.emplace_back(to, notice); }
+
+        static PlaceWish wish()
+        {
+            PlaceWish wish;
+            wish.service = { "svc" };
+            wish.version = "v1";
+            wish.customer = { "school" };
+            wish.objectiveLeft = 300ms;
+            wish.deadlineLeft = 1'500ms;
+            return wish;
+        }
+
+        // Returns the notices of a kind that were sent, and to whom.
+        template <typename One>
+        std::vector<std::pair<InstanceName, One>> sent() const
+        {
+            std::vector<std::pair<InstanceName, One>> found;
+            for (const auto& [to, notice] : m_sent) {
+                if (const One* one = std::get_if<One>(&notice))
+                    found.emplace_back(to, *one);
+            }
+            return found;
+        }
+
+        InstanceName coordinator() const { return *m_places.coordinatorOf({ "svc" }); }
+
+        void answer(const InstanceName& from, std::uint64_t number, PermitVerdict verdict, const std::string& endpoint = {}, std::chrono::milliseconds wait = 0ms)
+        {
+            m_places.take(peer::PlaceAnswerNotice { from, { "svc" }, "v1", { { self, number }, verdict, { endpoint }, wait } });
+        }
+
+        // Has this instance hold a permit.
+        std::uint64_t hold()
+        {
+            const std::uint64_t number = m_places.begin(wish());
+            answer(coordinator(), number, PermitVerdict::granted, "e0");
+            EXPECT_EQ(m_places.poll(number)->kind, Kind::granted);
+            m_sent.clear();
+            return number;
+        }
+
+        // Leaves only this instance, so that it coordinates the service.
+        void coordinateAlone()
+        {
+            listSlots({ 6, 6 });
+            useInstances({ self });
+        }
+
+        void pass(std::chrono::milliseconds time)
+        {
+            for (; time > 0ms; time -= 10ms) {
+                m_clock.advance(10ms);
+                if ((m_passed += 10ms) % 50ms == 0ms)
+                    m_places.tick();
+            }
+        }
+
+        const InstanceName self = policy::instanceNamed(0);
+        FakeClock m_clock;
+        Metrics m_metrics;
+        FakeRoutingSource m_routing;
+        endpoint::EndpointDirectory m_directory;
+        FakeFibers m_fibers { m_clock };
+        SharedPlaces m_places { { m_clock, m_metrics, m_routing, m_directory, m_fibers, *this }, {}, policy::instanceNamed(0), { "z0" }, Random(7) };
+        std::vector<std::pair<InstanceName, peer::Notice>> m_sent;
+        std::chrono::milliseconds m_passed { 0 };
+    };
+
+    // An instance's own count says enough where it has a slot for itself; models have other limits; nothing is known of slots that
+    // an endpoint doesn't report.
+    TEST_F(SharedPlacesTest, SharesOnlyPlainServicesWithFewerSlotsThanInstances)
+    {
+        EXPECT_TRUE(m_places.isShared({ "svc" }));
+        EXPECT_FALSE(m_places.isShared({ "other" }));
+        listSlots({ 10, 10 });
+        EXPECT_FALSE(m_places.isShared({ "svc" }));
+        listSlots({ 10, 9 });
+        EXPECT_TRUE(m_places.isShared({ "svc" }));
+        listSlots({ 6, 0 });
+        EXPECT_FALSE(m_places.isShared({ "svc" }));
+        listSlots({});
+        EXPECT_FALSE(m_places.isShared({ "svc" }));
+        listSlots({ 6, 6 });
+        useInstances(policy::instancesNamed(0, 12));
+        EXPECT_FALSE(m_places.isShared({ "svc" }));
+        useInstances(policy::instancesNamed(0, 13));
+        EXPECT_TRUE(m_places.isShared({ "svc" }));
+        m_routing.table = tableWith({ { "svc" }, 100, 0, 0, 1, { { { "small" }, 0.02 } } });
+        m_places.noteNews();
+        EXPECT_FALSE(m_places.isShared({ "svc" }));
+    }
+
+    // A service with zones that are evacuated has only the slots of the others.
+    TEST_F(SharedPlacesTest, CountsNoSlotsOfEvacuatedZones)
+    {
+        std::vector<backing::ListedEndpoint> listed { ForwarderBench::endpointIn({ "a" }, "e0"), ForwarderBench::endpointIn({ "b" }, "e1") };
+        listed[0].slots = 15;
+        listed[1].slots = 15;
+        m_directory.replace(listed, m_clock.now());
+        m_places.noteNews();
+        EXPECT_FALSE(m_places.isShared({ "svc" }));
+        m_directory.useEvacuatedZones({ { "a" } }, m_clock.now());
+        m_places.noteNews();
+        EXPECT_TRUE(m_places.isShared({ "svc" }));
+    }
+
+    // Instances that rank differently would each ask another coordinator.
+    TEST_F(SharedPlacesTest, AllInstancesNameTheSameCoordinator)
+    {
+        PlacesFleet fleet({ .instances = 30, .endpoints = 3, .slots = 6 });
+        for (std::size_t i = 1; i < 30; ++i)
+            EXPECT_EQ(fleet.places(i).coordinatorOf({ "svc" }), fleet.places(0).coordinatorOf({ "svc" }));
+    }
+
+    // A new number would take a second permit for the same request.
+    TEST_F(SharedPlacesTest, RepeatsTheSameRequestAfterFortyMilliseconds)
+    {
+        const std::uint64_t number = m_places.begin(wish());
+        m_clock.advance(39ms);
+        EXPECT_FALSE(m_places.poll(number));
+        EXPECT_EQ(sent<peer::PlaceRequestNotice>().size(), 1U);
+        m_clock.advance(1ms);
+        EXPECT_FALSE(m_places.poll(number));
+        const auto requests = sent<peer::PlaceRequestNotice>();
+        ASSERT_EQ(requests.size(), 2U);
+        EXPECT_EQ(requests[0].second.request.id, requests[1].second.request.id);
+        EXPECT_EQ(requests[1].first, coordinator());
+        // The time that has passed counts.
+        EXPECT_EQ(requests[1].second.request.objectiveLeft, 260ms);
+        EXPECT_EQ(requests[1].second.request.deadlineLeft, 1'460ms);
+    }
+
+    // A coordinator that is gone must cost a request no more than the time of two tries, and the next one a second at most.
+    TEST_F(SharedPlacesTest, DecidesLocallyAfterTwoSilentTriesAndAsksTheNextForASecond)
+    {
+        const InstanceName first = coordinator();
+        const std::uint64_t number = m_places.begin(wish());
+        m_clock.advance(40ms);
+        EXPECT_FALSE(m_places.poll(number));
+        m_clock.advance(40ms);
+        ASSERT_EQ(m_places.poll(number)->kind, Kind::unavailable);
+        // What it may have granted meanwhile is withdrawn.
+        ASSERT_EQ(sent<peer::PlaceReturnNotice>().size(), 1U);
+        EXPECT_EQ(sent<peer::PlaceReturnNotice>()[0].first, first);
+        EXPECT_EQ(sent<peer::PlaceReturnNotice>()[0].second.id.number, number);
+        EXPECT_EQ(sent<peer::PlaceReturnNotice>()[0].second.outcome, std::nullopt);
+        const InstanceName next = coordinator();
+        EXPECT_NE(next, first);
+        m_sent.clear();
+        m_clock.advance(900ms);
+        m_places.abandon(m_places.begin(wish()));
+        EXPECT_EQ(sent<peer::PlaceRequestNotice>().at(0).first, next);
+        // After the second one request finds out, while others still ask the next one.
+        m_sent.clear();
+        m_clock.advance(100ms);
+        const std::uint64_t asking = m_places.begin(wish());
+        m_places.begin(wish());
+        EXPECT_EQ(sent<peer::PlaceRequestNotice>().at(0).first, first);
+        EXPECT_EQ(sent<peer::PlaceRequestNotice>().at(1).first, next);
+        answer(first, asking, PermitVerdict::granted, "e0");
+        EXPECT_EQ(coordinator(), first);
+    }
+
+    // A grant is pushed to whoever waits; when it is lost, only a repetition learns of it.
+    TEST_F(SharedPlacesTest, RepeatsARequestThatWaits)
+    {
+        const std::uint64_t number = m_places.begin(wish());
+        answer(coordinator(), number, PermitVerdict::waiting, {}, 200ms);
+        m_sent.clear();
+        for (int i = 1; i <= 4; ++i) {
+            m_clock.advance(100ms);
+            EXPECT_FALSE(m_places.poll(number));
+            EXPECT_EQ(sent<peer::PlaceRequestNotice>().size(), static_cast<std::size_t>(i));
+            answer(coordinator(), number, PermitVerdict::waiting, {}, 200ms);
+        }
+        answer(coordinator(), number, PermitVerdict::granted, "e1");
+        const std::optional<PlaceAnswer> granted = m_places.poll(number);
+        ASSERT_TRUE(granted);
+        EXPECT_EQ(granted->endpoint.value, "e1");
+        EXPECT_EQ(m_places.held(), 1U);
+    }
+
+    // A coordinator that ends while requests wait with it must not hold them until their deadlines.
+    TEST_F(SharedPlacesTest, LeavesACoordinatorThatFallsSilentWhileARequestWaits)
+    {
+        const std::uint64_t number = m_places.begin(wish());
+        answer(coordinator(), number, PermitVerdict::waiting, {}, 200ms);
+        std::optional<PlaceAnswer> end;
+        for (int i = 0; i < 20 && !end; ++i) {
+            m_clock.advance(10ms);
+            end = m_places.poll(number);
+        }
+        ASSERT_TRUE(end);
+        EXPECT_EQ(end->kind, Kind::unavailable);
+    }
+
+    TEST_F(SharedPlacesTest, TellsWhenToComeBack)
+    {
+        const std::uint64_t number = m_places.begin(wish());
+        answer(coordinator(), number, PermitVerdict::rejected, {}, 450ms);
+        const std::optional<PlaceAnswer> rejected = m_places.poll(number);
+        ASSERT_TRUE(rejected);
+        EXPECT_EQ(rejected->kind, Kind::rejected);
+        EXPECT_EQ(rejected->retryAfter, 450ms);
+        EXPECT_EQ(m_places.held(), 0U);
+    }
+
+    // The same grant twice is one permit. A second one would send a request that must not run twice once more.
+    TEST_F(SharedPlacesTest, TakesARepeatedGrantOnce)
+    {
+        const std::uint64_t number = m_places.begin(wish());
+        answer(coordinator(), number, PermitVerdict::granted, "e0");
+        answer(coordinator(), number, PermitVerdict::granted, "e1");
+        EXPECT_EQ(m_places.poll(number)->endpoint.value, "e0");
+        answer(coordinator(), number, PermitVerdict::granted, "e0");
+        EXPECT_EQ(m_places.held(), 1U);
+        EXPECT_TRUE(sent<peer::PlaceReturnNotice>().empty()); // It would free the slot of a request that runs.
+        m_places.giveBack(number, EndpointOutcome::succeeded, 60ms);
+        m_places.giveBack(number, EndpointOutcome::succeeded, 60ms);
+        ASSERT_EQ(sent<peer::PlaceReturnNotice>().size(), 1U);
+        EXPECT_EQ(sent<peer::PlaceReturnNotice>()[0].second.outcome, EndpointOutcome::succeeded);
+        EXPECT_EQ(sent<peer::PlaceReturnNotice>()[0].second.serviceTime, 60ms);
+    }
+
+    // A slot that was granted too late stays idle until it is returned or expires.
+    TEST_F(SharedPlacesTest, ReturnsALateGrantUnused)
+    {
+        const InstanceName first = coordinator();
+        const std::uint64_t number = m_places.begin(wish());
+        m_places.abandon(number);
+        m_sent.clear();
+        answer(first, number, PermitVerdict::granted, "e0");
+        ASSERT_EQ(sent<peer::PlaceReturnNotice>().size(), 1U);
+        EXPECT_EQ(sent<peer::PlaceReturnNotice>()[0].first, first);
+        EXPECT_EQ(sent<peer::PlaceReturnNotice>()[0].second.outcome, std::nullopt);
+        EXPECT_EQ(m_places.held(), 0U);
+        // What isn't this instance's own is none of its business.
+        m_sent.clear();
+        m_places.take(peer::PlaceAnswerNotice { first, { "svc" }, "v1", { { { "edge-5" }, number }, PermitVerdict::granted, { "e0" }, 0ms } });
+        EXPECT_TRUE(m_sent.empty());
+    }
+
+    TEST_F(SharedPlacesTest, ReturnsAGrantThatCameBeforeItsRequestWasAbandoned)
+    {
+        const std::uint64_t number = m_places.begin(wish());
+        answer(coordinator(), number, PermitVerdict::granted, "e0");
+        m_places.abandon(number);
+        EXPECT_EQ(m_places.held(), 0U);
+        EXPECT_EQ(sent<peer::PlaceReturnNotice>().size(), 1U);
+    }
+
+    // The coordinator takes back what no such notice lists; without permits nothing is to be told.
+    TEST_F(SharedPlacesTest, ListsItsPermitsFourTimesASecondWhileItHoldsAny)
+    {
+        pass(1'000ms);
+        EXPECT_TRUE(m_sent.empty());
+        const std::uint64_t number = hold();
+        pass(1'000ms);
+        const auto held = sent<peer::PlacesHeldNotice>();
+        EXPECT_GE(held.size(), 4U);
+        EXPECT_LE(held.size(), 5U);
+        EXPECT_EQ(held.front().first, coordinator());
+        EXPECT_EQ(held.front().second.permits, std::vector<peer::NoticedPermit>({ { number, { "e0" } } }));
+        m_places.giveBack(number, EndpointOutcome::succeeded, 60ms);
+        m_sent.clear();
+        pass(1'000ms);
+        EXPECT_TRUE(m_sent.empty());
+    }
+
+    // A new coordinator would grant the slots that are taken a second time.
+    TEST_F(SharedPlacesTest, TellsANewCoordinatorOfPermitsAndOfTheirReturn)
+    {
+        const InstanceName first = coordinator();
+        const std::uint64_t number = hold();
+        std::vector<InstanceName> left = policy::instancesNamed(0, instances);
+        std::erase(left, first);
+        useInstances(left);
+        pass(50ms);
+        std::set<InstanceName> told;
+        for (const auto& [to, notice] : sent<peer::PlacesHeldNotice>())
+            told.insert(to);
+        EXPECT_TRUE(told.contains(coordinator()));
+        m_sent.clear();
+        m_places.giveBack(number, EndpointOutcome::failed, 60ms);
+        told.clear();
+        for (const auto& [to, notice] : sent<peer::PlaceReturnNotice>())
+            told.insert(to);
+        EXPECT_EQ(told, std::set<InstanceName>({ first, coordinator() }));
+    }
+
+    TEST_F(SharedPlacesTest, GrantsToItselfWithoutADatagram)
+    {
+        coordinateAlone();
+        const std::uint64_t number = m_places.begin(wish());
+        const std::optional<PlaceAnswer> granted = m_places.poll(number);
+        ASSERT_TRUE(granted);
+        EXPECT_EQ(granted->kind, Kind::granted);
+        EXPECT_EQ(m_places.poolState({ "svc" }, "v1")->held, 1U);
+        pass(2'000ms); // Its own permits don't expire either.
+        EXPECT_EQ(m_places.poolState({ "svc" }, "v1")->held, 1U);
+        m_places.giveBack(number, EndpointOutcome::succeeded, 60ms);
+        EXPECT_EQ(m_places.poolState({ "svc" }, "v1")->held, 0U);
+        EXPECT_TRUE(m_sent.empty());
+    }
+
+    // The coordinator knows neither the regions of a request nor what an endpoint told this instance alone.
+    TEST_F(SharedPlacesTest, ExcludesEndpointsThatThisInstanceMustNotUse)
+    {
+        m_directory.recordComeBackAt({ "e1" }, m_clock.now() + 1s);
+        m_places.begin(wish());
+        EXPECT_EQ(sent<peer::PlaceRequestNotice>().at(0).second.request.excluded, std::vector<EndpointName> { { "e1" } });
+        // With none left there is nothing to ask for.
+        m_directory.recordComeBackAt({ "e0" }, m_clock.now() + 1s);
+        EXPECT_EQ(m_places.poll(m_places.begin(wish()))->kind, Kind::unavailable);
+        EXPECT_EQ(sent<peer::PlaceRequestNotice>().size(), 1U);
+    }
+
+    // Anybody may name any service; each name must not leave a pool behind.
+    TEST_F(SharedPlacesTest, KeepsNoPoolOfServicesItKnowsNoEndpointsOf)
+    {
+        m_places.take(peer::PlaceRequestNotice { { "unknown" }, "v1", { { { "edge-5" }, 1 }, { "z0" }, {}, 1, 300ms, 1'500ms, {} } });
+        m_places.take(peer::PlacesHeldNotice { { "edge-5" }, { "unknown" }, "v1", { { 1, { "e0" } } } });
+        EXPECT_EQ(sent<peer::PlaceAnswerNotice>().at(0).second.decision.verdict, PermitVerdict::noEndpoint);
+        EXPECT_FALSE(m_places.poolState({ "unknown" }, "v1"));
+    }
+
+    // What lies in the socket of a coordinator that was frozen says of deadlines that they are ahead, which have passed.
+    TEST_F(SharedPlacesTest, GrantsNothingToRequestsThatCameWhileItWasFrozen)
+    {
+        coordinateAlone();
+        m_places.tick();
+        const peer::PlaceRequestNotice request { { "svc" }, "v1", { { { "edge-5" }, 1 }, { "z0" }, {}, 1, 300ms, 1'500ms, {} } };
+        m_clock.advance(2s);
+        m_places.take(request);
+        m_places.tick();
+        m_places.take(request);
+        EXPECT_TRUE(sent<peer::PlaceAnswerNotice>().empty());
+        // Whoever still waits repeats its request.
+        m_clock.advance(40ms);
+        m_places.take(request);
+        EXPECT_EQ(sent<peer::PlaceAnswerNotice>().at(0).second.decision.verdict, PermitVerdict::granted);
+    }
+
+    // A wait must end with the caller's connection, and at the latest with the deadline.
+    TEST_F(SharedPlacesTest, AcquireAsksOftenWhetherItIsGivenUp)
+    {
+        int questions = 0;
+        const SteadyTime began = m_clock.now();
+        m_fibers.onWait = [&] {
+            for (const auto& [to, request] : sent<peer::PlaceRequestNotice>())
+                answer(to, request.request.id.number, PermitVerdict::waiting, {}, 200ms);
+            m_sent.clear();
+        };
+        EXPECT_EQ(m_places.acquire(wish(), [&] { return ++questions == 5; }).kind, Kind::unavailable);
+        EXPECT_LE(m_clock.now() - began, 5 * 50ms);
+        EXPECT_EQ(sent<peer::PlaceReturnNotice>().size(), 1U);
+        EXPECT_EQ(m_places.waiting(), 0U);
+        const SteadyTime again = m_clock.now();
+        EXPECT_EQ(m_places.acquire(wish(), [] { return false; }).kind, Kind::unavailable);
+        EXPECT_EQ(m_clock.now() - again, wish().deadlineLeft);
+    }
+
+    // A request that must not run twice is sent once, however often its grant arrives, and its permit goes back once.
+    TEST_F(SharedPlacesTest, ForwarderSendsANonIdempotentRequestOnceUnderARepeatedGrant)
+    {
+        ForwarderBench bench(1, &m_places);
+        bench.useRoute(config::RequestKind::nonIdempotent);
+        std::uint64_t number = 0;
+        const auto grant = [&] { answer(coordinator(), number, PermitVerdict::granted, "e1"); };
+        bench.listEndpoints({ "e0", "e1" });
+        m_fibers.onWait = [&] {
+            number = sent<peer::PlaceRequestNotice>().back().second.request.id.number;
+            grant();
+            grant();
+        };
+        bench.client.onCall = [&] { grant(); };
+        bench.answer(200, { "whole" }).onRead = [&] { grant(); };
+        EXPECT_EQ(bench.send().response.status, 200);
+        EXPECT_EQ(bench.client.requests.size(), 1U);
+        EXPECT_EQ(bench.sent(0, "endpoint"), "e1");
+        ASSERT_EQ(sent<peer::PlaceReturnNotice>().size(), 1U);
+        EXPECT_EQ(sent<peer::PlaceReturnNotice>()[0].second.outcome, EndpointOutcome::succeeded);
+        EXPECT_EQ(m_places.held(), 0U);
+    }
+
+}
+}
