Connect the sharing of slots to the daemon

Cause: the setting sharePlaces had no effect in whinyardd. Change: ServeDuty owns SharedPlaces where the setting is on and the instance has an address for others; PeerLink is its transport and hands it the four notices. InstanceWatch gives addresses beside names, which notices to one named instance need. Tested: whinyardd builds; no test runs the daemon with the setting yet.

--- a/apps/whinyardd/entry/InstanceWatch.cpp
+++ b/apps/whinyardd/entry/InstanceWatch.cpp
@@ -49,10 +49,10 @@
 // What is allowed to all instances together is dealt out among those that live.
 void InstanceWatch::shareBounds()
 {
-    std::vector<InstanceName> names;
+    std::vector<peer::InstanceNotice> instances;
     for (const auto& [name, instance] : m_handedOn)
-        names.push_back(name);
-    m_serving.takeInstances(std::move(names));
+        instances.push_back(instance);
+    m_serving.takeInstances(std::move(instances));
 }
 
 std::optional<net::Address> InstanceWatch::addressOf(const InstanceName& instance) const
--- a/apps/whinyardd/entry/PeerLink.cpp
+++ b/apps/whinyardd/entry/PeerLink.cpp
@@ -91,6 +91,12 @@
         send(to, peer::encodeNotice(notice));
 }
 
+void PeerLink::send(const InstanceName& to, const peer::Notice& notice)
+{
+    if (const auto known = m_addresses.find(to); known != m_addresses.end())
+        sendTo(known->second, notice);
+}
+
 void PeerLink::send(const net::Address& to, const std::string& bytes)
 {
     Failure failure;
@@ -264,6 +270,30 @@
         m_handlers.demand(notice);
 }
 
+void PeerLink::take(const peer::PlaceRequestNotice& notice)
+{
+    if (m_places)
+        m_places->take(notice);
+}
+
+void PeerLink::take(const peer::PlaceAnswerNotice& notice)
+{
+    if (m_places)
+        m_places->take(notice);
+}
+
+void PeerLink::take(const peer::PlaceReturnNotice& notice)
+{
+    if (m_places)
+        m_places->take(notice);
+}
+
+void PeerLink::take(const peer::PlacesHeldNotice& notice)
+{
+    if (m_places)
+        m_places->take(notice);
+}
+
 void PeerLink::take(const peer::QueryNotice& notice)
 {
     const SteadyTime now = m_shared.clock.now();
--- a/apps/whinyardd/entry/PeerLink.h
+++ b/apps/whinyardd/entry/PeerLink.h
@@ -8,8 +8,10 @@
 #include "whinyard/policy/QueryOfDeath.h"
 #include "whinyard/policy/VersionShift.h"
 #include "whinyard/router/Forwarder.h"
+#include "whinyard/router/SharedPlaces.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -25,7 +27,7 @@
     std::function<void(peer::DemandNotice)> demand;
 };
 
-class PeerLink final : public router::WorkObserver {
+class PeerLink final : public router::WorkObserver, public router::PlaceTransport {
 public:
     // All must outlive the object.
     PeerLink(EntryShared& shared, endpoint::EndpointDirectory& directory, policy::VersionShifts& shifts, policy::QueryOfDeathTable& queries);
@@ -35,6 +37,10 @@
     bool open(net::Duty& duty, Failure& failure);
 
     void usePeers(std::vector<net::Address> peers) { m_peers = std::move(peers); }
+    void useAddresses(std::map<InstanceName, net::Address> addresses) { m_addresses = std::move(addresses); }
+
+    // Sets who takes notices about permits; null: they are ignored.
+    void usePlaces(router::SharedPlaces* places) { m_places = places; }
     void useHandlers(NoticeHandlers handlers) { m_handlers = std::move(handlers); }
 
     // Sends a notice to all other instances that are known.
@@ -43,6 +49,9 @@
     // Sends a notice to one of them.
     void sendTo(const net::Address& to, const peer::Notice& notice);
 
+    // Sends a notice to the instance of this name, where its address is known.
+    void send(const InstanceName& to, const peer::Notice& notice) override;
+
     // Tells which sessions the others must leave on the versions in use.
     void tellPins();
 
@@ -69,6 +78,10 @@
     void take(const peer::RateNotice& notice);
     void take(const peer::UsageNotice& notice);
     void take(const peer::DemandNotice& notice);
+    void take(const peer::PlaceRequestNotice& notice);
+    void take(const peer::PlaceAnswerNotice& notice);
+    void take(const peer::PlaceReturnNotice& notice);
+    void take(const peer::PlacesHeldNotice& notice);
     void tellMost(const peer::Notice& notice);
     void repeatVerdicts();
     void broadcastRates(const std::vector<RateNews>& rates);
@@ -83,6 +96,8 @@
     SteadyTime m_verdictsToldAt;
     NoticeHandlers m_handlers;
     std::vector<net::Address> m_peers;
+    std::map<InstanceName, net::Address> m_addresses;
+    router::SharedPlaces* m_places = nullptr;
     std::unique_ptr<net::UdpSocket> m_socket;
 };
 
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -123,7 +123,8 @@
 {
     m_client = net::HttpClient::create(m_duty);
     m_listening = net::ListenProbe::create(m_duty);
-    const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, m_queries, *m_client, *m_listening, m_fibers, &m_link, m_shared.settings.provider && m_shared.settings.provider->takesUsage ? this : nullptr };
+    openPlaces();
+    const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, m_queries, *m_client, *m_listening, m_fibers, &m_link, m_shared.settings.provider && m_shared.settings.provider->takesUsage ? this : nullptr, m_places.get() };
     m_forwarder = std::make_unique<router::Forwarder>(parts, forwarderSettings(m_shared.settings.bounds, m_shared.settings.tuning), seededRandom());
     const net::HttpHandler forward = [this](const net::HttpRequest& request, net::HttpResponder& responder) { m_forwarder->handle(request, responder); };
     const net::HttpHandler tellReadiness = [this](const net::HttpRequest&, net::HttpResponder& responder) {
@@ -145,6 +146,23 @@
     return true;
 }
 
+void ServeDuty::openPlaces()
+{
+    // Without other instances there is nobody to share with.
+    if (!m_shared.settings.tuning.sharePlaces || !m_shared.settings.peers)
+        return;
+    const router::SharedPlacesParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_directory, m_fibers, m_link };
+    m_places = std::make_unique<router::SharedPlaces>(parts, router::SharedPlacesSettings {}, m_shared.settings.instance, m_shared.settings.zone, seededRandom());
+    m_link.usePlaces(m_places.get());
+}
+
+void ServeDuty::noteNews()
+{
+    m_forwarder->noteNews();
+    if (m_places)
+        m_places->noteNews();
+}
+
 bool ServeDuty::isReady()
 {
     Failure failure;
@@ -174,6 +192,8 @@
 {
     while (!m_shared.stopping) {
         m_forwarder->tick();
+        if (m_places)
+            m_places->tick();
         m_link.tellPins();
         m_queries.refresh(m_shared.clock.now());
         m_hasVerdicts = !m_queries.hasNoVerdicts();
@@ -187,13 +207,13 @@
 {
     m_duty.post([this, limits] {
         m_server->useLimits(serverLimits(limits));
-        m_forwarder->noteNews();
+        noteNews();
     });
 }
 
 void ServeDuty::noteRouting()
 {
-    m_duty.post([this] { m_forwarder->noteNews(); });
+    m_duty.post([this] { noteNews(); });
 }
 
 bool ServeDuty::takeEndpoints(endpoint::RosterChanges changes)
@@ -204,7 +224,7 @@
         m_directory.change(changes.changed, changes.gone, m_shared.clock.now());
         for (const auto& [service, versions] : m_directory.liveVersions())
             useVersions(service, router::versionsOf(service, versions));
-        m_forwarder->noteNews();
+        noteNews();
         if (changes.changed.size() > manyChanges)
             releaseFreeMemory();
     });
@@ -227,11 +247,20 @@
     m_duty.post([this, peers = std::move(peers)]() mutable { m_link.usePeers(std::move(peers)); });
 }
 
-void ServeDuty::takeInstances(std::vector<InstanceName> instances)
+void ServeDuty::takeInstances(std::vector<peer::InstanceNotice> instances)
 {
     m_duty.post([this, instances = std::move(instances)] {
-        m_forwarder->useInstances(std::max<std::size_t>(1, instances.size()));
-        m_directory.useInstances(m_shared.settings.instance, instances);
+        std::vector<InstanceName> names;
+        std::map<InstanceName, net::Address> addresses;
+        for (const peer::InstanceNotice& instance : instances) {
+            names.push_back(instance.instance);
+            addresses[instance.instance] = instance.address;
+        }
+        m_forwarder->useInstances(std::max<std::size_t>(1, names.size()));
+        m_directory.useInstances(m_shared.settings.instance, names);
+        m_link.useAddresses(std::move(addresses));
+        if (m_places)
+            m_places->useInstances(names);
     });
 }
 
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -47,7 +47,7 @@
     void takePeers(std::vector<net::Address> peers);
 
     // Takes the instances that live, this one included, once they had the time to learn of each other.
-    void takeInstances(std::vector<InstanceName> instances);
+    void takeInstances(std::vector<peer::InstanceNotice> instances);
 
     // Sends a notice to all other instances that are known.
     void broadcast(peer::Notice notice);
@@ -104,6 +104,8 @@
     bool drainOnDuty(SteadyTime end);
     bool isReady();
     void useVersions(const ServiceName& service, const std::vector<std::string>& present);
+    void openPlaces();
+    void noteNews();
     void refreshDirectory();
     void tickForwarder();
 
@@ -121,6 +123,7 @@
     DutyFibers m_fibers { m_duty };
     std::unique_ptr<net::HttpClient> m_client;
     std::unique_ptr<net::ListenProbe> m_listening;
+    std::unique_ptr<router::SharedPlaces> m_places; // Null where the slots of scarce services aren't shared.
     std::unique_ptr<router::Forwarder> m_forwarder;
     std::unique_ptr<net::HttpServer> m_server;
     std::unique_ptr<net::HttpServer> m_readiness;
