Test the sharing of slots in running daemons, and the safeguards that no test detected

Cause: of 26 faults planted in a scratch clone four were found by no test (a changed route doesn't end the wait, the named endpoint's state not looked at, a pool that doesn't follow the list of endpoints; the fourth changes nothing but the cost) and one didn't compile. Change: tests for these, for the gate after a grant, and for an instance that was frozen itself. The count of slots stops at the number of instances, so that a large service costs no more.

--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -137,9 +137,9 @@
     // they run at once have no slots.
     std::vector<policy::PooledEndpoint> liveEndpoints(const VersionName& version) const;
 
-    // Returns the slots of the service's endpoints that are live and not in an evacuated zone; nothing where there are none
-    // or one doesn't say how many it has.
-    std::optional<std::uint64_t> reportedSlots(const ServiceName& service) const;
+    // Returns the slots of the service's endpoints that are live and not in an evacuated zone, where they are fewer than
+    // `bound`; nothing where they aren't, there are none, or one doesn't say how many it has. The cost grows with the bound.
+    std::optional<std::uint64_t> slotsBelow(const ServiceName& service, std::uint64_t bound) const;
 
     // Counts an attempt that is being sent, the time to its first byte, that it still waits after policy::patienceFor(),
     // and its end.
@@ -193,7 +193,6 @@
     bool servesAny(policy::EndpointIndex endpoint, const std::vector<policy::TargetIndex>& targets) const;
     policy::EndpointMember memberOf(const backing::ListedEndpoint& listed) const;
     std::optional<policy::TargetIndex> targetOf(const EndpointWish& wish) const;
-    std::vector<policy::PooledEndpoint> liveEndpointsOf(policy::TargetIndex target) const;
     std::vector<policy::ZoneIndex> zonesOf(const config::Residency& residency) const;
     std::vector<policy::ZoneIndex> zonesOfOwnRegion() const;
     void useRate(const EndpointName& endpoint);
--- a/packages/endpoint/src/NamedEndpoints.cpp
+++ b/packages/endpoint/src/NamedEndpoints.cpp
@@ -5,10 +5,13 @@
 
 namespace whinyard::endpoint {
 
-std::vector<policy::PooledEndpoint> EndpointDirectory::liveEndpointsOf(policy::TargetIndex target) const
+std::vector<policy::PooledEndpoint> EndpointDirectory::liveEndpoints(const VersionName& version) const
 {
     std::vector<policy::PooledEndpoint> endpoints;
-    const policy::TargetMembers& members = m_table.members(target);
+    const std::optional<policy::TargetIndex> target = m_table.find(version);
+    if (!target)
+        return endpoints;
+    const policy::TargetMembers& members = m_table.members(*target);
     for (const auto* list : { &members.healthy, &members.probing, &members.ejected }) {
         for (const policy::EndpointIndex endpoint : *list) {
             const auto listed = m_listed.find(m_table.name(endpoint));
@@ -21,20 +24,20 @@
     return endpoints;
 }
 
-std::vector<policy::PooledEndpoint> EndpointDirectory::liveEndpoints(const VersionName& version) const
-{
-    const std::optional<policy::TargetIndex> target = m_table.find(version);
-    return target ? liveEndpointsOf(*target) : std::vector<policy::PooledEndpoint>();
-}
-
-std::optional<std::uint64_t> EndpointDirectory::reportedSlots(const ServiceName& service) const
+std::optional<std::uint64_t> EndpointDirectory::slotsBelow(const ServiceName& service, std::uint64_t bound) const
 {
     std::uint64_t sum = 0;
     for (const policy::TargetIndex target : targetsOf(service)) {
-        for (const policy::PooledEndpoint& endpoint : liveEndpointsOf(target)) {
-            if (endpoint.slots == 0)
-                return std::nullopt;
-            sum += endpoint.slots;
+        const policy::TargetMembers& members = m_table.members(target);
+        for (const auto* list : { &members.healthy, &members.probing, &members.ejected }) {
+            for (const policy::EndpointIndex endpoint : *list) {
+                const auto listed = m_listed.find(m_table.name(endpoint));
+                if (listed == m_listed.end())
+                    continue;
+                sum += listed->second.slots;
+                if (listed->second.slots == 0 || sum >= bound)
+                    return std::nullopt;
+            }
         }
     }
     return sum > 0 ? std::optional(sum) : std::nullopt;
@@ -45,11 +48,11 @@
     const std::optional<policy::TargetIndex> target = targetOf(wish);
     const std::optional<policy::EndpointIndex> index = m_table.find(name);
     const auto listed = m_listed.find(name);
+    // Endpoints that leave and those in evacuated zones serve nothing.
     if (!target || !index || listed == m_listed.end() || !m_table.serves(*index, *target))
         return std::nullopt;
-    const policy::EndpointRow& row = m_table.row(*index);
     const bool isExcluded = std::find(wish.excluded.begin(), wish.excluded.end(), name) != wish.excluded.end();
-    if (!row.present || row.leaving || row.isEvacuated || isExcluded || m_table.takesWorkAt(*index, now) > now)
+    if (isExcluded || m_table.takesWorkAt(*index, now) > now)
         return std::nullopt;
     const auto region = m_regions.find(listed->second.zone);
     if (wish.residency.isRestricted() && (region == m_regions.end() || !wish.residency.allows(region->second)))
@@ -57,7 +60,7 @@
     policy::EndpointPlan plan;
     plan.endpoint = *index;
     plan.reason = policy::ChoiceReason::granted;
-    const double ahead = m_table.inFlight(*index, now) / std::max<double>(1, row.slots);
+    const double ahead = m_table.inFlight(*index, now) / std::max<double>(1, m_table.row(*index).slots);
     plan.expectedWait = std::chrono::duration_cast<std::chrono::microseconds>(m_table.slotTime(*index) * ahead);
     plan.cautiousWait = plan.expectedWait;
     plan.soundWait = plan.expectedWait;
--- a/packages/router/src/internal/ForwardPlaces.cpp
+++ b/packages/router/src/internal/ForwardPlaces.cpp
@@ -102,9 +102,7 @@
         hasChanged = hasChanged || m_callerLeft || m_guard.isRefused() || isAdmittedOtherwise();
         return hasChanged;
     };
-    const SteadyTime asked = now();
     const PlaceAnswer answer = m_core.parts.places->acquire(*wish, isGivenUp);
-    m_core.parts.metrics.observe("whinyard_place_acquire_seconds", now() - asked);
     switch (answer.kind) {
     case PlaceAnswer::Kind::granted:
         return usePlace(answer, *wish);
@@ -135,7 +133,7 @@
     wished.excluded = asked.excluded;
     std::optional<endpoint::ChosenEndpoint> chosen = m_core.parts.directory.chooseNamed(answer.endpoint, wished, now());
     if (!chosen) {
-        log::info("granted endpoint not used", { { "request", m_request.id }, { "endpoint", answer.endpoint.value }, { "service", asked.service.value } });
+        log::debug("granted endpoint not used", { { "request", m_request.id }, { "endpoint", answer.endpoint.value }, { "service", asked.service.value } });
         m_core.parts.metrics.add("whinyard_places_declined_total");
         m_declined.push_back(answer.endpoint);
         return PlaceVerdict::changed;
--- a/packages/router/src/internal/SharedPlacesState.cpp
+++ b/packages/router/src/internal/SharedPlacesState.cpp
@@ -138,14 +138,13 @@
     if (table && isFleetKnown) {
         for (const config::RoutedService& service : table->routing().services) {
             const bool isPlain = service.models.empty() && service.slots == 0;
-            const std::optional<std::uint64_t> slots = isPlain ? parts.directory.reportedSlots(service.name) : std::nullopt;
-            if (slots && *slots < instances)
+            if (isPlain && parts.directory.slotsBelow(service.name, instances))
                 scarce.insert(service.name);
         }
     }
     for (const ServiceName& service : scarce) {
         if (!shared.contains(service))
-            log::info("slots of the service are shared", { { "service", service.value }, { "slots", std::to_string(parts.directory.reportedSlots(service).value_or(0)) }, { "instances", std::to_string(instances) } });
+            log::info("slots of the service are shared", { { "service", service.value }, { "slots", std::to_string(parts.directory.slotsBelow(service, instances).value_or(0)) }, { "instances", std::to_string(instances) } });
     }
     for (const ServiceName& service : shared) {
         if (!scarce.contains(service))
--- a/packages/router/test/ForwarderPlacesTest.cpp
+++ b/packages/router/test/ForwarderPlacesTest.cpp
@@ -181,6 +181,7 @@
         bench().send(caller);
         EXPECT_EQ(bench().client.requests.size(), 0U);
         EXPECT_EQ(places().wishes.size(), 1U);
+        EXPECT_EQ(places().waited, 1);
         EXPECT_EQ(bench().metrics.counter("whinyard_callers_left_total"), 1U);
     }
 
@@ -290,6 +291,39 @@
         places().grant("e1");
         EXPECT_EQ(bench().send().response.status, 404);
         EXPECT_EQ(bench().client.requests.size(), 0U);
+        EXPECT_EQ(places().waited, 1);
+    }
+
+    // A key that was taken away while its request waited must not be served, though the grant arrived at the same moment.
+    TEST_F(ForwarderPlacesTest, AsksTheGateOnceMoreAfterAGrant)
+    {
+        const std::uint64_t permit = places().grant("e1");
+        places().waits = 1;
+        struct DeafBroker final : PlaceBroker {
+            FakePlaceBroker& inner;
+            explicit DeafBroker(FakePlaceBroker& broker)
+                : inner(broker)
+            {
+            }
+            bool isShared(const ServiceName& service) const override { return inner.isShared(service); }
+            PlaceAnswer acquire(const PlaceWish& wish, const std::function<bool()>&) override
+            {
+                return inner.acquire(wish, [] { return false; });
+            }
+            void giveBack(std::uint64_t number, std::optional<EndpointOutcome> outcome, std::chrono::nanoseconds time) override { inner.giveBack(number, outcome, time); }
+        } deaf(places());
+        ForwarderBench other(1, &deaf);
+        places().onWait = [&] {
+            other.routing.customers.front().keys = { "another" };
+            ++other.routing.version;
+            other.publish();
+        };
+        other.answer(200, { "whole" });
+        EXPECT_EQ(other.send().response.status, 401);
+        EXPECT_EQ(other.client.requests.size(), 0U);
+        ASSERT_EQ(places().returns.size(), 1U);
+        EXPECT_EQ(m_one.returned().permit, permit);
+        EXPECT_EQ(m_one.returned().outcome, std::nullopt);
     }
 
     // Most configurations change other routes, and a request that waits keeps its place in the queue then.
@@ -304,6 +338,7 @@
         bench().answer(200, { "whole" });
         EXPECT_EQ(bench().send().response.status, 200);
         EXPECT_EQ(places().wishes.size(), 1U);
+        EXPECT_EQ(places().waited, 3);
         EXPECT_EQ(bench().sent(0, "endpoint"), "e2");
     }
 
--- a/packages/router/test/SharedPlacesTest.cpp
+++ b/packages/router/test/SharedPlacesTest.cpp
@@ -393,6 +393,41 @@
         EXPECT_EQ(sent<peer::PlaceAnswerNotice>().at(0).second.decision.verdict, PermitVerdict::granted);
     }
 
+    // Slots of an endpoint that has gone would be granted in vain, and those of one that has come stay idle.
+    TEST_F(SharedPlacesTest, CoordinatorFollowsTheListOfEndpoints)
+    {
+        coordinateAlone();
+        listSlots({ 6 });
+        m_places.tick();
+        constexpr int permitsOfOne = 8;
+        for (int i = 0; i < permitsOfOne; ++i)
+            EXPECT_EQ(m_places.poll(m_places.begin(wish()))->endpoint.value, "e0");
+        const std::uint64_t waiting = m_places.begin(wish());
+        EXPECT_FALSE(m_places.poll(waiting));
+        listSlots({ 6, 6 });
+        m_places.tick();
+        const std::optional<PlaceAnswer> granted = m_places.poll(waiting);
+        ASSERT_TRUE(granted);
+        EXPECT_EQ(granted->endpoint.value, "e1");
+        listSlots({ 6 });
+        m_places.tick();
+        const std::uint64_t late = m_places.begin(wish());
+        EXPECT_FALSE(m_places.poll(late));
+    }
+
+    // Answers that came while it was frozen lie in its own socket; the coordinator is not at fault.
+    TEST_F(SharedPlacesTest, BlamesNoCoordinatorAfterItWasFrozenItself)
+    {
+        const InstanceName first = coordinator();
+        m_places.tick();
+        const std::uint64_t number = m_places.begin(wish());
+        m_clock.advance(40ms);
+        EXPECT_FALSE(m_places.poll(number));
+        m_clock.advance(1'000ms);
+        EXPECT_EQ(m_places.poll(number)->kind, Kind::unavailable);
+        EXPECT_EQ(coordinator(), first);
+    }
+
     // A wait must end with the caller's connection, and at the latest with the deadline.
     TEST_F(SharedPlacesTest, AcquireAsksOftenWhetherItIsGivenUp)
     {
--- a/packages/router/testing/whinyard/router/FakePlaceBroker.h
+++ b/packages/router/testing/whinyard/router/FakePlaceBroker.h
@@ -22,6 +22,7 @@
     std::deque<PlaceAnswer> answers; // To the next requests for a permit; without any, nobody answers.
     std::function<void()> onWait; // Runs while a request waits, before each question whether it is given up.
     int waits = 0; // So many times each request waits.
+    int waited = 0; // How often that was, over all requests.
     std::vector<PlaceWish> wishes;
     std::vector<Return> returns;
     std::uint64_t lastPermit = 0;
@@ -64,6 +65,7 @@
     {
         wishes.push_back(wish);
         for (int i = 0; i < waits; ++i) {
+            ++waited;
             if (onWait)
                 onWait();
             if (isGivenUp())
