Bound how often an attempt asks for a permit, and test the loads of both deployments

Cause: planted faults made the loop in prepare() spin without yielding where the gate and the wish disagreed; only declined grants were bounded. Two more faults were found by no test: a grant for a tried endpoint that was used, and slots not counted again without news; a third, a new coordinator that is told of permits only when the next list is due, was hidden by a test that began with a list due. Change: an attempt asks four times at most, whatever the reason. Tests for these, for deployment 1's load and for a burst. The tests are split by concern, with their fixture and the event queue in files of their own.

--- a/packages/router/src/internal/ForwardPlaces.cpp
+++ b/packages/router/src/internal/ForwardPlaces.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-    // Permits that one attempt may decline. Each costs a way to the coordinator and back; an instance that can't use what it is
-    // offered so often knows other endpoints than the coordinator, and decides by itself.
-    constexpr std::size_t mostDeclined = 4;
+    // So often one attempt asks. Each time costs a way to the coordinator and back; an instance that can't use what it is offered so
+    // often knows other endpoints than the coordinator, and decides by itself.
+    constexpr int mostAsked = 4;
 
 }
 
@@ -21,6 +21,7 @@
     Failure failure;
     PlaceVerdict place = PlaceVerdict::changed;
     m_declined.clear();
+    m_placesAsked = 0;
     while (place == PlaceVerdict::changed) {
         if (m_callerLeft)
             return false;
@@ -50,7 +51,7 @@
 std::optional<PlaceWish> ForwardRun::placeWish()
 {
     const PlaceBroker* places = m_core.parts.places;
-    if (!places || m_admission.route->isGenerative || m_declined.size() >= mostDeclined || !places->isShared(m_service))
+    if (!places || m_admission.route->isGenerative || m_placesAsked >= mostAsked || !places->isShared(m_service))
         return std::nullopt;
     PlaceWish wish;
     wish.service = m_service;
@@ -96,6 +97,7 @@
     const std::optional<PlaceWish> wish = placeWish();
     if (!wish)
         return PlaceVerdict::notNeeded;
+    ++m_placesAsked;
     m_comparedVersion = m_admission.table->version();
     bool hasChanged = false;
     const auto isGivenUp = [&] {
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -123,6 +123,7 @@
     std::optional<AttemptTarget> m_target;
     PlacePermit m_permit; // For `m_target`, until its attempt begins.
     std::vector<EndpointName> m_declined; // Endpoints of permits that this instance could not use for the next attempt.
+    int m_placesAsked = 0; // So often the next attempt asked for a permit.
     std::uint64_t m_comparedVersion = 0; // Of the newest configuration that admits the request as before.
     std::uint32_t m_sent = 0; // Attempts that an endpoint may have begun.
     std::uint32_t m_refused = 0; // Attempts that no endpoint began.
--- a/packages/router/test/ForwarderPlacesTest.cpp
+++ b/packages/router/test/ForwarderPlacesTest.cpp
@@ -123,6 +123,22 @@
         EXPECT_EQ(places().returns.size(), 2U);
     }
 
+    // A coordinator that has lost the request's list of tried endpoints, or repeats an old answer, must not have it run there again.
+    TEST_F(ForwarderPlacesTest, DeclinesAnEndpointThatItHasTried)
+    {
+        bench().listEndpoints({ "e1", "e2", "e3" });
+        places().grant("e1");
+        places().grant("e1");
+        places().grant("e3");
+        bench().script(503, { { "not-run", "1" } }, {});
+        bench().answer(200, { "second" });
+        EXPECT_EQ(bench().send().response.status, 200);
+        ASSERT_EQ(bench().client.requests.size(), 2U);
+        EXPECT_EQ(bench().sent(1, "endpoint"), "e3");
+        ASSERT_EQ(places().returns.size(), 3U);
+        EXPECT_EQ(m_one.returned(1).outcome, std::nullopt);
+    }
+
     // A caller that is refused while the request can't run may come back; one that is held until its deadline can't.
     TEST_F(ForwarderPlacesTest, RefusesAtOnceWhatTheCoordinatorRejects)
     {
--- a/packages/router/test/SharedPlacesFleetTest.cpp
+++ b/packages/router/test/SharedPlacesFleetTest.cpp
@@ -78,6 +78,31 @@
         EXPECT_LE(fleet.mostUnderPermits(), permitsOf(6));
     }
 
+    // The load of deployment 1, whose instances each sent their calls to one endpoint: a quarter of what the endpoints can do.
+    TEST(SharedPlacesFleetTest, ServesDeploymentOneInTime)
+    {
+        PlacesFleet fleet(settingsOf({ 58, 3, 6, 30ms, 150ms, 2'500ms }));
+        fleet.run(10'000ms, 152);
+        fleet.run(2'000ms);
+        EXPECT_GE(static_cast<double>(fleet.countServedInTime()), 0.99 * static_cast<double>(fleet.countBegun()));
+        EXPECT_LE(fleet.mostUnderPermits(), permitsOf(6));
+    }
+
+    // Requests of a burst must not stand in the queue when it is over: what can't be in time is refused as it comes.
+    TEST(SharedPlacesFleetTest, ServesInTimeAgainSoonAfterABurst)
+    {
+        PlacesFleet fleet(settingsOf(halfOfDeploymentTwo));
+        fleet.run(2'000ms, deploymentTwoRate);
+        fleet.run(5'000ms, 2.5 * deploymentTwoRate);
+        fleet.run(300ms, deploymentTwoRate); // One objective.
+        const SteadyTime after = fleet.now();
+        fleet.run(5'000ms, deploymentTwoRate);
+        fleet.run(2'000ms);
+        EXPECT_GE(static_cast<double>(fleet.countServedInTime(after)), 0.97 * static_cast<double>(fleet.countBegun(after)));
+        for (const PlacesFleet::Outcome& outcome : fleet.outcomes)
+            EXPECT_LE(outcome.answered - outcome.begun, halfOfDeploymentTwo.objective + 100ms);
+    }
+
     // Three datagrams for each request, beside the lists of permits and the repetitions of those that wait.
     TEST(SharedPlacesFleetTest, SendsFewDatagramsForEachRequest)
     {
--- a/packages/router/test/SharedPlacesTest.cpp
+++ b/packages/router/test/SharedPlacesTest.cpp
@@ -1,7 +1,5 @@
-// One instance's requests for permits, its permits, and what it does as a coordinator, notice by notice.
-#include "whinyard/router/PlacesFleet.h"
-
-#include <gtest/gtest.h>
+// One instance's requests for permits and the permits that it holds, notice by notice.
+#include "whinyard/router/SharedPlacesBench.h"
 
 namespace whinyard::router {
 namespace {
@@ -11,158 +9,7 @@
     using policy::EndpointOutcome;
     using policy::PermitVerdict;
 
-    // Instance "edge-0" of a fleet whose others exist only as what a test has them send.
-    class SharedPlacesTest : public ::testing::Test, public PlaceTransport {
-    protected:
-        static constexpr std::size_t instances = 20;
-
-        SharedPlacesTest()
-            : m_directory({ "z0" }, Random(1))
-        {
-            m_routing.table = tableWith({ { "svc" }, 100, 0, 0, 1, {} });
-            listSlots({ 6, 6 });
-            useInstances(policy::instancesNamed(0, instances));
-        }
-
-        static std::shared_ptr<const config::RoutingTable> tableWith(const config::RoutedService& service)
-        {
-            config::Routing routing;
-            routing.version = 1;
-            routing.services = { service };
-            return std::make_shared<const config::RoutingTable>(std::move(routing));
-        }
-
-        void listSlots(const std::vector<std::uint32_t>& slots)
-        {
-            std::vector<backing::ListedEndpoint> listed;
-            for (std::size_t i = 0; i < slots.size(); ++i) {
-                listed.push_back(ForwarderBench::endpointIn({ "z0" }, "e" + std::to_string(i)));
-                listed.back().slots = slots[i];
-            }
-            m_directory.replace(listed, m_clock.now());
-            m_places.noteNews();
-        }
-
-        void useInstances(const std::vector<InstanceName>& names)
-        {
-            m_directory.useInstances(self, names);
-            m_places.useInstances(names);
-        }
-
-        void send(const InstanceName& to, const peer::Notice& notice) override { m_sent.emplace_back(to, notice); }
-
-        static PlaceWish wish()
-        {
-            PlaceWish wish;
-            wish.service = { "svc" };
-            wish.version = "v1";
-            wish.customer = { "school" };
-            wish.objectiveLeft = 300ms;
-            wish.deadlineLeft = 1'500ms;
-            return wish;
-        }
-
-        // Returns the notices of a kind that were sent, and to whom.
-        template <typename One>
-        std::vector<std::pair<InstanceName, One>> sent() const
-        {
-            std::vector<std::pair<InstanceName, One>> found;
-            for (const auto& [to, notice] : m_sent) {
-                if (const One* one = std::get_if<One>(&notice))
-                    found.emplace_back(to, *one);
-            }
-            return found;
-        }
-
-        InstanceName coordinator() const { return *m_places.coordinatorOf({ "svc" }); }
-
-        void answer(const InstanceName& from, std::uint64_t number, PermitVerdict verdict, const std::string& endpoint = {}, std::chrono::milliseconds wait = 0ms)
-        {
-            m_places.take(peer::PlaceAnswerNotice { from, { "svc" }, "v1", { { self, number }, verdict, { endpoint }, wait } });
-        }
-
-        // Has this instance hold a permit.
-        std::uint64_t hold()
-        {
-            const std::uint64_t number = m_places.begin(wish());
-            answer(coordinator(), number, PermitVerdict::granted, "e0");
-            EXPECT_EQ(m_places.poll(number)->kind, Kind::granted);
-            m_sent.clear();
-            return number;
-        }
-
-        // Leaves only this instance, so that it coordinates the service.
-        void coordinateAlone()
-        {
-            listSlots({ 6, 6 });
-            useInstances({ self });
-        }
-
-        void pass(std::chrono::milliseconds time)
-        {
-            for (; time > 0ms; time -= 10ms) {
-                m_clock.advance(10ms);
-                if ((m_passed += 10ms) % 50ms == 0ms)
-                    m_places.tick();
-            }
-        }
-
-        const InstanceName self = policy::instanceNamed(0);
-        FakeClock m_clock;
-        Metrics m_metrics;
-        FakeRoutingSource m_routing;
-        endpoint::EndpointDirectory m_directory;
-        FakeFibers m_fibers { m_clock };
-        SharedPlaces m_places { { m_clock, m_metrics, m_routing, m_directory, m_fibers, *this }, {}, policy::instanceNamed(0), { "z0" }, Random(7) };
-        std::vector<std::pair<InstanceName, peer::Notice>> m_sent;
-        std::chrono::milliseconds m_passed { 0 };
-    };
-
-    // An instance's own count says enough where it has a slot for itself; models have other limits; nothing is known of slots that
-    // an endpoint doesn't report.
-    TEST_F(SharedPlacesTest, SharesOnlyPlainServicesWithFewerSlotsThanInstances)
-    {
-        EXPECT_TRUE(m_places.isShared({ "svc" }));
-        EXPECT_FALSE(m_places.isShared({ "other" }));
-        listSlots({ 10, 10 });
-        EXPECT_FALSE(m_places.isShared({ "svc" }));
-        listSlots({ 10, 9 });
-        EXPECT_TRUE(m_places.isShared({ "svc" }));
-        listSlots({ 6, 0 });
-        EXPECT_FALSE(m_places.isShared({ "svc" }));
-        listSlots({});
-        EXPECT_FALSE(m_places.isShared({ "svc" }));
-        listSlots({ 6, 6 });
-        useInstances(policy::instancesNamed(0, 12));
-        EXPECT_FALSE(m_places.isShared({ "svc" }));
-        useInstances(policy::instancesNamed(0, 13));
-        EXPECT_TRUE(m_places.isShared({ "svc" }));
-        m_routing.table = tableWith({ { "svc" }, 100, 0, 0, 1, { { { "small" }, 0.02 } } });
-        m_places.noteNews();
-        EXPECT_FALSE(m_places.isShared({ "svc" }));
-    }
-
-    // A service with zones that are evacuated has only the slots of the others.
-    TEST_F(SharedPlacesTest, CountsNoSlotsOfEvacuatedZones)
-    {
-        std::vector<backing::ListedEndpoint> listed { ForwarderBench::endpointIn({ "a" }, "e0"), ForwarderBench::endpointIn({ "b" }, "e1") };
-        listed[0].slots = 15;
-        listed[1].slots = 15;
-        m_directory.replace(listed, m_clock.now());
-        m_places.noteNews();
-        EXPECT_FALSE(m_places.isShared({ "svc" }));
-        m_directory.useEvacuatedZones({ { "a" } }, m_clock.now());
-        m_places.noteNews();
-        EXPECT_TRUE(m_places.isShared({ "svc" }));
-    }
-
-    // Instances that rank differently would each ask another coordinator.
-    TEST_F(SharedPlacesTest, AllInstancesNameTheSameCoordinator)
-    {
-        PlacesFleet fleet({ .instances = 30, .endpoints = 3, .slots = 6 });
-        for (std::size_t i = 1; i < 30; ++i)
-            EXPECT_EQ(fleet.places(i).coordinatorOf({ "svc" }), fleet.places(0).coordinatorOf({ "svc" }));
-    }
+    class SharedPlacesTest : public SharedPlacesBench { };
 
     // A new number would take a second permit for the same request.
     TEST_F(SharedPlacesTest, RepeatsTheSameRequestAfterFortyMilliseconds)
@@ -324,6 +171,9 @@
     {
         const InstanceName first = coordinator();
         const std::uint64_t number = hold();
+        pass(50ms);
+        ASSERT_FALSE(sent<peer::PlacesHeldNotice>().empty()); // The next list is due in 250 ms, which is too late.
+        m_sent.clear();
         std::vector<InstanceName> left = policy::instancesNamed(0, instances);
         std::erase(left, first);
         useInstances(left);
@@ -340,21 +190,6 @@
         EXPECT_EQ(told, std::set<InstanceName>({ first, coordinator() }));
     }
 
-    TEST_F(SharedPlacesTest, GrantsToItselfWithoutADatagram)
-    {
-        coordinateAlone();
-        const std::uint64_t number = m_places.begin(wish());
-        const std::optional<PlaceAnswer> granted = m_places.poll(number);
-        ASSERT_TRUE(granted);
-        EXPECT_EQ(granted->kind, Kind::granted);
-        EXPECT_EQ(m_places.poolState({ "svc" }, "v1")->held, 1U);
-        pass(2'000ms); // Its own permits don't expire either.
-        EXPECT_EQ(m_places.poolState({ "svc" }, "v1")->held, 1U);
-        m_places.giveBack(number, EndpointOutcome::succeeded, 60ms);
-        EXPECT_EQ(m_places.poolState({ "svc" }, "v1")->held, 0U);
-        EXPECT_TRUE(m_sent.empty());
-    }
-
     // The coordinator knows neither the regions of a request nor what an endpoint told this instance alone.
     TEST_F(SharedPlacesTest, ExcludesEndpointsThatThisInstanceMustNotUse)
     {
@@ -367,54 +202,6 @@
         EXPECT_EQ(sent<peer::PlaceRequestNotice>().size(), 1U);
     }
 
-    // Anybody may name any service; each name must not leave a pool behind.
-    TEST_F(SharedPlacesTest, KeepsNoPoolOfServicesItKnowsNoEndpointsOf)
-    {
-        m_places.take(peer::PlaceRequestNotice { { "unknown" }, "v1", { { { "edge-5" }, 1 }, { "z0" }, {}, 1, 300ms, 1'500ms, {} } });
-        m_places.take(peer::PlacesHeldNotice { { "edge-5" }, { "unknown" }, "v1", { { 1, { "e0" } } } });
-        EXPECT_EQ(sent<peer::PlaceAnswerNotice>().at(0).second.decision.verdict, PermitVerdict::noEndpoint);
-        EXPECT_FALSE(m_places.poolState({ "unknown" }, "v1"));
-    }
-
-    // What lies in the socket of a coordinator that was frozen says of deadlines that they are ahead, which have passed.
-    TEST_F(SharedPlacesTest, GrantsNothingToRequestsThatCameWhileItWasFrozen)
-    {
-        coordinateAlone();
-        m_places.tick();
-        const peer::PlaceRequestNotice request { { "svc" }, "v1", { { { "edge-5" }, 1 }, { "z0" }, {}, 1, 300ms, 1'500ms, {} } };
-        m_clock.advance(2s);
-        m_places.take(request);
-        m_places.tick();
-        m_places.take(request);
-        EXPECT_TRUE(sent<peer::PlaceAnswerNotice>().empty());
-        // Whoever still waits repeats its request.
-        m_clock.advance(40ms);
-        m_places.take(request);
-        EXPECT_EQ(sent<peer::PlaceAnswerNotice>().at(0).second.decision.verdict, PermitVerdict::granted);
-    }
-
-    // Slots of an endpoint that has gone would be granted in vain, and those of one that has come stay idle.
-    TEST_F(SharedPlacesTest, CoordinatorFollowsTheListOfEndpoints)
-    {
-        coordinateAlone();
-        listSlots({ 6 });
-        m_places.tick();
-        constexpr int permitsOfOne = 8;
-        for (int i = 0; i < permitsOfOne; ++i)
-            EXPECT_EQ(m_places.poll(m_places.begin(wish()))->endpoint.value, "e0");
-        const std::uint64_t waiting = m_places.begin(wish());
-        EXPECT_FALSE(m_places.poll(waiting));
-        listSlots({ 6, 6 });
-        m_places.tick();
-        const std::optional<PlaceAnswer> granted = m_places.poll(waiting);
-        ASSERT_TRUE(granted);
-        EXPECT_EQ(granted->endpoint.value, "e1");
-        listSlots({ 6 });
-        m_places.tick();
-        const std::uint64_t late = m_places.begin(wish());
-        EXPECT_FALSE(m_places.poll(late));
-    }
-
     // Answers that came while it was frozen lie in its own socket; the coordinator is not at fault.
     TEST_F(SharedPlacesTest, BlamesNoCoordinatorAfterItWasFrozenItself)
     {
--- a/packages/router/testing/whinyard/router/PlacesFleet.h
+++ b/packages/router/testing/whinyard/router/PlacesFleet.h
@@ -6,6 +6,7 @@
 #include "whinyard/router/Forwarder.h"
 #include "whinyard/router/ForwarderFakes.h"
 #include "whinyard/router/SharedPlaces.h"
+#include "whinyard/router/VirtualEvents.h"
 
 #include <algorithm>
 #include <cmath>
@@ -13,8 +14,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -83,8 +82,6 @@
     SteadyTime now() const { return m_clock.now(); }
     SharedPlaces& places(std::size_t instance) { return member(instance).places; }
     endpoint::EndpointDirectory& directory(std::size_t instance) { return member(instance).directory; }
-    Metrics& metrics(std::size_t instance) { return member(instance).metrics; }
-    const EndpointLoad& load(const std::string& endpoint) const { return m_loads.at({ endpoint }); }
 
     // Returns the instance that an undisturbed fleet asks.
     std::size_t coordinator() { return indexOf(*places(0).coordinatorOf(service())); }
@@ -97,9 +94,7 @@
         const SteadyTime end = now() + duration;
         if (perSecond > 0)
             arrive(end, perSecond);
-        while (!m_events.empty() && m_events.top().at <= end)
-            step();
-        m_clock.advance(end - now());
+        m_events.runUntil(end);
     }
 
     // Lets one request come at an instance.
@@ -193,7 +188,6 @@
     std::vector<Outcome> outcomes;
     double lost = 0; // Part of the datagrams.
     double repeated = 0; // Part of the datagrams that arrive twice.
-    std::function<void(const InstanceName& from, const InstanceName& to, const peer::Notice&)> onSend;
     std::map<std::string, std::size_t> sent; // Datagrams by the sending instance.
 
 private:
@@ -225,25 +219,9 @@
         std::deque<peer::Notice> socket; // What came while it was frozen.
     };
 
-    struct Event {
-        SteadyTime at;
-        std::uint64_t sequence = 0;
-        std::function<void()> run;
-
-        bool operator<(const Event& other) const { return std::pair(other.at, other.sequence) < std::pair(at, sequence); }
-    };
-
     Member& member(std::size_t instance) { return *m_members[instance]; }
 
-    void at(SteadyTime time, std::function<void()> run) { m_events.push({ time, ++m_sequence, std::move(run) }); }
-
-    void step()
-    {
-        const Event event = m_events.top();
-        m_events.pop();
-        m_clock.advance(std::max<std::chrono::nanoseconds>(event.at - now(), std::chrono::nanoseconds(0)));
-        event.run();
-    }
+    void at(SteadyTime time, std::function<void()> run) { m_events.at(time, std::move(run)); }
 
     void arrive(SteadyTime end, double perSecond)
     {
@@ -274,17 +252,14 @@
     {
         const InstanceName sender = policy::instanceNamed(from);
         ++sent[sender.value];
-        if (onSend)
-            onSend(sender, to, notice);
         noteGrant(sender, notice);
-        const std::size_t target = indexOf(to);
         const int copies = uniform(m_random) < repeated ? 2 : 1;
         for (int i = 0; i < copies; ++i) {
             if (uniform(m_random) < lost)
                 continue;
             // Up to as long again, so that datagrams overtake each other.
             const auto delay = m_settings.transit + std::chrono::duration_cast<std::chrono::microseconds>(m_settings.transit * uniform(m_random));
-            at(now() + delay, [this, from, target, notice] { arriveAt(from, target, notice); });
+            at(now() + delay, [this, from, target = indexOf(to), notice] { arriveAt(from, target, notice); });
         }
     }
 
@@ -333,13 +308,13 @@
             at(now() + std::chrono::milliseconds(10), [this, instance, number] { look(instance, number); });
             return;
         }
-        const std::optional<PlaceAnswer> answer = one.places.poll(number);
+        const auto answer = one.places.poll(number);
         if (!answer) {
             at(std::max(one.places.nextLook(number), now() + std::chrono::microseconds(1)), [this, instance, number] { look(instance, number); });
             return;
         }
-        Outcome& outcome = outcomes[pending->second];
         const std::size_t index = pending->second;
+        Outcome& outcome = outcomes[index];
         one.pending.erase(pending);
         outcome.kind = answer->kind;
         outcome.answered = now();
@@ -415,8 +390,7 @@
     FakeRoutingSource m_routing;
     std::vector<std::unique_ptr<Member>> m_members;
     std::map<EndpointName, EndpointLoad> m_loads;
-    std::priority_queue<Event> m_events;
-    std::uint64_t m_sequence = 0;
+    VirtualEvents m_events { m_clock };
     std::map<std::pair<std::size_t, std::uint64_t>, InstanceName> m_grantedBy; // By requester and number; none: by itself.
     std::map<std::pair<InstanceName, EndpointName>, std::size_t> m_inUse; // Permits by their coordinator.
     std::size_t m_mostOfOne = 0;
