Test the rest of SharedPlaces' safeguards

Cause: of eleven more faults planted in a scratch clone five were found by no test: a grant of an instance that wasn't asked, a pool that is never dropped, a wait that outlasts the sharing, a silent coordinator that nobody asks again after the asking request was abandoned; the fifth was a second reset of the same timer, which is removed. Change: tests for the four.

--- a/packages/router/src/internal/SharedPlacesState.cpp
+++ b/packages/router/src/internal/SharedPlacesState.cpp
@@ -97,8 +97,6 @@
     parts.metrics.add("whinyard_place_coordinators_silent_total");
     if (choice.noteSilent(entry.coordinator, now()))
         log::info("coordinator of slots is silent", { { "service", entry.target.service.value }, { "coordinator", entry.coordinator.value } });
-    // The next one hears of the permits that are out before it grants many.
-    heldTold = {};
 }
 
 std::vector<EndpointName> SharedPlaces::State::excludedBy(const PlaceWish& wish, bool& leavesNone) const
@@ -164,6 +162,7 @@
             continue;
         log::info("coordinator of slots changed", { { "service", service.value }, { "from", known.value }, { "to", current.value } });
         known = current;
+        // It hears of the permits that are out before it grants many.
         heldTold = {};
     }
 }
--- a/packages/router/test/SharedPlacesCoordinatorTest.cpp
+++ b/packages/router/test/SharedPlacesCoordinatorTest.cpp
@@ -92,6 +92,19 @@
         EXPECT_FALSE(m_places.poolState({ "unknown" }, "v1"));
     }
 
+    // Versions come and go; each must not leave a pool behind.
+    TEST_F(SharedPlacesCoordinatorTest, DropsAPoolThatNobodyUses)
+    {
+        coordinateAlone();
+        const std::uint64_t number = m_places.begin(wish());
+        EXPECT_EQ(m_places.poll(number)->kind, Kind::granted);
+        pass(20s); // A permit that is held is a use.
+        EXPECT_TRUE(m_places.poolState({ "svc" }, "v1"));
+        m_places.giveBack(number, EndpointOutcome::succeeded, 60ms);
+        pass(11s);
+        EXPECT_FALSE(m_places.poolState({ "svc" }, "v1"));
+    }
+
     // What lies in the socket of a coordinator that was frozen says of deadlines that they are ahead, which have passed.
     TEST_F(SharedPlacesCoordinatorTest, GrantsNothingToRequestsThatCameWhileItWasFrozen)
     {
--- a/packages/router/test/SharedPlacesTest.cpp
+++ b/packages/router/test/SharedPlacesTest.cpp
@@ -121,6 +121,53 @@
         EXPECT_EQ(sent<peer::PlaceReturnNotice>()[0].second.serviceTime, 60ms);
     }
 
+    // Only who was asked keeps the permit; another's grant must not pass for it.
+    TEST_F(SharedPlacesTest, ReturnsAGrantOfAnInstanceThatItDidNotAsk)
+    {
+        const std::uint64_t number = m_places.begin(wish());
+        const InstanceName other { coordinator().value == "edge-5" ? "edge-6" : "edge-5" };
+        m_sent.clear();
+        answer(other, number, PermitVerdict::granted, "e0");
+        EXPECT_FALSE(m_places.poll(number));
+        ASSERT_EQ(sent<peer::PlaceReturnNotice>().size(), 1U);
+        EXPECT_EQ(sent<peer::PlaceReturnNotice>()[0].first, other);
+        answer(coordinator(), number, PermitVerdict::granted, "e1");
+        EXPECT_EQ(m_places.poll(number)->endpoint.value, "e1");
+    }
+
+    // The one request that finds out whether a silent coordinator is back may end with its caller; another one must find out then.
+    TEST_F(SharedPlacesTest, AsksASilentCoordinatorAgainAfterTheAskingRequestWasAbandoned)
+    {
+        const InstanceName first = coordinator();
+        const std::uint64_t number = m_places.begin(wish());
+        for (int i = 0; i < 2; ++i) {
+            m_clock.advance(40ms);
+            m_places.poll(number);
+        }
+        ASSERT_NE(coordinator(), first);
+        m_clock.advance(1'000ms);
+        for (int i = 0; i < 3; ++i) {
+            m_sent.clear();
+            m_places.abandon(m_places.begin(wish()));
+            EXPECT_EQ(sent<peer::PlaceRequestNotice>().at(0).first, first);
+        }
+    }
+
+    // The instance chooses by itself where a service is no longer shared; its requests must not wait for grants until their deadlines.
+    TEST_F(SharedPlacesTest, StopsWaitingWhenTheServiceIsNoLongerShared)
+    {
+        const SteadyTime began = m_clock.now();
+        m_fibers.onWait = [&] {
+            for (const auto& [to, request] : sent<peer::PlaceRequestNotice>())
+                answer(to, request.request.id.number, PermitVerdict::waiting, {}, 200ms);
+            m_sent.clear();
+            listSlots({ 10, 10 });
+        };
+        EXPECT_EQ(m_places.acquire(wish(), [] { return false; }).kind, Kind::unavailable);
+        EXPECT_LE(m_clock.now() - began, 50ms);
+        EXPECT_EQ(m_places.waiting(), 0U);
+    }
+
     // A slot that was granted too late stays idle until it is returned or expires.
     TEST_F(SharedPlacesTest, ReturnsALateGrantUnused)
     {
