Weigh an engine's prefill time by the speed that all instances have learnt

Cause: EndpointRow::slowness is this instance's own measure, never below one, and mostly empty: long prompts come to slow engines as often as to fast ones.

Change: with WaitSelectorSettings::sharesPaces the selector multiplies an engine's prefill time by its pace in the table, which may be below one, in place of the own slowness. Work that is recorded for an engine is multiplied by the pace there, own and others' alike, so that notices still hold the work of an ordinary engine. EndpointPlan::showsPace says whether the time to the first event will show the engine's speed: 1,000 tokens and 30 ms of prefill at least, none of it believed cached, and a wait of a tenth of it at most. The forwarding path takes the sample at the first event, and none of a resumed stream. Off, which is the default, choices are as before.

Tested: whinyard_policy_test EndpointPaceTest, EndpointChoiceTest, EndpointTableTest; whinyard_router_test Forwarder* with ForwarderPaceTest; whinyard_endpoint_test.

--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -13,6 +13,7 @@
 #include "whinyard/endpoint/EngineClient.h"
 #include "whinyard/policy/Cascade.h"
 #include "whinyard/policy/EndpointChoice.h"
+#include "whinyard/policy/EnginePaces.h"
 #include "whinyard/policy/StatedRates.h"
 
 #include <chrono>
@@ -134,7 +135,26 @@
     void recordExpectation(const EndpointName& endpoint, std::chrono::nanoseconds elapsed, std::chrono::nanoseconds expected, SteadyTime now);
     void recordQueued(const EndpointName& endpoint, SteadyTime now);
 
-    // Notes that an engine was given a prompt whose reading takes `work`, by this instance or another one.
+    // Takes the time to the first event of a request to `chosen`, where it shows how fast the engine is. Does nothing, as the
+    // functions below, unless the selector's settings share the paces of engines.
+    void recordPace(const ChosenEndpoint& chosen, const ModelName& model, std::chrono::nanoseconds elapsed, SteadyTime now);
+
+    // Takes what another instance tells of an engine's pace.
+    void takePaceNews(const policy::PaceNews& news, SteadyTime now);
+
+    // Returns the sums of own samples to tell the others, of at most so many engines.
+    std::vector<policy::PaceNews> takePaceNewsToTell(std::size_t most) { return m_paces.takeNews(most); }
+
+    // Returns which engines began or ended to count as slow since the last call.
+    std::vector<policy::PaceChange> takePaceChanges() { return m_paces.takeChanges(); }
+
+    // Returns how many engines count as slow.
+    std::size_t slowEngines() const { return m_paces.slowEngines(); }
+
+    // Returns the engine's prefill time as a multiple of an ordinary engine's, as the choices use it.
+    double pace(const EndpointName& endpoint) const;
+
+    // Notes that an engine was given a prompt whose reading takes an ordinary engine `work`, by this instance or another one.
     void recordWork(const EndpointName& endpoint, std::chrono::nanoseconds work, SteadyTime now);
 
     // Notes that an engine holds the memory of these prefixes, by the word of another instance.
@@ -182,6 +202,8 @@
     std::vector<policy::ZoneIndex> zonesOf(const config::Residency& residency) const;
     std::vector<policy::ZoneIndex> zonesOfOwnRegion() const;
     void useRate(const EndpointName& endpoint);
+    void usePacesOf(const std::vector<backing::ListedEndpoint>& changed, const std::vector<EndpointName>& gone);
+    void refreshPaces(SteadyTime now);
 
     ZoneName m_zone;
     std::map<ZoneName, RegionName> m_regions; // Of each zone.
@@ -193,6 +215,9 @@
     std::set<ZoneName> m_evacuated;
     std::map<ServiceName, ColdBound> m_coldBounds;
     policy::StatedRates m_rates;
+    const bool m_sharesPaces;
+    policy::EnginePaces m_paces; // Without engines where paces aren't shared.
+    std::vector<EndpointName> m_paced; // Whose pace in the table isn't that of an ordinary engine.
     std::vector<EndpointName> m_refusals;
 };
 
--- a/packages/endpoint/src/EndpointDirectory.cpp
+++ b/packages/endpoint/src/EndpointDirectory.cpp
@@ -29,6 +29,7 @@
     , m_random(random)
     , m_table(table)
     , m_selector(policy::makeWaitSelector(selector))
+    , m_sharesPaces(selector.sharesPaces)
 {
 }
 
@@ -96,6 +97,7 @@
         }
     }
     m_table.changeMembers(members, gone);
+    usePacesOf(changed, gone);
     for (const backing::ListedEndpoint* endpoint : becameCold)
         recordCold(endpoint->name, endpoint->coldLeft, now);
     for (const policy::EndpointMember& member : members)
@@ -373,6 +375,7 @@
 void EndpointDirectory::refresh(SteadyTime now)
 {
     m_table.refresh(now);
+    refreshPaces(now);
     m_rates.refresh(now, [this](const EndpointName& endpoint) { return m_listed.contains(endpoint); });
 }
 
--- a/packages/policy/include/whinyard/policy/EndpointChoice.h
+++ b/packages/policy/include/whinyard/policy/EndpointChoice.h
@@ -61,10 +61,12 @@
 struct EndpointPlan {
     EndpointIndex endpoint = noEndpointIndex;
     ChoiceReason reason = ChoiceReason::noEndpoint;
-    std::chrono::microseconds expectedWait { 0 }; // Until the first byte.
+    std::chrono::microseconds expectedWait { 0 }; // Until the first byte, at this endpoint.
     std::chrono::microseconds cautiousWait { 0 }; // Not exceeded by about 19 of 20 requests.
     std::chrono::microseconds soundWait { 0 }; // As expectedWait, if the endpoint were as fast as others are.
-    std::chrono::microseconds unqueuedWait { 0 }; // If a slot is free: the prompt's work and a step.
+    std::chrono::microseconds unqueuedWait { 0 }; // The same if a slot is free: the prompt's work and a step.
+    std::uint32_t unreadTokens = 0; // Of the prompt, that the endpoint is believed not to hold.
+    bool showsPace = false; // The time to the first event will show how fast the engine is.
 
     explicit operator bool() const { return endpoint != noEndpointIndex; }
 };
@@ -93,6 +95,13 @@
     std::chrono::microseconds regionPenalty { 0 }; // The same between regions, beside the one above.
     std::chrono::nanoseconds prefillPerToken { 50'000 }; // Of a prompt's token that isn't cached.
     double probeShare = 0.05; // Of the decisions that may probe while an endpoint waits for a probe.
+    // An engine's prefill time is weighed by the pace that all instances have learnt, in place of this instance's own slowness.
+    bool sharesPaces = false;
+    // A request shows an engine's pace if as many tokens at least are to be read, the prefill takes so long at least, and of it
+    // the wait before takes this part at most. The rest of the time is the same at every engine.
+    std::uint32_t paceTokens = 1'000;
+    std::chrono::microseconds pacePrefill { 30'000 };
+    double paceWaitShare = 0.1;
 };
 
 // The rule that the router uses: the least expected wait among a few candidates (see docs/DECISIONS.md).
--- a/packages/policy/include/whinyard/policy/EndpointTable.h
+++ b/packages/policy/include/whinyard/policy/EndpointTable.h
@@ -117,6 +117,7 @@
     double slowness = 1; // Moving mean of the time to the first event, as a multiple of what was expected.
     SteadyTime slownessAt; // When it was last measured.
     SteadyTime busyUntil; // When the prompts that it was given are read, as far as is known.
+    double pace = 1; // Its prefill time as a multiple of an ordinary engine's; see EnginePaces.
 };
 
 // What is believed of the requests at an endpoint now.
@@ -198,12 +199,15 @@
     // Returns by how much the endpoint is believed to be slower than expected; what was measured long ago counts little.
     double slowness(EndpointIndex endpoint, SteadyTime now) const;
 
+    // Sets the engine's prefill time as a multiple of an ordinary engine's. Without a call it is 1.
+    void usePace(EndpointIndex endpoint, double pace) { rowAt(endpoint).pace = pace; }
+
     // Learns that an attempt has waited longer than it would on a free slot: all slots are taken and requests
     // wait. Reports that were measured earlier say no more than that. Says nothing of endpoints that send none.
     void recordQueued(EndpointIndex endpoint, SteadyTime now);
 
-    // Notes that a prompt whose reading takes `work` was given to an engine, by this instance or another one. Prompts are
-    // read in turn, so the work adds up, and passes as time does.
+    // Notes that a prompt whose reading takes an ordinary engine `work` was given to an engine, by this instance or another one.
+    // Prompts are read in turn, so the work adds up, and passes as time does.
     void recordWork(EndpointIndex endpoint, std::chrono::nanoseconds work, SteadyTime now);
 
     // Returns the time until the engine has read the prompts that it was given.
--- a/packages/policy/src/EndpointTable.cpp
+++ b/packages/policy/src/EndpointTable.cpp
@@ -357,7 +357,7 @@
 void EndpointTable::recordWork(EndpointIndex endpoint, std::chrono::nanoseconds work, SteadyTime now)
 {
     EndpointRow& changed = rowAt(endpoint);
-    changed.busyUntil = std::max(changed.busyUntil, now) + work;
+    changed.busyUntil = std::max(changed.busyUntil, now) + std::chrono::nanoseconds(static_cast<std::int64_t>(static_cast<double>(work.count()) * changed.pace));
     m_isInBusy.resize(m_rows.size(), 0);
     if (!std::exchange(m_isInBusy[at(endpoint)], 1))
         m_busy.push_back(endpoint);
--- a/packages/policy/src/WaitSelector.cpp
+++ b/packages/policy/src/WaitSelector.cpp
@@ -4,6 +4,7 @@
 // session names (with bounded loads: Mirrokni, Thorup, Zadimoghaddam, SODA 2018), and a few random ones
 // (Mitzenmacher, IEEE TPDS 2001), which keep many instances with the same old reports from all
 // choosing the same endpoint.
+#include "internal/Candidates.h"
 #include "internal/Eligibility.h"
 
 #include <algorithm>
@@ -17,7 +18,6 @@
 
     using Nanoseconds = std::chrono::duration<double, std::nano>;
 
-    constexpr std::size_t maximumCandidates = 32;
     constexpr std::size_t maximumPrefixLookups = 8;
     constexpr std::size_t maximumRingSteps = 16;
     constexpr double smallestDeviation = 1e-3;
@@ -41,33 +41,6 @@
         return std::chrono::duration_cast<std::chrono::microseconds>(time);
     }
 
-    struct Candidate {
-        EndpointIndex endpoint;
-        ChoiceReason reason;
-        double cachedShare; // Of the prompt.
-    };
-
-    // A fixed list without doubles; the first reason given for an endpoint stays.
-    class Candidates {
-    public:
-        void add(EndpointIndex endpoint, ChoiceReason reason, double cachedShare)
-        {
-            if (m_count == maximumCandidates)
-                return;
-            for (const Candidate& known : list()) {
-                if (known.endpoint == endpoint)
-                    return;
-            }
-            m_list[m_count++] = { endpoint, reason, cachedShare };
-        }
-
-        std::span<const Candidate> list() const { return { m_list.data(), m_count }; }
-
-    private:
-        std::array<Candidate, maximumCandidates> m_list;
-        std::size_t m_count = 0;
-    };
-
     struct Best {
         EndpointIndex endpoint = noEndpointIndex;
         ChoiceReason reason = ChoiceReason::noEndpoint;
@@ -278,9 +251,8 @@
             const LoadEstimate load = m_table.load(endpoint, m_now);
             if (m_request.tokenTime.count() > 0) {
                 const double excess = expectedExcess(load, slots - 1);
-                const Nanoseconds reading = Nanoseconds(m_table.backlog(endpoint, m_now)) + unqueuedAt(endpoint, cachedShare);
                 const Nanoseconds penalties = failuresAt(endpoint) + rereadingAt(cachedShare);
-                return Nanoseconds(m_table.slotTime(endpoint)) * (excess / slots) + reading * m_table.slowness(endpoint, m_now) + penalties;
+                return Nanoseconds(m_table.slotTime(endpoint)) * (excess / slots) + readingAt(endpoint, cachedShare) + penalties;
             }
             // Without reports nothing is known of slots: each request in flight slows the others down.
             const bool hasReports = row.reportAt != SteadyTime();
@@ -288,6 +260,15 @@
             return Nanoseconds(m_table.slotTime(endpoint)) * (ahead / slots) + unqueuedAt(endpoint, cachedShare) + failuresAt(endpoint);
         }
 
+        // The time until the engine has read what it was given and this prompt. A backlog was recorded at the engine's pace.
+        Nanoseconds readingAt(EndpointIndex endpoint, double cachedShare) const
+        {
+            const Nanoseconds backlog = m_table.backlog(endpoint, m_now);
+            if (!m_settings.sharesPaces)
+                return (backlog + unqueuedAt(endpoint, cachedShare)) * m_table.slowness(endpoint, m_now);
+            return backlog + prefillOf(cachedShare) * m_table.row(endpoint).pace + Nanoseconds(m_table.row(endpoint).step);
+        }
+
         // What failures in a row add when endpoints are compared. It is no wait: an endpoint that isn't asked again
         // would never lose it.
         Nanoseconds failuresAt(EndpointIndex endpoint) const
@@ -313,10 +294,27 @@
         }
 
         Nanoseconds unqueuedAt(EndpointIndex endpoint, double cachedShare) const
+        {
+            return prefillOf(cachedShare) + Nanoseconds(m_table.row(endpoint).step);
+        }
+
+        // At an ordinary engine.
+        Nanoseconds prefillOf(double cachedShare) const
         {
             const Nanoseconds perToken = m_request.tokenTime.count() > 0 ? Nanoseconds(m_request.tokenTime) : Nanoseconds(m_settings.prefillPerToken);
-            const Nanoseconds prefill = perToken * (m_request.promptTokens * (1 - cachedShare));
-            return prefill + Nanoseconds(m_table.row(endpoint).step);
+            return perToken * (m_request.promptTokens * (1 - cachedShare));
+        }
+
+        // Of a prompt that may be cached in part, and of one that waits first, the time says little of the engine.
+        bool showsPace(const Best& best) const
+        {
+            if (!m_settings.sharesPaces || m_request.tokenTime.count() <= 0 || best.cachedShare > 0 || m_request.promptTokens < m_settings.paceTokens)
+                return false;
+            const Nanoseconds prefill = prefillOf(0);
+            const double slots = m_table.row(best.endpoint).slots;
+            const Nanoseconds slotWait = Nanoseconds(m_table.slotTime(best.endpoint)) * (expectedExcess(m_table.load(best.endpoint, m_now), slots - 1) / slots);
+            const Nanoseconds wait = Nanoseconds(m_table.backlog(best.endpoint, m_now)) + slotWait;
+            return prefill >= m_settings.pacePrefill && wait <= prefill * m_settings.paceWaitShare;
         }
 
         EndpointPlan decide()
@@ -347,7 +345,9 @@
             plan.expectedWait = rounded(best.wait - failuresAt(best.endpoint) - rereading);
             plan.unqueuedWait = rounded(unqueuedAt(best.endpoint, best.cachedShare));
             const bool readsInTurn = m_request.tokenTime.count() > 0;
-            plan.soundWait = readsInTurn ? plan.unqueuedWait + rounded(Nanoseconds(m_table.backlog(best.endpoint, m_now))) : plan.expectedWait;
+            plan.soundWait = readsInTurn ? plan.unqueuedWait + rounded(Nanoseconds(m_table.backlog(best.endpoint, m_now)) / m_table.row(best.endpoint).pace) : plan.expectedWait;
+            plan.unreadTokens = static_cast<std::uint32_t>(m_request.promptTokens * (1 - best.cachedShare));
+            plan.showsPace = showsPace(best);
             plan.cautiousWait = std::max(plan.expectedWait, rounded(cautiousWaitAt(best.endpoint, best.cachedShare)));
             if (m_request.deadline != SteadyTime::max() && plan.expectedWait > m_request.deadline - m_now) {
                 plan.reason = ChoiceReason::noneBeforeDeadline;
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -132,8 +132,10 @@
 {
     const endpoint::FramedEvents events = framer.feed(bytes);
     if (events.count > 0) {
-        if (!m_firstEventAt)
+        if (!m_firstEventAt) {
             attempt.firstByte();
+            notePace(attempt);
+        }
         noteEvents(events.count);
         if (!m_streaming) {
             m_streaming = true;
@@ -146,6 +148,13 @@
     return !events.outOfOrder && !m_callerLeft;
 }
 
+// An attempt that takes up a stream or was given up for its silence says little of its engine's speed.
+void ForwardRun::notePace(const ForwardAttempt& attempt)
+{
+    if (!m_lastEvent && !m_stalled)
+        m_core.parts.directory.recordPace(attempt.target().endpoint, model(), attempt.age(), now());
+}
+
 void ForwardRun::noteEvents(std::uint32_t count)
 {
     const SteadyTime at = now();
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -83,6 +83,7 @@
     void conclude();
     void refuse(Failure failure);
     void noteBegun();
+    void notePace(const ForwardAttempt& attempt);
     void noteEvents(std::uint32_t count);
     void noteOutcome(const ForwardAttempt& attempt, bool failed, bool endpointEnded = false);
     void callerLeft();
--- a/packages/router/testing/whinyard/router/ForwarderFakes.h
+++ b/packages/router/testing/whinyard/router/ForwarderFakes.h
@@ -32,6 +32,8 @@
         request.path = net::pathOf(message.target);
         request.key = field("key");
         request.session = field("session");
+        if (!field("tokens").empty())
+            request.promptTokens = static_cast<std::uint32_t>(std::stoul(field("tokens")));
         request.leavesModelOpen = field("model") == "any";
         if (!field("resume").empty())
             request.resumeAfter = std::stoull(field("resume"));
@@ -96,8 +98,8 @@
 // One forwarder with two endpoints of one service.
 class ForwarderBench {
 public:
-    explicit ForwarderBench(std::uint64_t seed = 1)
-        : directory({ "z" }, Random(seed))
+    explicit ForwarderBench(std::uint64_t seed = 1, const policy::WaitSelectorSettings& selector = {})
+        : directory({ "z" }, Random(seed), {}, selector)
         , forwarder({ clock, metrics, source, codec, directory, shifts, models, queries, client, listening, fibers }, { .repeatRatio = 1, .repeatsPerSecond = 10 }, Random(seed + 1))
     {
         routing.services = { { { "svc" }, 100, 0, 0, 1, { { { "small" }, 0.02 }, { { "large" }, 0.25 } } } };
