Tell other instances the observed speeds of engines, with the setting sharePaces

Cause: the estimate of relative engine speeds needs the samples of all instances.

The metrics are whinyard_engines_slow and whinyard_pace_notices_total; a log line says when an engine begins or ends to count as slow. The setting sharePaces is false by default.

--- a/apps/whinyardd/entry/PeerLink.cpp
+++ b/apps/whinyardd/entry/PeerLink.cpp
@@ -28,6 +28,9 @@
     constexpr std::chrono::milliseconds repeatInterval { 1'000 };
     constexpr std::size_t repeatTargets = 3;
 
+    // An engine's speed changes when it starts again, and seldom else.
+    constexpr std::chrono::milliseconds paceInterval { 500 };
+
     std::string_view text(policy::RateReport::Kind kind)
     {
         switch (kind) {
@@ -166,6 +169,22 @@
     });
 }
 
+void PeerLink::tellPaces()
+{
+    for (const policy::PaceChange& change : m_directory.takePaceChanges())
+        log::info(change.isSlow ? "engine is slow" : "engine is no longer slow", { { "endpoint", change.engine.value }, { "factor", std::to_string(change.factor) }, { "samples", std::to_string(change.samples) } });
+    m_shared.metrics.set("whinyard_engines_slow", static_cast<double>(m_directory.slowEngines()));
+    const SteadyTime now = m_shared.clock.now();
+    if (now - m_pacesToldAt < paceInterval)
+        return;
+    m_pacesToldAt = now;
+    peer::PaceNotice notice { m_directory.takePaceNewsToTell(peer::mostPaces) };
+    if (notice.paces.empty())
+        return;
+    m_shared.metrics.add("whinyard_pace_notices_total");
+    tellMost(notice);
+}
+
 void PeerLink::gave(const EndpointName& endpoint, std::chrono::nanoseconds work, const std::vector<std::uint64_t>& prefix)
 {
     if (work < worthTelling)
@@ -281,6 +300,13 @@
         m_directory.takeRateNews(news, m_shared.clock.now());
 }
 
+void PeerLink::take(const peer::PaceNotice& notice)
+{
+    const SteadyTime now = m_shared.clock.now();
+    for (const policy::PaceNews& news : notice.paces)
+        m_directory.takePaceNews(news, now);
+}
+
 void PeerLink::close()
 {
     if (m_socket)
--- a/apps/whinyardd/entry/PeerLink.h
+++ b/apps/whinyardd/entry/PeerLink.h
@@ -52,6 +52,9 @@
     // Tells what was learnt of the rates that endpoints state: changes to all others, confirmations to a few.
     void tellRates();
 
+    // Tells some of the others what was observed of the speeds of engines since it was last told.
+    void tellPaces();
+
     void gave(const EndpointName& endpoint, std::chrono::nanoseconds work, const std::vector<std::uint64_t>& prefix) override;
 
     void close();
@@ -69,6 +72,7 @@
     void take(const peer::RateNotice& notice);
     void take(const peer::UsageNotice& notice);
     void take(const peer::DemandNotice& notice);
+    void take(const peer::PaceNotice& notice);
     void tellMost(const peer::Notice& notice);
     void repeatVerdicts();
     void broadcastRates(const std::vector<RateNews>& rates);
@@ -81,6 +85,7 @@
     policy::QueryOfDeathTable& m_queries;
     Random m_random;
     SteadyTime m_verdictsToldAt;
+    SteadyTime m_pacesToldAt;
     NoticeHandlers m_handlers;
     std::vector<net::Address> m_peers;
     std::unique_ptr<net::UdpSocket> m_socket;
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -64,6 +64,7 @@
         settings.rereadPenalty = tuning.rereadPenalty;
         settings.randomChoices = tuning.randomChoices;
         settings.fullScanLimit = tuning.fullScanLimit;
+        settings.sharesPaces = tuning.sharePaces;
         settings.probeShare = 0.2; // An instance of a small site sees ten requests a second.
         return settings;
     }
@@ -179,6 +180,7 @@
         m_hasVerdicts = !m_queries.hasNoVerdicts();
         m_link.tellQueries();
         m_link.tellRates();
+        m_link.tellPaces();
         net::sleepFor(tickInterval);
     }
 }
--- a/packages/peer/include/whinyard/peer/Notices.h
+++ b/packages/peer/include/whinyard/peer/Notices.h
@@ -9,6 +9,7 @@
 #include "whinyard/base/QueryNews.h"
 #include "whinyard/base/RateNews.h"
 #include "whinyard/leadership/UsageWindows.h"
+#include "whinyard/policy/EnginePaces.h"
 #include "whinyard/policy/ServiceDemand.h"
 
 #include <chrono>
@@ -124,7 +125,15 @@
     bool operator==(const DemandNotice&) const = default;
 };
 
-using Notice = std::variant<WorkNotice, PinNotice, EvidenceNotice, ShiftNotice, RosterNotice, InstanceNotice, RecordsNotice, QueryNotice, RateNotice, UsageNotice, DemandNotice>;
+// What the sender has observed of the speeds of engines since its last notice. Sums of samples add up: a notice that is lost loses
+// its samples and nothing else.
+struct PaceNotice {
+    std::vector<policy::PaceNews> paces;
+
+    bool operator==(const PaceNotice&) const = default;
+};
+
+using Notice = std::variant<WorkNotice, PinNotice, EvidenceNotice, ShiftNotice, RosterNotice, InstanceNotice, RecordsNotice, QueryNotice, RateNotice, UsageNotice, DemandNotice, PaceNotice>;
 
 // The most entries of one notice, so that it fits into a datagram.
 inline constexpr std::size_t mostPins = 128;
@@ -133,6 +142,7 @@
 inline constexpr std::size_t mostRates = 16;
 inline constexpr std::size_t mostCustomers = 32;
 inline constexpr std::size_t mostLoads = 16;
+inline constexpr std::size_t mostPaces = 24;
 
 std::string encodeNotice(const Notice& notice);
 
--- a/packages/peer/src/Notices.cpp
+++ b/packages/peer/src/Notices.cpp
@@ -1,6 +1,7 @@
 #include "whinyard/peer/Notices.h"
 
 #include "internal/Fields.h"
+#include "internal/PaceFields.h"
 
 #include <algorithm>
 #include <array>
@@ -16,9 +17,11 @@
     using internal::FieldReader;
     using internal::FieldWriter;
     using internal::readEndpoint;
+    using internal::readPaces;
     using internal::writeEndpoint;
+    using internal::writePaces;
 
-    constexpr std::uint16_t noticeFormat = 12;
+    constexpr std::uint16_t noticeFormat = 13;
     constexpr std::int64_t longestWorkUs = 60'000'000; // A longer one is no work that anybody gave.
     constexpr std::int64_t longestVerdictMs = 3'600'000; // Longer than any verdict holds.
     constexpr std::uint64_t longestRateAgeMs = 86'400'000; // An older statement is of no use.
@@ -37,6 +40,7 @@
         rates = 9,
         usage = 10,
         demand = 11,
+        paces = 12,
     };
 
     void write(FieldWriter& writer, const WorkNotice& notice)
@@ -180,6 +184,12 @@
         }
     }
 
+    void write(FieldWriter& writer, const PaceNotice& notice)
+    {
+        writer.number(static_cast<std::uint64_t>(NoticeKind::paces));
+        writePaces(writer, notice);
+    }
+
     std::optional<Notice> readWork(FieldReader& reader)
     {
         WorkNotice notice;
@@ -383,7 +393,7 @@
     if (reader.number() != noticeFormat)
         return std::nullopt;
     std::optional<Notice> notice;
-    switch (static_cast<NoticeKind>(reader.number(static_cast<std::uint64_t>(NoticeKind::demand)))) {
+    switch (static_cast<NoticeKind>(reader.number(static_cast<std::uint64_t>(NoticeKind::paces)))) {
     case NoticeKind::work:
         notice = readWork(reader);
         break;
@@ -417,6 +427,9 @@
     case NoticeKind::demand:
         notice = readDemand(reader);
         break;
+    case NoticeKind::paces:
+        notice = readPaces(reader);
+        break;
     }
     return reader.isWhole() ? notice : std::nullopt;
 }
--- a/packages/peer/test/NoticesTest.cpp
+++ b/packages/peer/test/NoticesTest.cpp
@@ -39,6 +39,8 @@
             UsageNotice {},
             DemandNotice { { "entry-1" }, 77, { { { "lm" }, 9, 1, 350ms, 4 } } },
             DemandNotice {},
+            PaceNotice { { { { "i-1" }, 1'764'766'000'000, 1.182, 2 }, { { "i-2" }, 0, -0.25, 1 } } },
+            PaceNotice {},
         };
     }
 
--- a/packages/settings/include/whinyard/settings/EntryTuning.h
+++ b/packages/settings/include/whinyard/settings/EntryTuning.h
@@ -37,6 +37,8 @@
     std::uint32_t randomChoices = 2;
     // Endpoints of a version up to which all are compared.
     std::uint32_t fullScanLimit = 64;
+    // Instances learn the relative speeds of engines together, and weigh prefill times by them.
+    bool sharePaces = false;
     std::string logLevel = "info";
 };
 
--- a/packages/settings/test/EntryTuningTest.cpp
+++ b/packages/settings/test/EntryTuningTest.cpp
@@ -15,6 +15,15 @@
         EXPECT_EQ(tuning->logLevel, "info");
     }
 
+    // Guards against paces that are shared where nobody asked for it.
+    TEST(EntryTuningTest, SharesPacesOnlyOnDemand)
+    {
+        Failure failure;
+        EXPECT_FALSE(parseEntryTuning("{}", "t.json", failure)->sharePaces);
+        EXPECT_TRUE(parseEntryTuning(R"({ "sharePaces": true })", "t.json", failure)->sharePaces);
+        EXPECT_FALSE(parseEntryTuning(R"({ "sharePaces": 1 })", "t.json", failure));
+    }
+
     TEST(EntryTuningTest, NamesEveryFault)
     {
         Failure failure;
