--- a/apps/whinyardd/entry/PeerLink.cpp
+++ b/apps/whinyardd/entry/PeerLink.cpp
@@ -28,9 +28,6 @@
     constexpr std::chrono::milliseconds repeatInterval { 1'000 };
     constexpr std::size_t repeatTargets = 3;
 
-    // An engine's speed changes when it starts again, and seldom else.
-    constexpr std::chrono::milliseconds paceInterval { 500 };
-
     std::string_view text(policy::RateReport::Kind kind)
     {
         switch (kind) {
@@ -174,11 +171,7 @@
     for (const policy::PaceChange& change : m_directory.takePaceChanges())
         log::info(change.isSlow ? "engine is slow" : "engine is no longer slow", { { "endpoint", change.engine.value }, { "factor", std::to_string(change.factor) }, { "samples", std::to_string(change.samples) } });
     m_shared.metrics.set("whinyard_engines_slow", static_cast<double>(m_directory.slowEngines()));
-    const SteadyTime now = m_shared.clock.now();
-    if (now - m_pacesToldAt < paceInterval)
-        return;
-    m_pacesToldAt = now;
-    peer::PaceNotice notice { m_directory.takePaceNewsToTell(peer::mostPaces) };
+    const peer::PaceNotice notice { m_directory.takePaceNewsToTell(peer::mostPaces, m_shared.clock.now()) };
     if (notice.paces.empty())
         return;
     m_shared.metrics.add("whinyard_pace_notices_total");
--- a/apps/whinyardd/entry/PeerLink.h
+++ b/apps/whinyardd/entry/PeerLink.h
@@ -85,7 +85,6 @@
     policy::QueryOfDeathTable& m_queries;
     Random m_random;
     SteadyTime m_verdictsToldAt;
-    SteadyTime m_pacesToldAt;
     NoticeHandlers m_handlers;
     std::vector<net::Address> m_peers;
     std::unique_ptr<net::UdpSocket> m_socket;
--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -142,8 +142,8 @@
     // Takes what another instance tells of an engine's pace.
     void takePaceNews(const policy::PaceNews& news, SteadyTime now);
 
-    // Returns the sums of own samples to tell the others, of at most so many engines.
-    std::vector<policy::PaceNews> takePaceNewsToTell(std::size_t most) { return m_paces.takeNews(most); }
+    // Returns the sums of own samples to tell the others, of at most so many engines. Returns some twice a second at most.
+    std::vector<policy::PaceNews> takePaceNewsToTell(std::size_t most, SteadyTime now) { return m_paces.takeNews(most, now); }
 
     // Returns which engines began or ended to count as slow since the last call.
     std::vector<policy::PaceChange> takePaceChanges() { return m_paces.takeChanges(); }
--- a/packages/policy/include/whinyard/policy/EndpointChoice.h
+++ b/packages/policy/include/whinyard/policy/EndpointChoice.h
@@ -98,10 +98,12 @@
     // An engine's prefill time is weighed by the pace that all instances have learnt, in place of this instance's own slowness.
     bool sharesPaces = false;
     // A request shows an engine's pace if as many tokens at least are to be read, the prefill takes so long at least, and of it
-    // the wait before takes this part at most. The rest of the time is the same at every engine.
+    // the wait before takes this part at most: the rest of the time is the same at every engine. A prompt of which a larger share
+    // is taken for cached shows whether it is. At this share a wrong belief lengthens the time by a third.
     std::uint32_t paceTokens = 1'000;
     std::chrono::microseconds pacePrefill { 30'000 };
     double paceWaitShare = 0.1;
+    double paceCachedShare = 0.25;
 };
 
 // The rule that the router uses: the least expected wait among a few candidates (see docs/DECISIONS.md).
--- a/packages/policy/include/whinyard/policy/EnginePaces.h
+++ b/packages/policy/include/whinyard/policy/EnginePaces.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -25,6 +26,7 @@
     // samples to 2.5 times leave the factor of an ordinary engine below the first one.
     double slowFrom = 1.4;
     double slowUntil = 1.2;
+    std::chrono::milliseconds tellInterval { 500 }; // A speed changes when an engine starts again, and seldom else.
     // Of the time to the first event: the way there and back and a step, which are the same at a fast and a slow engine.
     std::chrono::milliseconds fixedTime { 15 };
 };
@@ -77,7 +79,8 @@
     void take(const PaceNews& news, SteadyTime now);
 
     // Returns the sums of this instance's samples since they were last returned, of at most so many engines; the others follow.
-    std::vector<PaceNews> takeNews(std::size_t most);
+    // Returns nothing until `tellInterval` after it last returned some.
+    std::vector<PaceNews> takeNews(std::size_t most, SteadyTime now);
 
     // Forgets old samples, and computes the factors anew. Call it some times a second.
     void refresh(SteadyTime now);
@@ -129,6 +132,7 @@
     std::map<EndpointName, Engine*> m_sampled; // Those with samples: the work of refresh() grows with these only.
     std::map<std::pair<ModelName, int>, Bias> m_biases;
     EndpointName m_toldLast;
+    std::optional<SteadyTime> m_toldAt;
     std::vector<PaceChange> m_changes;
 };
 
--- a/packages/policy/src/EnginePaces.cpp
+++ b/packages/policy/src/EnginePaces.cpp
@@ -96,9 +96,11 @@
     engine.at = now;
 }
 
-std::vector<PaceNews> EnginePaces::takeNews(std::size_t most)
+std::vector<PaceNews> EnginePaces::takeNews(std::size_t most, SteadyTime now)
 {
     std::vector<PaceNews> news;
+    if (m_toldAt && now - *m_toldAt < m_settings.tellInterval)
+        return news;
     auto next = m_sampled.upper_bound(m_toldLast);
     for (std::size_t looked = 0; looked < m_sampled.size() && news.size() < most; ++looked, ++next) {
         if (next == m_sampled.end())
@@ -108,6 +110,7 @@
             continue;
         news.push_back({ next->first, engine.incarnation, std::exchange(engine.newSum, 0), std::exchange(engine.newSamples, 0) });
         m_toldLast = next->first;
+        m_toldAt = now;
     }
     return news;
 }
--- a/packages/policy/src/WaitSelector.cpp
+++ b/packages/policy/src/WaitSelector.cpp
@@ -305,12 +305,13 @@
             return perToken * (m_request.promptTokens * (1 - cachedShare));
         }
 
-        // Of a prompt that may be cached in part, and of one that waits first, the time says little of the engine.
         bool showsPace(const Best& best) const
         {
-            if (!m_settings.sharesPaces || m_request.tokenTime.count() <= 0 || best.cachedShare > 0 || m_request.promptTokens < m_settings.paceTokens)
+            if (!m_settings.sharesPaces || m_request.tokenTime.count() <= 0 || best.cachedShare > m_settings.paceCachedShare)
                 return false;
-            const Nanoseconds prefill = prefillOf(0);
+            if (m_request.promptTokens * (1 - best.cachedShare) < m_settings.paceTokens)
+                return false;
+            const Nanoseconds prefill = prefillOf(best.cachedShare);
             const double slots = m_table.row(best.endpoint).slots;
             const Nanoseconds slotWait = Nanoseconds(m_table.slotTime(best.endpoint)) * (expectedExcess(m_table.load(best.endpoint, m_now), slots - 1) / slots);
             const Nanoseconds wait = Nanoseconds(m_table.backlog(best.endpoint, m_now)) + slotWait;
--- a/packages/policy/test/EndpointPaceTest.cpp
+++ b/packages/policy/test/EndpointPaceTest.cpp
@@ -118,7 +118,13 @@
     request.prefix = prefix;
     table.recordPrefixes(slow, prefix, start);
     EXPECT_FALSE(choose().showsPace) << "believed to be cached";
+    const float shares[] = { 0.25F, 1 };
+    request.prefix = { prefix, 1 };
+    request.prefixShares = { shares, 1 };
+    EXPECT_TRUE(chooseWithout(fast).showsPace) << "a quarter of it";
+    EXPECT_EQ(chooseWithout(fast).unreadTokens, 9'000U);
     request.prefix = {};
+    request.prefixShares = {};
     EXPECT_TRUE(chooseWithout(fast).showsPace);
     for (int i = 0; i < 20; ++i)
         table.recordDispatch(slow, {}, start);
--- a/packages/policy/test/EnginePacesTest.cpp
+++ b/packages/policy/test/EnginePacesTest.cpp
@@ -65,7 +65,7 @@
         void tell()
         {
             for (EnginePaces& from : m_fleet) {
-                for (const PaceNews& news : from.takeNews(24)) {
+                for (const PaceNews& news : from.takeNews(24, m_now)) {
                     for (EnginePaces& to : m_fleet) {
                         if (&to != &from && uniform(m_random) >= m_lost)
                             to.take(news, m_now);
@@ -197,7 +197,7 @@
 }
 
 // Guards against engines that look slow for getting the prompts whose time is expected too short: here long ones take twice what is
-// expected and come to the first engines four times as often. Without the correction by size the factors differ by a third.
+// expected and come to the first engines four times as often. Without the correction by size the logarithms of the factors differ.
 TEST_F(EnginePacesTest, SizesThatAreExpectedWrongMakeNoEngineLookSlow)
 {
     for (int i = 0; i < 30 * 40; ++i) {
@@ -291,6 +291,21 @@
     EXPECT_EQ(m_paces.factors().size(), 3U);
 }
 
+// Guards against a datagram to 96 instances for each sample: an instance sends two notices a second, and none without new samples.
+TEST_F(EnginePacesTest, TellsAtMostTwiceASecond)
+{
+    std::size_t notices = 0;
+    for (int tick = 0; tick < 200; ++tick, m_now += 50ms) {
+        m_paces.learn(engine(below(m_random, engines)), life, sampleOf(1), m_now);
+        notices += m_paces.takeNews(24, m_now).empty() ? 0 : 1;
+    }
+    EXPECT_EQ(notices, 20U);
+    m_now += 1s;
+    EXPECT_FALSE(m_paces.takeNews(24, m_now).empty()) << "the rest";
+    m_now += 1s;
+    EXPECT_TRUE(m_paces.takeNews(24, m_now).empty());
+}
+
 // Sums are told once, and what doesn't fit into a notice follows in the next ones.
 TEST_F(EnginePacesTest, TellsEachSampleOnce)
 {
@@ -300,16 +315,17 @@
     }
     std::map<EndpointName, std::uint32_t> told;
     std::size_t notices = 0;
-    for (std::vector<PaceNews> news = m_paces.takeNews(24); !news.empty(); news = m_paces.takeNews(24)) {
+    for (std::vector<PaceNews> news = m_paces.takeNews(24, m_now); !news.empty(); news = m_paces.takeNews(24, m_now)) {
         EXPECT_LE(news.size(), 24U);
         ++notices;
+        m_now += 500ms;
         for (const PaceNews& one : news)
             told[one.engine] += one.samples;
     }
     EXPECT_EQ(notices, 4U);
     EXPECT_EQ(told.size(), engines);
     EXPECT_TRUE(std::all_of(told.begin(), told.end(), [](const auto& entry) { return entry.second == 2; }));
-    EXPECT_TRUE(m_fleet[1].takeNews(24).empty()) << "and what was heard isn't told on";
+    EXPECT_TRUE(m_fleet[1].takeNews(24, m_now).empty()) << "and what was heard isn't told on";
 }
 
 }
--- a/packages/router/test/ForwarderPaceTest.cpp
+++ b/packages/router/test/ForwarderPaceTest.cpp
@@ -39,7 +39,7 @@
             m_bench.answer(200, std::move(pieces), lost).onRead = [this, elapsed] { m_bench.clock.advance(elapsed); };
         }
 
-        std::vector<policy::PaceNews> samples() { return m_bench.directory.takePaceNewsToTell(24); }
+        std::vector<policy::PaceNews> samples() { return m_bench.directory.takePaceNewsToTell(24, m_bench.clock.now()); }
 
         ForwarderBench m_bench { 1, selector() };
     };
