--- a/packages/policy/test/EnginePacesTest.cpp
+++ b/packages/policy/test/EnginePacesTest.cpp
@@ -306,6 +306,19 @@
     EXPECT_TRUE(m_paces.takeNews(24, m_now).empty());
 }
 
+// Guards against one instance that outweighs all others: a notice counts as so many samples at most.
+TEST_F(EnginePacesTest, OneNoticeDoesNotOutweighTheOthers)
+{
+    m_paces.take({ engine(0), life, 4e9, 4'000'000'000 }, m_now);
+    for (int i = 0; i < 4; ++i) {
+        m_paces.take({ engine(0), life, 0, EnginePaces::mostSamples }, m_now);
+        m_paces.take({ engine(1), life, 0, EnginePaces::mostSamples }, m_now);
+    }
+    m_paces.refresh(m_now);
+    EXPECT_GT(m_paces.factor(engine(0)), 1);
+    EXPECT_LT(m_paces.factor(engine(0)), 1.2);
+}
+
 // Sums are told once, and what doesn't fit into a notice follows in the next ones.
 TEST_F(EnginePacesTest, TellsEachSampleOnce)
 {
