--- a/apps/whinyardd/entry/PeerLink.h
+++ b/apps/whinyardd/entry/PeerLink.h
@@ -61,6 +61,9 @@
     // Tells what was learnt of the rates that endpoints state: changes to all others, confirmations to a few.
     void tellRates();
 
+    // Tells some of the others what was observed of the speeds of engines since it was last told.
+    void tellPaces();
+
     void gave(const EndpointName& endpoint, std::chrono::nanoseconds work, const std::vector<std::uint64_t>& prefix) override;
 
     void close();
@@ -82,6 +85,7 @@
     void take(const peer::PlaceAnswerNotice& notice);
     void take(const peer::PlaceReturnNotice& notice);
     void take(const peer::PlacesHeldNotice& notice);
+    void take(const peer::PaceNotice& notice);
     void tellMost(const peer::Notice& notice);
     void repeatVerdicts();
     void broadcastRates(const std::vector<RateNews>& rates);
--- a/packages/peer/include/whinyard/peer/Notices.h
+++ b/packages/peer/include/whinyard/peer/Notices.h
@@ -9,6 +9,7 @@
 #include "whinyard/base/QueryNews.h"
 #include "whinyard/base/RateNews.h"
 #include "whinyard/leadership/UsageWindows.h"
+#include "whinyard/policy/EnginePaces.h"
 #include "whinyard/policy/PlacePool.h"
 #include "whinyard/policy/ServiceDemand.h"
 
@@ -173,8 +174,16 @@
     bool operator==(const PlacesHeldNotice&) const = default;
 };
 
+// What the sender has observed of the speeds of engines since its last notice. Sums of samples add up: a notice that is lost loses
+// its samples and nothing else.
+struct PaceNotice {
+    std::vector<policy::PaceNews> paces;
+
+    bool operator==(const PaceNotice&) const = default;
+};
+
 using Notice = std::variant<WorkNotice, PinNotice, EvidenceNotice, ShiftNotice, RosterNotice, InstanceNotice, RecordsNotice, QueryNotice, RateNotice, UsageNotice, DemandNotice, PlaceRequestNotice,
-    PlaceAnswerNotice, PlaceReturnNotice, PlacesHeldNotice>;
+    PlaceAnswerNotice, PlaceReturnNotice, PlacesHeldNotice, PaceNotice>;
 
 // The most entries of one notice, so that it fits into a datagram.
 inline constexpr std::size_t mostPins = 128;
@@ -185,6 +194,7 @@
 inline constexpr std::size_t mostLoads = 16;
 inline constexpr std::size_t mostExcludedPlaces = 16;
 inline constexpr std::size_t mostHeldPlaces = 24;
+inline constexpr std::size_t mostPaces = 24;
 
 std::string encodeNotice(const Notice& notice);
 
--- a/packages/peer/src/Notices.cpp
+++ b/packages/peer/src/Notices.cpp
@@ -1,6 +1,7 @@
 #include "whinyard/peer/Notices.h"
 
 #include "internal/Fields.h"
+#include "internal/PaceFields.h"
 #include "internal/PlaceNotices.h"
 
 #include <algorithm>
@@ -18,7 +19,9 @@
     using internal::FieldWriter;
     using internal::NoticeKind;
     using internal::readEndpoint;
+    using internal::readPaces;
     using internal::writeEndpoint;
+    using internal::writePaces;
 
     constexpr std::uint16_t noticeFormat = 13;
     constexpr std::int64_t longestWorkUs = 60'000'000; // A longer one is no work that anybody gave.
@@ -168,6 +171,12 @@
         }
     }
 
+    void write(FieldWriter& writer, const PaceNotice& notice)
+    {
+        writer.number(static_cast<std::uint64_t>(NoticeKind::paces));
+        writePaces(writer, notice);
+    }
+
     std::optional<Notice> readWork(FieldReader& reader)
     {
         WorkNotice notice;
@@ -371,7 +380,7 @@
     if (reader.number() != noticeFormat)
         return std::nullopt;
     std::optional<Notice> notice;
-    switch (static_cast<NoticeKind>(reader.number(static_cast<std::uint64_t>(NoticeKind::placesHeld)))) {
+    switch (static_cast<NoticeKind>(reader.number(static_cast<std::uint64_t>(NoticeKind::paces)))) {
     case NoticeKind::work:
         notice = readWork(reader);
         break;
@@ -417,6 +426,9 @@
     case NoticeKind::placesHeld:
         notice = internal::readPlacesHeld(reader);
         break;
+    case NoticeKind::paces:
+        notice = readPaces(reader);
+        break;
     }
     return reader.isWhole() ? notice : std::nullopt;
 }
--- a/packages/peer/src/internal/NoticeKind.h
+++ b/packages/peer/src/internal/NoticeKind.h
@@ -21,6 +21,7 @@
     placeAnswer = 13,
     placeReturn = 14,
     placesHeld = 15,
+    paces = 16,
 };
 
 }
--- a/packages/peer/test/NoticesTest.cpp
+++ b/packages/peer/test/NoticesTest.cpp
@@ -47,6 +47,8 @@
             PlaceReturnNotice { { "plain" }, "v1", { { "entry-1" }, 7 }, std::nullopt, 0us },
             PlacesHeldNotice { { "entry-1" }, { "plain" }, "v1", { { 7, { "i-1" } }, { 8, { "i-2" } } } },
             PlacesHeldNotice {},
+            PaceNotice { { { { "i-1" }, 1'764'766'000'000, 1.182, 2 }, { { "i-2" }, 0, -0.25, 1 } } },
+            PaceNotice {},
         };
     }
 
--- a/packages/router/test/ForwarderPlacesTest.cpp
+++ b/packages/router/test/ForwarderPlacesTest.cpp
@@ -15,7 +15,7 @@
 
     struct PlacesBench {
         FakePlaceBroker places;
-        ForwarderBench bench { 1, &places };
+        ForwarderBench bench { 1, { .places = &places } };
 
         FakePlaceBroker::Return returned(std::size_t index = 0) const { return places.returns.at(index); }
     };
@@ -222,7 +222,7 @@
             }
             void giveBack(std::uint64_t number, std::optional<EndpointOutcome> outcome, std::chrono::nanoseconds time) override { inner.giveBack(number, outcome, time); }
         } leaving(places(), caller);
-        ForwarderBench other(1, &leaving);
+        ForwarderBench other(1, { .places = &leaving });
         other.send(caller);
         EXPECT_EQ(other.client.requests.size(), 0U);
         ASSERT_EQ(places().returns.size(), 1U);
@@ -328,7 +328,7 @@
             }
             void giveBack(std::uint64_t number, std::optional<EndpointOutcome> outcome, std::chrono::nanoseconds time) override { inner.giveBack(number, outcome, time); }
         } deaf(places());
-        ForwarderBench other(1, &deaf);
+        ForwarderBench other(1, { .places = &deaf });
         places().onWait = [&] {
             other.routing.customers.front().keys = { "another" };
             ++other.routing.version;
--- a/packages/router/test/SharedPlacesTest.cpp
+++ b/packages/router/test/SharedPlacesTest.cpp
@@ -284,7 +284,7 @@
     // A request that must not run twice is sent once, however often its grant arrives, and its permit goes back once.
     TEST_F(SharedPlacesTest, ForwarderSendsANonIdempotentRequestOnceUnderARepeatedGrant)
     {
-        ForwarderBench bench(1, &m_places);
+        ForwarderBench bench(1, { .places = &m_places });
         bench.useRoute(config::RequestKind::nonIdempotent);
         std::uint64_t number = 0;
         const auto grant = [&] { answer(coordinator(), number, PermitVerdict::granted, "e1"); };
--- a/packages/router/testing/whinyard/router/ForwarderFakes.h
+++ b/packages/router/testing/whinyard/router/ForwarderFakes.h
@@ -32,6 +32,8 @@
         request.path = net::pathOf(message.target);
         request.key = field("key");
         request.session = field("session");
+        if (!field("tokens").empty())
+            request.promptTokens = static_cast<std::uint32_t>(std::stoul(field("tokens")));
         request.leavesModelOpen = field("model") == "any";
         if (!field("resume").empty())
             request.resumeAfter = std::stoull(field("resume"));
@@ -93,12 +95,21 @@
     }
 };
 
+// What a test may set of a bench.
+struct ForwarderBenchParts {
+    PlaceBroker* places = nullptr;
+    policy::WaitSelectorSettings selector {};
+    policy::ModelChoiceSettings choice { .cheapFirstBelow = 1 };
+    policy::EnginePriceSettings price {};
+};
+
 // One forwarder with two endpoints of one service.
 class ForwarderBench {
 public:
-    explicit ForwarderBench(std::uint64_t seed = 1, PlaceBroker* places = nullptr)
-        : directory({ "z" }, Random(seed))
-        , forwarder({ clock, metrics, source, codec, directory, shifts, models, queries, client, listening, fibers, nullptr, nullptr, places }, { .repeatRatio = 1, .repeatsPerSecond = 10 }, Random(seed + 1))
+    explicit ForwarderBench(std::uint64_t seed = 1, const ForwarderBenchParts& parts = {})
+        : directory({ "z" }, Random(seed), {}, parts.selector)
+        , models(parts.choice)
+        , forwarder({ clock, metrics, source, codec, directory, shifts, models, queries, client, listening, fibers, nullptr, nullptr, parts.places }, { .repeatRatio = 1, .repeatsPerSecond = 10, .enginePrice = parts.price }, Random(seed + 1))
     {
         routing.services = { { { "svc" }, 100, 0, 0, 1, { { { "small" }, 0.02 }, { { "large" }, 0.25 } } } };
         routing.customers = { { { "school" }, { "k1" }, std::nullopt } };
@@ -199,7 +210,7 @@
     FakeCodec codec;
     endpoint::EndpointDirectory directory;
     policy::VersionShifts shifts;
-    policy::ModelChoice models { { .cheapFirstBelow = 1 } };
+    policy::ModelChoice models;
     policy::QueryOfDeathTable queries;
     endpoint::FakeHttpClient client;
     FakeListenProbe listening;
--- a/packages/settings/include/whinyard/settings/EntryTuning.h
+++ b/packages/settings/include/whinyard/settings/EntryTuning.h
@@ -41,6 +41,8 @@
     std::uint32_t fullScanLimit = 64;
     // Whether the slots of a plain service with fewer of them than there are instances are granted by one instance.
     bool sharePlaces = false;
+    // Instances learn the relative speeds of engines together, and weigh prefill times by them.
+    bool sharePaces = false;
     std::string logLevel = "info";
 };
 
--- a/packages/settings/src/EntryTuning.cpp
+++ b/packages/settings/src/EntryTuning.cpp
@@ -31,6 +31,7 @@
         object.integer<std::uint32_t>("randomChoices", tuning.randomChoices, Presence::optional, { 0, 16 });
         object.integer<std::uint32_t>("fullScanLimit", tuning.fullScanLimit, Presence::optional, { 0, 10'000 });
         object.boolean("sharePlaces", tuning.sharePlaces, Presence::optional);
+        object.boolean("sharePaces", tuning.sharePaces, Presence::optional);
         object.text("logLevel", tuning.logLevel, Presence::optional);
         object.finish();
         return tuning;
