Learn prefill times by prompt size

The time of a prompt was one figure a token for each model, so a prompt of 60,000 tokens was taken for half as long as an engine reads it: engines need a*n + b*n*n, with b/a near 0.017 for a thousand tokens on both deployments.

Rates are now kept for each service.

--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -159,6 +159,16 @@
     m_events += count;
 }
 
+void ForwardRun::learnReadingTime(std::chrono::nanoseconds elapsed)
+{
+    policy::PromptRates& rates = m_core.ratesOf(m_service);
+    if (!rates.learn(model(), costOf(model()), m_request.promptTokens, elapsed))
+        return;
+    constexpr double thousand = 1'000;
+    m_core.parts.metrics.set("whinyard_prefill_ratio{service=\"" + m_service.value + "\"}", rates.ratio() * thousand);
+    log::info("prefill curve changed", { { "service", m_service.value }, { "ratioPerThousandTokens", std::to_string(rates.ratio() * thousand) } });
+}
+
 void ForwardRun::noteOutcome(const ForwardAttempt& attempt, bool failed, bool endpointEnded)
 {
     policy::VersionOutcome outcome;
@@ -170,7 +180,7 @@
     const SteadyTime end = m_firstEventAt.value_or(now());
     const auto began = now() - attempt.age();
     if (!failed && !m_stalled && m_admission.route->isGenerative && attempt.target().endpoint.plan.reason != policy::ChoiceReason::cachedPrefix)
-        m_core.rates.learn(model(), costOf(model()), m_request.promptTokens, end - began);
+        learnReadingTime(end - began);
     outcome.time = std::chrono::duration_cast<std::chrono::microseconds>(end - began);
     // What is known of the endpoint's own slowness must not excuse its version.
     outcome.expected = attempt.target().endpoint.plan.soundWait;
--- a/packages/router/src/internal/ForwardChoice.cpp
+++ b/packages/router/src/internal/ForwardChoice.cpp
@@ -54,7 +54,7 @@
         wish.affinity = wish.prefix[wish.prefix.size() - 2];
     wish.promptTokens = m_request.promptTokens;
     if (m_admission.route->isGenerative) {
-        wish.tokenTime = m_core.rates.tokenTime(model(), costOf(model()));
+        wish.tokenTime = m_core.ratesOf(m_service).meanTokenTime(model(), costOf(model()), m_request.promptTokens);
         wish.prefixShares = prefixShares();
         wish.stallsOthers = wish.tokenTime * m_request.promptTokens > m_admission.route->pauseObjective * stallingPart;
         if (wish.stallsOthers)
@@ -158,12 +158,13 @@
 {
     const config::Route& route = *m_admission.route;
     const policy::EnginePrice& price = m_core.priceOf(m_service);
+    const policy::PromptRates& rates = m_core.ratesOf(m_service);
     policy::ModelQuestion question;
     question.priority = route.priority;
     for (const ModelName& name : route.models) {
         const double cost = costOf(name);
         question.costs.push_back(cost);
-        question.readingTimes.push_back(m_core.rates.tokenTime(name, cost) * m_request.promptTokens);
+        question.readingTimes.push_back(rates.readingTime(name, cost, m_request.promptTokens));
         question.delayShares.push_back(price.share(question.readingTimes.back(), route.objective));
     }
     question.promptTokens = m_request.promptTokens;
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -63,6 +63,8 @@
         return prices.try_emplace(service, settings.enginePrice).first->second;
     }
 
+    policy::PromptRates& ratesOf(const ServiceName& service) { return rates.try_emplace(service).first->second; }
+
     double repeatsWithoutRequests()
     {
         return settings.repeatsPerSecond * static_cast<double>(policy::RetryBudget::window.count()) + sharedRepeats.part(parts.clock.now());
@@ -116,7 +118,7 @@
     std::shared_ptr<const config::RoutingTable> table {}; // Whose bounds the directory knows.
     std::map<ServiceName, policy::RetryBudget> budgets {};
     std::map<ServiceName, policy::RetryBudget> moves {};
-    policy::PromptRates rates {};
+    std::map<ServiceName, policy::PromptRates> rates {};
     std::map<ServiceName, policy::EnginePrice> prices {};
     std::map<ServiceName, policy::ReturnSchedule> returns {};
     std::map<ServiceName, policy::ServiceLoad> loads {};
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -85,6 +85,7 @@
     void noteBegun();
     void noteEvents(std::uint32_t count);
     void noteOutcome(const ForwardAttempt& attempt, bool failed, bool endpointEnded = false);
+    void learnReadingTime(std::chrono::nanoseconds elapsed); // From the time to the first event of the present attempt.
     void callerLeft();
 
     std::chrono::milliseconds timeLeft() const;
