Choose the first model by its expected worth, and take the worth of late answers and of each priority from the settings

Where a prompt is so long that the largest model is late after the smallest one, but in time alone, half of the requests lost their objective to the first step. With "modelBySize" ModelChoice::first compares the expected worth of both ways. The queue counts before the larger model only, as engines read prompts of small models first. Without the setting the choice is as before.

"lateWorth" was fixed at 0.5, and "worthByPriority" a factor, which fits no site whose priorities differ unevenly: it may be a list now, whose first entry also stands for worthPerThousandTokens in the price of engine time.

With the noting of sufficiency removed ForwarderModelTest.AsksTheSmallModelFirstWhereItsAnswersWereShown fails.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -51,6 +51,9 @@
         settings.cheapFirstBelow = tuning.smallFirstBelow;
         settings.worthPerThousandTokens = tuning.worthPerThousandTokens;
         settings.worthByPriority = tuning.worthByPriority;
+        settings.worthOfPriorities = tuning.worthOfPriorities;
+        settings.lateWorth = tuning.lateWorth;
+        settings.firstByValue = tuning.modelBySize;
         return settings;
     }
 
--- a/packages/policy/include/whinyard/policy/ModelChoice.h
+++ b/packages/policy/include/whinyard/policy/ModelChoice.h
@@ -24,16 +24,21 @@
     std::chrono::nanoseconds timeToFirstEvent { 0 }; // Left of the objective.
     std::chrono::nanoseconds queue { 0 }; // Before an engine reads another prompt, on average.
     std::vector<double> delayShares; // By each model; see EnginePrice::share().
+    double smallSuffices = 0.5; // Chance that the smallest model's answer is shown; see SufficiencyRates.
 };
 
 // Worth and costs have one unit, that of the operators' prices.
 struct ModelChoiceSettings {
     double cheapFirstBelow = 0; // Ask a smaller model first when it costs less than this share of the largest one.
+    // And when its expected value is the higher one: a long prompt may leave no time for a larger model after it.
+    bool firstByValue = false;
 
     // Worth of an answer for each thousand tokens generated, where those read count a quarter as in costs: of the most
     // urgent priority, and its factor for each further one. Operators set both.
     double worthPerThousandTokens = 1.2;
     double worthByPriority = 0.7;
+    // The same for each priority, the last one for all further ones. If given, it replaces both of the above.
+    std::vector<double> worthOfPriorities {};
 
     // The chance that an answer is good, by its stated confidence, is a logistic curve.
     double evenConfidence = 48; // At which the chance is a half.
@@ -56,6 +61,11 @@
 private:
     double chanceOfGood(std::uint32_t confidence) const;
 
+    double firstSmallValue(const ModelQuestion& question) const;
+
+    // Returns the worth of an answer for each thousand tokens generated.
+    double worthOf(std::uint8_t priority) const;
+
     // Returns what asking `model` is worth, as a share of a good answer in time.
     double valueOf(const ModelQuestion& question, std::size_t model, double chance) const;
 
--- a/packages/policy/src/ModelChoice.cpp
+++ b/packages/policy/src/ModelChoice.cpp
@@ -10,6 +10,14 @@
     constexpr double readShare = 0.25; // Of a generated token's cost, for a token that is read.
     constexpr double thousand = 1'000;
 
+    // Prices are stated relative to the most urgent priority.
+    ModelChoiceSettings withWorthOfFirst(ModelChoiceSettings settings)
+    {
+        if (!settings.worthOfPriorities.empty())
+            settings.worthPerThousandTokens = settings.worthOfPriorities.front();
+        return settings;
+    }
+
     double weightedThousands(const ModelQuestion& question)
     {
         return (question.promptTokens * readShare + question.answerTokens) / thousand;
@@ -18,7 +26,7 @@
 }
 
 ModelChoice::ModelChoice(const ModelChoiceSettings& settings)
-    : m_settings(settings)
+    : m_settings(withWorthOfFirst(settings))
 {
 }
 
@@ -28,7 +36,25 @@
     const bool mayStepUp = question.attemptsLeft > 1 && question.timeToFirstEvent.count() > 0;
     if (largest == 0 || !mayStepUp)
         return largest;
-    return question.costs.front() < m_settings.cheapFirstBelow * question.costs.back() ? 0 : largest;
+    if (question.costs.front() >= m_settings.cheapFirstBelow * question.costs.back())
+        return largest;
+    return m_settings.firstByValue && firstSmallValue(question) < valueOf(question, largest, 1) ? largest : 0;
+}
+
+// The smallest model's answer is shown, or a larger model is asked once it has begun. Engines read prompts of small models
+// first, so the queue stands before the larger model only.
+double ModelChoice::firstSmallValue(const ModelQuestion& question) const
+{
+    const std::size_t largest = question.costs.size() - 1;
+    const std::chrono::nanoseconds reading = question.readingTimes.empty() ? std::chrono::nanoseconds(0) : question.readingTimes.front();
+    ModelQuestion later = question;
+    later.timeToFirstEvent -= reading;
+    double afterStep = m_settings.poorWorth; // Of showing a poor answer.
+    for (std::size_t larger = 1; larger <= largest; ++larger)
+        afterStep = std::max(afterStep, valueOf(later, larger, larger == largest ? 1 : m_settings.middleGain));
+    later.timeToFirstEvent = std::chrono::nanoseconds::max();
+    const double spent = 1 - valueOf(later, 0, 1); // Cost and engine time of the smallest model, which are lost by a step.
+    return question.smallSuffices * valueOf(question, 0, 1) + (1 - question.smallSuffices) * (afterStep - spent);
 }
 
 double ModelChoice::chanceOfGood(std::uint32_t confidence) const
@@ -36,12 +62,20 @@
     return 1 / (1 + std::exp((m_settings.evenConfidence - confidence) / m_settings.confidenceScale));
 }
 
+double ModelChoice::worthOf(std::uint8_t priority) const
+{
+    const std::vector<double>& worths = m_settings.worthOfPriorities;
+    if (!worths.empty())
+        return worths[std::min<std::size_t>(priority, worths.size() - 1)];
+    return m_settings.worthPerThousandTokens * std::pow(m_settings.worthByPriority, priority);
+}
+
 double ModelChoice::valueOf(const ModelQuestion& question, std::size_t model, double chance) const
 {
     const std::chrono::nanoseconds reading = model < question.readingTimes.size() ? question.readingTimes[model] : std::chrono::nanoseconds(0);
     const bool isLate = question.queue + reading > question.timeToFirstEvent;
     const double inTime = isLate ? m_settings.lateWorth : 1;
-    const double rate = m_settings.worthPerThousandTokens * std::pow(m_settings.worthByPriority, question.priority);
+    const double rate = worthOf(question.priority);
     // Delays are stated as a share of what the engine makes by reading prompts of the most urgent priority.
     const double readPart = question.promptTokens * readShare / thousand / std::max(weightedThousands(question), readShare / thousand);
     const double largestReading = question.readingTimes.empty() ? 0 : std::chrono::duration<double>(question.readingTimes.back()).count();
--- a/packages/policy/test/ModelChoiceTest.cpp
+++ b/packages/policy/test/ModelChoiceTest.cpp
@@ -81,6 +81,93 @@
         EXPECT_EQ(choice.stepUp(late, 0, 0), 2U) << "a late answer is worth more than one that is most likely poor";
     }
 
+    // Of an engine that reads 112 tokens a millisecond, and a million token pairs in 0.154 ms, at a factor of 1.2.
+    ModelQuestion questionOf(std::uint32_t tokens)
+    {
+        ModelQuestion asked = question();
+        asked.promptTokens = tokens;
+        asked.readingTimes.clear();
+        for (const double factor : { 0.3, 0.8, 3.0 }) {
+            const double milliseconds = factor / 1.2 * (tokens / 112.0 + 0.154e-6 * tokens * tokens);
+            asked.readingTimes.emplace_back(static_cast<std::int64_t>(milliseconds * 1e6));
+        }
+        return asked;
+    }
+
+    ModelChoice choiceByValue()
+    {
+        ModelChoiceSettings chosen = settings();
+        chosen.firstByValue = true;
+        return ModelChoice(chosen);
+    }
+
+    // Within 2 s the largest model reads 48,700 tokens by itself, and 45,600 after the smallest one. Between these the steps
+    // of half of the requests would be late; beyond them the largest model alone is late as well.
+    TEST(ModelChoiceTest, AsksTheLargestFirstWhereOnlyItAloneIsInTime)
+    {
+        const ModelChoice byValue = choiceByValue();
+        for (const std::uint32_t tokens : { 1'000U, 12'000U, 30'000U, 45'000U, 50'000U, 60'000U }) {
+            EXPECT_EQ(byValue.first(questionOf(tokens)), 0U) << tokens;
+            EXPECT_EQ(choice.first(questionOf(tokens)), 0U) << tokens;
+        }
+        for (const std::uint32_t tokens : { 46'500U, 48'000U }) {
+            EXPECT_EQ(byValue.first(questionOf(tokens)), 2U) << tokens;
+            EXPECT_EQ(choice.first(questionOf(tokens)), 0U) << "off, the choice is as before";
+        }
+    }
+
+    TEST(ModelChoiceTest, AsksTheSmallestFirstWhereItMostlySuffices)
+    {
+        const ModelChoice byValue = choiceByValue();
+        ModelQuestion asked = questionOf(47'500);
+        asked.smallSuffices = 0.2;
+        EXPECT_EQ(byValue.first(asked), 2U);
+        asked.smallSuffices = 0.9;
+        EXPECT_EQ(byValue.first(asked), 0U);
+    }
+
+    // The largest model alone would make everything else wait that comes to its engine.
+    TEST(ModelChoiceTest, AsksTheSmallestFirstWhileEnginesAreShortOfTime)
+    {
+        const ModelChoice byValue = choiceByValue();
+        ModelQuestion asked = questionOf(47'500);
+        asked.delayShares = { 0.5, 0.5, 0.5 };
+        EXPECT_EQ(byValue.first(asked), 0U);
+        asked.delayShares = { 0, 0, 0 };
+        EXPECT_EQ(byValue.first(asked), 2U);
+    }
+
+    // A late answer that is worth as much as one in time is no reason against the smallest model.
+    TEST(ModelChoiceTest, WeighsLateAnswersAsItIsTold)
+    {
+        ModelChoiceSettings chosen = settings();
+        chosen.firstByValue = true;
+        chosen.lateWorth = 1;
+        EXPECT_EQ(ModelChoice(chosen).first(questionOf(47'500)), 0U);
+        chosen.lateWorth = 0.2;
+        EXPECT_EQ(ModelChoice(chosen).first(questionOf(47'500)), 2U);
+    }
+
+    TEST(ModelChoiceTest, TakesTheWorthOfEachPriority)
+    {
+        ModelChoiceSettings listed = settings();
+        listed.worthOfPriorities = { 3.6, 0.4 };
+        ModelChoiceSettings even = settings();
+        even.worthPerThousandTokens = 3.6;
+        even.worthByPriority = 0.4 / 3.6;
+        ModelQuestion asked = question();
+        asked.delayShares = { 0.1, 0.1, 0.1 };
+        for (std::uint32_t confidence = 0; confidence < 100; ++confidence) {
+            asked.priority = 0;
+            EXPECT_EQ(ModelChoice(listed).stepUp(asked, 0, confidence), ModelChoice(even).stepUp(asked, 0, confidence)) << confidence;
+            asked.priority = 1;
+            const auto second = ModelChoice(listed).stepUp(asked, 0, confidence);
+            EXPECT_EQ(second, ModelChoice(even).stepUp(asked, 0, confidence)) << confidence;
+            asked.priority = 2;
+            EXPECT_EQ(ModelChoice(listed).stepUp(asked, 0, confidence), second) << "the last worth holds for all further ones";
+        }
+    }
+
     // Twice the usual traffic while 40 in 100 engines are dark: the mean backlog passes an objective within three seconds.
     // The bound falls with it, from the one that is best on calm days (58 to 60) below the one that was best on this one (38 to 46).
     TEST(ModelChoiceTest, StepsUpLessTheMoreWaitsBeforeTheEngines)
--- a/packages/router/src/internal/ForwardChoice.cpp
+++ b/packages/router/src/internal/ForwardChoice.cpp
@@ -172,13 +172,16 @@
     question.attemptsLeft = route.maximumAttempts - std::min(route.maximumAttempts, m_sent);
     question.timeToFirstEvent = m_arrived + route.objective - now();
     question.queue = price.backlog();
+    question.smallSuffices = m_core.sufficiency.chance(route.name, m_request.promptTokens, now());
     return question;
 }
 
 void ForwardRun::chooseModel()
 {
-    if (m_request.leavesModelOpen && !m_admission.route->models.empty())
-        m_model = m_core.parts.models.first(modelQuestion());
+    if (!m_request.leavesModelOpen || m_admission.route->models.empty())
+        return;
+    m_model = m_core.parts.models.first(modelQuestion());
+    m_core.parts.metrics.add(m_model == 0U ? "whinyard_first_model_total{size=\"smallest\"}" : "whinyard_first_model_total{size=\"larger\"}");
 }
 
 bool ForwardRun::stepsUp(const ForwardAttempt& attempt)
@@ -187,6 +190,8 @@
         return false;
     const policy::ModelQuestion question = modelQuestion();
     const std::optional<std::size_t> larger = m_core.parts.models.stepUp(question, *m_model, attempt.reply().confidence);
+    if (asksSmallModel() && attempt.reply().confidence)
+        m_core.sufficiency.note(m_admission.route->name, m_request.promptTokens, !larger, now());
     if (!larger || !m_core.budgetOf(m_service).take(now(), stepPart))
         return false;
     log::info("larger model asked", { { "request", m_request.id }, { "confidence", std::to_string(attempt.reply().confidence.value_or(0)) }, { "from", model().value }, { "to", m_admission.route->models[*larger].value }, { "backlogMs", text(question.queue) }, { "elapsedMs", text(now() - m_arrived) } });
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -6,6 +6,7 @@
 #include "whinyard/policy/RetryPolicy.h"
 #include "whinyard/policy/ReturnSchedule.h"
 #include "whinyard/policy/StartForecast.h"
+#include "whinyard/policy/SufficiencyRates.h"
 #include "whinyard/router/Forwarder.h"
 
 #include <map>
@@ -119,6 +120,7 @@
     std::map<ServiceName, policy::RetryBudget> budgets {};
     std::map<ServiceName, policy::RetryBudget> moves {};
     std::map<ServiceName, policy::PromptRates> rates {};
+    policy::SufficiencyRates sufficiency {};
     std::map<ServiceName, policy::EnginePrice> prices {};
     std::map<ServiceName, policy::ReturnSchedule> returns {};
     std::map<ServiceName, policy::ServiceLoad> loads {};
--- /dev/null
+++ b/packages/router/test/ForwarderModelTest.cpp
@@ -0,0 +1,72 @@
+// Which model a request is sent to first, by the size of its prompt and by what was seen of the smallest model's answers.
+#include "whinyard/router/Forwarder.h"
+
+#include "whinyard/router/ForwarderFakes.h"
+
+#include <gtest/gtest.h>
+
+namespace whinyard::router {
+namespace {
+
+    // Before any sample the large model reads 30,700 tokens within the objective of a second, and 28,400 after the small one.
+    constexpr std::uint32_t largeAloneInTime = 29'500;
+    constexpr std::uint32_t bothInTime = 20'000;
+
+    class ForwarderModelTest : public ::testing::Test {
+    protected:
+        explicit ForwarderModelTest(bool firstByValue = true)
+            : m_bench(1, { .cheapFirstBelow = 1, .firstByValue = firstByValue }, { .delayShare = 0 })
+        {
+            config::Route& route = m_bench.useRoute(config::RequestKind::streaming, true);
+            route.models = { { "small" }, { "large" } };
+            route.isGenerative = true;
+            m_bench.publish();
+        }
+
+        // Returns the model that the request is sent to first. Its answer states the confidence.
+        std::string firstModel(std::uint32_t tokens, int confidence)
+        {
+            const std::size_t before = m_bench.client.requests.size();
+            m_bench.script(200, { { "id", "q" }, { "signed", "s" }, { "confidence", std::to_string(confidence) } }, { "id: 1\ndata: x\n\n" });
+            m_bench.script(200, { { "id", "q" }, { "signed", "t" }, { "confidence", "99" } }, { "id: 1\ndata: x\n\n" });
+            m_bench.send({ { "model", "any" }, { "tokens", std::to_string(tokens) } });
+            m_bench.client.exchanges.clear();
+            return m_bench.sent(before, "model");
+        }
+
+        ForwarderBench m_bench;
+    };
+
+    class ForwarderModelOffTest : public ForwarderModelTest {
+    protected:
+        ForwarderModelOffTest()
+            : ForwarderModelTest(false)
+        {
+        }
+    };
+
+    TEST_F(ForwarderModelTest, AsksTheLargeModelFirstWhereOnlyItAloneIsInTime)
+    {
+        EXPECT_EQ(firstModel(bothInTime, 60), "small");
+        EXPECT_EQ(firstModel(largeAloneInTime, 60), "large");
+    }
+
+    // The chance that the small model suffices would stay at one half if its answers were not noted, or only those of a step.
+    TEST_F(ForwarderModelTest, AsksTheSmallModelFirstWhereItsAnswersWereShown)
+    {
+        for (int i = 0; i < 20; ++i)
+            EXPECT_EQ(firstModel(bothInTime, 95), "small");
+        EXPECT_EQ(firstModel(largeAloneInTime, 95), "small");
+        for (int i = 0; i < 40; ++i)
+            firstModel(bothInTime, 10);
+        EXPECT_EQ(firstModel(largeAloneInTime, 95), "large");
+    }
+
+    TEST_F(ForwarderModelOffTest, AsksTheSmallModelFirstWhateverTheSize)
+    {
+        EXPECT_EQ(firstModel(largeAloneInTime, 60), "small");
+        EXPECT_EQ(firstModel(60'000, 60), "small");
+    }
+
+}
+}
--- a/packages/router/testing/whinyard/router/ForwarderFakes.h
+++ b/packages/router/testing/whinyard/router/ForwarderFakes.h
@@ -33,6 +33,8 @@
         request.key = field("key");
         request.session = field("session");
         request.leavesModelOpen = field("model") == "any";
+        if (!field("tokens").empty())
+            request.promptTokens = static_cast<std::uint32_t>(std::stoul(field("tokens")));
         if (!field("resume").empty())
             request.resumeAfter = std::stoull(field("resume"));
         if (!field("wait").empty())
@@ -96,9 +98,10 @@
 // One forwarder with two endpoints of one service.
 class ForwarderBench {
 public:
-    explicit ForwarderBench(std::uint64_t seed = 1)
+    explicit ForwarderBench(std::uint64_t seed = 1, const policy::ModelChoiceSettings& choice = { .cheapFirstBelow = 1 }, const policy::EnginePriceSettings& price = {})
         : directory({ "z" }, Random(seed))
-        , forwarder({ clock, metrics, source, codec, directory, shifts, models, queries, client, listening, fibers }, { .repeatRatio = 1, .repeatsPerSecond = 10 }, Random(seed + 1))
+        , models(choice)
+        , forwarder({ clock, metrics, source, codec, directory, shifts, models, queries, client, listening, fibers }, { .repeatRatio = 1, .repeatsPerSecond = 10, .enginePrice = price }, Random(seed + 1))
     {
         routing.services = { { { "svc" }, 100, 0, 0, 1, { { { "small" }, 0.02 }, { { "large" }, 0.25 } } } };
         routing.customers = { { { "school" }, { "k1" }, std::nullopt } };
@@ -199,7 +202,7 @@
     FakeCodec codec;
     endpoint::EndpointDirectory directory;
     policy::VersionShifts shifts;
-    policy::ModelChoice models { { .cheapFirstBelow = 1 } };
+    policy::ModelChoice models;
     policy::QueryOfDeathTable queries;
     endpoint::FakeHttpClient client;
     FakeListenProbe listening;
--- a/packages/settings/include/whinyard/settings/EntryTuning.h
+++ b/packages/settings/include/whinyard/settings/EntryTuning.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace whinyard::settings {
 
@@ -21,6 +22,11 @@
     // the unit of the models' costs; and its factor for each further priority.
     double worthPerThousandTokens = 1.2;
     double worthByPriority = 0.7;
+    std::vector<double> worthOfPriorities; // Of each priority, the last one for all further ones; replaces both of the above.
+    double lateWorth = 0.5; // Of a late answer, as a share of one in time.
+    // Choices consider that the time of a prompt depends on its size: which model is asked first, and where prompts go that
+    // stall others.
+    bool modelBySize = false;
     // What others lose when an engine is behind by one objective, as a share of the worth that it makes in the same time.
     double delayShare = 1.6;
     // An endpoint of the own zone is taken while its expected wait is at most this many times the best one's.
--- a/packages/settings/include/whinyard/settings/JsonReader.h
+++ b/packages/settings/include/whinyard/settings/JsonReader.h
@@ -84,6 +84,9 @@
     void boolean(std::string_view key, bool& target, Presence presence);
     void number(std::string_view key, double& target, Presence presence, Range<double> range);
 
+    // Reads a list of numbers, at least one. Returns false, and does nothing, if the key doesn't hold a list.
+    bool numbers(std::string_view key, std::vector<double>& target, Range<double> range);
+
     // Reads a list of names, each at most once.
     void nameTexts(std::string_view key, std::vector<std::string>& target, Presence presence);
 
--- a/packages/settings/src/EntryTuning.cpp
+++ b/packages/settings/src/EntryTuning.cpp
@@ -12,13 +12,17 @@
     using std::chrono::milliseconds;
 
     constexpr double leastWorth = 0.001;
+    constexpr double greatestWorth = 1'000;
 
     EntryTuning readTuning(JsonObject& object)
     {
         EntryTuning tuning;
         object.number("smallFirstBelow", tuning.smallFirstBelow, Presence::optional, { 0, 1 });
-        object.number("worthPerThousandTokens", tuning.worthPerThousandTokens, Presence::optional, { leastWorth, 1'000 });
-        object.number("worthByPriority", tuning.worthByPriority, Presence::optional, { leastWorth, 1 });
+        object.number("worthPerThousandTokens", tuning.worthPerThousandTokens, Presence::optional, { leastWorth, greatestWorth });
+        if (!object.numbers("worthByPriority", tuning.worthOfPriorities, { leastWorth, greatestWorth }))
+            object.number("worthByPriority", tuning.worthByPriority, Presence::optional, { leastWorth, 1 });
+        object.number("lateWorth", tuning.lateWorth, Presence::optional, { 0, 1 });
+        object.boolean("modelBySize", tuning.modelBySize, Presence::optional);
         object.number("delayShare", tuning.delayShare, Presence::optional, { 0, 100 });
         object.number("zoneFactor", tuning.zoneFactor, Presence::optional, { 0, 100 });
         object.milliseconds("zonePenaltyMs", tuning.zonePenalty, Presence::optional, { milliseconds(0), milliseconds(10'000) });
--- a/packages/settings/test/EntryTuningTest.cpp
+++ b/packages/settings/test/EntryTuningTest.cpp
@@ -15,6 +15,35 @@
         EXPECT_EQ(tuning->logLevel, "info");
     }
 
+    TEST(EntryTuningTest, TakesAFactorOrTheWorthOfEachPriority)
+    {
+        Failure failure;
+        const auto factor = parseEntryTuning(R"({"worthByPriority": 0.6, "lateWorth": 0.3, "modelBySize": true})", "t.json", failure);
+        ASSERT_TRUE(factor) << failure.reason;
+        EXPECT_EQ(factor->worthByPriority, 0.6);
+        EXPECT_TRUE(factor->worthOfPriorities.empty());
+        EXPECT_EQ(factor->lateWorth, 0.3);
+        EXPECT_TRUE(factor->modelBySize);
+        const auto list = parseEntryTuning(R"({"worthByPriority": [3.6, 1.5, 0.8]})", "t.json", failure);
+        ASSERT_TRUE(list) << failure.reason;
+        EXPECT_EQ(list->worthOfPriorities, (std::vector<double> { 3.6, 1.5, 0.8 }));
+        EXPECT_EQ(list->lateWorth, 0.5);
+        EXPECT_FALSE(list->modelBySize) << "new choices are off unless they are asked for";
+    }
+
+    // A worth of zero would divide by zero, and an empty list names no priority at all.
+    TEST(EntryTuningTest, NamesFaultyWorths)
+    {
+        Failure failure;
+        EXPECT_FALSE(parseEntryTuning(R"({"worthByPriority": [3.6, 0, "x"], "lateWorth": 1.1, "modelBySize": 1, "unheardOf": 1})", "t.json", failure));
+        for (const char* part : { "/worthByPriority/1", "/worthByPriority/2", "/lateWorth", "/modelBySize", "/unheardOf" })
+            EXPECT_NE(failure.reason.find(part), std::string::npos) << part << " in " << failure.reason;
+        EXPECT_EQ(failure.reason.find("/worthByPriority/0"), std::string::npos) << failure.reason;
+        EXPECT_FALSE(parseEntryTuning(R"({"worthByPriority": []})", "t.json", failure));
+        EXPECT_NE(failure.reason.find("/worthByPriority"), std::string::npos) << failure.reason;
+        EXPECT_FALSE(parseEntryTuning(R"({"worthByPriority": 1.1})", "t.json", failure)) << "as a factor it is at most 1";
+    }
+
     TEST(EntryTuningTest, NamesEveryFault)
     {
         Failure failure;
