Count where prompts that stall others go

An operator could not see how often such prompts leave the engines meant for them; the counter tells both places apart.

Tested: router tests (168) passed.

--- a/packages/router/src/internal/ForwardChoice.cpp
+++ b/packages/router/src/internal/ForwardChoice.cpp
@@ -95,6 +95,8 @@
     for (const std::string& version : versions) {
         wished.version = targetName(m_service, version);
         std::optional<endpoint::ChosenEndpoint> chosen = m_core.parts.directory.choose(wished, now(), failure);
+        if (chosen && wished.stallsOthers)
+            m_core.parts.metrics.add(chosen->plan.reason == policy::ChoiceReason::affinity ? "whinyard_stalling_prompts_total{place=\"group\"}" : "whinyard_stalling_prompts_total{place=\"other\"}");
         if (chosen)
             return AttemptTarget { m_service, version, std::move(*chosen), wished.prefix };
     }
--- a/packages/router/test/ForwarderModelTest.cpp
+++ b/packages/router/test/ForwarderModelTest.cpp
@@ -88,7 +88,9 @@
             used.push_back(bench.sent(i, "endpoint"));
         }
         EXPECT_NE(used[0], used[1]);
-        return used[2] != used[0] && used[2] != used[1];
+        const bool leaves = used[2] != used[0] && used[2] != used[1];
+        EXPECT_EQ(bench.metrics.counter("whinyard_stalling_prompts_total{place=\"other\"}"), leaves ? 1U : 0U);
+        return leaves;
     }
 
     // The third prompt would begin 1,820 ms after its arrival at an engine of the group.
