--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -51,6 +51,9 @@
         settings.cheapFirstBelow = tuning.smallFirstBelow;
         settings.worthPerThousandTokens = tuning.worthPerThousandTokens;
         settings.worthByPriority = tuning.worthByPriority;
+        settings.worthOfPriorities = tuning.worthOfPriorities;
+        settings.lateWorth = tuning.lateWorth;
+        settings.firstByValue = tuning.modelBySize;
         return settings;
     }
 
@@ -62,6 +65,7 @@
         settings.regionPenalty = tuning.regionPenalty;
         settings.affinityCachedShare = tuning.affinityCachedShare;
         settings.rereadPenalty = tuning.rereadPenalty;
+        settings.leavesLateGroup = tuning.modelBySize;
         settings.randomChoices = tuning.randomChoices;
         settings.fullScanLimit = tuning.fullScanLimit;
         settings.sharesPaces = tuning.sharePaces;
--- a/packages/policy/src/internal/Candidates.h
+++ b/packages/policy/src/internal/Candidates.h
@@ -1,4 +1,4 @@
-// The endpoints that one decision compares.
+// The endpoints that the rule of least expected wait compares.
 #pragma once
 
 #include "whinyard/policy/EndpointChoice.h"
@@ -9,9 +9,6 @@
 
 namespace whinyard::policy {
 
-inline constexpr std::size_t maximumCandidates = 32;
-
-// An endpoint that a decision compares with others.
 struct Candidate {
     EndpointIndex endpoint;
     ChoiceReason reason;
@@ -35,6 +32,8 @@
     std::span<const Candidate> list() const { return { m_list.data(), m_count }; }
 
 private:
+    static constexpr std::size_t maximumCandidates = 32;
+
     std::array<Candidate, maximumCandidates> m_list;
     std::size_t m_count = 0;
 };
--- a/packages/router/src/internal/ForwardChoice.cpp
+++ b/packages/router/src/internal/ForwardChoice.cpp
@@ -54,11 +54,13 @@
         wish.affinity = wish.prefix[wish.prefix.size() - 2];
     wish.promptTokens = m_request.promptTokens;
     if (m_admission.route->isGenerative) {
-        wish.tokenTime = m_core.rates.tokenTime(model(), costOf(model()));
+        wish.tokenTime = m_core.ratesOf(m_service).meanTokenTime(model(), costOf(model()), m_request.promptTokens);
         wish.prefixShares = prefixShares();
         wish.stallsOthers = wish.tokenTime * m_request.promptTokens > m_admission.route->pauseObjective * stallingPart;
         if (wish.stallsOthers)
             wish.affinity = stableHash(stallingGroup);
+        if (!m_streaming)
+            wish.firstEventDue = m_arrived + m_admission.route->objective;
     }
     wish.mayProbe = repeatable();
     wish.excluded = m_tried;
@@ -93,6 +95,8 @@
     for (const std::string& version : versions) {
         wished.version = targetName(m_service, version);
         std::optional<endpoint::ChosenEndpoint> chosen = m_core.parts.directory.choose(wished, now(), failure);
+        if (chosen && wished.stallsOthers)
+            m_core.parts.metrics.add(chosen->plan.reason == policy::ChoiceReason::affinity ? "whinyard_stalling_prompts_total{place=\"group\"}" : "whinyard_stalling_prompts_total{place=\"other\"}");
         if (chosen)
             return AttemptTarget { m_service, version, std::move(*chosen), wished.prefix };
     }
@@ -158,12 +162,13 @@
 {
     const config::Route& route = *m_admission.route;
     const policy::EnginePrice& price = m_core.priceOf(m_service);
+    const policy::PromptRates& rates = m_core.ratesOf(m_service);
     policy::ModelQuestion question;
     question.priority = route.priority;
     for (const ModelName& name : route.models) {
         const double cost = costOf(name);
         question.costs.push_back(cost);
-        question.readingTimes.push_back(m_core.rates.tokenTime(name, cost) * m_request.promptTokens);
+        question.readingTimes.push_back(rates.readingTime(name, cost, m_request.promptTokens));
         question.delayShares.push_back(price.share(question.readingTimes.back(), route.objective));
     }
     question.promptTokens = m_request.promptTokens;
@@ -171,13 +176,16 @@
     question.attemptsLeft = route.maximumAttempts - std::min(route.maximumAttempts, m_sent);
     question.timeToFirstEvent = m_arrived + route.objective - now();
     question.queue = price.backlog();
+    question.smallSuffices = m_core.sufficiency.chance(route.name, m_request.promptTokens, now());
     return question;
 }
 
 void ForwardRun::chooseModel()
 {
-    if (m_request.leavesModelOpen && !m_admission.route->models.empty())
-        m_model = m_core.parts.models.first(modelQuestion());
+    if (!m_request.leavesModelOpen || m_admission.route->models.empty())
+        return;
+    m_model = m_core.parts.models.first(modelQuestion());
+    m_core.parts.metrics.add(m_model == 0U ? "whinyard_first_model_total{size=\"smallest\"}" : "whinyard_first_model_total{size=\"larger\"}");
 }
 
 bool ForwardRun::stepsUp(const ForwardAttempt& attempt)
@@ -186,6 +194,8 @@
         return false;
     const policy::ModelQuestion question = modelQuestion();
     const std::optional<std::size_t> larger = m_core.parts.models.stepUp(question, *m_model, attempt.reply().confidence);
+    if (asksSmallModel() && attempt.reply().confidence)
+        m_core.sufficiency.note(m_admission.route->name, m_request.promptTokens, !larger, now());
     if (!larger || !m_core.budgetOf(m_service).take(now(), stepPart))
         return false;
     log::info("larger model asked", { { "request", m_request.id }, { "confidence", std::to_string(attempt.reply().confidence.value_or(0)) }, { "from", model().value }, { "to", m_admission.route->models[*larger].value }, { "backlogMs", text(question.queue) }, { "elapsedMs", text(now() - m_arrived) } });
--- a/packages/router/testing/whinyard/router/ForwarderFakes.h
+++ b/packages/router/testing/whinyard/router/ForwarderFakes.h
@@ -32,9 +32,11 @@
         request.path = net::pathOf(message.target);
         request.key = field("key");
         request.session = field("session");
-        if (!field("tokens").empty())
-            request.promptTokens = static_cast<std::uint32_t>(std::stoul(field("tokens")));
         request.leavesModelOpen = field("model") == "any";
+        if (!field("tokens").empty()) {
+            request.promptTokens = static_cast<std::uint32_t>(std::stoul(field("tokens")));
+            request.promptParts = { { stableHash("shared"), 0 }, { stableHash(request.id), request.promptTokens } };
+        }
         if (!field("resume").empty())
             request.resumeAfter = std::stoull(field("resume"));
         if (!field("wait").empty())
