--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -13,8 +13,8 @@
 #include "whinyard/endpoint/EngineClient.h"
 #include "whinyard/policy/Cascade.h"
 #include "whinyard/policy/EndpointChoice.h"
-#include "whinyard/policy/PlacePool.h"
 #include "whinyard/policy/EnginePaces.h"
+#include "whinyard/policy/PlacePool.h"
 #include "whinyard/policy/StatedRates.h"
 
 #include <chrono>
