--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -13,6 +13,8 @@
 #include "whinyard/endpoint/EngineClient.h"
 #include "whinyard/policy/Cascade.h"
 #include "whinyard/policy/EndpointChoice.h"
+#include "whinyard/policy/EnginePaces.h"
+#include "whinyard/policy/PlacePool.h"
 #include "whinyard/policy/StatedRates.h"
 
 #include <chrono>
@@ -37,6 +39,7 @@
     SteadyTime deadline = SteadyTime::max();
     std::chrono::nanoseconds tokenTime { 0 }; // See policy::EndpointRequest.
     bool stallsOthers = false;
+    SteadyTime firstEventDue = SteadyTime::max();
     std::vector<float> prefixShares;
     std::vector<EndpointName> excluded; // Tried already.
     config::Residency residency; // Only endpoints of these regions may get the request.
@@ -127,6 +130,19 @@
     // the deadline, with the time to come back.
     std::optional<ChosenEndpoint> choose(const EndpointWish& wish, SteadyTime now, Failure& failure);
 
+    // Returns the endpoint as choose() does, where a request with this wish may be sent to it now: it is live, its zone isn't
+    // evacuated, the wish neither excludes it nor keeps out of its region, and it takes a request of this instance. Its
+    // health isn't asked: who names it knows of the failures that other instances had there.
+    std::optional<ChosenEndpoint> chooseNamed(const EndpointName& name, const EndpointWish& wish, SteadyTime now) const;
+
+    // Returns the endpoints of a version that are live and not in an evacuated zone. Those that don't say how many requests
+    // they run at once have no slots.
+    std::vector<policy::PooledEndpoint> liveEndpoints(const VersionName& version) const;
+
+    // Returns the slots of the service's endpoints that are live and not in an evacuated zone, where they are fewer than
+    // `bound`; nothing where they aren't, there are none, or one doesn't say how many it has. The cost grows with the bound.
+    std::optional<std::uint64_t> slotsBelow(const ServiceName& service, std::uint64_t bound) const;
+
     // Counts an attempt that is being sent, the time to its first byte, that it still waits after policy::patienceFor(),
     // and its end.
     void recordDispatch(const EndpointName& endpoint, const std::vector<std::uint64_t>& prefix, SteadyTime now);
@@ -134,7 +150,26 @@
     void recordExpectation(const EndpointName& endpoint, std::chrono::nanoseconds elapsed, std::chrono::nanoseconds expected, SteadyTime now);
     void recordQueued(const EndpointName& endpoint, SteadyTime now);
 
-    // Notes that an engine was given a prompt whose reading takes `work`, by this instance or another one.
+    // Takes the time to the first event of a request to `chosen`, where it shows how fast the engine is. Does nothing, as the
+    // functions below, unless the selector's settings share the paces of engines.
+    void recordPace(const ChosenEndpoint& chosen, const ModelName& model, std::chrono::nanoseconds elapsed, SteadyTime now);
+
+    // Takes what another instance tells of an engine's pace.
+    void takePaceNews(const policy::PaceNews& news, SteadyTime now);
+
+    // Returns the sums of own samples to tell the others, of at most so many engines. Returns some twice a second at most.
+    std::vector<policy::PaceNews> takePaceNewsToTell(std::size_t most, SteadyTime now) { return m_paces.takeNews(most, now); }
+
+    // Returns which engines began or ended to count as slow since the last call.
+    std::vector<policy::PaceChange> takePaceChanges() { return m_paces.takeChanges(); }
+
+    // Returns how many engines count as slow.
+    std::size_t slowEngines() const { return m_paces.slowEngines(); }
+
+    // Returns the engine's prefill time as a multiple of an ordinary engine's, as the choices use it.
+    double pace(const EndpointName& endpoint) const;
+
+    // Notes that an engine was given a prompt whose reading takes an ordinary engine `work`, by this instance or another one.
     void recordWork(const EndpointName& endpoint, std::chrono::nanoseconds work, SteadyTime now);
 
     // Notes that an engine holds the memory of these prefixes, by the word of another instance.
@@ -185,6 +220,8 @@
     std::vector<policy::ZoneIndex> zonesOf(const config::Residency& residency) const;
     std::vector<policy::ZoneIndex> zonesOfOwnRegion() const;
     void useRate(const EndpointName& endpoint);
+    void usePacesOf(const std::vector<backing::ListedEndpoint>& changed, const std::vector<EndpointName>& gone);
+    void refreshPaces(SteadyTime now);
 
     ZoneName m_zone;
     std::map<ZoneName, RegionName> m_regions; // Of each zone.
@@ -196,6 +233,9 @@
     std::set<ZoneName> m_evacuated;
     std::map<ServiceName, ColdBound> m_coldBounds;
     policy::StatedRates m_rates;
+    const bool m_sharesPaces;
+    policy::EnginePaces m_paces; // Without engines where paces aren't shared.
+    std::vector<EndpointName> m_paced; // Whose pace in the table isn't that of an ordinary engine.
     std::vector<EndpointName> m_refusals;
 };
 
--- a/packages/policy/include/whinyard/policy/EndpointChoice.h
+++ b/packages/policy/include/whinyard/policy/EndpointChoice.h
@@ -35,6 +35,7 @@
     // Reading this prompt stalls the streams that run beside it. Such requests are kept together, on the few endpoints that
     // the affinity names, while these aren't too busy.
     bool stallsOthers = false;
+    SteadyTime firstEventDue = SteadyTime::max(); // When its answer is late. The latest time: that isn't known.
     std::span<const float> prefixShares; // Of the prompt, up to the end of each part of `prefix`; empty: equal parts.
     std::span<const EndpointIndex> excluded; // Endpoints that this request has tried already.
 };
@@ -47,6 +48,7 @@
     otherZone, // The same, but in another availability zone, since the own one is overloaded or empty.
     onlyCandidate,
     probe, // Tries out an endpoint whose ejection ended.
+    granted, // The coordinator of a scarce service named it.
     allEjected, // Every endpoint is ejected; the least loaded is tried rather than none.
     askedToWait, // None: every endpoint asked for no new work before a later time.
     noEndpoint, // None: no endpoint serves the target, or all were tried already.
@@ -61,10 +63,12 @@
 struct EndpointPlan {
     EndpointIndex endpoint = noEndpointIndex;
     ChoiceReason reason = ChoiceReason::noEndpoint;
-    std::chrono::microseconds expectedWait { 0 }; // Until the first byte.
+    std::chrono::microseconds expectedWait { 0 }; // Until the first byte, at this endpoint.
     std::chrono::microseconds cautiousWait { 0 }; // Not exceeded by about 19 of 20 requests.
     std::chrono::microseconds soundWait { 0 }; // As expectedWait, if the endpoint were as fast as others are.
-    std::chrono::microseconds unqueuedWait { 0 }; // If a slot is free: the prompt's work and a step.
+    std::chrono::microseconds unqueuedWait { 0 }; // The same if a slot is free: the prompt's work and a step.
+    std::uint32_t unreadTokens = 0; // Of the prompt, that the endpoint is believed not to hold.
+    bool showsPace = false; // The time to the first event will show how fast the engine is.
 
     explicit operator bool() const { return endpoint != noEndpointIndex; }
 };
@@ -87,12 +91,22 @@
     std::chrono::nanoseconds rereadPenalty { 0 };
     double stalledPart = 0.1; // Of the endpoints, that take the requests that stall others; at least affinityChoices.
     std::chrono::microseconds stallPenalty { 2'000'000 }; // Added to the wait of such a request at any other endpoint.
+    bool leavesLateGroup = false; // Such a request goes to any other endpoint that is in time where those would be too late.
     double affinityCachedShare = 0.5; // Of a prompt that an affine endpoint is taken to hold.
     double zoneFactor = 1.5; // The own zone is kept while its load is at most this many times the other's.
     std::chrono::microseconds zonePenalty { 1'500 }; // One more way between zones, there and back.
     std::chrono::microseconds regionPenalty { 0 }; // The same between regions, beside the one above.
     std::chrono::nanoseconds prefillPerToken { 50'000 }; // Of a prompt's token that isn't cached.
     double probeShare = 0.05; // Of the decisions that may probe while an endpoint waits for a probe.
+    // An engine's prefill time is weighed by the pace that all instances have learnt, in place of this instance's own slowness.
+    bool sharesPaces = false;
+    // A request shows an engine's pace if as many tokens at least are to be read, the prefill takes so long at least, and of it
+    // the wait before takes this part at most: the rest of the time is the same at every engine. A prompt of which a larger share
+    // is taken for cached shows whether it is. At this share a wrong belief lengthens the time by a third.
+    std::uint32_t paceTokens = 1'000;
+    std::chrono::microseconds pacePrefill { 30'000 };
+    double paceWaitShare = 0.1;
+    double paceCachedShare = 0.25;
 };
 
 // The rule that the router uses: the least expected wait among a few candidates (see docs/DECISIONS.md).
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -132,8 +132,10 @@
 {
     const endpoint::FramedEvents events = framer.feed(bytes);
     if (events.count > 0) {
-        if (!m_firstEventAt)
+        if (!m_firstEventAt) {
             attempt.firstByte();
+            notePace(attempt);
+        }
         noteEvents(events.count);
         if (!m_streaming) {
             m_streaming = true;
@@ -146,6 +148,13 @@
     return !events.outOfOrder && !m_callerLeft;
 }
 
+// An attempt that takes up a stream or was given up for its silence says little of its engine's speed.
+void ForwardRun::notePace(const ForwardAttempt& attempt)
+{
+    if (!m_lastEvent && !m_stalled)
+        m_core.parts.directory.recordPace(attempt.target().endpoint, model(), attempt.age(), now());
+}
+
 void ForwardRun::noteEvents(std::uint32_t count)
 {
     const SteadyTime at = now();
@@ -159,6 +168,16 @@
     m_events += count;
 }
 
+void ForwardRun::learnReadingTime(std::chrono::nanoseconds elapsed)
+{
+    policy::PromptRates& rates = m_core.ratesOf(m_service);
+    if (!rates.learn(model(), costOf(model()), m_request.promptTokens, elapsed))
+        return;
+    constexpr double thousand = 1'000;
+    m_core.parts.metrics.set("whinyard_prefill_ratio{service=\"" + m_service.value + "\"}", rates.ratio() * thousand);
+    log::info("prefill curve changed", { { "service", m_service.value }, { "ratioPerThousandTokens", std::to_string(rates.ratio() * thousand) } });
+}
+
 void ForwardRun::noteOutcome(const ForwardAttempt& attempt, bool failed, bool endpointEnded)
 {
     policy::VersionOutcome outcome;
@@ -170,7 +189,7 @@
     const SteadyTime end = m_firstEventAt.value_or(now());
     const auto began = now() - attempt.age();
     if (!failed && !m_stalled && m_admission.route->isGenerative && attempt.target().endpoint.plan.reason != policy::ChoiceReason::cachedPrefix)
-        m_core.rates.learn(model(), costOf(model()), m_request.promptTokens, end - began);
+        learnReadingTime(end - began);
     outcome.time = std::chrono::duration_cast<std::chrono::microseconds>(end - began);
     // What is known of the endpoint's own slowness must not excuse its version.
     outcome.expected = attempt.target().endpoint.plan.soundWait;
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -6,6 +6,7 @@
 #include "whinyard/policy/RetryPolicy.h"
 #include "whinyard/policy/ReturnSchedule.h"
 #include "whinyard/policy/StartForecast.h"
+#include "whinyard/policy/SufficiencyRates.h"
 #include "whinyard/router/Forwarder.h"
 
 #include <map>
@@ -63,6 +64,8 @@
         return prices.try_emplace(service, settings.enginePrice).first->second;
     }
 
+    policy::PromptRates& ratesOf(const ServiceName& service) { return rates.try_emplace(service).first->second; }
+
     double repeatsWithoutRequests()
     {
         return settings.repeatsPerSecond * static_cast<double>(policy::RetryBudget::window.count()) + sharedRepeats.part(parts.clock.now());
@@ -116,7 +119,8 @@
     std::shared_ptr<const config::RoutingTable> table {}; // Whose bounds the directory knows.
     std::map<ServiceName, policy::RetryBudget> budgets {};
     std::map<ServiceName, policy::RetryBudget> moves {};
-    policy::PromptRates rates {};
+    std::map<ServiceName, policy::PromptRates> rates {};
+    policy::SufficiencyRates sufficiency {};
     std::map<ServiceName, policy::EnginePrice> prices {};
     std::map<ServiceName, policy::ReturnSchedule> returns {};
     std::map<ServiceName, policy::ServiceLoad> loads {};
--- a/packages/router/testing/whinyard/router/ForwarderFakes.h
+++ b/packages/router/testing/whinyard/router/ForwarderFakes.h
@@ -33,6 +33,10 @@
         request.key = field("key");
         request.session = field("session");
         request.leavesModelOpen = field("model") == "any";
+        if (!field("tokens").empty()) {
+            request.promptTokens = static_cast<std::uint32_t>(std::stoul(field("tokens")));
+            request.promptParts = { { stableHash("shared"), 0 }, { stableHash(request.id), request.promptTokens } };
+        }
         if (!field("resume").empty())
             request.resumeAfter = std::stoull(field("resume"));
         if (!field("wait").empty())
@@ -93,12 +97,21 @@
     }
 };
 
+// What a test may set of a bench.
+struct ForwarderBenchParts {
+    PlaceBroker* places = nullptr;
+    policy::WaitSelectorSettings selector {};
+    policy::ModelChoiceSettings choice { .cheapFirstBelow = 1 };
+    policy::EnginePriceSettings price {};
+};
+
 // One forwarder with two endpoints of one service.
 class ForwarderBench {
 public:
-    explicit ForwarderBench(std::uint64_t seed = 1)
-        : directory({ "z" }, Random(seed))
-        , forwarder({ clock, metrics, source, codec, directory, shifts, models, queries, client, listening, fibers }, { .repeatRatio = 1, .repeatsPerSecond = 10 }, Random(seed + 1))
+    explicit ForwarderBench(std::uint64_t seed = 1, const ForwarderBenchParts& parts = {})
+        : directory({ "z" }, Random(seed), {}, parts.selector)
+        , models(parts.choice)
+        , forwarder({ clock, metrics, source, codec, directory, shifts, models, queries, client, listening, fibers, nullptr, nullptr, parts.places }, { .repeatRatio = 1, .repeatsPerSecond = 10, .enginePrice = parts.price }, Random(seed + 1))
     {
         routing.services = { { { "svc" }, 100, 0, 0, 1, { { { "small" }, 0.02 }, { { "large" }, 0.25 } } } };
         routing.customers = { { { "school" }, { "k1" }, std::nullopt } };
@@ -199,7 +212,7 @@
     FakeCodec codec;
     endpoint::EndpointDirectory directory;
     policy::VersionShifts shifts;
-    policy::ModelChoice models { { .cheapFirstBelow = 1 } };
+    policy::ModelChoice models;
     policy::QueryOfDeathTable queries;
     endpoint::FakeHttpClient client;
     FakeListenProbe listening;
--- a/packages/settings/include/whinyard/settings/EntryTuning.h
+++ b/packages/settings/include/whinyard/settings/EntryTuning.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace whinyard::settings {
 
@@ -21,6 +22,11 @@
     // the unit of the models' costs; and its factor for each further priority.
     double worthPerThousandTokens = 1.2;
     double worthByPriority = 0.7;
+    std::vector<double> worthOfPriorities; // Of each priority, the last one for all further ones; replaces both of the above.
+    double lateWorth = 0.5; // Of a late answer, as a share of one in time.
+    // Choices consider that the time of a prompt depends on its size: which model is asked first, and where prompts go that
+    // stall others.
+    bool modelBySize = false;
     // What others lose when an engine is behind by one objective, as a share of the worth that it makes in the same time.
     double delayShare = 1.6;
     // A prompt's own reading counts in this only as far as the service's engines are busy.
@@ -39,6 +45,10 @@
     std::uint32_t randomChoices = 2;
     // Endpoints of a version up to which all are compared.
     std::uint32_t fullScanLimit = 64;
+    // Whether the slots of a plain service with fewer of them than there are instances are granted by one instance.
+    bool sharePlaces = false;
+    // Instances learn the relative speeds of engines together, and weigh prefill times by them.
+    bool sharePaces = false;
     std::string logLevel = "info";
 };
 
