Account the KV cache of engines in the choice of an endpoint

Cause: no part knows how full engines' memory is. Long prompts that affinity keeps together on a few engines overfill these, and the engines preempt requests that they run.

The selector keeps a request away from engines that it would fill above 0.9 of the capacity; where none has room it names the engine with the most room and the wait, or refuses with the time of room, or at once if no engine ever holds the request. Off unless a capacity is set.

--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -17,6 +17,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -40,6 +41,8 @@
     std::vector<float> prefixShares;
     std::vector<EndpointName> excluded; // Tried already.
     config::Residency residency; // Only endpoints of these regions may get the request.
+    std::uint32_t neededTokens = 0; // Of an engine's memory; see policy::EndpointRequest for these two.
+    SteadyTime roomBy = SteadyTime::max();
 };
 
 // The endpoint that was chosen.
@@ -92,6 +95,10 @@
     // Takes what the cold endpoints of each service bear; one that isn't named bears any number of requests.
     void useColdBounds(const std::map<ServiceName, ColdBound>& bounds);
 
+    // Takes how many tokens the KV cache of each service's engines holds; of one that isn't named it isn't accounted. See
+    // policy::EngineMemory.
+    void useCacheTokens(const std::map<ServiceName, std::uint64_t>& tokens);
+
     // Takes the instances that live, which share what endpoints under a quota take. See policy::EndpointQuotas.
     void useInstances(const InstanceName& self, const std::vector<InstanceName>& instances) { m_table.quotas().useInstances(self, instances); }
 
@@ -127,6 +134,26 @@
     // the deadline, with the time to come back.
     std::optional<ChosenEndpoint> choose(const EndpointWish& wish, SteadyTime now, Failure& failure);
 
+    // Returns the plan of the last choice.
+    const policy::EndpointPlan& lastPlan() const { return m_lastPlan; }
+
+    // Returns how many tokens the KV cache of an engine for this wish holds; 0 if it is unknown.
+    std::uint32_t cacheTokens(const EndpointWish& wish) const;
+
+    // Counts the memory of a request that is sent to an engine, until releaseMemory(). See policy::EngineMemory::begin().
+    policy::EngineMemory::Hold holdMemory(const EndpointName& endpoint, std::uint32_t tokens, SteadyTime until, double toldTo);
+    void releaseMemory(const policy::EngineMemory::Hold& hold) { m_table.memory().end(hold); }
+
+    // Takes another instance's word of a request that it has sent to an engine.
+    void takeMemoryNews(const EndpointName& endpoint, std::uint32_t tokens, std::chrono::nanoseconds duration, SteadyTime now);
+
+    // Calls `tell` with the name of the engine, the tokens and the next expected end of each own request that runs on after its
+    // expected end, to tell other instances. See policy::EngineMemory::takeOverdue().
+    void tellOverdue(const std::function<void(const EndpointName&, std::uint32_t, std::chrono::nanoseconds)>& tell);
+
+    // Returns the believed shares of engines' memory in use.
+    policy::EngineMemory::Shares memoryShares(SteadyTime now) const { return m_table.memory().shares(now); }
+
     // Counts an attempt that is being sent, the time to its first byte, that it still waits after policy::patienceFor(),
     // and its end.
     void recordDispatch(const EndpointName& endpoint, const std::vector<std::uint64_t>& prefix, SteadyTime now);
@@ -192,6 +219,8 @@
     std::map<ServiceName, std::map<VersionName, int>> m_live; // How many endpoints of each version are listed and don't leave.
     std::set<ZoneName> m_evacuated;
     std::map<ServiceName, ColdBound> m_coldBounds;
+    std::map<ServiceName, std::uint64_t> m_cacheTokens;
+    policy::EndpointPlan m_lastPlan;
     policy::StatedRates m_rates;
     std::vector<EndpointName> m_refusals;
 };
--- a/packages/endpoint/src/EndpointDirectory.cpp
+++ b/packages/endpoint/src/EndpointDirectory.cpp
@@ -12,13 +12,20 @@
     // Stands for the time to an answer that nobody can give.
     constexpr std::chrono::hours unreachable { 1 };
 
+    // Only another configuration lets such a request be served.
+    constexpr std::chrono::milliseconds tooLargeUntil { 30'000 };
+
     // Names the refusal that a plan without an endpoint stands for.
     Failure refusalOf(const policy::EndpointPlan& plan, const std::string& target)
     {
         constexpr std::chrono::milliseconds comeBack { 1'000 };
         if (plan.reason == policy::ChoiceReason::noEndpoint)
             return { .kind = ErrorKind::noEndpoint, .reason = "no live endpoint is left for " + target, .retryAfter = comeBack };
+        if (plan.reason == policy::ChoiceReason::largerThanMemory)
+            return { .kind = ErrorKind::overloaded, .reason = "the request is larger than the memory of an engine for " + target, .retryAfter = tooLargeUntil };
         const auto wait = std::chrono::ceil<std::chrono::milliseconds>(plan.expectedWait);
+        if (plan.reason == policy::ChoiceReason::noRoom)
+            return { .kind = ErrorKind::overloaded, .reason = "no engine for " + target + " has memory for the request in time", .retryAfter = std::max(wait, std::chrono::milliseconds(1)) };
         return { .kind = ErrorKind::overloaded, .reason = "no endpoint for " + target + " takes new work in time", .retryAfter = std::max(wait, std::chrono::milliseconds(1)) };
     }
 
@@ -47,6 +54,8 @@
     member.isEvacuated = m_evacuated.contains(listed.zone);
     const auto bound = m_coldBounds.find(listed.service);
     member.coldBound = bound == m_coldBounds.end() ? 0 : bound->second.requestsInAnySecond;
+    const auto cache = m_cacheTokens.find(listed.service);
+    member.cacheTokens = cache == m_cacheTokens.end() || listed.kind != backing::ListedKind::engine ? 0 : cache->second;
     return member;
 }
 
@@ -166,6 +175,42 @@
     placeMembers();
 }
 
+void EndpointDirectory::useCacheTokens(const std::map<ServiceName, std::uint64_t>& tokens)
+{
+    if (m_cacheTokens == tokens)
+        return;
+    m_cacheTokens = tokens;
+    placeMembers();
+}
+
+std::uint32_t EndpointDirectory::cacheTokens(const EndpointWish& wish) const
+{
+    const std::optional<policy::TargetIndex> target = targetOf(wish);
+    if (!target)
+        return 0;
+    const policy::TargetMembers& members = m_table.members(*target);
+    return members.healthy.empty() ? 0 : m_table.memory().capacity(members.healthy.front());
+}
+
+policy::EngineMemory::Hold EndpointDirectory::holdMemory(const EndpointName& endpoint, std::uint32_t tokens, SteadyTime until, double toldTo)
+{
+    const std::optional<policy::EndpointIndex> index = m_table.find(endpoint);
+    return index ? m_table.memory().begin(*index, tokens, until, toldTo) : policy::EngineMemory::Hold {};
+}
+
+void EndpointDirectory::tellOverdue(const std::function<void(const EndpointName&, std::uint32_t, std::chrono::nanoseconds)>& tell)
+{
+    for (const policy::EngineMemory::Overdue& overdue : m_table.memory().takeOverdue())
+        tell(m_table.name(overdue.endpoint), overdue.tokens, overdue.duration);
+}
+
+void EndpointDirectory::takeMemoryNews(const EndpointName& endpoint, std::uint32_t tokens, std::chrono::nanoseconds duration, SteadyTime now)
+{
+    const std::optional<policy::EndpointIndex> index = m_table.find(endpoint);
+    if (index)
+        m_table.memory().report(*index, tokens, now + duration, now);
+}
+
 void EndpointDirectory::recordCold(const EndpointName& endpoint, std::chrono::milliseconds left, SteadyTime now)
 {
     const std::optional<policy::EndpointIndex> index = m_table.find(endpoint);
@@ -286,8 +331,11 @@
         request.tokenTime = wish.tokenTime;
         request.stallsOthers = wish.stallsOthers;
         request.prefixShares = wish.prefixShares;
+        request.neededTokens = wish.neededTokens;
+        request.roomBy = wish.roomBy;
         plan = m_selector->choose(m_table, request, now, m_random);
     }
+    m_lastPlan = plan;
     const auto listed = plan ? m_listed.find(m_table.name(plan.endpoint)) : m_listed.end();
     if (listed != m_listed.end())
         return ChosenEndpoint { listed->first, listed->second.address, std::string(toText(plan.reason)), listed->second.born, plan };
--- a/packages/policy/include/whinyard/policy/EndpointChoice.h
+++ b/packages/policy/include/whinyard/policy/EndpointChoice.h
@@ -37,6 +37,9 @@
     bool stallsOthers = false;
     std::span<const float> prefixShares; // Of the prompt, up to the end of each part of `prefix`; empty: equal parts.
     std::span<const EndpointIndex> excluded; // Endpoints that this request has tried already.
+    std::uint32_t neededTokens = 0; // Of an engine's memory, until the end of the answer; 0: it isn't accounted.
+    // The request is refused if no engine has room by then. max(): it was begun already, and goes to some engine in any case.
+    SteadyTime roomBy = SteadyTime::max();
 };
 
 // Why an endpoint, or none, was chosen.
@@ -48,15 +51,18 @@
     onlyCandidate,
     probe, // Tries out an endpoint whose ejection ended.
     allEjected, // Every endpoint is ejected; the least loaded is tried rather than none.
+    mostRoom, // Every engine's memory is full; this one has the most room.
     askedToWait, // None: every endpoint asked for no new work before a later time.
     noEndpoint, // None: no endpoint serves the target, or all were tried already.
     noneBeforeDeadline, // None: the least expected wait ends after the deadline.
+    noRoom, // None: no engine is expected to have memory for the request in time.
+    largerThanMemory, // None: the request doesn't fit into any engine's memory.
 };
 
 // Returns the text form of `reason`: the enumerator's name.
 std::string_view toText(ChoiceReason reason);
 
-// The decision. `endpoint` is noEndpointIndex for the last three reasons; then `expectedWait` says when
+// The decision. `endpoint` is noEndpointIndex for the last five reasons; then `expectedWait` says when
 // it is worth to come back (zero when nothing is known).
 struct EndpointPlan {
     EndpointIndex endpoint = noEndpointIndex;
@@ -65,6 +71,9 @@
     std::chrono::microseconds cautiousWait { 0 }; // Not exceeded by about 19 of 20 requests.
     std::chrono::microseconds soundWait { 0 }; // As expectedWait, if the endpoint were as fast as others are.
     std::chrono::microseconds unqueuedWait { 0 }; // If a slot is free: the prompt's work and a step.
+    bool avoidedFull = false; // An engine that was compared had no room for the request.
+    std::chrono::microseconds roomWait { 0 }; // With mostRoom: until the request is expected to fit, and is better sent.
+    double room = 0; // With mostRoom and noRoom: tokens that are free at the engine with the most room.
 
     explicit operator bool() const { return endpoint != noEndpointIndex; }
 };
--- a/packages/policy/include/whinyard/policy/EndpointTable.h
+++ b/packages/policy/include/whinyard/policy/EndpointTable.h
@@ -8,6 +8,7 @@
 #include "whinyard/base/Clock.h"
 #include "whinyard/base/Identity.h"
 #include "whinyard/policy/EndpointQuotas.h"
+#include "whinyard/policy/EngineMemory.h"
 #include "whinyard/policy/PrefixIndex.h"
 
 #include <algorithm>
@@ -63,6 +64,7 @@
     std::uint64_t incarnation = 0; // Another one is another process under the name; 0 if it doesn't say.
     bool isEvacuated = false; // Its zone is, until operators take it back.
     std::uint32_t coldBound = 0; // Requests that it bears in any second while it is cold, of all instances; 0: any number.
+    std::uint64_t cacheTokens = 0; // KV cache of an engine; 0: its use isn't accounted.
 };
 
 // A load report of an engine. It counts the requests of all instances.
@@ -165,6 +167,10 @@
     EndpointQuotas& quotas() { return m_quotas; }
     const EndpointQuotas& quotas() const { return m_quotas; }
 
+    // How much of the engines' memory is used.
+    EngineMemory& memory() { return m_memory; }
+    const EngineMemory& memory() const { return m_memory; }
+
     // Returns when the endpoint may get a request of this instance: `now` or earlier where it may at once.
     SteadyTime takesWorkAt(EndpointIndex endpoint, SteadyTime now) const { return std::max(row(endpoint).comeBackAt, m_quotas.nextSend(endpoint, now)); }
 
@@ -315,6 +321,7 @@
     std::unordered_map<std::string, ZoneIndex> m_zones;
     PrefixIndex m_prefixes;
     EndpointQuotas m_quotas;
+    EngineMemory m_memory;
     std::vector<std::chrono::nanoseconds> m_scratch; // For the median in refresh().
 };
 
--- a/packages/policy/src/EndpointChoice.cpp
+++ b/packages/policy/src/EndpointChoice.cpp
@@ -19,12 +19,18 @@
         return "probe";
     case ChoiceReason::allEjected:
         return "allEjected";
+    case ChoiceReason::mostRoom:
+        return "mostRoom";
     case ChoiceReason::askedToWait:
         return "askedToWait";
     case ChoiceReason::noEndpoint:
         return "noEndpoint";
     case ChoiceReason::noneBeforeDeadline:
         return "noneBeforeDeadline";
+    case ChoiceReason::noRoom:
+        return "noRoom";
+    case ChoiceReason::largerThanMemory:
+        return "largerThanMemory";
     }
     return "noEndpoint";
 }
--- a/packages/policy/src/EndpointHealth.cpp
+++ b/packages/policy/src/EndpointHealth.cpp
@@ -75,6 +75,7 @@
         updatePriors(target, now);
         ejectSlowEndpoints(target, now);
     }
+    m_memory.refresh(now, m_quotas.instances(), [this](TargetIndex target) { return members(target).size(); });
 }
 
 void EndpointTable::updatePriors(const TargetMembers& target, SteadyTime now)
--- a/packages/policy/src/EndpointTable.cpp
+++ b/packages/policy/src/EndpointTable.cpp
@@ -154,6 +154,8 @@
         targets.push_back(targetFor(m_versions, version.value));
     for (const ServiceName& service : member.services)
         targets.push_back(targetFor(m_services, service.value));
+    if (!targets.empty())
+        m_memory.useCapacity(endpoint, member.cacheTokens, member.slots, targets.front());
     if (row.leaving || row.isEvacuated)
         targets.clear();
     placeInTargets(endpoint, std::move(targets));
@@ -164,6 +166,7 @@
 {
     removeFromTargets(endpoint);
     m_prefixes.forget(static_cast<std::uint32_t>(endpoint));
+    m_memory.clear(endpoint);
     m_saidLeaving[at(endpoint)] = 0;
     EndpointRow fresh = newRow();
     fresh.zone = rowAt(endpoint).zone;
@@ -210,6 +213,7 @@
     }
     place->second = endpoint;
     m_quotas.forget(endpoint);
+    m_memory.useCapacity(endpoint, 0, 0, {});
     rowAt(endpoint) = newRow();
     m_histories[at(endpoint)] = {};
     m_names[at(endpoint)] = name;
@@ -323,6 +327,7 @@
     if (row(endpoint).present || row(endpoint).ownInFlight > 0 || m_free[at(endpoint)])
         return;
     m_free[at(endpoint)] = 1;
+    m_memory.useCapacity(endpoint, 0, 0, {});
     m_freeRows.push_back(endpoint);
 }
 
--- a/packages/policy/src/WaitSelector.cpp
+++ b/packages/policy/src/WaitSelector.cpp
@@ -4,6 +4,7 @@
 // session names (with bounded loads: Mirrokni, Thorup, Zadimoghaddam, SODA 2018), and a few random ones
 // (Mitzenmacher, IEEE TPDS 2001), which keep many instances with the same old reports from all
 // choosing the same endpoint.
+#include "internal/Candidates.h"
 #include "internal/Eligibility.h"
 
 #include <algorithm>
@@ -17,7 +18,6 @@
 
     using Nanoseconds = std::chrono::duration<double, std::nano>;
 
-    constexpr std::size_t maximumCandidates = 32;
     constexpr std::size_t maximumPrefixLookups = 8;
     constexpr std::size_t maximumRingSteps = 16;
     constexpr double smallestDeviation = 1e-3;
@@ -41,33 +41,6 @@
         return std::chrono::duration_cast<std::chrono::microseconds>(time);
     }
 
-    struct Candidate {
-        EndpointIndex endpoint;
-        ChoiceReason reason;
-        double cachedShare; // Of the prompt.
-    };
-
-    // A fixed list without doubles; the first reason given for an endpoint stays.
-    class Candidates {
-    public:
-        void add(EndpointIndex endpoint, ChoiceReason reason, double cachedShare)
-        {
-            if (m_count == maximumCandidates)
-                return;
-            for (const Candidate& known : list()) {
-                if (known.endpoint == endpoint)
-                    return;
-            }
-            m_list[m_count++] = { endpoint, reason, cachedShare };
-        }
-
-        std::span<const Candidate> list() const { return { m_list.data(), m_count }; }
-
-    private:
-        std::array<Candidate, maximumCandidates> m_list;
-        std::size_t m_count = 0;
-    };
-
     struct Best {
         EndpointIndex endpoint = noEndpointIndex;
         ChoiceReason reason = ChoiceReason::noEndpoint;
@@ -89,6 +62,14 @@
         }
 
         EndpointPlan make()
+        {
+            EndpointPlan plan = choose();
+            plan.avoidedFull = m_avoidedFull;
+            return plan;
+        }
+
+    private:
+        EndpointPlan choose()
         {
             if (const EndpointIndex endpoint = endpointToProbe(); endpoint != noEndpointIndex)
                 return planFor({ endpoint, ChoiceReason::probe, waitAt(endpoint, 0), 0 });
@@ -103,7 +84,6 @@
             return decide();
         }
 
-    private:
         bool foundNone() const
         {
             return std::all_of(m_best.begin(), m_best.end(), [](const Best& best) { return best.endpoint == noEndpointIndex; });
@@ -125,7 +105,7 @@
             Best best;
             for (const EndpointIndex endpoint : list)
                 take(best, { endpoint, reason, 0 });
-            return best.endpoint == noEndpointIndex ? planForNone(m_table, m_request, list, m_now) : planFor(best);
+            return best.endpoint == noEndpointIndex ? planWithoutRoom(list) : planFor(best);
         }
 
         void collect()
@@ -261,8 +241,12 @@
 
         void take(Best& best, const Candidate& candidate)
         {
-            if (!isEligible(m_table, m_request, candidate.endpoint, m_now))
+            if (!takesRequest(m_table, m_request, candidate.endpoint, m_now))
                 return;
+            if (!hasRoom(m_table, m_request, candidate.endpoint, m_now)) {
+                m_avoidedFull = true;
+                return;
+            }
             Nanoseconds wait = waitAt(candidate.endpoint, candidate.cachedShare);
             if (m_request.stallsOthers && candidate.reason != ChoiceReason::affinity)
                 wait += m_settings.stallPenalty;
@@ -322,7 +306,7 @@
         EndpointPlan decide()
         {
             if (foundNone())
-                return planForNone(m_table, m_request, m_members.healthy, m_now);
+                return planWithoutRoom(m_members.healthy);
             std::size_t chosen = distances;
             for (std::size_t distance = ownZone; distance < distances; ++distance) {
                 if (m_best[distance].endpoint != noEndpointIndex && (chosen == distances || isWorthTheWay(chosen, distance)))
@@ -335,6 +319,18 @@
             return planFor(best);
         }
 
+        // No endpoint of `list` takes the request and has room for it.
+        EndpointPlan planWithoutRoom(const std::vector<EndpointIndex>& list) const
+        {
+            const EndpointPlan full = planForFull(m_table, m_request, list, m_now);
+            if (!full)
+                return full;
+            EndpointPlan plan = planFor({ full.endpoint, full.reason, std::max(Nanoseconds(full.expectedWait), waitAt(full.endpoint, 0)), 0 });
+            plan.room = full.room;
+            plan.roomWait = full.roomWait;
+            return plan;
+        }
+
         bool isWorthTheWay(std::size_t nearer, std::size_t farther) const
         {
             return m_best[nearer].wait > m_best[farther].wait * m_settings.zoneFactor + penaltyOf(farther) - penaltyOf(nearer);
@@ -366,6 +362,7 @@
         Random& m_random;
         Candidates m_candidates;
         std::array<Best, distances> m_best;
+        bool m_avoidedFull = false; // An engine that would have been compared has no room.
     };
 
     class WaitSelector final : public EndpointSelector {
--- a/packages/policy/src/internal/Eligibility.cpp
+++ b/packages/policy/src/internal/Eligibility.cpp
@@ -15,13 +15,61 @@
     return !request.isZoneRestricted || std::find(allowed.begin(), allowed.end(), table.row(endpoint).zone) != allowed.end();
 }
 
-bool isEligible(const EndpointTable& table, const EndpointRequest& request, EndpointIndex endpoint, SteadyTime now)
+bool takesRequest(const EndpointTable& table, const EndpointRequest& request, EndpointIndex endpoint, SteadyTime now)
 {
     const EndpointRow& row = table.row(endpoint);
     const bool takesWork = !row.leaving && !row.isEvacuated && table.takesWorkAt(endpoint, now) <= now;
     return takesWork && isInAllowedZone(table, request, endpoint) && !isExcluded(request, endpoint);
 }
 
+bool hasRoom(const EndpointTable& table, const EndpointRequest& request, EndpointIndex endpoint, SteadyTime now)
+{
+    return request.neededTokens == 0 || table.memory().hasRoom(endpoint, request.neededTokens, now);
+}
+
+bool isEligible(const EndpointTable& table, const EndpointRequest& request, EndpointIndex endpoint, SteadyTime now)
+{
+    return takesRequest(table, request, endpoint, now) && hasRoom(table, request, endpoint, now);
+}
+
+// Returns noEndpointIndex if no endpoint takes the request.
+static EndpointIndex withMostRoom(const EndpointTable& table, const EndpointRequest& request, const std::vector<EndpointIndex>& list, SteadyTime now)
+{
+    EndpointIndex best = noEndpointIndex;
+    double mostRoom = 0;
+    for (const EndpointIndex endpoint : list) {
+        if (!takesRequest(table, request, endpoint, now))
+            continue;
+        const double room = table.memory().room(endpoint, now);
+        if (best == noEndpointIndex || room > mostRoom) {
+            best = endpoint;
+            mostRoom = room;
+        }
+    }
+    return best;
+}
+
+EndpointPlan planForFull(const EndpointTable& table, const EndpointRequest& request, const std::vector<EndpointIndex>& list, SteadyTime now)
+{
+    const EndpointIndex endpoint = request.neededTokens > 0 ? withMostRoom(table, request, list, now) : noEndpointIndex;
+    if (endpoint == noEndpointIndex)
+        return planForNone(table, request, list, now);
+    const SteadyTime at = table.memory().roomAt(endpoint, request.neededTokens, now);
+    const bool isTooLarge = at == SteadyTime::max();
+    EndpointPlan plan;
+    plan.room = table.memory().room(endpoint, now);
+    if (!isTooLarge)
+        plan.expectedWait = std::chrono::ceil<std::chrono::microseconds>(at - now);
+    if (at <= request.roomBy) {
+        plan.endpoint = endpoint;
+        plan.reason = ChoiceReason::mostRoom;
+        if (request.roomBy != SteadyTime::max())
+            plan.roomWait = plan.expectedWait;
+    } else
+        plan.reason = isTooLarge ? ChoiceReason::largerThanMemory : ChoiceReason::noRoom;
+    return plan;
+}
+
 EndpointPlan planForNone(const EndpointTable& table, const EndpointRequest& request, const std::vector<EndpointIndex>& list, SteadyTime now)
 {
     SteadyTime first = SteadyTime::max();
