Let notices of work say what memory a request holds and for how long

Cause: an instance can account the memory of engines only if it hears what the requests of other instances hold.

Change: WorkNotice carries the tokens and the expected duration, bounded to ten million tokens and ten minutes; a larger value is written as the bound. The format number rises, since the fields of a known notice change.

Tested: whinyard_peer_test 77 passed.

--- a/packages/peer/include/whinyard/peer/Notices.h
+++ b/packages/peer/include/whinyard/peer/Notices.h
@@ -27,6 +27,8 @@
     EndpointName endpoint;
     std::chrono::microseconds work { 0 }; // Of reading the prompt.
     std::vector<std::uint64_t> prefixes; // Chained digests of the prompt's parts, whose memory the engine holds from now on.
+    std::uint32_t tokens = 0; // Of the engine's memory that the request holds; 0: the sender doesn't account it.
+    std::chrono::milliseconds duration { 0 }; // Until the request is expected to end.
 
     bool operator==(const WorkNotice&) const = default;
 };
@@ -129,6 +131,9 @@
 // The most entries of one notice, so that it fits into a datagram.
 inline constexpr std::size_t mostPins = 128;
 inline constexpr std::size_t mostPrefixes = 16;
+// The most that a WorkNotice says of a request's memory; a larger value stands for this one.
+inline constexpr std::uint32_t mostHeldTokens = 10'000'000;
+inline constexpr std::chrono::milliseconds longestHeld { 600'000 };
 inline constexpr std::size_t mostRosterChanges = 24;
 inline constexpr std::size_t mostRates = 16;
 inline constexpr std::size_t mostCustomers = 32;
--- a/packages/peer/src/Notices.cpp
+++ b/packages/peer/src/Notices.cpp
@@ -18,7 +18,7 @@
     using internal::readEndpoint;
     using internal::writeEndpoint;
 
-    constexpr std::uint16_t noticeFormat = 12;
+    constexpr std::uint16_t noticeFormat = 13;
     constexpr std::int64_t longestWorkUs = 60'000'000; // A longer one is no work that anybody gave.
     constexpr std::int64_t longestVerdictMs = 3'600'000; // Longer than any verdict holds.
     constexpr std::uint64_t longestRateAgeMs = 86'400'000; // An older statement is of no use.
@@ -47,6 +47,8 @@
         writer.number(notice.prefixes.size());
         for (const std::uint64_t prefix : notice.prefixes)
             writer.number(prefix);
+        writer.number(std::min(notice.tokens, mostHeldTokens));
+        writer.number(static_cast<std::uint64_t>(std::clamp<std::int64_t>(notice.duration.count(), 0, longestHeld.count())));
     }
 
     void write(FieldWriter& writer, const PinNotice& notice)
@@ -188,6 +190,8 @@
         const std::uint64_t count = reader.number(mostPrefixes);
         for (std::uint64_t i = 0; i < count; ++i)
             notice.prefixes.push_back(reader.number());
+        notice.tokens = static_cast<std::uint32_t>(reader.number(mostHeldTokens));
+        notice.duration = std::chrono::milliseconds(static_cast<std::int64_t>(reader.number(static_cast<std::uint64_t>(longestHeld.count()))));
         return notice;
     }
 
--- a/packages/peer/test/NoticesTest.cpp
+++ b/packages/peer/test/NoticesTest.cpp
@@ -24,6 +24,8 @@
         return {
             WorkNotice { { "i-1" }, 350ms, { 7, 8 } },
             WorkNotice { { "i-1" }, 350ms, {} },
+            WorkNotice { { "i-1" }, 350ms, { 7 }, 60'380, 5'600ms },
+            WorkNotice { { "i-1" }, 350ms, {}, mostHeldTokens, longestHeld },
             PinNotice { { "lm" }, { 1, 0xFFFFFFFFFFFFFFFFULL } },
             PinNotice { { "lm" }, {} },
             EvidenceNotice { { "lm" }, { "entry-1" }, "{}" },
@@ -48,6 +50,15 @@
             EXPECT_EQ(decodeNotice(encodeNotice(notice)), notice);
     }
 
+    // Guards against a sender whose notice, with a request that is expected to last for very long, can't be read by anyone.
+    TEST(NoticesTest, BoundsTheMemoryOfARequest)
+    {
+        const auto bounded = decodeNotice(encodeNotice(WorkNotice { { "i-1" }, 350ms, {}, mostHeldTokens + 1, longestHeld + 1ms }));
+        EXPECT_EQ(bounded, Notice(WorkNotice { { "i-1" }, 350ms, {}, mostHeldTokens, longestHeld }));
+        const auto negative = decodeNotice(encodeNotice(WorkNotice { { "i-1" }, 350ms, {}, 5, -1ms }));
+        EXPECT_EQ(negative, Notice(WorkNotice { { "i-1" }, 350ms, {}, 5, 0ms }));
+    }
+
     TEST(NoticesTest, ReadsInstanceRecords)
     {
         const InstanceNotice notice { { "entry-1" }, { "10.0.0.1", 7340 }, 200 };
