Account the memory of engines on the request path, with the setting accountMemory

Change: a request for a model needs the tokens of its prompt and of the answer that is expected; a stream that goes on elsewhere at least those that it has. The need is held from the dispatch to the end of each attempt and told with the work. A request that will fit in time waits at the instance, with a look every 50 to 100 ms, and is refused half a second after the expected time; one that no engine has room for is refused at once. What an endpoint may have begun is never refused for memory. Requests that run on after their reported end are told again, at growing intervals.

Ruled out: to send a request to a full engine and let it wait there.

--- a/apps/whinyardd/entry/PeerLink.cpp
+++ b/apps/whinyardd/entry/PeerLink.cpp
@@ -14,6 +14,9 @@
     // Less work is over before a notice of it changes a choice; most requests bring less.
     constexpr std::chrono::milliseconds worthTelling { 25 };
 
+    // Added to the time for which a request holds memory: until the directory has noticed that it runs on, and that was told.
+    constexpr std::chrono::milliseconds memorySlack { 250 };
+
     // Of a larger fleet so many instances hear of work, drawn anew each time. The more instances there are, the less likely it is
     // that one of them chooses the same endpoint before the work is done.
     constexpr std::size_t mostToldOfWork = 96;
@@ -166,23 +169,32 @@
     });
 }
 
-void PeerLink::gave(const EndpointName& endpoint, std::chrono::nanoseconds work, const std::vector<std::uint64_t>& prefix)
+double PeerLink::gave(const EndpointName& endpoint, std::chrono::nanoseconds work, const std::vector<std::uint64_t>& prefix, const router::MemoryNeed& need)
 {
     if (work < worthTelling)
-        return;
-    peer::WorkNotice notice { endpoint, std::chrono::duration_cast<std::chrono::microseconds>(work), prefix };
+        return 0;
+    peer::WorkNotice notice { endpoint, std::chrono::duration_cast<std::chrono::microseconds>(work), prefix, need.tokens, std::chrono::ceil<std::chrono::milliseconds>(need.duration) + memorySlack };
     notice.prefixes.resize(std::min(notice.prefixes.size(), peer::mostPrefixes));
-    tellMost(notice);
+    return tellMost(notice);
 }
 
-// Each instance gets as many of these as there are requests for each instance, times this number, whatever the fleet's size.
-void PeerLink::tellMost(const peer::Notice& notice)
+void PeerLink::tellOverdueMemory()
+{
+    m_directory.tellOverdue([this](const EndpointName& endpoint, std::uint32_t tokens, std::chrono::nanoseconds duration) {
+        tellMost(peer::WorkNotice { endpoint, {}, {}, tokens, std::chrono::ceil<std::chrono::milliseconds>(duration) + memorySlack });
+    });
+}
+
+// Returns the share of the other instances that is told. Each of them gets as many of these as there are requests for each instance, times this number, whatever the fleet's size.
+double PeerLink::tellMost(const peer::Notice& notice)
 {
     if (!m_socket || m_peers.empty())
-        return;
+        return 0;
     const std::string bytes = peer::encodeNotice(notice);
-    for (const std::size_t drawn : peer::drawnPeers(m_peers.size(), mostToldOfWork, m_random))
+    const std::vector<std::size_t> told = peer::drawnPeers(m_peers.size(), mostToldOfWork, m_random);
+    for (const std::size_t drawn : told)
         send(m_peers[drawn], bytes);
+    return static_cast<double>(told.size()) / static_cast<double>(m_peers.size());
 }
 
 void PeerLink::tellPins()
@@ -215,6 +227,8 @@
     const SteadyTime now = m_shared.clock.now();
     m_directory.recordWork(notice.endpoint, notice.work, now);
     m_directory.recordPrefixes(notice.endpoint, notice.prefixes, now);
+    if (notice.tokens > 0)
+        m_directory.takeMemoryNews(notice.endpoint, notice.tokens, notice.duration, now);
 }
 
 void PeerLink::take(const peer::PinNotice& notice)
--- a/apps/whinyardd/entry/PeerLink.h
+++ b/apps/whinyardd/entry/PeerLink.h
@@ -52,7 +52,10 @@
     // Tells what was learnt of the rates that endpoints state: changes to all others, confirmations to a few.
     void tellRates();
 
-    void gave(const EndpointName& endpoint, std::chrono::nanoseconds work, const std::vector<std::uint64_t>& prefix) override;
+    double gave(const EndpointName& endpoint, std::chrono::nanoseconds work, const std::vector<std::uint64_t>& prefix, const router::MemoryNeed& need) override;
+
+    // Tells of requests that hold an engine's memory for longer than was told before.
+    void tellOverdueMemory();
 
     void close();
 
@@ -69,7 +72,7 @@
     void take(const peer::RateNotice& notice);
     void take(const peer::UsageNotice& notice);
     void take(const peer::DemandNotice& notice);
-    void tellMost(const peer::Notice& notice);
+    double tellMost(const peer::Notice& notice);
     void repeatVerdicts();
     void broadcastRates(const std::vector<RateNews>& rates);
     void spreadRates(const std::vector<RateNews>& rates);
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -87,6 +87,7 @@
         settings.coldFactor = bounds.coldFactor;
         settings.coldSlack = bounds.coldSlack;
         settings.enginePrice.delayShare = tuning.delayShare;
+        settings.accountMemory = tuning.accountMemory;
         return settings;
     }
 
@@ -166,6 +167,12 @@
     while (!m_shared.stopping) {
         m_directory.refresh(m_shared.clock.now());
         m_shared.metrics.set("whinyard_endpoints_cold", static_cast<double>(m_directory.coldEndpoints(m_shared.clock.now())));
+        if (m_shared.settings.tuning.accountMemory) {
+            m_link.tellOverdueMemory();
+            const policy::EngineMemory::Shares shares = m_directory.memoryShares(m_shared.clock.now());
+            m_shared.metrics.set("whinyard_engine_memory_largest_share", shares.largest);
+            m_shared.metrics.set("whinyard_engine_memory_mean_share", shares.mean);
+        }
         net::sleepFor(refreshInterval);
     }
 }
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -25,13 +25,20 @@
 
 namespace whinyard::router {
 
+// What a request takes of an engine's memory, and for how long.
+struct MemoryNeed {
+    std::uint32_t tokens = 0; // 0: it isn't accounted.
+    std::chrono::nanoseconds duration { 0 };
+};
+
 // Is told of the work that this instance gives to engines, so that other instances can learn of it.
 class WorkObserver {
 public:
     virtual ~WorkObserver() = default;
 
-    // An engine was given a prompt whose reading takes `work`. `prefix` holds chained digests of its parts.
-    virtual void gave(const EndpointName& endpoint, std::chrono::nanoseconds work, const std::vector<std::uint64_t>& prefix) = 0;
+    // An engine was given a prompt whose reading takes `work`. `prefix` holds chained digests of its parts. Returns the share of
+    // the other instances that is told.
+    virtual double gave(const EndpointName& endpoint, std::chrono::nanoseconds work, const std::vector<std::uint64_t>& prefix, const MemoryNeed& need) = 0;
 };
 
 // Is told of each request that an endpoint has begun to run, for the customers' bills.
@@ -71,6 +78,7 @@
     // What a cold endpoint may get in any second: its service's rate times the factor, and the slack.
     double coldFactor = 1.5;
     double coldSlack = 5;
+    bool accountMemory = false; // Keep engines from being given more than their KV cache holds.
     std::chrono::milliseconds connectTimeout { 300 }; // Many times the longest way within a region.
     std::chrono::milliseconds comeBackAfter { 150 }; // Told with a refusal when nothing better is known.
 };
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -117,6 +117,7 @@
         m_caller.begin(attempt.head());
     }
     attempt.end(endpoint::EndpointOutcome::succeeded);
+    learnAnswer();
     noteOutcome(attempt, false);
     m_guard.noteCompleted();
     m_runState = RunState::ran;
@@ -161,6 +162,7 @@
 
 void ForwardRun::noteOutcome(const ForwardAttempt& attempt, bool failed, bool endpointEnded)
 {
+    m_hold.release();
     policy::VersionOutcome outcome;
     outcome.endpoint = attempt.target().endpoint.name;
     outcome.failed = failed;
--- a/packages/router/src/internal/ForwardChoice.cpp
+++ b/packages/router/src/internal/ForwardChoice.cpp
@@ -63,11 +63,13 @@
     wish.mayProbe = repeatable();
     wish.excluded = m_tried;
     wish.residency = m_admission.residency;
+    needMemory(wish);
     return wish;
 }
 
 std::optional<AttemptTarget> ForwardRun::chooseTarget(Failure& failure)
 {
+    m_hold.release();
     const auto known = m_core.versions.find(m_service);
     const std::vector<std::string> available = known == m_core.versions.end() ? std::vector<std::string> {} : known->second;
     const policy::VersionPreference preference = m_core.parts.shifts.prefer(m_service, !m_request.session.empty(), sessionDigest(), available, now());
@@ -85,6 +87,10 @@
         wished.excluded = { m_tried.back() };
         target = chooseAmong(preference.versions, wished, failure);
     }
+    if (!target)
+        noteRefusal(wished, failure);
+    else if (m_core.parts.directory.lastPlan().avoidedFull)
+        m_core.parts.metrics.add("whinyard_full_engines_avoided_total");
     return target;
 }
 
@@ -131,8 +137,10 @@
     const std::chrono::nanoseconds work = endpoint.plan.unqueuedWait;
     m_core.parts.directory.recordWork(endpoint.name, work, now());
     m_core.loadOf(target.service).work += std::chrono::duration_cast<std::chrono::microseconds>(work);
-    if (m_core.parts.work)
-        m_core.parts.work->gave(endpoint.name, work, target.prefix);
+    const MemoryNeed need = memoryNeed(target);
+    const double toldTo = m_core.parts.work ? m_core.parts.work->gave(endpoint.name, work, target.prefix, need) : 0;
+    m_hold = EngineHold(m_core.parts.directory, endpoint.name, need.tokens, now() + need.duration, toldTo);
+    m_goesOn = m_lastEvent.has_value();
 }
 
 bool ForwardRun::asksSmallModel() const
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -1,6 +1,7 @@
 // The forwarder's parts and settings with its state, as the requests on the path share them.
 #pragma once
 
+#include "whinyard/policy/AnswerLengths.h"
 #include "whinyard/policy/EnginePrice.h"
 #include "whinyard/policy/PromptRates.h"
 #include "whinyard/policy/RetryPolicy.h"
@@ -78,6 +79,7 @@
         if (const auto newest = parts.routing.newest(); newest && newest != table) {
             table = newest;
             parts.directory.useColdBounds(coldBounds());
+            parts.directory.useCacheTokens(cacheTokens());
         }
     }
 
@@ -92,6 +94,17 @@
         return bounds;
     }
 
+    // Returns what engines hold by the routing that is followed, where it is accounted.
+    std::map<ServiceName, std::uint64_t> cacheTokens() const
+    {
+        std::map<ServiceName, std::uint64_t> tokens;
+        for (const config::RoutedService& service : table->routing().services) {
+            if (settings.accountMemory && service.cacheTokens > 0)
+                tokens[service.name] = service.cacheTokens;
+        }
+        return tokens;
+    }
+
     // Returns whether a configuration and a list of endpoints are known; then they stay so.
     bool isStarted()
     {
@@ -117,6 +130,7 @@
     std::map<ServiceName, policy::RetryBudget> budgets {};
     std::map<ServiceName, policy::RetryBudget> moves {};
     policy::PromptRates rates {};
+    policy::AnswerLengths answers {};
     std::map<ServiceName, policy::EnginePrice> prices {};
     std::map<ServiceName, policy::ReturnSchedule> returns {};
     std::map<ServiceName, policy::ServiceLoad> loads {};
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -185,14 +185,16 @@
 
 bool ForwardRun::prepare()
 {
-    if (timeLeft() < shortestAttempt) {
-        m_failure = { .kind = ErrorKind::deadlineExceeded, .reason = "the deadline passed" };
-        return false;
-    }
-    if (!passGate())
-        return false;
     Failure failure;
-    m_target = chooseTarget(failure);
+    do {
+        if (timeLeft() < shortestAttempt) {
+            m_failure = { .kind = ErrorKind::deadlineExceeded, .reason = "the deadline passed" };
+            return false;
+        }
+        if (m_callerLeft || !passGate())
+            return false;
+        m_target = chooseTarget(failure);
+    } while (m_target && waitedForRoom());
     if (m_target)
         return true;
     if (failure.kind == ErrorKind::overloaded)
@@ -237,11 +239,6 @@
     return repeatable() && left > (isUnderWay() ? 0U : 1U) && timeLeft() > shortestAttempt;
 }
 
-bool ForwardRun::isUnderWay() const
-{
-    return streams() && m_events > 0;
-}
-
 // How long the present attempt may be silent before another endpoint is asked.
 std::chrono::nanoseconds ForwardRun::patience() const
 {
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -1,6 +1,7 @@
 // One forwarded request on its way: attempts until one is answered, within the route's bounds, and the answer.
 #pragma once
 
+#include "internal/EngineHold.h"
 #include "internal/ForwardAttempt.h"
 #include "internal/QueryGuard.h"
 #include "whinyard/config/Routing.h"
@@ -58,6 +59,13 @@
     double costOf(const ModelName& name) const;
     std::vector<float> prefixShares() const;
     void noteWork(const AttemptTarget& target);
+    std::uint32_t expectedAnswer() const;
+    std::uint32_t tokensOfEvents(std::uint64_t events) const;
+    void needMemory(endpoint::EndpointWish& wish) const;
+    MemoryNeed memoryNeed(const AttemptTarget& target) const;
+    void noteRefusal(const endpoint::EndpointWish& wish, const Failure& failure) const;
+    bool waitedForRoom();
+    void learnAnswer();
     void chooseModel();
     policy::ModelQuestion modelQuestion() const;
     const ModelName& model() const;
@@ -76,7 +84,7 @@
     AttemptHead headFor(const AttemptTarget& target) const;
     std::uint8_t endpointPriority() const;
     bool mayMove() const;
-    bool isUnderWay() const; // The present attempt's stream has brought events.
+    bool isUnderWay() const { return streams() && m_events > 0; } // The present attempt's stream has brought events.
     std::chrono::nanoseconds patience() const;
 
     bool mayGoOn(AttemptEnd end);
@@ -107,6 +115,9 @@
     std::vector<EndpointName> m_tried;
     ForwardAttempt* m_current = nullptr; // While an attempt runs.
     std::optional<AttemptTarget> m_target;
+    EngineHold m_hold; // Of the present attempt.
+    std::optional<SteadyTime> m_roomBy; // Of a request that waits for room.
+    bool m_goesOn = false; // The present attempt goes on with a stream that was begun elsewhere.
     std::uint32_t m_sent = 0; // Attempts that an endpoint may have begun.
     std::uint32_t m_refused = 0; // Attempts that no endpoint began.
     RunState m_runState = RunState::notRun;
--- a/packages/router/testing/whinyard/router/ForwarderFakes.h
+++ b/packages/router/testing/whinyard/router/ForwarderFakes.h
@@ -33,6 +33,12 @@
         request.key = field("key");
         request.session = field("session");
         request.leavesModelOpen = field("model") == "any";
+        if (!field("prompt").empty())
+            request.promptTokens = static_cast<std::uint32_t>(std::stoul(field("prompt")));
+        if (!field("limit").empty())
+            request.answerTokens = static_cast<std::uint32_t>(std::stoul(field("limit")));
+        if (!field("estimate").empty())
+            request.expectedTokens = static_cast<std::uint32_t>(std::stoul(field("estimate")));
         if (!field("resume").empty())
             request.resumeAfter = std::stoull(field("resume"));
         if (!field("wait").empty())
@@ -96,9 +102,9 @@
 // One forwarder with two endpoints of one service.
 class ForwarderBench {
 public:
-    explicit ForwarderBench(std::uint64_t seed = 1)
+    explicit ForwarderBench(std::uint64_t seed = 1, const ForwarderSettings& settings = { .repeatRatio = 1, .repeatsPerSecond = 10 }, WorkObserver* work = nullptr)
         : directory({ "z" }, Random(seed))
-        , forwarder({ clock, metrics, source, codec, directory, shifts, models, queries, client, listening, fibers }, { .repeatRatio = 1, .repeatsPerSecond = 10 }, Random(seed + 1))
+        , forwarder({ clock, metrics, source, codec, directory, shifts, models, queries, client, listening, fibers, work }, settings, Random(seed + 1))
     {
         routing.services = { { { "svc" }, 100, 0, 0, 1, { { { "small" }, 0.02 }, { { "large" }, 0.25 } } } };
         routing.customers = { { { "school" }, { "k1" }, std::nullopt } };
--- a/packages/router/testing/whinyard/router/RouterFakes.h
+++ b/packages/router/testing/whinyard/router/RouterFakes.h
@@ -53,7 +53,16 @@
     {
     }
 
-    void wait(std::chrono::nanoseconds duration) override { m_clock.advance(duration); }
+    void wait(std::chrono::nanoseconds duration) override
+    {
+        m_clock.advance(duration);
+        if (onPause)
+            onPause();
+    }
+
+    // What happens at the end of each wait of a fiber.
+    std::function<void()> onPause;
+
     void start(std::function<void()> task) override { m_tasks.push_back(std::move(task)); }
 
     // A wait calls `onWait`, which may notify; without that its time runs out.
--- a/packages/settings/include/whinyard/settings/EntryTuning.h
+++ b/packages/settings/include/whinyard/settings/EntryTuning.h
@@ -37,6 +37,8 @@
     std::uint32_t randomChoices = 2;
     // Endpoints of a version up to which all are compared.
     std::uint32_t fullScanLimit = 64;
+    // Requests are kept away from engines whose KV cache they would overfill.
+    bool accountMemory = false;
     std::string logLevel = "info";
 };
 
--- a/packages/settings/src/EntryTuning.cpp
+++ b/packages/settings/src/EntryTuning.cpp
@@ -29,6 +29,7 @@
         object.number("affinityCachedShare", tuning.affinityCachedShare, Presence::optional, { 0, 1 });
         object.integer<std::uint32_t>("randomChoices", tuning.randomChoices, Presence::optional, { 0, 16 });
         object.integer<std::uint32_t>("fullScanLimit", tuning.fullScanLimit, Presence::optional, { 0, 10'000 });
+        object.boolean("accountMemory", tuning.accountMemory, Presence::optional);
         object.text("logLevel", tuning.logLevel, Presence::optional);
         object.finish();
         return tuning;
--- a/packages/settings/test/EntryTuningTest.cpp
+++ b/packages/settings/test/EntryTuningTest.cpp
@@ -15,6 +15,16 @@
         EXPECT_EQ(tuning->logLevel, "info");
     }
 
+    // Guards against behavior that is on without anybody having asked for it.
+    TEST(EntryTuningTest, AccountsMemoryOnlyWhereItIsSet)
+    {
+        Failure failure;
+        EXPECT_FALSE(parseEntryTuning("{}", "t.json", failure)->accountMemory);
+        EXPECT_TRUE(parseEntryTuning(R"({"accountMemory": true})", "t.json", failure)->accountMemory);
+        EXPECT_FALSE(parseEntryTuning(R"({"accountMemory": 1})", "t.json", failure));
+        EXPECT_NE(failure.reason.find("/accountMemory"), std::string::npos) << failure.reason;
+    }
+
     TEST(EntryTuningTest, NamesEveryFault)
     {
         Failure failure;
