Have a report of memory stand for those that an instance does not hear of

Cause: in a fleet of which a request is told to a part only, an instance believed engines to have room that were full. The estimate from the own requests spreads over all engines, while long prompts gather on a few.

Change: a report then says its tokens times the number of instances that it stands for, at most three times; the rest stays with the estimate.

--- a/apps/whinyardd/entry/PeerLink.cpp
+++ b/apps/whinyardd/entry/PeerLink.cpp
@@ -173,28 +173,29 @@
 {
     if (work < worthTelling)
         return 0;
-    peer::WorkNotice notice { endpoint, std::chrono::duration_cast<std::chrono::microseconds>(work), prefix, need.tokens, std::chrono::ceil<std::chrono::milliseconds>(need.duration) + memorySlack };
+    const policy::EngineMemory::Telling telling = policy::EngineMemory::telling(std::min(m_peers.size(), mostToldOfWork), m_peers.size());
+    peer::WorkNotice notice { endpoint, std::chrono::duration_cast<std::chrono::microseconds>(work), prefix, static_cast<std::uint32_t>(std::min<double>(need.tokens * telling.factor, peer::mostHeldTokens)), std::chrono::ceil<std::chrono::milliseconds>(need.duration) + memorySlack };
     notice.prefixes.resize(std::min(notice.prefixes.size(), peer::mostPrefixes));
-    return tellMost(notice);
+    return tellMost(notice) ? telling.share : 0;
 }
 
 void PeerLink::tellOverdueMemory()
 {
-    m_directory.tellOverdue([this](const EndpointName& endpoint, std::uint32_t tokens, std::chrono::nanoseconds duration) {
-        tellMost(peer::WorkNotice { endpoint, {}, {}, tokens, std::chrono::ceil<std::chrono::milliseconds>(duration) + memorySlack });
+    const double factor = policy::EngineMemory::telling(std::min(m_peers.size(), mostToldOfWork), m_peers.size()).factor;
+    m_directory.tellOverdue([&](const EndpointName& endpoint, std::uint32_t tokens, std::chrono::nanoseconds duration) {
+        tellMost(peer::WorkNotice { endpoint, {}, {}, static_cast<std::uint32_t>(std::min<double>(tokens * factor, peer::mostHeldTokens)), std::chrono::ceil<std::chrono::milliseconds>(duration) + memorySlack });
     });
 }
 
-// Returns the share of the other instances that is told. Each of them gets as many of these as there are requests for each instance, times this number, whatever the fleet's size.
-double PeerLink::tellMost(const peer::Notice& notice)
+// Returns whether any other instance is told. Each of them gets as many of these as there are requests for each instance, times this number, whatever the fleet's size.
+bool PeerLink::tellMost(const peer::Notice& notice)
 {
     if (!m_socket || m_peers.empty())
-        return 0;
+        return false;
     const std::string bytes = peer::encodeNotice(notice);
-    const std::vector<std::size_t> told = peer::drawnPeers(m_peers.size(), mostToldOfWork, m_random);
-    for (const std::size_t drawn : told)
+    for (const std::size_t drawn : peer::drawnPeers(m_peers.size(), mostToldOfWork, m_random))
         send(m_peers[drawn], bytes);
-    return static_cast<double>(told.size()) / static_cast<double>(m_peers.size());
+    return true;
 }
 
 void PeerLink::tellPins()
--- a/apps/whinyardd/entry/PeerLink.h
+++ b/apps/whinyardd/entry/PeerLink.h
@@ -72,7 +72,7 @@
     void take(const peer::RateNotice& notice);
     void take(const peer::UsageNotice& notice);
     void take(const peer::DemandNotice& notice);
-    double tellMost(const peer::Notice& notice);
+    bool tellMost(const peer::Notice& notice);
     void repeatVerdicts();
     void broadcastRates(const std::vector<RateNews>& rates);
     void spreadRates(const std::vector<RateNews>& rates);
--- a/packages/policy/include/whinyard/policy/EngineMemory.h
+++ b/packages/policy/include/whinyard/policy/EngineMemory.h
@@ -36,6 +36,19 @@
     // Of an engine's capacity that estimated requests of other instances take at most. Their estimate is a mean over engines.
     static constexpr double largestEstimatedShare = 0.5;
 
+    // Where a report is told to a part of the other instances, each of these takes it for so many at most.
+    static constexpr double mostStoodFor = 3;
+
+    // How much of the memory of requests a part of the other instances hears, in the mean, if each report says `factor` times it.
+    struct Telling {
+        double factor = 1;
+        double share = 0;
+    };
+
+    // Returns that for reports which are told to `told` of the `others`. The factor makes up for reports that an instance doesn't
+    // get, in the mean of many; a larger one would let single reports shut an engine.
+    static Telling telling(std::size_t told, std::size_t others);
+
     // A running request of this instance.
     struct Hold {
         EndpointIndex endpoint {};
@@ -65,8 +78,8 @@
     // Notes that the engine holds nothing: it is another process.
     void clear(EndpointIndex endpoint);
 
-    // Counts an own request that is sent to the engine and is expected to end at `until`. The share `toldTo` of the other
-    // instances hears of it, and hears of the requests of others likewise.
+    // Counts an own request that is sent to the engine and is expected to end at `until`. The other instances hear of the share
+    // `toldTo` of its memory in the mean, and this instance likewise of theirs.
     Hold begin(EndpointIndex endpoint, std::uint32_t tokens, SteadyTime until, double toldTo);
 
     // Ends it. Does nothing for a request whose engine has restarted since.
--- a/packages/policy/src/EngineMemory.cpp
+++ b/packages/policy/src/EngineMemory.cpp
@@ -23,6 +23,15 @@
 
 }
 
+EngineMemory::Telling EngineMemory::telling(std::size_t told, std::size_t others)
+{
+    if (told == 0 || others == 0)
+        return {};
+    const double share = std::min(1.0, static_cast<double>(told) / static_cast<double>(others));
+    const double factor = std::min(1 / share, mostStoodFor);
+    return { factor, share * factor };
+}
+
 void EngineMemory::useCapacity(EndpointIndex endpoint, std::uint64_t tokens, std::uint32_t slots, TargetIndex target)
 {
     if (at(endpoint) >= m_engines.size()) {
--- a/packages/policy/test/EngineMemoryTest.cpp
+++ b/packages/policy/test/EngineMemoryTest.cpp
@@ -207,6 +207,19 @@
         EXPECT_TRUE(memory.takeOverdue().empty());
     }
 
+    // Guards against a fleet that believes the part which it hears to be all, and against one report that shuts an engine to those
+    // few that hear of it.
+    TEST_F(EngineMemoryTest, ReportsStandForOthersThatAreNotHeard)
+    {
+        EXPECT_DOUBLE_EQ(EngineMemory::telling(57, 57).factor, 1);
+        EXPECT_DOUBLE_EQ(EngineMemory::telling(57, 57).share, 1);
+        EXPECT_DOUBLE_EQ(EngineMemory::telling(96, 192).factor, 2);
+        EXPECT_DOUBLE_EQ(EngineMemory::telling(96, 192).share, 1);
+        EXPECT_DOUBLE_EQ(EngineMemory::telling(96, 960).factor, EngineMemory::mostStoodFor);
+        EXPECT_NEAR(EngineMemory::telling(96, 960).share, 0.3, 1e-9);
+        EXPECT_DOUBLE_EQ(EngineMemory::telling(0, 0).share, 0);
+    }
+
     // Guards against gauges that operators would read wrongly.
     TEST_F(EngineMemoryTest, TellsTheBelievedShares)
     {
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -37,7 +37,7 @@
     virtual ~WorkObserver() = default;
 
     // An engine was given a prompt whose reading takes `work`. `prefix` holds chained digests of its parts. Returns the share of
-    // the other instances that is told.
+    // its memory that the other instances hear of; see policy::EngineMemory::begin().
     virtual double gave(const EndpointName& endpoint, std::chrono::nanoseconds work, const std::vector<std::uint64_t>& prefix, const MemoryNeed& need) = 0;
 };
 
