--- a/packages/router/src/internal/ForwardPlaces.cpp
+++ b/packages/router/src/internal/ForwardPlaces.cpp
@@ -32,9 +32,11 @@
         if (!passGate())
             return false;
         place = takePlace(failure);
+        if (place == PlaceVerdict::notNeeded)
+            m_target = chooseTarget(failure);
+        if (place == PlaceVerdict::notNeeded && m_target && waitedForRoom())
+            place = PlaceVerdict::changed;
     }
-    if (place == PlaceVerdict::notNeeded)
-        m_target = chooseTarget(failure);
     if (place != PlaceVerdict::refused && m_target)
         return true;
     if (failure.kind == ErrorKind::overloaded)
--- a/packages/router/test/ForwarderModelTest.cpp
+++ b/packages/router/test/ForwarderModelTest.cpp
@@ -15,7 +15,7 @@
     class ForwarderModelTest : public ::testing::Test {
     protected:
         explicit ForwarderModelTest(bool firstByValue = true)
-            : m_bench(1, { .choice = { .cheapFirstBelow = 1, .firstByValue = firstByValue }, .price = { .delayShare = 0 } })
+            : m_bench(1, { .choice = { .cheapFirstBelow = 1, .firstByValue = firstByValue }, .forwarder = { .repeatRatio = 1, .repeatsPerSecond = 10, .enginePrice = { .delayShare = 0 } } })
         {
             config::Route& route = m_bench.useRoute(config::RequestKind::streaming, true);
             route.models = { { "small" }, { "large" } };
--- a/packages/router/testing/whinyard/router/ForwarderFakes.h
+++ b/packages/router/testing/whinyard/router/ForwarderFakes.h
@@ -37,6 +37,12 @@
             request.promptTokens = static_cast<std::uint32_t>(std::stoul(field("tokens")));
             request.promptParts = { { stableHash("shared"), 0 }, { stableHash(request.id), request.promptTokens } };
         }
+        if (!field("prompt").empty())
+            request.promptTokens = static_cast<std::uint32_t>(std::stoul(field("prompt")));
+        if (!field("limit").empty())
+            request.answerTokens = static_cast<std::uint32_t>(std::stoul(field("limit")));
+        if (!field("estimate").empty())
+            request.expectedTokens = static_cast<std::uint32_t>(std::stoul(field("estimate")));
         if (!field("resume").empty())
             request.resumeAfter = std::stoull(field("resume"));
         if (!field("wait").empty())
@@ -102,7 +108,8 @@
     PlaceBroker* places = nullptr;
     policy::WaitSelectorSettings selector {};
     policy::ModelChoiceSettings choice { .cheapFirstBelow = 1 };
-    policy::EnginePriceSettings price {};
+    ForwarderSettings forwarder { .repeatRatio = 1, .repeatsPerSecond = 10 };
+    WorkObserver* work = nullptr;
 };
 
 // One forwarder with two endpoints of one service.
@@ -111,7 +118,7 @@
     explicit ForwarderBench(std::uint64_t seed = 1, const ForwarderBenchParts& parts = {})
         : directory({ "z" }, Random(seed), {}, parts.selector)
         , models(parts.choice)
-        , forwarder({ clock, metrics, source, codec, directory, shifts, models, queries, client, listening, fibers, nullptr, nullptr, parts.places }, { .repeatRatio = 1, .repeatsPerSecond = 10, .enginePrice = parts.price }, Random(seed + 1))
+        , forwarder({ clock, metrics, source, codec, directory, shifts, models, queries, client, listening, fibers, parts.work, nullptr, parts.places }, parts.forwarder, Random(seed + 1))
     {
         routing.services = { { { "svc" }, 100, 0, 0, 1, { { { "small" }, 0.02 }, { { "large" }, 0.25 } } } };
         routing.customers = { { { "school" }, { "k1" }, std::nullopt } };
--- a/packages/settings/include/whinyard/settings/EntryTuning.h
+++ b/packages/settings/include/whinyard/settings/EntryTuning.h
@@ -49,6 +49,8 @@
     bool sharePlaces = false;
     // Instances learn the relative speeds of engines together, and weigh prefill times by them.
     bool sharePaces = false;
+    // Requests are kept away from engines whose KV cache they would overfill.
+    bool accountMemory = false;
     std::string logLevel = "info";
 };
 
--- a/packages/settings/src/EntryTuning.cpp
+++ b/packages/settings/src/EntryTuning.cpp
@@ -36,6 +36,7 @@
         object.integer<std::uint32_t>("fullScanLimit", tuning.fullScanLimit, Presence::optional, { 0, 10'000 });
         object.boolean("sharePlaces", tuning.sharePlaces, Presence::optional);
         object.boolean("sharePaces", tuning.sharePaces, Presence::optional);
+        object.boolean("accountMemory", tuning.accountMemory, Presence::optional);
         object.text("logLevel", tuning.logLevel, Presence::optional);
         object.finish();
         return tuning;
