--- a/apps/whinyardd/entry/PeerLink.h
+++ b/apps/whinyardd/entry/PeerLink.h
@@ -64,7 +64,10 @@
     // Tells some of the others what was observed of the speeds of engines since it was last told.
     void tellPaces();
 
-    void gave(const EndpointName& endpoint, std::chrono::nanoseconds work, const std::vector<std::uint64_t>& prefix) override;
+    double gave(const EndpointName& endpoint, std::chrono::nanoseconds work, const std::vector<std::uint64_t>& prefix, const router::MemoryNeed& need) override;
+
+    // Tells of requests that hold an engine's memory for longer than was told before.
+    void tellOverdueMemory();
 
     void close();
 
@@ -86,7 +89,7 @@
     void take(const peer::PlaceReturnNotice& notice);
     void take(const peer::PlacesHeldNotice& notice);
     void take(const peer::PaceNotice& notice);
-    void tellMost(const peer::Notice& notice);
+    bool tellMost(const peer::Notice& notice);
     void repeatVerdicts();
     void broadcastRates(const std::vector<RateNews>& rates);
     void spreadRates(const std::vector<RateNews>& rates);
--- a/packages/peer/src/Notices.cpp
+++ b/packages/peer/src/Notices.cpp
@@ -38,6 +38,8 @@
         writer.number(notice.prefixes.size());
         for (const std::uint64_t prefix : notice.prefixes)
             writer.number(prefix);
+        writer.number(std::min(notice.tokens, mostHeldTokens));
+        writer.number(static_cast<std::uint64_t>(std::clamp<std::int64_t>(notice.duration.count(), 0, longestHeld.count())));
     }
 
     void write(FieldWriter& writer, const PinNotice& notice)
@@ -185,6 +187,8 @@
         const std::uint64_t count = reader.number(mostPrefixes);
         for (std::uint64_t i = 0; i < count; ++i)
             notice.prefixes.push_back(reader.number());
+        notice.tokens = static_cast<std::uint32_t>(reader.number(mostHeldTokens));
+        notice.duration = std::chrono::milliseconds(static_cast<std::int64_t>(reader.number(static_cast<std::uint64_t>(longestHeld.count()))));
         return notice;
     }
 
--- a/packages/policy/src/WaitSelector.cpp
+++ b/packages/policy/src/WaitSelector.cpp
@@ -50,6 +50,14 @@
         }
 
         EndpointPlan make()
+        {
+            EndpointPlan plan = choose();
+            plan.avoidedFull = m_avoidedFull;
+            return plan;
+        }
+
+    private:
+        EndpointPlan choose()
         {
             if (const EndpointIndex endpoint = endpointToProbe(); endpoint != noEndpointIndex)
                 return planFor({ endpoint, ChoiceReason::probe, waitAt(endpoint, 0) });
@@ -66,7 +74,6 @@
             return decide();
         }
 
-    private:
         bool foundNone() const
         {
             return std::all_of(m_best.begin(), m_best.end(), [](const Best& best) { return best.endpoint == noEndpointIndex; });
@@ -88,7 +95,7 @@
             Best best;
             for (const EndpointIndex endpoint : list)
                 take(best, { endpoint, reason, 0 });
-            return best.endpoint == noEndpointIndex ? planForNone(m_table, m_request, list, m_now) : planFor(best);
+            return best.endpoint == noEndpointIndex ? planWithoutRoom(list) : planFor(best);
         }
 
         void collect()
@@ -247,8 +254,12 @@
 
         void take(Best& best, const Candidate& candidate)
         {
-            if (!isEligible(m_table, m_request, candidate.endpoint, m_now))
+            if (!takesRequest(m_table, m_request, candidate.endpoint, m_now))
                 return;
+            if (!hasRoom(m_table, m_request, candidate.endpoint, m_now)) {
+                m_avoidedFull = true;
+                return;
+            }
             const bool isPenalized = m_request.stallsOthers && candidate.reason != ChoiceReason::affinity && !m_takesOnlyInTime;
             const Nanoseconds penalty = isPenalized ? Nanoseconds(m_settings.stallPenalty) : Nanoseconds(0);
             const Nanoseconds wait = waitAt(candidate.endpoint, candidate.cachedShare) + penalty;
@@ -335,7 +346,7 @@
         EndpointPlan decide()
         {
             if (foundNone())
-                return planForNone(m_table, m_request, m_members.healthy, m_now);
+                return planWithoutRoom(m_members.healthy);
             return planFor(nearestWorthwhile());
         }
 
@@ -354,6 +365,18 @@
             return best;
         }
 
+        // No endpoint of `list` takes the request and has room for it.
+        EndpointPlan planWithoutRoom(const std::vector<EndpointIndex>& list) const
+        {
+            const EndpointPlan full = planForFull(m_table, m_request, list, m_now);
+            if (!full)
+                return full;
+            EndpointPlan plan = planFor({ full.endpoint, full.reason, std::max(Nanoseconds(full.expectedWait), waitAt(full.endpoint, 0)), 0 });
+            plan.room = full.room;
+            plan.roomWait = full.roomWait;
+            return plan;
+        }
+
         bool isWorthTheWay(std::size_t nearer, std::size_t farther) const
         {
             return m_best[nearer].wait > m_best[farther].wait * m_settings.zoneFactor + penaltyOf(farther) - penaltyOf(nearer);
@@ -395,6 +418,7 @@
         Candidates m_candidates;
         std::array<Best, distances> m_best;
         bool m_takesOnlyInTime = false;
+        bool m_avoidedFull = false; // An engine that would have been compared has no room.
     };
 
     class WaitSelector final : public EndpointSelector {
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -217,11 +217,6 @@
     return repeatable() && left > (isUnderWay() ? 0U : 1U) && timeLeft() > shortestAttempt;
 }
 
-bool ForwardRun::isUnderWay() const
-{
-    return streams() && m_events > 0;
-}
-
 // How long the present attempt may be silent before another endpoint is asked.
 std::chrono::nanoseconds ForwardRun::patience() const
 {
--- a/packages/router/test/ForwarderPaceTest.cpp
+++ b/packages/router/test/ForwarderPaceTest.cpp
@@ -118,7 +118,11 @@
     TEST_F(ForwarderPaceTest, TellsOthersTheWorkOfAnOrdinaryEngine)
     {
         struct Observer final : WorkObserver {
-            void gave(const EndpointName&, std::chrono::nanoseconds work, const std::vector<std::uint64_t>&) override { told = work; }
+            double gave(const EndpointName&, std::chrono::nanoseconds work, const std::vector<std::uint64_t>&, const MemoryNeed&) override
+            {
+                told = work;
+                return 0;
+            }
             std::chrono::nanoseconds told { 0 };
         };
         Observer observer;
