--- a/packages/policy/src/EndpointTable.cpp
+++ b/packages/policy/src/EndpointTable.cpp
@@ -405,7 +405,8 @@
 void EndpointTable::recordExpectation(EndpointIndex endpoint, std::chrono::nanoseconds elapsed, std::chrono::nanoseconds expected, SteadyTime now)
 {
     EndpointRow& changed = rowAt(endpoint);
-    const double ratio = static_cast<double>(elapsed.count()) / static_cast<double>((expected + leastExpected).count());
+    // What the engine's pace explains is no slowness.
+    const double ratio = static_cast<double>(elapsed.count()) / (static_cast<double>(expected.count()) * changed.pace + static_cast<double>(leastExpected.count()));
     const double before = slowness(endpoint, now);
     changed.slowness = before + slownessWeight * (std::min(ratio, largestSlowness) - before);
     changed.slownessAt = now;
--- a/packages/policy/src/WaitSelector.cpp
+++ b/packages/policy/src/WaitSelector.cpp
@@ -291,7 +291,7 @@
             const Nanoseconds backlog = m_table.backlog(endpoint, m_now);
             if (!m_settings.sharesPaces)
                 return (backlog + unqueuedAt(endpoint, cachedShare)) * m_table.slowness(endpoint, m_now);
-            return backlog + prefillOf(cachedShare) * m_table.row(endpoint).pace + Nanoseconds(m_table.row(endpoint).step);
+            return (backlog + prefillOf(cachedShare) * m_table.row(endpoint).pace + Nanoseconds(m_table.row(endpoint).step)) * m_table.slowness(endpoint, m_now);
         }
 
         // What failures in a row add when endpoints are compared. It is no wait: an endpoint that isn't asked again
--- a/packages/policy/test/EndpointPaceTest.cpp
+++ b/packages/policy/test/EndpointPaceTest.cpp
@@ -62,14 +62,22 @@
     EXPECT_EQ(chooseWithout(fast).unqueuedWait, 120ms);
 }
 
-// One instance's own measure would count the engine's slowness twice.
-TEST_F(EndpointPaceTest, LeavesTheOwnSlownessOut)
+// One instance's own measure would count the engine's pace twice.
+TEST_F(EndpointPaceTest, CountsWhatThePaceExplainsOnce)
 {
     for (int i = 0; i < 20; ++i)
-        table.recordExpectation(slow, 800ms, 100ms, start);
+        table.recordExpectation(slow, 180ms, 100ms, start);
     EXPECT_EQ(chooseWithout(fast).expectedWait, 216ms);
 }
 
+// Guards against an overloaded engine that looks free: only its late answers show requests that preempt each other there.
+TEST_F(EndpointPaceTest, CountsSlownessBeyondThePace)
+{
+    for (int i = 0; i < 20; ++i)
+        table.recordExpectation(slow, 800ms, 100ms, start);
+    EXPECT_GT(chooseWithout(fast).expectedWait, 2 * 216ms);
+}
+
 // Guards against long prompts at slow engines, and against slow engines that get nothing at all.
 TEST_F(EndpointPaceTest, LongPromptsWaitForAFastEngineAndShortOnesUseTheSlowOne)
 {
