--- a/packages/leadership/test/LeadershipExplorerTest.cpp
+++ b/packages/leadership/test/LeadershipExplorerTest.cpp
@@ -15,6 +15,14 @@
         RecordProperty("calls", std::to_string(result.calls));
     }
 
+    // Guards against two leaders, or two counts of a window, where the store loses the leader's record and gives out its numbers again.
+    TEST(LeadershipExplorerTest, NoReturnOfTheStoreShowsTheProviderTwoLeaders)
+    {
+        const ExplorerResult result = explore({ .steps = 7, .faults = 0, .returns = 1 });
+        EXPECT_FALSE(result.violation) << *result.violation;
+        EXPECT_GT(result.calls, 1'000U);
+    }
+
     TEST(LeadershipExplorerTest, FindsALeaderThatActsWithoutProofOfItsLease)
     {
         const ExplorerResult result = explore({ .steps = 6, .faults = 0, .actsWithoutProof = true });
--- a/packages/leadership/testing/whinyard/leadership/LeadershipExplorer.h
+++ b/packages/leadership/testing/whinyard/leadership/LeadershipExplorer.h
@@ -23,6 +23,7 @@
 struct ExplorerSettings {
     std::size_t steps = 6; // Of each run.
     std::uint32_t faults = 1; // Lost answers and freezes of each run, at most.
+    std::uint32_t returns = 0; // Times that the store comes back from an older copy, at most, in each run.
     // Breaks the protocol, so that the checks can be seen to work.
     bool actsWithoutProof = false; // A leader goes on until it hears that it no longer leads.
     bool fixesForItself = false; // Each instance fixes the counts in a record of its own.
@@ -74,6 +75,7 @@
         : m_settings(settings)
         , m_choices(choices)
         , m_faultsLeft(settings.faults)
+        , m_returnsLeft(settings.returns)
         , m_instances { Instance(*this, 0), Instance(*this, 1) }
     {
     }
@@ -81,7 +83,7 @@
     void run()
     {
         for (std::size_t step = 0; step < m_settings.steps && !m_violation; ++step) {
-            switch (m_choices.choose(2 + 2 * m_instances.size())) {
+            switch (m_choices.choose(2 + 2 * m_instances.size() + (m_returnsLeft > 0 ? 1 : 0))) {
             case 0:
                 advance(std::chrono::milliseconds(1'000));
                 break;
@@ -97,8 +99,11 @@
             case 4:
                 report(0);
                 break;
-            default:
+            case 5:
                 report(1);
+                break;
+            default:
+                returnStore();
             }
         }
     }
@@ -292,6 +297,17 @@
 
     void advance(std::chrono::milliseconds time) { m_clock.time += time; }
 
+    // The copy is of the begin: everything that was written is lost, and all numbers are given out again.
+    void returnStore()
+    {
+        --m_returnsLeft;
+        m_history += "\n  the store comes back older";
+        m_records.clear();
+        m_leases.clear();
+        m_revision = 0;
+        m_lastLease = 0;
+    }
+
     void keepLease(std::size_t number)
     {
         Instance& instance = m_instances[number];
@@ -383,6 +399,7 @@
     const ExplorerSettings m_settings;
     ChoiceList& m_choices;
     std::uint32_t m_faultsLeft;
+    std::uint32_t m_returnsLeft;
     WorldClock m_clock;
     std::map<std::string, backing::Record> m_records;
     std::map<backing::LeaseId, Lease> m_leases;
