Compare revisions by the store's era first

The store had come back from an older copy: the instances that don't follow it knew revision 55, and left out 53, 54 and 55 of the return, which the followers stated to them, until 56 came. Their denials were final, as nobody counted as behind.

A revision was a bare number, taken as one that only grows. whinyard::Revision holds the era that the store states in every answer before the number, and is compared in that order; a lease names its era. Every comparison of the daemon's goes by it: what followers state, what is heard, the routing's mark, the list of endpoints. Refusals by the configuration name which revision was known and which heard of.

--- a/apps/whinyardd/entry/RoutingKeeper.cpp
+++ b/apps/whinyardd/entry/RoutingKeeper.cpp
@@ -4,7 +4,7 @@
 
 namespace whinyard::daemon {
 
-bool RoutingKeeper::take(config::Routing routing, std::uint64_t knownUpTo)
+bool RoutingKeeper::take(config::Routing routing, const Revision& knownUpTo)
 {
     const std::lock_guard lock(m_mutex);
     m_knownUpTo = std::max(m_knownUpTo, knownUpTo);
@@ -14,7 +14,7 @@
     return true;
 }
 
-void RoutingKeeper::noteRevisions(std::uint64_t knownUpTo, std::uint64_t heardUpTo)
+void RoutingKeeper::noteRevisions(const Revision& knownUpTo, const Revision& heardUpTo)
 {
     const std::lock_guard lock(m_mutex);
     m_knownUpTo = std::max(m_knownUpTo, knownUpTo);
@@ -27,6 +27,12 @@
     return m_knownUpTo < m_heardUpTo;
 }
 
+std::string RoutingKeeper::knowledge() const
+{
+    const std::lock_guard lock(m_mutex);
+    return "; known up to revision " + toText(m_knownUpTo) + ", heard of " + toText(m_heardUpTo);
+}
+
 std::shared_ptr<const config::RoutingTable> RoutingKeeper::newest() const
 {
     const std::lock_guard lock(m_mutex);
--- a/apps/whinyardd/entry/RoutingKeeper.h
+++ b/apps/whinyardd/entry/RoutingKeeper.h
@@ -1,9 +1,9 @@
 // The operators' routing that this instance knows, shared between its duties.
 #pragma once
 
+#include "whinyard/base/Revision.h"
 #include "whinyard/router/RoutingSource.h"
 
-#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -15,7 +15,7 @@
 public:
     // Takes a routing, with the revision of the operators' records up to which it is the newest. One that isn't newer than the known
     // one changes nothing but that: an instance never goes back. Returns whether it was taken.
-    bool take(config::Routing routing, std::uint64_t knownUpTo);
+    bool take(config::Routing routing, const Revision& knownUpTo);
 
     std::shared_ptr<const config::RoutingTable> newest() const override;
     bool mayServe(Failure& failure) const override;
@@ -25,15 +25,16 @@
     std::shared_ptr<const std::set<ZoneName>> evacuatedZones() const override;
 
     // Notes up to which revision this instance knows the operators' records, and up to which any other one states to.
-    void noteRevisions(std::uint64_t knownUpTo, std::uint64_t heardUpTo);
+    void noteRevisions(const Revision& knownUpTo, const Revision& heardUpTo);
     bool isBehind() const override;
+    std::string knowledge() const override;
 
 private:
     mutable std::mutex m_mutex;
     std::shared_ptr<const config::RoutingTable> m_table;
     std::shared_ptr<const std::set<ZoneName>> m_evacuated = std::make_shared<const std::set<ZoneName>>();
-    std::uint64_t m_knownUpTo = 0; // Changes with the routing: a denial by the newest one must not be taken for one by an older one.
-    std::uint64_t m_heardUpTo = 0;
+    Revision m_knownUpTo; // Changes with the routing: a denial by the newest one must not be taken for one by an older one.
+    Revision m_heardUpTo;
 };
 
 }
--- a/packages/backing/include/whinyard/backing/CountedStore.h
+++ b/packages/backing/include/whinyard/backing/CountedStore.h
@@ -18,6 +18,7 @@
     // `metrics` must outlive the object.
     CountedStore(std::unique_ptr<WatchableStore> store, Metrics& metrics);
 
+    std::uint64_t era() const override { return m_store->era(); }
     std::optional<RecordPage> range(const std::string& prefix, const std::string& after, ReadAge age, Failure& failure) override;
     std::optional<ChangePage> watch(const std::string& prefix, Revision after, std::chrono::milliseconds wait, Failure& failure) override;
     void interruptReads() override { m_store->interruptReads(); }
--- a/packages/backing/include/whinyard/backing/JsonCalls.h
+++ b/packages/backing/include/whinyard/backing/JsonCalls.h
@@ -19,10 +19,11 @@
     write,
 };
 
-// A reply that came: its status, and its body if that is a JSON object.
+// A reply that came: its status, its fields, and its body if that is a JSON object.
 struct JsonReply {
     int status = 0;
     nlohmann::json body; // Null when the body was no JSON object.
+    std::vector<net::HttpField> fields;
 };
 
 // Where and how calls are made.
--- a/packages/backing/include/whinyard/backing/KeyValueStore.h
+++ b/packages/backing/include/whinyard/backing/KeyValueStore.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "whinyard/base/Error.h"
+#include "whinyard/base/Revision.h"
 
 #include <chrono>
 #include <cstdint>
@@ -17,14 +18,16 @@
 
 // The revision of a record: it rises with every write to the record's key, also over a deletion.
 // Zero stands for an absent record.
-using Revision = std::uint64_t;
+using whinyard::Revision;
 
 // A value's largest size.
 inline constexpr std::size_t largestValue = 1'000'000;
 
-// Identifies a lease; records written under it vanish when it lapses.
+// Identifies a lease; records written under it vanish when it lapses. A store that came back from an older copy gives numbers out
+// again, so the one of another era may be another instance's.
 struct LeaseId {
     std::uint64_t number = 0;
+    std::uint64_t era = 0; // In which it was granted, or read.
 
     auto operator<=>(const LeaseId&) const = default;
 };
@@ -34,6 +37,8 @@
     std::string value;
     Revision revision = 0;
     LeaseId lease {}; // Under which it stands; number zero: it lasts, or the service doesn't say.
+
+    bool operator==(const Record&) const = default;
 };
 
 // A compare-and-swap: writes `value` only if the record's revision is `expected`.
--- a/packages/backing/include/whinyard/backing/WatchableStore.h
+++ b/packages/backing/include/whinyard/backing/WatchableStore.h
@@ -1,6 +1,9 @@
 // A key-value service with one revision counter over all keys, as an interface: reads by prefix, watches from a
 // revision on, transactions over several keys, and leases.
 //
+// The service may come back from an older copy: what it had accepted since is gone, leases too, and it gives the numbers of
+// revisions and leases out again. Each such return begins a new era, which revisions and leases name.
+//
 // Instances that keep their shared state in a store of this kind use it; PrefixFollower keeps a copy of a prefix up
 // to date through it. The adapter to a real service and the fakes of the tests implement it.
 #pragma once
@@ -71,11 +74,14 @@
 public:
     virtual ~WatchableStore() = default;
 
+    // Returns the newest era that an answer has stated; 0 before the first, and for a service that states none.
+    virtual std::uint64_t era() const = 0;
+
     // Reads the records whose keys start with `prefix` and come after `after`.
     virtual std::optional<RecordPage> range(const std::string& prefix, const std::string& after, ReadAge age, Failure& failure) = 0;
 
     // Waits for changes under `prefix` after revision `after`, at most for `wait`; without any the page is empty.
-    // Fails with notFound when the service has dropped the history that it would take: read the range again.
+    // Fails with notFound when the service has dropped the history that it would take, or has begun a new era: read the range again.
     virtual std::optional<ChangePage> watch(const std::string& prefix, Revision after, std::chrono::milliseconds wait, Failure& failure) = 0;
 
     // Ends every range and watch of whose answer nothing has come yet, with storeUnavailable.
@@ -85,7 +91,9 @@
     virtual bool answers(Failure& failure) = 0;
 
     // Does all of a transaction or nothing, and returns its revision. Fails with swapConflict when a precondition
-    // doesn't hold, and with notFound when a lease has ended.
+    // doesn't hold, and with notFound when a lease has ended. A revision or a lease of another era counts as one that is gone. Where
+    // the new era shows only by the answer, the transaction has happened, and fails with storeUncertain, or with notFound when
+    // it names a lease.
     virtual std::optional<Revision> transact(const Transaction& transaction, Failure& failure) = 0;
 
     virtual std::optional<LeaseId> grantLease(std::chrono::milliseconds timeToLive, Failure& failure) = 0;
@@ -98,7 +106,7 @@
 };
 
 // Reads all pages of a prefix as one. The revision is that of the first page: a watch from there on tells what changed
-// between them.
+// between them. Fails with storeUnavailable where a new era began between them.
 std::optional<RecordPage> readAll(WatchableStore& store, const std::string& prefix, ReadAge age, Failure& failure);
 
 }
--- a/packages/backing/src/HttpPlatform.cpp
+++ b/packages/backing/src/HttpPlatform.cpp
@@ -63,7 +63,7 @@
                 failure = { .kind = ErrorKind::bodyTooLarge, .reason = "the value of " + swap.key + " is too large; nothing was sent" };
                 return std::nullopt;
             }
-            const json body { { "key", swap.key }, { "value", swap.value }, { "expected", swap.expected }, { "lease", swap.lease.number } };
+            const json body { { "key", swap.key }, { "value", swap.value }, { "expected", swap.expected.number }, { "lease", swap.lease.number } };
             const auto reply = write("/kv/swap", body, failure);
             if (!reply)
                 return std::nullopt;
@@ -75,7 +75,7 @@
 
         bool erase(const std::string& key, Revision expected, Failure& failure) override
         {
-            return write("/kv/erase", { { "key", key }, { "expected", expected } }, failure).has_value();
+            return write("/kv/erase", { { "key", key }, { "expected", expected.number } }, failure).has_value();
         }
 
         std::optional<std::vector<Record>> list(const std::string& prefix, const std::string& after, std::size_t limit, Failure& failure) override
@@ -92,7 +92,7 @@
 
         std::optional<Record> watch(const std::string& key, Revision known, std::chrono::milliseconds timeout, Failure& failure) override
         {
-            const std::string target = "/kv/watch?key=" + percentEncoded(key) + "&known=" + std::to_string(known) + "&timeoutMs=" + std::to_string(timeout.count());
+            const std::string target = "/kv/watch?key=" + percentEncoded(key) + "&known=" + std::to_string(known.number) + "&timeoutMs=" + std::to_string(timeout.count());
             const auto reply = m_calls.get(target, timeout + m_calls.callTimeout(), failure);
             if (!reply)
                 return std::nullopt;
--- a/packages/backing/src/JsonCalls.cpp
+++ b/packages/backing/src/JsonCalls.cpp
@@ -30,10 +30,10 @@
     }
 
     // Returns nothing with storeUnavailable for a status by which the service says that it did nothing.
-    std::optional<JsonReply> judged(int status, const std::string& body, Failure& failure)
+    std::optional<JsonReply> judged(int status, const std::string& body, const std::vector<net::HttpField>& fields, Failure& failure)
     {
         if (status != unavailableStatus && status != overRateStatus)
-            return JsonReply { status, parsedObject(body) };
+            return JsonReply { status, parsedObject(body), fields };
         failure = { .kind = ErrorKind::storeUnavailable, .reason = "the service refused the call without effect, status " + std::to_string(status) };
         return std::nullopt;
     }
@@ -70,7 +70,7 @@
     m_silentReads.erase(&cancellation);
     const std::optional<std::string> body = stream ? net::readToEnd(*stream, cause) : std::nullopt;
     if (body)
-        return judged(stream->head().status, *body, failure);
+        return judged(stream->head().status, *body, stream->head().fields, failure);
     failure = missingReply(CallEffect::none, progress, cause);
     return std::nullopt;
 }
@@ -105,7 +105,7 @@
     Failure cause;
     const auto response = m_client.call(m_options.address, request, optionsFor(timeout), progress, cause);
     if (response)
-        return judged(response->status, response->body, failure);
+        return judged(response->status, response->body, response->fields, failure);
     failure = missingReply(effect, progress, cause);
     return std::nullopt;
 }
--- a/packages/backing/src/WatchableStore.cpp
+++ b/packages/backing/src/WatchableStore.cpp
@@ -17,6 +17,9 @@
             after = page->records.back().key;
         if (!whole) {
             whole = std::move(page);
+        } else if (page->storeRevision.era != whole->storeRevision.era) {
+            failure = { .kind = ErrorKind::storeUnavailable, .reason = "the store came back from an older copy between two pages" };
+            return std::nullopt;
         } else {
             for (Record& record : page->records)
                 whole->records.push_back(std::move(record));
--- a/packages/backing/test/PrefixFollowerTest.cpp
+++ b/packages/backing/test/PrefixFollowerTest.cpp
@@ -62,6 +62,24 @@
         EXPECT_EQ(m_copy.replacements, 1);
     }
 
+    // Guards against a watch that goes on where the store has given out its revisions again: it would be told of nothing in between.
+    TEST_F(PrefixFollowerTest, ReadsAnewWhereTheStoreCameBackFromAnOlderCopy)
+    {
+        m_store.write("a/1", "old");
+        m_store.keepCopy();
+        m_store.write("a/2", "lost");
+        m_follower.turn();
+        m_store.returnToCopy();
+        m_store.write("a/1", "new");
+        EXPECT_TRUE(m_follower.turn());
+        EXPECT_EQ(m_copy.values, (std::map<std::string, std::string> { { "a/1", "new" } }));
+        EXPECT_EQ(m_copy.replacements, 2);
+        m_store.write("a/2", "again");
+        EXPECT_TRUE(m_follower.turn());
+        EXPECT_EQ(m_copy.values["a/2"], "again");
+        EXPECT_EQ(m_copy.replacements, 2);
+    }
+
     TEST_F(PrefixFollowerTest, ReadsAnewWhenTheHistoryIsGone)
     {
         m_store.write("a/1", "old");
--- a/packages/backing/testing/whinyard/backing/FakeWatchableStore.h
+++ b/packages/backing/testing/whinyard/backing/FakeWatchableStore.h
@@ -1,4 +1,5 @@
-// A watchable store in memory, for tests: it can be away, lose replies, drop its history and be written to by others.
+// A watchable store in memory, for tests: it can be away, lose replies, drop its history, come back from an older copy and be
+// written to by others.
 #pragma once
 
 #include "whinyard/backing/WatchableStore.h"
@@ -23,7 +24,7 @@
     // Writes as somebody else would.
     Revision write(const std::string& key, std::string value, LeaseId lease = {})
     {
-        m_records[key] = { { key, std::move(value), ++m_revision, lease }, lease };
+        m_records[key] = { { key, std::move(value), next(), lease }, lease };
         m_history.push_back({ m_records[key].record, false });
         return m_revision;
     }
@@ -31,7 +32,7 @@
     void erase(const std::string& key)
     {
         if (m_records.erase(key) > 0)
-            m_history.push_back({ { key, {}, ++m_revision, {} }, true });
+            m_history.push_back({ { key, {}, next(), {} }, true });
     }
 
     // Forgets what led to the present records.
@@ -41,6 +42,25 @@
         m_oldest = m_revision;
     }
 
+    // Keeps a copy of all that stands now.
+    void keepCopy() { m_copy = { m_records, m_revision, m_lastLease }; }
+
+    // Comes back from the copy in a new era, and gives the numbers since then out again.
+    void returnToCopy()
+    {
+        m_records = m_copy.records;
+        m_revision = { m_revision.era + 1, m_copy.revision.number };
+        m_lastLease = m_copy.lastLease;
+        for (auto& [key, held] : m_records) {
+            held.record.revision.era = m_revision.era;
+            held.record.lease.era = m_revision.era;
+        }
+        m_history.clear();
+        m_oldest = m_revision;
+    }
+
+    std::uint64_t era() const override { return m_revision.era; }
+
     const Record* find(const std::string& key) const
     {
         const auto found = m_records.find(key);
@@ -93,11 +113,17 @@
             return std::nullopt;
         for (const Precondition& precondition : transaction.preconditions) {
             const Record* record = find(precondition.key);
-            if ((record ? record->revision : 0) != precondition.revision) {
+            if ((record ? record->revision : Revision()) != precondition.revision) {
                 failure = { .kind = ErrorKind::swapConflict, .reason = precondition.key + " has another revision" };
                 return std::nullopt;
             }
         }
+        for (const Put& put : transaction.puts) {
+            if (put.lease.number == 0 || put.lease.era == era())
+                continue;
+            failure = { .kind = ErrorKind::notFound, .reason = "the lease is of an earlier era" };
+            return std::nullopt;
+        }
         for (const Put& put : transaction.puts)
             write(put.key, put.value, put.lease);
         for (const std::string& key : transaction.deletes)
@@ -113,14 +139,14 @@
     {
         if (!reached(failure))
             return std::nullopt;
-        return LeaseId { ++m_lastLease };
+        return LeaseId { ++m_lastLease, era() };
     }
 
     bool keepLease(LeaseId lease, Failure& failure) override
     {
         if (!reached(failure))
             return false;
-        if (lease.number <= m_endedLeases) {
+        if (lease.era != era() || lease.number <= m_endedLeases) {
             failure = { .kind = ErrorKind::notFound, .reason = "the lease has ended" };
             return false;
         }
@@ -154,6 +180,18 @@
         LeaseId lease;
     };
 
+    struct Copy {
+        std::map<std::string, Held> records;
+        Revision revision;
+        std::uint64_t lastLease = 0;
+    };
+
+    Revision next()
+    {
+        ++m_revision.number;
+        return m_revision;
+    }
+
     bool reached(Failure& failure)
     {
         ++calls;
@@ -162,6 +200,7 @@
         return !isAway;
     }
 
+    Copy m_copy;
     std::map<std::string, Held> m_records;
     std::vector<RecordChange> m_history;
     Revision m_revision = 0;
--- a/packages/backing/testing/whinyard/backing/MemoryStore.h
+++ b/packages/backing/testing/whinyard/backing/MemoryStore.h
@@ -128,7 +128,7 @@
     const Clock& m_clock;
     std::map<std::string, Entry> m_records;
     std::map<LeaseId, Lease> m_leases;
-    Revision m_lastRevision = 0; // One counter over all keys, so that it rises over deletions too.
+    std::uint64_t m_lastRevision = 0; // One counter over all keys, so that it rises over deletions too.
     std::uint64_t m_lastLease = 0;
 };
 
--- a/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
+++ b/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
@@ -13,6 +13,7 @@
 #include "whinyard/backing/InstanceList.h"
 #include "whinyard/base/Clock.h"
 #include "whinyard/base/Identity.h"
+#include "whinyard/base/Revision.h"
 
 #include <chrono>
 #include <cstdint>
@@ -69,10 +70,10 @@
     std::uint64_t sequence = 0;
     bool hasChanges = false;
     bool isCurrent = true; // The store has just answered it.
-    // Whoever knows the list at revision `since` of the store or later knows it up to `upTo` with the changes of the statement. Both 0:
-    // not stated, and only statements of one instance, without a gap, build on each other.
-    std::uint64_t since = 0;
-    std::uint64_t upTo = 0;
+    // Whoever knows the list at revision `since` of the store or later, in the same era, knows it up to `upTo` with the changes of the
+    // statement. Both 0: not stated, and only statements of one instance, without a gap, build on each other.
+    Revision since {};
+    Revision upTo {};
 };
 
 // What this instance has to do for its list to be right.
@@ -135,8 +136,8 @@
 
     // What this instance knows of the list: everything up to a revision of the store, and since which it has not changed.
     struct Known {
-        std::uint64_t since = 0;
-        std::uint64_t upTo = 0;
+        Revision since {};
+        Revision upTo {};
     };
 
     // Returns it where others told the list without a gap, so that the store can be watched on from there.
--- a/packages/endpoint/src/RosterRelay.cpp
+++ b/packages/endpoint/src/RosterRelay.cpp
@@ -204,7 +204,8 @@
     if (isSource)
         m_source = statement.instance;
     // It builds on what is known already, whoever told that: a follower's end costs nobody the whole list.
-    if (statement.isCurrent && statement.upTo > 0 && m_known && statement.since <= m_known->upTo) {
+    const bool isOfSameEra = m_known && statement.since.era == m_known->upTo.era;
+    if (statement.isCurrent && statement.upTo.number > 0 && isOfSameEra && statement.since <= m_known->upTo) {
         noteTold(statement);
         return statement.hasChanges ? RelayAction::apply : RelayAction::ignore;
     }
@@ -216,7 +217,7 @@
             m_requests = 0;
         return RelayAction::incomplete;
     }
-    if (statement.upTo > 0 && !m_incomplete)
+    if (statement.upTo.number > 0 && !m_incomplete)
         noteTold(statement);
     return statement.hasChanges ? RelayAction::apply : RelayAction::ignore;
 }
@@ -234,7 +235,7 @@
     m_heard[statement.instance] = { statement.life, statement.sequence, now, std::nullopt };
     m_source = statement.instance;
     m_known.reset();
-    if (statement.upTo > 0)
+    if (statement.upTo.number > 0)
         m_known = { statement.upTo, statement.upTo };
     noteRead();
     return true;
--- a/packages/endpoint/test/RosterRelayFleetTest.cpp
+++ b/packages/endpoint/test/RosterRelayFleetTest.cpp
@@ -35,8 +35,8 @@
         SteadyTime readEnds; // Of the whole read that is under way.
         SteadyTime tellsAt;
         SteadyTime listSince;
-        std::uint64_t upTo = 0; // The revision of the store up to which it has told the list, as a follower.
-        std::uint64_t changedAt = 0; // Since which the told list has not changed.
+        Revision upTo; // The revision of the store up to which it has told the list, as a follower.
+        Revision changedAt; // Since which the told list has not changed.
         std::uint64_t sequence = 0;
     };
 
@@ -103,8 +103,8 @@
                 const auto known = self.relay.known();
                 m_wholeReads += known ? 0 : 1;
                 self.readEnds = now + (known ? step : m_readTime);
-                self.upTo = known ? known->upTo : 0;
-                self.changedAt = known ? known->since : 0;
+                self.upTo = known ? known->upTo : Revision();
+                self.changedAt = known ? known->since : Revision();
             }
             self.isFollowing = follows && !self.isTurnedAway;
             if (self.isTurnedAway && follows)
@@ -142,7 +142,7 @@
             RosterStatement statement { self.name, 1, self.sequence, false, isCurrent };
             if (isCurrent) {
                 statement.hasChanges = m_listChangedAt > self.upTo;
-                statement.since = self.upTo == 0 ? m_revision : self.changedAt;
+                statement.since = self.upTo == Revision() ? Revision(m_revision) : self.changedAt;
                 statement.upTo = self.upTo = m_revision;
                 if (statement.since == m_revision)
                     self.changedAt = m_revision;
--- a/packages/endpoint/test/RosterRelayTest.cpp
+++ b/packages/endpoint/test/RosterRelayTest.cpp
@@ -163,6 +163,19 @@
         EXPECT_EQ(m_relay->known()->upTo, 122U);
     }
 
+    // Guards against changes that build on another era of the store, in which the same numbers name other states.
+    TEST_F(RosterRelayTest, BuildsOnNoStatementOfAnotherEra)
+    {
+        const auto hearUpTo = [this](const InstanceName& from, std::uint64_t sequence, bool hasChanges, const Revision& since, const Revision& upTo) {
+            return m_relay->hear({ from, 1, sequence, hasChanges, true, since, upTo }, m_clock.now());
+        };
+        ASSERT_TRUE(m_relay->hearWhole({ m_lead, 1, 0, false, true, Revision(2, 100), Revision(2, 100) }, m_clock.now()));
+        EXPECT_EQ(hearUpTo(m_second, 7, true, { 1, 95 }, { 1, 120 }), RelayAction::ignore) << "it has not seen the store's return yet";
+        EXPECT_EQ(m_relay->known()->upTo, Revision(2, 100));
+        EXPECT_EQ(hearUpTo(m_lead, 1, true, { 3, 90 }, { 3, 95 }), RelayAction::apply) << "it follows on the last notice of the same instance";
+        EXPECT_EQ(m_relay->known()->upTo, Revision(3, 95));
+    }
+
     TEST_F(RosterRelayTest, IsSilentOnceTheStoreFailsIt)
     {
         RosterRelay lead(m_lead, relaySettingsFor(2s));
--- a/packages/ledger/src/PartitionLog.cpp
+++ b/packages/ledger/src/PartitionLog.cpp
@@ -77,7 +77,7 @@
 
 void PartitionLog::answer(LogTicket ticket, AdmissionAnswer answer)
 {
-    answer.revision = m_state.revision();
+    answer.revision = m_state.revision().number;
     m_admissionResults[ticket] = { .answer = std::move(answer), .failure = {} };
     m_waiting.erase(ticket);
 }
--- a/packages/ledger/src/PartitionLogMaintenance.cpp
+++ b/packages/ledger/src/PartitionLogMaintenance.cpp
@@ -71,7 +71,7 @@
         const auto& key = m_erasing->keys.front();
         if (!m_erasing->listed)
             return readCall(Purpose::readDropped, key);
-        if (!m_erasing->revision)
+        if (m_erasing->revision == backing::Revision())
             return readCall(Purpose::readForErase, key);
         StoreCall call = createCall(Purpose::erase, key, {});
         call.kind = StoreCallKind::erase;
--- a/packages/ledger/src/PartitionLogReplies.cpp
+++ b/packages/ledger/src/PartitionLogReplies.cpp
@@ -319,7 +319,7 @@
         m_granted.emplace(intent.entry.sequence, intent.entry);
         ++m_stats.granted;
         answer(intent.ticket, std::move(result));
-        m_admissionResults[intent.ticket].answer->revision = revision;
+        m_admissionResults[intent.ticket].answer->revision = revision.number;
         return;
     }
     // Its caller was told "not run", so it is never dispatched; the key becomes free again.
--- a/packages/ledger/src/PartitionState.cpp
+++ b/packages/ledger/src/PartitionState.cpp
@@ -45,7 +45,7 @@
 bool PartitionState::adopt(IntentHead head, backing::Revision revision, Failure& failure)
 {
     if (contradicts(head, revision)) {
-        failure = { .kind = ErrorKind::corruptRecord, .reason = headKey(m_partition) + ": the head contradicts revision " + std::to_string(m_revision) + " that was read before" };
+        failure = { .kind = ErrorKind::corruptRecord, .reason = headKey(m_partition) + ": the head contradicts revision " + toText(m_revision) + " that was read before" };
         return false;
     }
     m_head = std::move(head);
--- a/packages/ledger/testing/whinyard/ledger/CallWorld.h
+++ b/packages/ledger/testing/whinyard/ledger/CallWorld.h
@@ -202,7 +202,7 @@
     StoreReply distort(const StoreCall& call, const StoreReply& reply)
     {
         if (m_options.planted == PlantedFault::trustLostReply && reply.failedWith(ErrorKind::storeUncertain))
-            return { .record = std::nullopt, .revision = call.expected + 1, .failure = std::nullopt };
+            return { .record = std::nullopt, .revision = call.expected.number + 1, .failure = std::nullopt };
         if (m_options.planted == PlantedFault::ignoreConflict && reply.failedWith(ErrorKind::swapConflict))
             return { .record = std::nullopt, .revision = store.memory().revisionOf(call.key), .failure = std::nullopt };
         if (m_options.planted == PlantedFault::overwriteCorrupt && reply.record && reply.record->value == foreignText) {
--- a/packages/peer/include/whinyard/peer/HeardRevisions.h
+++ b/packages/peer/include/whinyard/peer/HeardRevisions.h
@@ -9,6 +9,7 @@
 #include "whinyard/base/Clock.h"
 #include "whinyard/base/Identity.h"
 #include "whinyard/base/Random.h"
+#include "whinyard/base/Revision.h"
 
 #include <chrono>
 #include <cstdint>
@@ -39,17 +40,17 @@
     explicit HeardRevisions(Random random, const HeardRevisionsSettings& settings = {});
 
     // Takes up to which revision another instance knows the records.
-    void hear(const InstanceName& instance, std::uint64_t revision, SteadyTime now);
+    void hear(const InstanceName& instance, const Revision& revision, SteadyTime now);
 
     // Returns the newest revision that was heard of; 0 before the first.
-    std::uint64_t newest() const { return m_newest; }
+    Revision newest() const { return m_newest; }
 
     // Returns whether a newer revision than `own` was heard of.
-    bool isBehind(std::uint64_t own) const;
+    bool isBehind(const Revision& own) const;
 
     // Returns the read that is due now for an instance that knows the records up to `own`; nothing while none is, or one
     // is under way.
-    std::optional<RevisionRead> due(std::uint64_t own, bool isFollower, SteadyTime now);
+    std::optional<RevisionRead> due(const Revision& own, bool isFollower, SteadyTime now);
 
     // Notes that the read that due() returned begins, and how it ended.
     void noteBegun() { m_isReading = true; }
@@ -57,12 +58,12 @@
 
 private:
     // Returns an instance that knows more than `own`; nothing where none is known.
-    std::optional<InstanceName> choose(std::uint64_t own);
+    std::optional<InstanceName> choose(const Revision& own);
 
     const HeardRevisionsSettings m_settings;
     Random m_random;
-    std::map<InstanceName, std::uint64_t> m_heard;
-    std::uint64_t m_newest = 0;
+    std::map<InstanceName, Revision> m_heard;
+    Revision m_newest;
     SteadyTime m_newestSince;
     bool m_isReading = false;
     std::optional<InstanceName> m_asked; // By the read that was due last.
--- a/packages/peer/include/whinyard/peer/Notices.h
+++ b/packages/peer/include/whinyard/peer/Notices.h
@@ -8,6 +8,7 @@
 #include "whinyard/base/Identity.h"
 #include "whinyard/base/QueryNews.h"
 #include "whinyard/base/RateNews.h"
+#include "whinyard/base/Revision.h"
 #include "whinyard/leadership/UsageWindows.h"
 #include "whinyard/policy/EnginePaces.h"
 #include "whinyard/policy/PlacePool.h"
@@ -58,7 +59,7 @@
 struct ShiftNotice {
     ServiceName service;
     std::string record; // As policy writes it.
-    std::uint64_t revision = 0; // Of the record in the store.
+    Revision revision {}; // Of the record in the store.
 
     bool operator==(const ShiftNotice&) const = default;
 };
@@ -72,12 +73,12 @@
     std::uint64_t sequence = 0; // Rises by one with each notice that has changes; the first has number 1.
     std::vector<backing::ListedEndpoint> changed;
     std::vector<EndpointName> gone;
-    std::uint64_t operators = 0; // The revision up to which the instance knows the operators' records.
+    Revision operators {}; // The revision up to which the instance knows the operators' records.
     bool isCurrent = true;
     // Revisions of the store: whoever knows the list as it stood at `since`, or at any time after, knows it up to `upTo` with the
     // changes of this notice, whichever instance told it before. Both 0: not known.
-    std::uint64_t since = 0;
-    std::uint64_t upTo = 0;
+    Revision since {};
+    Revision upTo {};
 
     bool operator==(const RosterNotice&) const = default;
 };
@@ -86,7 +87,7 @@
 // one is for times at which there is no list of endpoints to tell.
 struct RecordsNotice {
     InstanceName instance;
-    std::uint64_t operators = 0;
+    Revision operators {};
 
     bool operator==(const RecordsNotice&) const = default;
 };
--- a/packages/peer/include/whinyard/peer/RosterList.h
+++ b/packages/peer/include/whinyard/peer/RosterList.h
@@ -7,6 +7,7 @@
 #include "whinyard/backing/InstanceList.h"
 #include "whinyard/base/Error.h"
 #include "whinyard/base/Identity.h"
+#include "whinyard/base/Revision.h"
 
 #include <cstdint>
 #include <optional>
@@ -21,9 +22,9 @@
     InstanceName instance;
     std::uint64_t life = 0; // Of the instance's process.
     std::uint64_t sequence = 0;
-    std::uint64_t operators = 0; // The revision up to which the instance knows the operators' records.
+    Revision operators {}; // The revision up to which the instance knows the operators' records.
     std::vector<backing::ListedEndpoint> endpoints;
-    std::uint64_t upTo = 0; // The revision of the store up to which nothing is missing; 0: not known.
+    Revision upTo {}; // The revision of the store up to which nothing is missing; 0: not known.
 
     bool operator==(const RosterList&) const = default;
 };
--- a/packages/peer/src/HeardRevisions.cpp
+++ b/packages/peer/src/HeardRevisions.cpp
@@ -11,7 +11,7 @@
 {
 }
 
-void HeardRevisions::hear(const InstanceName& instance, std::uint64_t revision, SteadyTime now)
+void HeardRevisions::hear(const InstanceName& instance, const Revision& revision, SteadyTime now)
 {
     m_heard[instance] = revision;
     if (revision <= m_newest)
@@ -20,12 +20,12 @@
     m_newestSince = now;
 }
 
-bool HeardRevisions::isBehind(std::uint64_t own) const
+bool HeardRevisions::isBehind(const Revision& own) const
 {
     return own < m_newest;
 }
 
-std::optional<RevisionRead> HeardRevisions::due(std::uint64_t own, bool isFollower, SteadyTime now)
+std::optional<RevisionRead> HeardRevisions::due(const Revision& own, bool isFollower, SteadyTime now)
 {
     if (!isBehind(own) || m_isReading || now < m_notBefore)
         return std::nullopt;
@@ -41,7 +41,7 @@
 
 // One that has stood still since it told keeps each read waiting for a quarter of the time that a change has: asking the
 // other follower next leaves that time once, where asking any again took it twice for one instance in four.
-std::optional<InstanceName> HeardRevisions::choose(std::uint64_t own)
+std::optional<InstanceName> HeardRevisions::choose(const Revision& own)
 {
     std::vector<InstanceName> newer;
     std::vector<InstanceName> untried;
--- a/packages/peer/src/Notices.cpp
+++ b/packages/peer/src/Notices.cpp
@@ -65,7 +65,7 @@
         writer.number(static_cast<std::uint64_t>(NoticeKind::shift));
         writer.text(notice.service.value);
         writer.text(notice.record);
-        writer.number(notice.revision);
+        writer.revision(notice.revision);
     }
 
     void write(FieldWriter& writer, const InstanceNotice& notice)
@@ -88,17 +88,17 @@
         writer.number(notice.gone.size());
         for (const EndpointName& name : notice.gone)
             writer.text(name.value);
-        writer.number(notice.operators);
+        writer.revision(notice.operators);
         writer.number(notice.isCurrent ? 1 : 0);
-        writer.number(notice.since);
-        writer.number(notice.upTo);
+        writer.revision(notice.since);
+        writer.revision(notice.upTo);
     }
 
     void write(FieldWriter& writer, const RecordsNotice& notice)
     {
         writer.number(static_cast<std::uint64_t>(NoticeKind::records));
         writer.text(notice.instance.value);
-        writer.number(notice.operators);
+        writer.revision(notice.operators);
     }
 
     void write(FieldWriter& writer, const RequestDigest& digest)
@@ -220,7 +220,7 @@
         ShiftNotice notice;
         notice.service.value = reader.text();
         notice.record = reader.text();
-        notice.revision = reader.number();
+        notice.revision = reader.revision();
         return notice;
     }
 
@@ -241,7 +241,7 @@
     {
         RecordsNotice notice;
         notice.instance.value = reader.text();
-        notice.operators = reader.number();
+        notice.operators = reader.revision();
         return notice;
     }
 
@@ -350,10 +350,10 @@
         const std::uint64_t gone = reader.number(mostRosterChanges);
         for (std::uint64_t i = 0; i < gone; ++i)
             notice.gone.push_back({ reader.text() });
-        notice.operators = reader.number();
+        notice.operators = reader.revision();
         notice.isCurrent = reader.number(1) == 1;
-        notice.since = reader.number();
-        notice.upTo = reader.number();
+        notice.since = reader.revision();
+        notice.upTo = reader.revision();
         return notice;
     }
 
--- a/packages/peer/src/RosterList.cpp
+++ b/packages/peer/src/RosterList.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    constexpr std::uint64_t rosterFormat = 3;
+    constexpr std::uint64_t rosterFormat = 4;
     constexpr std::size_t largestRoster = 16 * 1'024 * 1'024; // Guards memory against a foreign length.
     constexpr std::uint64_t mostEndpoints = 20'000;
 
@@ -20,8 +20,8 @@
         list.instance.value = reader.text();
         list.life = reader.number();
         list.sequence = reader.number();
-        list.operators = reader.number();
-        list.upTo = reader.number();
+        list.operators = reader.revision();
+        list.upTo = reader.revision();
         const std::uint64_t count = reader.number(mostEndpoints);
         for (std::uint64_t i = 0; i < count; ++i) {
             std::optional<backing::ListedEndpoint> endpoint = internal::readEndpoint(reader);
@@ -41,8 +41,8 @@
     writer.text(list.instance.value);
     writer.number(list.life);
     writer.number(list.sequence);
-    writer.number(list.operators);
-    writer.number(list.upTo);
+    writer.revision(list.operators);
+    writer.revision(list.upTo);
     writer.number(list.endpoints.size());
     for (const backing::ListedEndpoint& endpoint : list.endpoints)
         internal::writeEndpoint(writer, endpoint);
--- a/packages/peer/src/internal/Fields.h
+++ b/packages/peer/src/internal/Fields.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "whinyard/backing/InstanceList.h"
+#include "whinyard/base/Revision.h"
 
 #include <cereal/archives/portable_binary.hpp>
 
@@ -19,6 +20,12 @@
 public:
     void number(std::uint64_t value) { m_archive(value); }
 
+    void revision(const Revision& value)
+    {
+        number(value.era);
+        number(value.number);
+    }
+
     void text(const std::string& value)
     {
         m_archive(static_cast<std::uint16_t>(value.size()));
@@ -53,6 +60,12 @@
         return m_failed ? 0 : value;
     }
 
+    Revision revision()
+    {
+        const std::uint64_t era = number();
+        return { era, number() };
+    }
+
     std::string text()
     {
         std::uint16_t size = 0;
--- a/packages/router/include/whinyard/router/RoutingSource.h
+++ b/packages/router/include/whinyard/router/RoutingSource.h
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <set>
+#include <string>
 
 namespace whinyard::router {
 
@@ -26,6 +27,9 @@
     // that stand beside a routing are known no later than the routing.
     virtual std::shared_ptr<const std::set<ZoneName>> evacuatedZones() const { return nullptr; }
 
+    // Says for a person which changes of the routing this instance knows, and which it has heard of.
+    virtual std::string knowledge() const { return {}; }
+
     // Returns whether others are known to act on a newer one, so that what this one doesn't hold may be allowed all the same.
     virtual bool isBehind() const { return false; }
 };
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -84,7 +84,7 @@
         return std::nullopt;
     }
     if (!admission.route) {
-        failure = { .kind = ErrorKind::unknownRoute, .reason = "no route of configuration " + std::to_string(admission.table->version()) + " takes this host and path" };
+        failure = { .kind = ErrorKind::unknownRoute, .reason = "no route of configuration " + std::to_string(admission.table->version()) + " takes this host and path" + source.knowledge() };
         return std::nullopt;
     }
     admission.priority = admission.route->priority;
@@ -97,7 +97,7 @@
         return std::nullopt;
     }
     if (!customer) {
-        failure = { .kind = ErrorKind::unauthenticated, .reason = "no customer of configuration " + std::to_string(admission.table->version()) + " holds this key" };
+        failure = { .kind = ErrorKind::unauthenticated, .reason = "no customer of configuration " + std::to_string(admission.table->version()) + " holds this key" + source.knowledge() };
         return std::nullopt;
     }
     admission.customer = customer->name;
--- a/standins/PlatformStandIn.cpp
+++ b/standins/PlatformStandIn.cpp
@@ -73,7 +73,7 @@
 
     json toJson(const backing::Record& record)
     {
-        return { { "key", record.key }, { "value", record.value }, { "revision", record.revision } };
+        return { { "key", record.key }, { "value", record.value }, { "revision", record.revision.number } };
     }
 
     class PlatformService final : public Service {
@@ -195,7 +195,7 @@
             const auto revision = m_store.swap(swap);
             if (revision)
                 m_changed.notify();
-            answer(responder, revision ? 200 : 409, { { "revision", revision ? *revision : m_store.revisionOf(swap.key) } });
+            answer(responder, revision ? 200 : 409, { { "revision", (revision ? *revision : m_store.revisionOf(swap.key)).number } });
         }
 
         void erase(const net::HttpRequest& request, net::HttpResponder& responder, const Call& call)
@@ -291,7 +291,7 @@
             const json body = bodyOf(request);
             const auto revision = m_store.put(body.at("key").get<std::string>(), body.at("value").get<std::string>());
             m_changed.notify();
-            reply(responder, 200, { { "revision", revision } });
+            reply(responder, 200, { { "revision", revision.number } });
         }
 
         void setInstances(const net::HttpRequest& request, net::HttpResponder& responder, const Call&)
