Keep operators' records in force that the store has lost

The copy from which a store comes back lacks a revoked key, an evacuation, an order, for as long as the operator needs to write them again, and holds what was taken back. Instances would have acted on it: a zone got requests again, an instance that started served a revoked key.

peer::RecordBook keeps what was in force against the copy until it is written again, ten seconds at most; a configuration never goes back to a smaller version. A number above the last one known is a write since the return, a smaller one may be of the copy. What is written again is the same record: a roll-out isn't begun anew.

Red before: KeepsARevokedKeyRevoked, KeepsAnEvacuationThatTheCopyLacks, KeepsAnEvacuationTakenBackThatTheCopyHas. The first one asked for 401 at once; an instance that has only heard of the return rightly says 503 until it has read, so the check is now that the key is served by nobody at any time, and refused for good by all in the end. RecordBookTest is new with the class.

--- a/apps/whinyardd/entry/OperatorRelay.cpp
+++ b/apps/whinyardd/entry/OperatorRelay.cpp
@@ -13,6 +13,8 @@
     // An instance reads what it heard of within some hundred milliseconds; more uses up the time that a change has.
     constexpr std::chrono::milliseconds worthSaying { 1'000 };
 
+    constexpr std::uint32_t mostFirstReads = 3;
+
 }
 
 OperatorRelay::OperatorRelay(EntryShared& shared, OperatorWatch& watch, PeerExchange& exchange, backing::WatchableStore& store)
@@ -27,20 +29,23 @@
 
 std::optional<std::string> OperatorRelay::told()
 {
-    if (m_watch.revision() == 0)
+    if (m_watch.revision() == Revision())
         return std::nullopt;
-    if (m_encodedRevision != m_watch.revision()) {
+    if (m_encodedRevision != m_watch.revision() || m_encodedEdition != m_watch.edition()) {
         m_encodedRevision = m_watch.revision();
+        m_encodedEdition = m_watch.edition();
         m_encoded = peer::encodeSnapshot(m_watch.snapshot());
     }
     return m_encoded;
 }
 
-void OperatorRelay::hear(const InstanceName& instance, std::uint64_t revision)
+void OperatorRelay::hear(const InstanceName& instance, const Revision& revision)
 {
     if (!m_exchange.knows(instance))
         return; // It was heard before the instances were read, and says so again soon.
     m_heard.hear(instance, revision, m_shared.clock.now());
+    if (revision != Revision())
+        m_firstHeard = instance;
     noteBehind();
     if (m_heard.isBehind(m_watch.knownUpTo()))
         m_news.notify();
@@ -58,11 +63,13 @@
     const std::chrono::nanoseconds behind = now - *std::exchange(m_behindSince, std::nullopt);
     m_shared.metrics.observe("whinyard_operators_behind_seconds", behind);
     if (behind >= worthSaying)
-        log::warning("operators' records were behind", { { "behindMs", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(behind).count()) }, { "revision", std::to_string(m_watch.revision()) } });
+        log::warning("operators' records were behind", { { "behindMs", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(behind).count()) }, { "revision", toText(m_watch.revision()) } });
 }
 
 void OperatorRelay::turn(bool isFollower)
 {
+    m_watch.settle();
+    readFirst();
     noteBehind(); // The own watch may have told it meanwhile.
     const std::optional<peer::RevisionRead> read = m_heard.due(m_watch.knownUpTo(), isFollower, m_shared.clock.now());
     if (!read)
@@ -86,9 +93,25 @@
         return false;
     }
     m_watch.takeSnapshot(*snapshot);
+    m_hasReadOther = true;
     return true;
 }
 
+// The store may have come back from an older copy before this instance read it, and the others know what it has lost.
+void OperatorRelay::readFirst()
+{
+    if (m_hasReadOther || !m_firstHeard || m_watch.revision().era == 0 || m_firstReads == mostFirstReads)
+        return;
+    ++m_firstReads;
+    Failure failure;
+    const std::optional<std::string> body = m_exchange.read(*m_firstHeard, target, failure);
+    const std::optional<peer::RecordSnapshot> snapshot = body ? peer::decodeSnapshot(*body, failure) : std::nullopt;
+    if (!snapshot)
+        return;
+    m_watch.takeSnapshot(*snapshot);
+    m_hasReadOther = true;
+}
+
 bool OperatorRelay::readStore(Failure& failure)
 {
     const std::optional<backing::RecordPage> page = backing::readAll(m_store, std::string(platform::operatorPrefix), backing::ReadAge::newest, failure);
@@ -104,10 +127,10 @@
 {
     const std::string from = read.from ? read.from->value : "the store";
     if (!succeeded && m_failures++ == 0)
-        log::warning("operators' records are behind", { { "from", from }, { "reason", failure.reason }, { "revision", std::to_string(m_watch.revision()) } });
+        log::warning("operators' records are behind", { { "from", from }, { "reason", failure.reason }, { "revision", toText(m_watch.revision()) } });
     if (!succeeded)
         return;
-    log::info("operators' records read", { { "from", from }, { "revision", std::to_string(m_watch.revision()) }, { "failedReads", std::to_string(std::exchange(m_failures, 0)) } });
+    log::info("operators' records read", { { "from", from }, { "revision", toText(m_watch.revision()) }, { "failedReads", std::to_string(std::exchange(m_failures, 0)) } });
 }
 
 }
--- a/apps/whinyardd/entry/OperatorRelay.h
+++ b/apps/whinyardd/entry/OperatorRelay.h
@@ -19,13 +19,13 @@
     OperatorRelay(EntryShared& shared, OperatorWatch& watch, PeerExchange& exchange, backing::WatchableStore& store);
 
     // Takes up to which revision another instance knows the records.
-    void hear(const InstanceName& instance, std::uint64_t revision);
+    void hear(const InstanceName& instance, const Revision& revision);
 
     // Makes the read that is due, if any, and waits for it.
     void turn(bool isFollower);
 
     // Returns the revision that this instance states.
-    std::uint64_t revision() const { return m_watch.revision(); }
+    const Revision& revision() const { return m_watch.revision(); }
 
     // Waits until something was heard, at most for `wait`.
     void awaitNews(std::chrono::milliseconds wait) { m_news.wait(wait); }
@@ -33,6 +33,7 @@
 private:
     std::optional<std::string> told();
     bool readFrom(const InstanceName& instance, Failure& failure);
+    void readFirst();
     bool readStore(Failure& failure);
     void noteBehind();
     void logEnd(const peer::RevisionRead& read, bool succeeded, const Failure& failure);
@@ -44,8 +45,12 @@
     peer::HeardRevisions m_heard;
     net::Signal m_news;
     std::optional<SteadyTime> m_behindSince; // When something newer than what is known was heard of.
-    std::string m_encoded; // The snapshot of `m_encodedRevision`, as it is sent.
-    std::uint64_t m_encodedRevision = 0;
+    std::string m_encoded; // The snapshot of `m_encodedRevision` and `m_encodedEdition`, as it is sent.
+    Revision m_encodedRevision;
+    std::uint64_t m_encodedEdition = 0;
+    std::optional<InstanceName> m_firstHeard; // That knows records.
+    std::uint32_t m_firstReads = 0; // Begun, until one has succeeded.
+    bool m_hasReadOther = false; // This instance has taken another one's records at least once.
     std::uint32_t m_failures = 0; // Reads that failed since the last one that didn't.
 };
 
--- a/apps/whinyardd/entry/OperatorWatch.h
+++ b/apps/whinyardd/entry/OperatorWatch.h
@@ -4,7 +4,7 @@
 #include "entry/EntryShared.h"
 #include "entry/ServeDuty.h"
 #include "whinyard/backing/PrefixFollower.h"
-#include "whinyard/peer/RecordSnapshot.h"
+#include "whinyard/peer/RecordBook.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -23,20 +23,28 @@
     void proven(SteadyTime) override { }
     void failed(const Failure&) override { } // The probe of the store tells of outages.
 
-    // Takes all records as another instance tells them, unless they are no newer than the known ones.
+    // Takes the records as another instance tells them: all of them where they are newer than the known ones, and from any what
+    // the store has lost.
     void takeSnapshot(const peer::RecordSnapshot& snapshot);
 
     // Notes that a read of the store has told everything up to `revision` of it.
-    void noteRead(std::uint64_t revision);
+    void noteRead(const Revision& revision);
 
     // Returns all records, for other instances.
     peer::RecordSnapshot snapshot() const;
 
+    // Returns a number that changes with the snapshot.
+    std::uint64_t edition() const { return m_book.edition(); }
+
+    // Leaves records that operators have not written again, since the store came back from an older copy, to the store. Call it a
+    // few times a second.
+    void settle();
+
     // Returns the revision of the newest change that is known; 0 before the first read.
-    std::uint64_t revision() const { return m_revision; }
+    const Revision& revision() const { return m_book.revision(); }
 
     // Returns the revision of the store up to which no change is missing.
-    std::uint64_t knownUpTo() const { return std::max(m_revision, m_knownUpTo); }
+    Revision knownUpTo() const { return std::max(revision(), m_knownUpTo); }
 
     // Returns whether there is any order.
     bool hasOrders() const { return !m_ordered.empty(); }
@@ -45,7 +53,7 @@
     bool beganWithOrders() const { return m_beganWithOrders; }
 
 private:
-    void takeAll(const std::vector<backing::Record>& records, std::uint64_t revision);
+    void takeAll(bool isFirst);
     void take(const backing::Record& record);
     void takeConfiguration(const backing::Record& record);
     void takeOrder(const backing::Record& record);
@@ -55,11 +63,11 @@
 
     EntryShared& m_shared;
     ServeDuty& m_serving;
-    std::map<ServiceName, std::uint64_t> m_ordered; // Services with an order, and its revision.
-    std::map<std::string, backing::Record> m_records; // By key.
-    std::map<ZoneName, std::uint64_t> m_evacuated; // Zones with an order that is in force, and its revision.
-    std::uint64_t m_revision = 0;
-    std::uint64_t m_knownUpTo = 0;
+    std::map<ServiceName, Revision> m_ordered; // Services with an order, and its revision.
+    peer::RecordBook m_book;
+    Revision m_configuration; // The revision of the record that was read last.
+    std::map<ZoneName, Revision> m_evacuated; // Zones with an order that is in force, and its revision.
+    Revision m_knownUpTo;
     bool m_beganWithOrders = false;
 };
 
