Let nobody act for all before the leaders of the store's era before have ended

A store that comes back older may lack the record of a leader that has its time still: another one could act beside it, with a smaller fencing token, and report other counts for a window (the explorer of two instances finds it on its third step, before). The token has the era before the number, a leader waits a time to live after its instance saw the era, takes up or renews only a record that names it, and one whose transaction hung on a lease of another era writes it again. Counts that were fixed are kept by who fixed them; a window that was over when the era began is fixed by nobody else.

The era is observed at the first read: seen only at the first turn, LeadershipTest lost the first windows.

--- a/apps/whinyardd/entry/LeaderWork.cpp
+++ b/apps/whinyardd/entry/LeaderWork.cpp
@@ -155,6 +155,7 @@
 void LeaderWork::keepLease()
 {
     Failure failure;
+    m_lease.observeEra();
     if (m_shared.draining || !m_roster.isFollower()) {
         m_lease.resign();
         noteLeadership(false);
--- a/apps/whinyardd/entry/LeaderWork.h
+++ b/apps/whinyardd/entry/LeaderWork.h
@@ -38,6 +38,9 @@
     // Renews the leadership, or tries to take it where this instance follows the store. Call it about every second.
     void keepLease();
 
+    // Notes the store's era. Call it after the first call that the store has answered.
+    void observeEra() { m_lease.observeEra(); }
+
     // Reports the usage that is due. Call it a few times a second.
     void reportUsage();
 
--- a/packages/leadership/include/whinyard/leadership/UsageReporter.h
+++ b/packages/leadership/include/whinyard/leadership/UsageReporter.h
@@ -1,6 +1,9 @@
 // Reports each window's usage once: the counts are fixed in a store before they are sent for the first time, so that whoever leads
 // next repeats exactly these.
 //
+// A store that comes back from an older copy may have lost counts that were sent. Whoever fixed them still has them; nobody fixes
+// others for a window that was over when the new era began.
+//
 // The daemon calls it on its store duty while its instance leads.
 #pragma once
 
@@ -41,6 +44,8 @@
     static constexpr std::size_t mostKept = 8; // Windows in the record: more than are due at a time.
 
     bool readFixed(WallTime now, Failure& failure);
+    void recall(WallTime now);
+    WindowNumber firstOfEra(WallTime now) const;
     void refuse(const backing::Record& record, WindowNumber present);
     void giveUp(WindowNumber window);
     bool fixDue(WallTime now, Failure& failure);
@@ -58,6 +63,7 @@
     bool m_isRead = false;
     backing::Revision m_revision = 0; // Of the record.
     std::map<WindowNumber, CustomerCounts> m_fixed;
+    std::map<WindowNumber, CustomerCounts> m_remembered; // That this process has fixed, or read, and that are still due.
     std::set<WindowNumber> m_sent; // By this instance, or given up.
     std::optional<WindowNumber> m_first; // That this instance can know of.
 };
--- a/packages/leadership/src/UsageReporter.cpp
+++ b/packages/leadership/src/UsageReporter.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace whinyard::leadership {
 
 namespace {
@@ -61,6 +63,7 @@
         else
             refuse(record, windowAt(now, m_settings.windowLength));
     }
+    recall(now);
     // What is no longer due was reported by an earlier leader, or given up.
     for (const auto& [window, counts] : m_fixed) {
         if (isOver(window, now))
@@ -70,10 +73,25 @@
     return true;
 }
 
+// Adds what the store has lost of the fixed counts, and keeps what stands there now.
+void UsageReporter::recall(WallTime now)
+{
+    std::erase_if(m_remembered, [&](const auto& entry) { return isOver(entry.first, now); });
+    m_fixed.insert(m_remembered.begin(), m_remembered.end());
+    m_remembered = m_fixed;
+}
+
+// A window that was over before may have been reported by a leader whose record the store has lost.
+WindowNumber UsageReporter::firstOfEra(WallTime now) const
+{
+    const std::optional<std::chrono::nanoseconds> age = m_lease.eraAge();
+    return age ? windowAt(now - std::chrono::duration_cast<WallTime::duration>(*age), m_settings.windowLength) : 0;
+}
+
 // Whatever it held, some of it may have been reported: only windows that are not over yet can be fixed anew.
 void UsageReporter::refuse(const backing::Record& record, WindowNumber present)
 {
-    log::error("usage record not taken", { { "key", record.key }, { "revision", std::to_string(record.revision) }, { "nextWindow", std::to_string(present) } });
+    log::error("usage record not taken", { { "key", record.key }, { "revision", toText(record.revision) }, { "nextWindow", std::to_string(present) } });
     m_fixed[present - 1] = {};
     m_sent.insert(present - 1);
 }
@@ -96,7 +114,7 @@
     const auto span = static_cast<WindowNumber>(m_settings.due / m_settings.windowLength) + 1;
     for (WindowNumber window = newest - std::min(newest, span); window < newest; ++window) {
         const bool isAfterFixed = m_fixed.empty() || window > m_fixed.rbegin()->first;
-        if (isDue(window, now) && isAfterFixed && window >= *m_first)
+        if (isDue(window, now) && isAfterFixed && window >= std::max(*m_first, firstOfEra(now)))
             fixed[window] = m_totals.total(window).counts;
     }
     if (fixed.size() == m_fixed.size())
@@ -106,7 +124,7 @@
     const std::optional<std::uint64_t> fence = m_lease.fenceFor(Provider::callTimeout);
     if (!fence)
         return true;
-    const backing::Transaction transaction { .preconditions = { { m_settings.key, m_revision }, { m_settings.leaderKey, *fence } }, .puts = { { m_settings.key, writeFixedUsage(fixed), {} } }, .deletes = {} };
+    const backing::Transaction transaction { .preconditions = { { m_settings.key, m_revision }, { m_settings.leaderKey, m_lease.revision() } }, .puts = { { m_settings.key, writeFixedUsage(fixed), {} } }, .deletes = {} };
     const std::optional<backing::Revision> revision = m_store.transact(transaction, failure);
     if (!revision) {
         m_isRead = false; // What stands decides: the write may have happened, or another leader's.
@@ -118,6 +136,7 @@
             log::info("usage fixed", { { "window", std::to_string(window) }, { "requests", text({ window, counts }) }, { "customers", std::to_string(counts.size()) }, { "sources", std::to_string(m_totals.sources(window)) } });
     }
     m_fixed = std::move(fixed);
+    m_remembered.insert(m_fixed.begin(), m_fixed.end());
     return true;
 }
 
--- a/packages/leadership/test/LeaderLeaseTest.cpp
+++ b/packages/leadership/test/LeaderLeaseTest.cpp
@@ -93,5 +93,50 @@
         EXPECT_TRUE(m_second.turn(m_failure));
     }
 
+    // Guards against two leaders: the record is gone, and its leader still acts by a lease that it had from the store before.
+    TEST_F(LeaderLeaseTest, ActsOnlyOnceEveryLeaderOfTheEraBeforeHasEnded)
+    {
+        m_store.keepCopy();
+        m_first.turn(m_failure);
+        const std::uint64_t before = *m_first.fenceFor(0ms);
+        m_store.returnToCopy();
+        EXPECT_TRUE(m_second.turn(m_failure));
+        EXPECT_FALSE(m_second.fenceFor(0ms));
+        m_clock.advance(2'900ms);
+        m_second.turn(m_failure);
+        EXPECT_FALSE(m_second.fenceFor(0ms));
+        m_clock.advance(200ms);
+        ASSERT_TRUE(m_second.fenceFor(0ms));
+        EXPECT_GT(*m_second.fenceFor(0ms), before) << "the number of its record is no larger";
+        EXPECT_FALSE(m_first.turn(m_failure));
+        EXPECT_FALSE(m_first.fenceFor(0ms));
+    }
+
+    // Guards against renewing, or taking for its own, a lease whose number was given out again.
+    TEST_F(LeaderLeaseTest, GivesUpALeaseWhoseNumberIsAnothersNow)
+    {
+        m_store.keepCopy();
+        m_first.turn(m_failure);
+        m_store.returnToCopy();
+        m_second.turn(m_failure);
+        ASSERT_EQ(m_store.find("whinyard/leader")->lease.number, 1U) << "as the first one's was";
+        EXPECT_FALSE(m_first.turn(m_failure));
+        EXPECT_FALSE(m_first.turn(m_failure)) << "the record is the second one's";
+        EXPECT_EQ(m_first.leader().value, "second");
+    }
+
+    TEST_F(LeaderLeaseTest, GoesOnWhereTheCopyHasItsRecord)
+    {
+        m_first.turn(m_failure);
+        m_store.keepCopy();
+        m_store.returnToCopy();
+        EXPECT_FALSE(m_first.turn(m_failure)) << "its lease is looked up first";
+        EXPECT_TRUE(m_first.turn(m_failure));
+        m_clock.advance(3s);
+        m_first.turn(m_failure);
+        EXPECT_TRUE(m_first.fenceFor(0ms));
+        EXPECT_EQ(m_first.revision(), m_store.find("whinyard/leader")->revision);
+    }
+
 }
 }
--- a/packages/leadership/test/UsageReporterTest.cpp
+++ b/packages/leadership/test/UsageReporterTest.cpp
@@ -15,8 +15,8 @@
 
     // One instance that may lead.
     struct Candidate {
-        Candidate(backing::WatchableStore& store, const Clock& clock, Provider& provider, const std::string& name)
-            : lease(store, clock, { name }, { .timeToLive = 1h })
+        Candidate(backing::WatchableStore& store, const Clock& clock, Provider& provider, const std::string& name, std::chrono::milliseconds timeToLive = 1h)
+            : lease(store, clock, { name }, { .timeToLive = timeToLive })
             , reporter(store, provider, lease, totals, { name }, {})
         {
         }
@@ -155,5 +155,28 @@
             EXPECT_FALSE(readFixedUsage(other)) << other;
     }
 
+    // Guards against two counts of one window: the counts that were sent are gone from the store, and another one leads.
+    TEST_F(UsageReporterTest, FixesNoWindowThatWasOverBeforeTheStoreCameBack)
+    {
+        m_second = std::make_unique<Candidate>(m_store, m_clock, m_provider, "second", 1s);
+        m_second->lease.observeEra();
+        m_store.lapseLeases();
+        m_store.keepCopy();
+        m_first->lease.turn(m_failure);
+        ASSERT_TRUE(m_first->lease.turn(m_failure));
+        count(*m_first, 7);
+        count(*m_second, 8);
+        m_clock.advance(7s);
+        ASSERT_TRUE(turn(*m_first)) << m_failure.reason;
+        ASSERT_EQ(m_provider.reports.size(), 1U);
+        m_store.returnToCopy();
+        m_second->lease.turn(m_failure);
+        m_clock.advance(1'100ms);
+        ASSERT_TRUE(m_second->lease.turn(m_failure)) << m_failure.reason;
+        ASSERT_TRUE(m_second->lease.fenceFor(0ms));
+        turn(*m_second);
+        EXPECT_EQ(m_provider.reports.size(), 1U) << "it would be another count";
+    }
+
 }
 }
--- a/packages/leadership/testing/whinyard/leadership/LeadershipExplorer.h
+++ b/packages/leadership/testing/whinyard/leadership/LeadershipExplorer.h
@@ -135,17 +135,22 @@
         {
         }
 
+        std::uint64_t era() const override { return m_era; }
+
         std::optional<backing::RecordPage> range(const std::string& prefix, const std::string&, backing::ReadAge, Failure& failure) override
         {
             const Fault fault = m_world.beginCall(m_instance);
             m_world.lapseLeases();
             backing::RecordPage page;
+            page.storeRevision = m_world.m_revision;
             for (const auto& [key, record] : m_world.m_records) {
                 if (key.starts_with(prefix))
                     page.records.push_back(record);
             }
-            if (fault != Fault::lostAnswer)
+            if (fault != Fault::lostAnswer) {
+                m_era = m_world.m_revision.era;
                 return page;
+            }
             failure = { .kind = ErrorKind::storeUnavailable, .reason = "no answer" };
             return std::nullopt;
         }
@@ -156,26 +161,30 @@
 
         std::optional<backing::Revision> transact(const backing::Transaction& transaction, Failure& failure) override
         {
+            if (!isOfEra(transaction, failure))
+                return std::nullopt;
             const Fault fault = m_world.beginCall(m_instance);
             m_world.lapseLeases();
             for (const backing::Precondition& precondition : transaction.preconditions) {
                 const auto found = m_world.m_records.find(precondition.key);
-                if ((found == m_world.m_records.end() ? 0 : found->second.revision) != precondition.revision) {
+                if ((found == m_world.m_records.end() ? 0 : found->second.revision.number) != precondition.revision.number) {
                     failure = { .kind = ErrorKind::swapConflict, .reason = "another revision" };
                     return std::nullopt;
                 }
             }
             for (const backing::Put& put : transaction.puts) {
-                if (put.lease.number > 0 && !m_world.m_leases.contains(put.lease)) {
+                if (put.lease.number > 0 && !m_world.m_leases.contains(put.lease.number)) {
                     failure = { .kind = ErrorKind::notFound, .reason = "no such lease" };
                     return std::nullopt;
                 }
             }
-            ++m_world.m_revision;
+            ++m_world.m_revision.number;
             for (const backing::Put& put : transaction.puts)
-                m_world.m_records[put.key] = { put.key, put.value, m_world.m_revision, put.lease };
-            if (fault != Fault::lostAnswer)
-                return m_world.m_revision;
+                m_world.m_records[put.key] = { put.key, put.value, m_world.m_revision, { put.lease.number, m_world.m_revision.era } };
+            if (fault != Fault::lostAnswer) {
+                m_era = m_world.m_revision.era;
+                return isOfEra(transaction, failure) ? std::optional(m_world.m_revision) : std::nullopt;
+            }
             failure = { .kind = ErrorKind::storeUncertain, .reason = "no answer" };
             return std::nullopt;
         }
@@ -183,33 +192,65 @@
         std::optional<backing::LeaseId> grantLease(std::chrono::milliseconds timeToLive, Failure& failure) override
         {
             const Fault fault = m_world.beginCall(m_instance);
-            const backing::LeaseId lease { ++m_world.m_lastLease };
-            m_world.m_leases[lease] = { timeToLive, m_world.m_clock.time + timeToLive };
-            if (fault != Fault::lostAnswer)
+            const backing::LeaseId lease { ++m_world.m_lastLease, m_world.m_revision.era };
+            m_world.m_leases[lease.number] = { timeToLive, m_world.m_clock.time + timeToLive };
+            if (fault != Fault::lostAnswer) {
+                m_era = lease.era;
                 return lease;
+            }
             failure = { .kind = ErrorKind::storeUncertain, .reason = "no answer" };
             return std::nullopt;
         }
 
         bool keepLease(backing::LeaseId lease, Failure& failure) override
         {
+            if (!isOfEra(lease, failure))
+                return false;
             const Fault fault = m_world.beginCall(m_instance);
             m_world.lapseLeases();
-            const auto found = m_world.m_leases.find(lease);
+            const auto found = m_world.m_leases.find(lease.number);
             if (found == m_world.m_leases.end())
                 failure = { .kind = ErrorKind::notFound, .reason = "the lease has ended" };
             else
                 found->second.end = m_world.m_clock.time + found->second.timeToLive;
-            if (fault == Fault::lostAnswer)
+            if (fault == Fault::lostAnswer) {
                 failure = { .kind = ErrorKind::storeUncertain, .reason = "no answer" };
-            return found != m_world.m_leases.end() && fault != Fault::lostAnswer;
+                return false;
+            }
+            m_era = m_world.m_revision.era;
+            return found != m_world.m_leases.end() && isOfEra(lease, failure);
         }
 
         bool endLease(backing::LeaseId, Failure&) override { return false; }
 
     private:
+        // What names a number of an earlier era means something else by now.
+        bool isOfEra(backing::LeaseId lease, Failure& failure) const
+        {
+            if (lease.number == 0 || lease.era >= m_era)
+                return true;
+            failure = { .kind = ErrorKind::notFound, .reason = "of an earlier era" };
+            return false;
+        }
+
+        bool isOfEra(const backing::Transaction& transaction, Failure& failure) const
+        {
+            for (const backing::Put& put : transaction.puts) {
+                if (!isOfEra(put.lease, failure))
+                    return false;
+            }
+            for (const backing::Precondition& precondition : transaction.preconditions) {
+                if (precondition.revision.number > 0 && precondition.revision.era < m_era) {
+                    failure = { .kind = ErrorKind::swapConflict, .reason = "of an earlier era" };
+                    return false;
+                }
+            }
+            return true;
+        }
+
         ExplorerWorld& m_world;
         const std::size_t m_instance;
+        std::uint64_t m_era = 0; // The newest that an answer has stated.
     };
 
     class Receiver final : public Provider {
@@ -304,7 +345,7 @@
         m_history += "\n  the store comes back older";
         m_records.clear();
         m_leases.clear();
-        m_revision = 0;
+        m_revision = { m_revision.era + 1, 0 };
         m_lastLease = 0;
     }
 
@@ -359,7 +400,7 @@
     void lapseLeases()
     {
         std::erase_if(m_leases, [this](const auto& lease) { return lease.second.end <= m_clock.time; });
-        std::erase_if(m_records, [this](const auto& entry) { return entry.second.lease.number > 0 && !m_leases.contains(entry.second.lease); });
+        std::erase_if(m_records, [this](const auto& entry) { return entry.second.lease.number > 0 && !m_leases.contains(entry.second.lease.number); });
     }
 
     void receive(std::size_t instance, const UsageWindow& window, std::uint64_t fence, bool afterFreeze)
@@ -402,7 +443,7 @@
     std::uint32_t m_returnsLeft;
     WorldClock m_clock;
     std::map<std::string, backing::Record> m_records;
-    std::map<backing::LeaseId, Lease> m_leases;
+    std::map<std::uint64_t, Lease> m_leases; // By number.
     backing::Revision m_revision = 0;
     std::uint64_t m_lastLease = 0;
     std::map<WindowNumber, CustomerCounts> m_accepted;
