Take no endpoint back, and lose none, by a copy of the store

A copy lacks endpoints that were listed since, and lists ones that leave or have left. The list keeps the first for the 2.2 s in which they are written again, and leaves out the others until their entries are written anew or have stood for 15 s. What the list holds may be told meanwhile, as it is no copy's.

--- a/apps/whinyardd/entry/RosterWatch.cpp
+++ b/apps/whinyardd/entry/RosterWatch.cpp
@@ -13,6 +13,9 @@
 
     constexpr const char* target = "/endpoints";
 
+    // After the store came back from an older copy, what it lists may be of the copy for so long.
+    constexpr std::chrono::milliseconds copiedFor { 15'000 };
+
 }
 
 RosterWatch::RosterWatch(EntryShared& shared, ServeDuty& serving, OperatorRelay& operators, PeerExchange& exchange, net::Duty& duty)
@@ -49,12 +52,25 @@
             listed.push_back(std::move(*endpoint));
     }
     m_roster.storeAnswered(now);
-    m_roster.replace(listed, now);
+    noteEra(at.era);
+    if (m_returnedAt && now - *m_returnedAt < copiedFor)
+        m_roster.replaceByCopy(listed, now);
+    else
+        m_roster.replace(listed, now);
     m_knownUpTo = at;
     m_mayDiffer = true; // What changed and changed back meanwhile doesn't show.
     m_relay.noteRead();
 }
 
+void RosterWatch::noteEra(std::uint64_t era)
+{
+    if (m_era && era <= *m_era)
+        return;
+    if (m_era)
+        m_returnedAt = m_shared.clock.now();
+    m_era = era;
+}
+
 void RosterWatch::changed(const std::vector<backing::RecordChange>& changes)
 {
     const SteadyTime now = m_shared.clock.now();
@@ -153,7 +169,7 @@
 std::optional<backing::Revision> RosterWatch::takeOver()
 {
     const std::optional<endpoint::RosterRelay::Known> known = m_relay.known();
-    log::info("following endpoints in the store", { { "reason", std::string(m_relay.followReason(m_shared.clock.now())) }, { "from", known ? std::to_string(known->upTo) : "the whole list" } });
+    log::info("following endpoints in the store", { { "reason", std::string(m_relay.followReason(m_shared.clock.now())) }, { "from", known ? toText(known->upTo) : "the whole list" } });
     if (!known)
         return std::nullopt;
     m_told.clear();
@@ -200,6 +216,7 @@
     const SteadyTime now = m_shared.clock.now();
     if (!m_relay.hearWhole({ list->instance, list->life, list->sequence, false, true, list->upTo, list->upTo }, now))
         return;
+    noteEra(list->upTo.era);
     log::info("endpoints told", { { "by", list->instance.value }, { "listed", std::to_string(list->endpoints.size()) }, { "sequence", std::to_string(list->sequence) } });
     m_roster.replaceByTold(list->endpoints);
     settle();
@@ -218,6 +235,7 @@
     case endpoint::RelayAction::apply:
         break;
     }
+    noteEra(notice.upTo.era);
     for (const backing::ListedEndpoint& endpoint : notice.changed)
         m_roster.putByTold(endpoint);
     for (const EndpointName& name : notice.gone)
--- a/apps/whinyardd/entry/RosterWatch.h
+++ b/apps/whinyardd/entry/RosterWatch.h
@@ -68,6 +68,7 @@
     void tell();
 
 private:
+    void noteEra(std::uint64_t era);
     bool mayTell() const;
     void noteUntold(const endpoint::RosterChanges& changes);
     std::set<EndpointName> takeUntold();
@@ -87,6 +88,8 @@
     const std::uint64_t m_life; // Names this process's notices.
     std::uint64_t m_sequence = 0; // Of the last notice with changes.
     std::map<EndpointName, backing::ListedEndpoint> m_told; // The list as the others were told.
+    std::optional<std::uint64_t> m_era; // Of the store, in which the list was read or told.
+    std::optional<SteadyTime> m_returnedAt; // When this instance heard that the store came back from an older copy.
     backing::Revision m_knownUpTo = 0; // Of the store, by which this instance knows the list as a follower.
     backing::Revision m_touchedAt = 0; // Of the newest change of the list among them.
     backing::Revision m_changedAt = 0; // Since which the told list has not changed.
--- a/packages/endpoint/include/whinyard/endpoint/EndpointRoster.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointRoster.h
@@ -2,6 +2,7 @@
 //
 // Endpoints keep their entries under leases, which may lapse while the store is away although the endpoints live. So
 // an entry that vanishes around such a time is kept for a moment; one that vanishes at any other time is gone.
+// A store that comes back from an older copy may lack entries, and hold those of endpoints that have left since.
 // The daemon feeds it what a store's watch tells and hands its list to EndpointDirectory. Pure.
 #pragma once
 
@@ -21,6 +22,9 @@
 struct RosterSettings {
     // Endpoints that live are listed again about two seconds after the store's return; one that isn't is gone.
     std::chrono::milliseconds returnWithin { 2'200 };
+    // For so long the name of an endpoint that has gone is remembered, and an entry that only an older copy has is left out: endpoints
+    // that live write theirs several times meanwhile, and the store drops those of the others.
+    std::chrono::milliseconds goneFor { 15'000 };
 };
 
 // What has changed of a list.
@@ -36,6 +40,9 @@
     // Takes all entries as they are now.
     void replace(const std::vector<backing::ListedEndpoint>& listed, SteadyTime now);
 
+    // Takes all entries as they stand in an older copy from which the store has just come back.
+    void replaceByCopy(const std::vector<backing::ListedEndpoint>& listed, SteadyTime now);
+
     // Take one entry that was written, or vanished. put() returns whether it says something new.
     bool put(const backing::ListedEndpoint& endpoint);
     void remove(const EndpointName& endpoint, SteadyTime now);
@@ -87,15 +94,26 @@
 
     using ListedNames = std::unordered_set<std::string_view>;
 
+    // An endpoint that has gone.
+    struct Gone {
+        SteadyTime until; // Remembered.
+        std::optional<backing::ListedEndpoint> copied; // Its entry in an older copy.
+    };
+
     static ListedNames namesOf(const std::vector<backing::ListedEndpoint>& listed);
     void noteChange(const EndpointName& name);
     bool take(Entry& entry, const backing::ListedEndpoint& endpoint);
     void drop(std::map<EndpointName, Entry>::iterator entry, SteadyTime now);
+    void noteGone(const EndpointName& name);
+    bool isLeftOut(const backing::ListedEndpoint& endpoint) const;
+    void settleGone(SteadyTime now);
 
     const RosterSettings m_settings;
     std::map<EndpointName, Entry> m_entries;
     bool m_storeFails = false;
     std::optional<SteadyTime> m_backSince; // Since when the store has answered again.
+    std::map<EndpointName, Gone> m_gone; // Of late.
+    SteadyTime m_now; // Of the last call that told it.
     bool m_changed = false;
     std::set<EndpointName> m_touched; // Changed or gone since the changes were taken.
 };
--- a/packages/endpoint/src/EndpointRoster.cpp
+++ b/packages/endpoint/src/EndpointRoster.cpp
@@ -35,9 +35,12 @@
 
 void EndpointRoster::replace(const std::vector<backing::ListedEndpoint>& listed, SteadyTime now)
 {
+    m_now = now;
     const ListedNames names = namesOf(listed);
-    for (const backing::ListedEndpoint& endpoint : listed)
-        put(endpoint);
+    for (const backing::ListedEndpoint& endpoint : listed) {
+        if (!isLeftOut(endpoint))
+            put(endpoint);
+    }
     for (auto entry = m_entries.begin(); entry != m_entries.end();) {
         const auto next = std::next(entry);
         if (!names.contains(entry->first.value) && !entry->second.goneAt)
@@ -46,8 +49,29 @@
     }
 }
 
+void EndpointRoster::replaceByCopy(const std::vector<backing::ListedEndpoint>& listed, SteadyTime now)
+{
+    m_now = now;
+    for (const backing::ListedEndpoint& endpoint : listed) {
+        if (const auto gone = m_gone.find(endpoint.name); gone != m_gone.end()) {
+            gone->second = { now + m_settings.goneFor, endpoint };
+            continue;
+        }
+        const backing::ListedEndpoint* known = find(endpoint.name);
+        backing::ListedEndpoint taken = endpoint;
+        taken.leaving = taken.leaving || (known && known->leaving);
+        put(taken);
+    }
+    const ListedNames names = namesOf(listed);
+    for (auto& [name, entry] : m_entries) {
+        if (!names.contains(name.value))
+            entry.goneAt = now + m_settings.returnWithin;
+    }
+}
+
 bool EndpointRoster::put(const backing::ListedEndpoint& endpoint)
 {
+    m_gone.erase(endpoint.name);
     Entry& entry = m_entries[endpoint.name];
     const std::chrono::milliseconds coldLeft = std::exchange(entry.saidColdLeft, endpoint.coldLeft);
     backing::ListedEndpoint taken = endpoint;
@@ -60,6 +84,7 @@
 
 void EndpointRoster::putByTold(const backing::ListedEndpoint& endpoint)
 {
+    m_gone.erase(endpoint.name);
     Entry& entry = m_entries[endpoint.name];
     entry.saidColdLeft = endpoint.coldLeft;
     take(entry, endpoint);
@@ -77,6 +102,9 @@
 
 void EndpointRoster::remove(const EndpointName& endpoint, SteadyTime now)
 {
+    m_now = now;
+    if (const auto gone = m_gone.find(endpoint); gone != m_gone.end())
+        gone->second.copied.reset();
     const auto entry = m_entries.find(endpoint);
     if (entry != m_entries.end() && !entry->second.goneAt)
         drop(entry, now);
@@ -90,7 +118,7 @@
     std::erase_if(m_entries, [&](const auto& entry) {
         const bool isGone = !names.contains(entry.first.value);
         if (isGone)
-            noteChange(entry.first);
+            noteGone(entry.first);
         return isGone;
     });
 }
@@ -98,7 +126,35 @@
 void EndpointRoster::removeByTold(const EndpointName& endpoint)
 {
     if (m_entries.erase(endpoint) > 0)
-        noteChange(endpoint);
+        noteGone(endpoint);
+}
+
+void EndpointRoster::noteGone(const EndpointName& name)
+{
+    noteChange(name);
+    m_gone[name] = { m_now + m_settings.goneFor, std::nullopt };
+}
+
+// Returns whether the store still lists no more of an endpoint that has gone than the older copy had.
+bool EndpointRoster::isLeftOut(const backing::ListedEndpoint& endpoint) const
+{
+    const auto gone = m_gone.find(endpoint.name);
+    return gone != m_gone.end() && gone->second.copied == endpoint;
+}
+
+// An entry that stands for so long is the store's word after all.
+void EndpointRoster::settleGone(SteadyTime now)
+{
+    std::vector<backing::ListedEndpoint> standing;
+    std::erase_if(m_gone, [&](const auto& entry) {
+        if (now < entry.second.until)
+            return false;
+        if (entry.second.copied)
+            standing.push_back(*entry.second.copied);
+        return true;
+    });
+    for (const backing::ListedEndpoint& endpoint : standing)
+        put(endpoint);
 }
 
 void EndpointRoster::drop(std::map<EndpointName, Entry>::iterator entry, SteadyTime now)
@@ -107,7 +163,7 @@
         entry->second.goneAt = m_backSince.value_or(now) + m_settings.returnWithin;
         return;
     }
-    noteChange(entry->first);
+    noteGone(entry->first);
     m_entries.erase(entry);
 }
 
@@ -135,12 +191,14 @@
 
 bool EndpointRoster::settle(SteadyTime now)
 {
+    m_now = now;
     std::erase_if(m_entries, [&](const auto& entry) {
         const bool isGone = entry.second.goneAt && now >= *entry.second.goneAt;
         if (isGone)
-            noteChange(entry.first);
+            noteGone(entry.first);
         return isGone;
     });
+    settleGone(now);
     return std::exchange(m_changed, false);
 }
 
--- a/packages/endpoint/test/EndpointRosterTest.cpp
+++ b/packages/endpoint/test/EndpointRosterTest.cpp
@@ -205,5 +205,35 @@
         }
     }
 
+    // Guards against losing endpoints whose entries the copy lacks, which they write again within seconds.
+    TEST_F(EndpointRosterTest, KeepsForAMomentWhatAnOlderCopyLacks)
+    {
+        m_roster.replaceByCopy({ listed("a") }, m_clock.now());
+        EXPECT_TRUE(has("b"));
+        m_clock.advance(2s);
+        m_roster.put(listed("b"));
+        m_clock.advance(300ms);
+        EXPECT_TRUE(has("b"));
+        EXPECT_FALSE(has("c")) << "nobody wrote it again";
+        EXPECT_TRUE(m_roster.isSettled(m_clock.now())) << "what the list holds may be told";
+    }
+
+    // Guards against sending to an endpoint that leaves, or has left, since the copy was made.
+    TEST_F(EndpointRosterTest, LeavesOutWhatHasLeftSinceAnOlderCopy)
+    {
+        m_roster.remove({ "a" }, m_clock.now());
+        m_roster.removeByTold({ "b" });
+        m_roster.replaceByCopy({ listed("a"), listed("b"), listed("c") }, m_clock.now());
+        EXPECT_FALSE(has("a"));
+        EXPECT_FALSE(has("b"));
+        EXPECT_TRUE(m_roster.find({ "c" })->leaving);
+        m_roster.replace({ listed("a"), listed("b"), listed("c", true) }, m_clock.now());
+        EXPECT_FALSE(has("a")) << "a further read shows the same entry";
+        m_roster.put(listed("a"));
+        EXPECT_TRUE(has("a")) << "it was written since";
+        m_clock.advance(15s);
+        EXPECT_TRUE(has("b")) << "the store holds it still";
+    }
+
 }
 }
