Write again what only this system writes, where the store has lost it

Instances' own records, roll-outs' records with their status, and verdicts on requests are nobody else's to write again, and a lease may have been given to another instance. Followers read the roll-outs' records anew, and whoever comes first writes what is lost or older than what is known; a repeated notice of the era before is ignored. A verdict whose record is missing counts as lost, not as lifted by an operator.

The soak's store comes back older as one more fault, and what operators and engines wrote is written again within a second.

--- a/apps/whinyardd/entry/InstanceWatch.cpp
+++ b/apps/whinyardd/entry/InstanceWatch.cpp
@@ -14,6 +14,9 @@
 
     constexpr std::chrono::milliseconds announcementPause { 50 };
 
+    // In which every instance has seen that the store came back, and has written its record again where it was lost.
+    constexpr std::chrono::seconds rewrittenWithin { 15 };
+
 }
 
 InstanceWatch::InstanceWatch(EntryShared& shared, ServeDuty& serving, RosterWatch& roster)
@@ -23,9 +26,14 @@
 {
 }
 
-void InstanceWatch::replaced(const std::vector<backing::Record>& records)
+void InstanceWatch::replaced(const std::vector<backing::Record>& records, std::uint64_t era)
 {
-    m_listed.clear();
+    const SteadyTime now = m_shared.clock.now();
+    if (m_era && era > *m_era)
+        m_returnedAt = now;
+    m_era = era;
+    if (!m_returnedAt || now - *m_returnedAt > rewrittenWithin)
+        m_listed.clear();
     for (const backing::Record& record : records) {
         Failure failure;
         const InstanceName name { record.key.substr(prefix.size()) };
@@ -34,7 +42,7 @@
         else
             log::error("instance's record not taken", { { "key", record.key }, { "reason", failure.reason } });
     }
-    std::erase_if(m_announced, [now = m_shared.clock.now()](const auto& entry) { return now - entry.second.at > announcedFor; });
+    std::erase_if(m_announced, [now](const auto& entry) { return now - entry.second.at > announcedFor; });
     m_knowsOthers = std::any_of(m_listed.begin(), m_listed.end(), [this](const auto& entry) { return entry.first != m_shared.settings.instance; });
     if (m_knowsOthers)
         m_isKnown = true;
--- a/apps/whinyardd/entry/InstanceWatch.h
+++ b/apps/whinyardd/entry/InstanceWatch.h
@@ -22,8 +22,9 @@
     // All must outlive the object.
     InstanceWatch(EntryShared& shared, ServeDuty& serving, RosterWatch& roster);
 
-    // Takes all instances' records, as they are or were a moment ago.
-    void replaced(const std::vector<backing::Record>& records);
+    // Takes all instances' records, as they are or were a moment ago, in the store's era. Those that are missing after it came back from
+    // an older copy are kept for as long as their instances need to write them again.
+    void replaced(const std::vector<backing::Record>& records, std::uint64_t era);
 
     // Returns whether the records that were taken name another instance.
     bool knowsOthers() const { return m_knowsOthers; }
@@ -63,6 +64,8 @@
     std::map<InstanceName, peer::InstanceNotice> m_listed; // By the records.
     std::map<InstanceName, Announced> m_announced; // By their own notices, which come before their records.
     std::map<InstanceName, peer::InstanceNotice> m_handedOn;
+    std::optional<std::uint64_t> m_era; // Of the store, at the last read.
+    std::optional<SteadyTime> m_returnedAt; // When a read showed that the store came back.
     net::Signal m_announcement;
     bool m_hasAnnounced = false; // Some that are not handed on yet.
     bool m_isKnown = false;
--- a/apps/whinyardd/entry/QueryKeeper.cpp
+++ b/apps/whinyardd/entry/QueryKeeper.cpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <optional>
+#include <utility>
 
 namespace whinyard::daemon {
 
@@ -33,6 +34,8 @@
         else
             log::error("verdict's record not taken", { { "key", record.key } });
     }
+    if (std::exchange(m_era, m_store.era()) != m_store.era())
+        m_serving.forgetStoredVerdicts();
     m_serving.takeStoredVerdicts(std::move(stored));
 }
 
--- a/apps/whinyardd/entry/QueryKeeper.h
+++ b/apps/whinyardd/entry/QueryKeeper.h
@@ -19,7 +19,8 @@
     // Both must outlive the object.
     QueryKeeper(ServeDuty& serving, backing::WatchableStore& store);
 
-    // Takes all records under the prefix.
+    // Takes all records under the prefix. Those that the store lost as it came back from an older copy are written again: nobody has
+    // removed them.
     void replaced(const std::vector<backing::Record>& records);
 
     // Writes the verdicts that this instance came to and that don't stand there, and removes those that were refuted. Returns
@@ -32,6 +33,7 @@
 
     ServeDuty& m_serving;
     backing::WatchableStore& m_store;
+    std::uint64_t m_era = 0; // Of the store, at the last read.
     bool m_fails = false; // The last write failed.
 };
 
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -326,6 +326,11 @@
     m_duty.post([this, verdicts = std::move(verdicts)] { m_queries.takeStored(verdicts, m_shared.clock.now()); });
 }
 
+void ServeDuty::forgetStoredVerdicts()
+{
+    m_duty.post([this] { m_queries.forgetStored(); });
+}
+
 std::vector<QueryVerdict> ServeDuty::unstoredVerdicts()
 {
     return net::callOn(m_duty, [this] { return m_queries.unstored(storeAfter, m_shared.clock.now()); }).value_or(std::vector<QueryVerdict>());
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -80,6 +80,9 @@
     // Takes the verdicts on requests that stand in the store.
     void takeStoredVerdicts(std::vector<QueryVerdict> verdicts);
 
+    // Notes that the store may have lost the records of verdicts.
+    void forgetStoredVerdicts();
+
     // Returns the verdicts of this instance that are to be kept in the store.
     std::vector<QueryVerdict> unstoredVerdicts();
 
--- a/apps/whinyardd/entry/ShiftKeeper.cpp
+++ b/apps/whinyardd/entry/ShiftKeeper.cpp
@@ -43,6 +43,18 @@
     m_read = true;
     for (const backing::Record& record : records)
         take(record);
+    std::erase_if(m_revisions, [this](const auto& known) {
+        if (known.second.era >= m_store.era())
+            return false;
+        log::warning("roll-out record is gone from the store", { { "service", known.first.value }, { "revision", toText(known.second) } });
+        m_serving.postToShifts([service = known.first](policy::VersionShifts& shifts) { shifts.forgetRecord(service); });
+        return true;
+    });
+}
+
+bool ShiftKeeper::isInDoubt() const
+{
+    return std::any_of(m_revisions.begin(), m_revisions.end(), [this](const auto& known) { return known.second.era < m_store.era(); });
 }
 
 void ShiftKeeper::take(const backing::Record& record)
@@ -50,15 +62,15 @@
     const std::string_view key = record.key;
     if (key.starts_with(recordPrefix)) {
         const ServiceName service { std::string(key.substr(recordPrefix.size())) };
-        if (record.revision <= m_revisions[service])
-            return;
+        if (record.revision.era < m_store.era() || record.revision <= m_revisions[service])
+            return; // A notice from before the store came back may be repeated after it.
         m_revisions[service] = record.revision;
         const std::optional<policy::ShiftRecord> read = policy::readShiftRecord(record.value);
         if (!read) {
             log::error("roll-out record not taken", { { "key", record.key } });
             return;
         }
-        log::info("roll-out record", { { "service", service.value }, { "state", std::string(toText(read->state)) }, { "elapsedMs", std::to_string(read->elapsed.count()) }, { "reason", read->reason }, { "revision", std::to_string(record.revision) } });
+        log::info("roll-out record", { { "service", service.value }, { "state", std::string(toText(read->state)) }, { "elapsedMs", std::to_string(read->elapsed.count()) }, { "reason", read->reason }, { "revision", toText(record.revision) } });
         m_serving.postToShifts([service, read = *read, now = m_shared.clock.now()](policy::VersionShifts& shifts) { shifts.takeRecord(service, read, now); });
     }
 }
@@ -148,8 +160,10 @@
 {
     const std::string key = std::string(recordPrefix) + order.service.value;
     const auto known = m_revisions.find(order.service);
+    if (known != m_revisions.end() && known->second.era < m_store.era())
+        return; // It is read anew first.
     backing::Transaction transaction;
-    transaction.preconditions = { { key, known == m_revisions.end() ? 0 : known->second } };
+    transaction.preconditions = { { key, known == m_revisions.end() ? Revision() : known->second } };
     transaction.puts = { { key, policy::writeShiftRecord(record) }, { platform::statusKey(order.service), platform::writeStatus(order, record.state) } };
     Failure failure;
     const std::optional<backing::Revision> revision = m_store.transact(transaction, failure);
--- a/apps/whinyardd/entry/ShiftKeeper.h
+++ b/apps/whinyardd/entry/ShiftKeeper.h
@@ -26,9 +26,13 @@
     // All must outlive the object. `instances` returns how many there are.
     ShiftKeeper(EntryShared& shared, ServeDuty& serving, backing::WatchableStore& store, std::function<std::size_t()> instances);
 
-    // Takes all records of roll-outs, as they are or were a moment ago; older ones than are known change nothing.
+    // Takes all records of roll-outs, as they are or were a moment ago; older ones than are known change nothing. What the store has
+    // lost since it came back from an older copy is due again.
     void replaced(const std::vector<backing::Record>& records);
 
+    // Returns whether a record is known only from before the store came back.
+    bool isInDoubt() const;
+
     // Takes what another instance has written. Called on the store duty.
     void takeNotice(const peer::ShiftNotice& notice);
 
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -44,6 +44,10 @@
 
     // Other instances reach this one by a record that lapses so long after its end: two renewals may fail.
     constexpr std::chrono::milliseconds instanceTimeToLive { 20'000 };
+    // After the store came back from an older copy, the records of all instances are looked for, and written where they were lost,
+    // spread over this and over a time for each instance.
+    constexpr std::chrono::milliseconds rewriteSpread { 1'000 };
+    constexpr std::chrono::milliseconds rewritePerInstance { 3 };
     constexpr std::chrono::milliseconds recordLook { 1'000 }; // Until the record stands; then each probe renews its lease.
 
     // Between calls while the store fails, with as much again at random, so that instances don't return in step.
@@ -198,7 +202,7 @@
         }
         if (!std::exchange(followed, true))
             follower.readAnew();
-        const std::uint64_t known = m_operators->revision();
+        const Revision known = m_operators->revision();
         follower.useWait(m_roster->isSecondFollower() ? secondWait : wait);
         turn(follower, noPause);
         if (m_operators->revision() != known)
@@ -283,13 +287,15 @@
         if (const auto records = readUntilAnswered(fleetPrefix, age)) {
             m_queries->replaced(recordsUnder(QueryKeeper::prefix, *records));
             const std::vector<backing::Record> instances = recordsUnder(InstanceWatch::prefix, *records);
-            m_instances->replaced(instances);
+            m_instances->replaced(instances, m_store->era());
             adoptOwnRecord(instances);
         }
     };
     // Whoever started long ago stands in an old state too. Where nobody does, all start for the first time: once the own
     // record stands, whoever comes later sees it, and whoever came before stands in the newest state.
     read(backing::ReadAge::mayBeOld);
+    if (m_leaderWork)
+        m_leaderWork->observeEra();
     m_mayKeepRecord.notify();
     if (!m_instances->knowsOthers()) {
         while (!m_ownRecord->isHeld() && !m_shared.stopping)
@@ -348,12 +354,25 @@
     while (!m_shared.stopping) {
         m_probe->awaitStore();
         Failure failure; // The probe tells of an outage.
+        if (m_operators->knownUpTo().era > m_store->era())
+            m_store->answers(failure); // Others have seen an era that this instance has not.
+        if (m_ownRecord->isInDoubt())
+            writeOwnRecordAgain();
         if (!m_ownRecord->isHeld() || std::exchange(isAdopted, false))
             m_ownRecord->turn(failure);
         net::sleepFor(recordLook);
     }
 }
 
+void StoreDuty::writeOwnRecordAgain()
+{
+    const std::chrono::milliseconds spread = rewriteSpread + rewritePerInstance * static_cast<int>(m_instances->size());
+    net::sleepFor(std::chrono::milliseconds(below(m_random, static_cast<std::uint64_t>(spread.count()))));
+    Failure failure;
+    if (m_ownRecord->turn(failure))
+        m_serving.broadcast(ownNotice()); // Whoever reads the records meanwhile doesn't find it.
+}
+
 // Instances' own records are read only while there is an order: they say nothing else.
 void StoreDuty::readShifts()
 {
@@ -368,8 +387,24 @@
                 m_shifts->replaced(*records);
             age = backing::ReadAge::mayBeOld;
         }
-        net::sleepFor(m_operators->hasOrders() ? (m_follows ? followerShiftInterval : shiftInterval) : shiftTurn);
+        if (!m_operators->hasOrders())
+            net::sleepFor(shiftTurn);
+        else if (awaitShifts(m_follows ? followerShiftInterval : shiftInterval))
+            age = backing::ReadAge::newest;
+    }
+}
+
+// Waits until the records are to be read again. Returns whether that is since the store came back from an older copy: followers read
+// and write for all, who hear of it.
+bool StoreDuty::awaitShifts(std::chrono::milliseconds interval)
+{
+    const SteadyTime end = m_shared.clock.now() + interval;
+    while (m_shared.clock.now() < end && !m_shared.stopping) {
+        if (m_follows && m_shifts->isInDoubt())
+            return true;
+        net::sleepFor(shiftTurn);
     }
+    return false;
 }
 
 void StoreDuty::writeShifts()
--- a/apps/whinyardd/entry/StoreDuty.h
+++ b/apps/whinyardd/entry/StoreDuty.h
@@ -52,6 +52,8 @@
     void adoptOwnRecord(const std::vector<backing::Record>& records);
     void tellEndpoints();
     void keepOwnRecord();
+    void writeOwnRecordAgain();
+    bool awaitShifts(std::chrono::milliseconds interval);
     void settleRoster();
     void spawnLeaderWork();
     void postToLeaderWork(std::function<void(LeaderWork&)> use);
--- a/packages/backing/include/whinyard/backing/LeasedRecord.h
+++ b/packages/backing/include/whinyard/backing/LeasedRecord.h
@@ -28,10 +28,14 @@
     // Returns whether the record stood when turn() succeeded last, so that the next one only renews its lease.
     bool isHeld() const { return m_lease.has_value(); }
 
+    // Returns whether the store has come back from an older copy since: it may have lost the record, which turn() finds out.
+    bool isInDoubt() const { return m_lease && m_lease->era != m_store.era(); }
+
     // Takes the record back.
     void end();
 
 private:
+    bool confirm(Failure& failure);
     bool write(Failure& failure);
 
     WatchableStore& m_store;
--- a/packages/backing/src/LeasedRecord.cpp
+++ b/packages/backing/src/LeasedRecord.cpp
@@ -1,5 +1,7 @@
 #include "whinyard/backing/LeasedRecord.h"
 
+#include <utility>
+
 namespace whinyard::backing {
 
 LeasedRecord::LeasedRecord(WatchableStore& store, std::string key, std::string value, std::chrono::milliseconds timeToLive)
@@ -12,16 +14,34 @@
 
 bool LeasedRecord::turn(Failure& failure)
 {
+    if (isInDoubt() && !confirm(failure))
+        return false;
     if (!m_lease)
         return write(failure);
     if (m_store.keepLease(*m_lease, failure))
         return true;
     if (failure.kind != ErrorKind::notFound)
         return false;
+    if (isInDoubt())
+        return turn(failure); // The answer stated a new era.
     m_lease.reset();
     return write(failure);
 }
 
+// In the new era the number of the lease is this process's own only where the record stands under it.
+bool LeasedRecord::confirm(Failure& failure)
+{
+    const std::optional<RecordPage> page = m_store.range(m_key, {}, ReadAge::mayBeOld, failure);
+    if (!page)
+        return false;
+    const std::uint64_t number = std::exchange(m_lease, std::nullopt)->number;
+    for (const Record& record : page->records) {
+        if (record.lease.number == number)
+            adopt(record);
+    }
+    return true;
+}
+
 void LeasedRecord::adopt(const Record& record)
 {
     if (!m_lease && record.key == m_key && record.value == m_value && record.lease.number > 0)
--- a/packages/backing/test/LeasedRecordTest.cpp
+++ b/packages/backing/test/LeasedRecordTest.cpp
@@ -83,5 +83,27 @@
         EXPECT_EQ(store.find("i/1")->value, "address");
     }
 
+    // Guards against renewing the lease of another process, whose number is the same since the store came back from an older copy.
+    TEST(LeasedRecordReturnTest, WritesAgainWhatTheStoreLost)
+    {
+        FakeWatchableStore store;
+        Failure failure;
+        LeasedRecord first(store, "a", "1", std::chrono::seconds(20));
+        LeasedRecord second(store, "b", "2", std::chrono::seconds(20));
+        ASSERT_TRUE(first.turn(failure));
+        store.keepCopy();
+        ASSERT_TRUE(second.turn(failure));
+        store.returnToCopy();
+        ASSERT_TRUE(store.grantLease(std::chrono::seconds(20), failure)) << "with the number that the second one had";
+        EXPECT_TRUE(first.isInDoubt());
+        const std::size_t calls = store.calls;
+        EXPECT_TRUE(first.turn(failure));
+        EXPECT_EQ(store.calls, calls + 2) << "a cheap read and a renewal";
+        EXPECT_TRUE(second.turn(failure));
+        ASSERT_TRUE(store.find("b"));
+        EXPECT_EQ(store.find("b")->lease, (LeaseId { 3, 1 }));
+        EXPECT_FALSE(first.isInDoubt() || second.isInDoubt());
+    }
+
 }
 }
--- a/packages/policy/include/whinyard/policy/QueryOfDeath.h
+++ b/packages/policy/include/whinyard/policy/QueryOfDeath.h
@@ -94,6 +94,9 @@
     // Notes that this instance has seen a verdict's record written.
     void noteStored(const RequestDigest& request, SteadyTime now);
 
+    // Notes that the store may have lost the records of verdicts: they are unstored again, and none of them is lifted for that.
+    void forgetStored();
+
     // Reaches verdicts that were due for a better explanation, and drops what is over. Call it about every 50 ms.
     void refresh(SteadyTime now);
 
--- a/packages/policy/include/whinyard/policy/VersionEvidence.h
+++ b/packages/policy/include/whinyard/policy/VersionEvidence.h
@@ -7,6 +7,7 @@
 
 #include "whinyard/base/Clock.h"
 #include "whinyard/base/Identity.h"
+#include "whinyard/base/Revision.h"
 #include "whinyard/policy/SequentialTest.h"
 
 #include <array>
@@ -38,7 +39,7 @@
 
 // Counts of answers under an order, by one instance; they only grow.
 struct ShiftEvidence {
-    std::uint64_t order = 0;
+    Revision order {};
     RatedCounts failures {}; // Of the target; bad ones failed.
     RatedCounts slowness {}; // Of the target; bad ones were slow, of those that didn't fail and could be compared.
     RatedCounts otherFailures {}; // Of the other versions: what the environment alone makes fail.
--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -8,6 +8,7 @@
 
 #include "whinyard/base/Clock.h"
 #include "whinyard/base/Identity.h"
+#include "whinyard/base/Revision.h"
 #include "whinyard/policy/SequentialTest.h"
 #include "whinyard/policy/UsualValues.h"
 #include "whinyard/policy/VersionEvidence.h"
@@ -27,7 +28,7 @@
     ServiceName service;
     std::string target; // Of the versions of the service's endpoints.
     std::chrono::milliseconds period { 0 }; // Within which everything is to be moved.
-    std::uint64_t revision = 0; // Of the order in the store; a later order has a higher one.
+    Revision revision {}; // Of the order in the store, which names it.
 
     bool operator==(const ShiftOrder&) const = default;
 };
@@ -43,7 +44,7 @@
 
 // What all instances share of one order, as one record in the store.
 struct ShiftRecord {
-    std::uint64_t order = 0; // ShiftOrder::revision.
+    Revision order {}; // ShiftOrder::revision.
     ShiftState state = ShiftState::running;
     std::chrono::milliseconds elapsed { 0 }; // Of the period, when the record was written.
     std::string reason; // Of the state, for a person.
@@ -133,7 +134,7 @@
 
     explicit VersionShifts(const ShiftSettings& settings = {});
 
-    // Takes an order; one with the revision that is known changes nothing.
+    // Takes the order that is in force; one with the revision that is known changes nothing.
     void takeOrder(const ShiftOrder& order, SteadyTime now);
 
     // The order was taken back: every version may serve.
@@ -142,6 +143,9 @@
     // Takes what the store holds of an order. An older order's record, or one that is behind what is known, is ignored.
     void takeRecord(const ServiceName& service, const ShiftRecord& record, SteadyTime now);
 
+    // Notes that the store no longer holds the record of the service's order: it is due again.
+    void forgetRecord(const ServiceName& service);
+
     // Takes what another instance counted.
     void takeEvidence(const ServiceName& service, const InstanceName& instance, const ShiftEvidence& told, SteadyTime now);
 
--- a/packages/policy/src/QueryOfDeath.cpp
+++ b/packages/policy/src/QueryOfDeath.cpp
@@ -257,6 +257,12 @@
         found->second.storedAt = found->second.storedAt.value_or(now);
 }
 
+void QueryOfDeathTable::forgetStored()
+{
+    for (auto& [request, verdict] : m_verdicts)
+        verdict.storedAt.reset();
+}
+
 void QueryOfDeathTable::refresh(SteadyTime now)
 {
     for (const RequestDigest& request : std::set<RequestDigest>(m_weak))
--- a/packages/policy/src/ShiftRecords.cpp
+++ b/packages/policy/src/ShiftRecords.cpp
@@ -26,6 +26,19 @@
         return std::nullopt;
     }
 
+    // The era stands beside the number, where there is one.
+    void writeOrder(json& object, const Revision& order)
+    {
+        object["order"] = order.number;
+        if (order.era > 0)
+            object["orderEra"] = order.era;
+    }
+
+    Revision readOrder(const json& object)
+    {
+        return { object.value("orderEra", std::uint64_t { 0 }), object.at("order").get<std::uint64_t>() };
+    }
+
     json writeCounts(const RatedCounts& counts)
     {
         return { counts.good, counts.bad };
@@ -40,7 +53,8 @@
 
 std::string writeShiftRecord(const ShiftRecord& record)
 {
-    json object = { { "order", record.order }, { "state", toText(record.state) }, { "elapsedMs", record.elapsed.count() }, { "reason", record.reason } };
+    json object = { { "state", toText(record.state) }, { "elapsedMs", record.elapsed.count() }, { "reason", record.reason } };
+    writeOrder(object, record.order);
     if (record.moveAt)
         object["moveAtMs"] = record.moveAt->count();
     return object.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -55,7 +69,7 @@
         const std::optional<ShiftState> state = stateNamed(object->at("state").get<std::string>());
         if (!state)
             return std::nullopt;
-        ShiftRecord record { object->at("order").get<std::uint64_t>(), *state, std::chrono::milliseconds(object->at("elapsedMs").get<std::int64_t>()), object->value("reason", ""), std::nullopt };
+        ShiftRecord record { readOrder(*object), *state, std::chrono::milliseconds(object->at("elapsedMs").get<std::int64_t>()), object->value("reason", ""), std::nullopt };
         if (object->contains("moveAtMs"))
             record.moveAt = std::chrono::milliseconds(object->at("moveAtMs").get<std::int64_t>());
         return record;
@@ -76,7 +90,9 @@
                 targets.push_back({ kind, place, counts.target[place].good, counts.target[place].bad });
         }
     }
-    return json({ { "order", evidence.order }, { "life", evidence.life }, { "elapsedMs", evidence.elapsed.count() }, { "failures", writeCounts(evidence.failures) }, { "slowness", writeCounts(evidence.slowness) }, { "otherFailures", writeCounts(evidence.otherFailures) }, { "targets", std::move(targets) }, { "others", std::move(others) } }).dump();
+    json object = { { "life", evidence.life }, { "elapsedMs", evidence.elapsed.count() }, { "failures", writeCounts(evidence.failures) }, { "slowness", writeCounts(evidence.slowness) }, { "otherFailures", writeCounts(evidence.otherFailures) }, { "targets", std::move(targets) }, { "others", std::move(others) } };
+    writeOrder(object, evidence.order);
+    return object.dump();
 }
 
 std::optional<ShiftEvidence> readShiftEvidence(std::string_view text)
@@ -85,7 +101,7 @@
     if (!object)
         return std::nullopt;
     try {
-        ShiftEvidence evidence { object->at("order").get<std::uint64_t>(), readCounts(object->at("failures")), readCounts(object->at("slowness")), readCounts(object->at("otherFailures")) };
+        ShiftEvidence evidence { readOrder(*object), readCounts(object->at("failures")), readCounts(object->at("slowness")), readCounts(object->at("otherFailures")) };
         evidence.life = object->value("life", std::uint64_t { 0 });
         evidence.elapsed = std::chrono::milliseconds(object->value("elapsedMs", std::int64_t { 0 }));
         for (const json& counts : object->value("targets", json::array()))
--- a/packages/policy/src/VersionShift.cpp
+++ b/packages/policy/src/VersionShift.cpp
@@ -77,7 +77,7 @@
 void VersionShifts::takeOrder(const ShiftOrder& order, SteadyTime now)
 {
     const auto known = m_shifts.find(order.service);
-    if (known != m_shifts.end() && known->second.order.revision >= order.revision)
+    if (known != m_shifts.end() && known->second.order.revision == order.revision)
         return;
     Shift shift;
     shift.order = order;
@@ -118,6 +118,16 @@
     noteElapsed(shift, record.elapsed, now);
 }
 
+void VersionShifts::forgetRecord(const ServiceName& service)
+{
+    m_records.erase(service);
+    const auto found = m_shifts.find(service);
+    if (found == m_shifts.end())
+        return;
+    found->second.isStored = false;
+    found->second.known = {};
+}
+
 std::chrono::milliseconds VersionShifts::elapsedOf(const Shift& shift, SteadyTime now)
 {
     return shift.elapsedBefore + std::chrono::duration_cast<std::chrono::milliseconds>(now - shift.since);
--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -146,12 +146,30 @@
     }
 }
 
+// Takes the store away for a moment and has it come back without what was written since its last copy.
+void Faults::returnStore(Random& random)
+{
+    const std::size_t fault = begin(DisturbedPart::store, 0, "comes back older");
+    m_site.store().setAway(true);
+    pause(between(random, 0ms, 600ms));
+    m_site.returnStore();
+    m_site.store().setAway(false);
+    pause(between(random, 0ms, 1'000ms));
+    m_site.writeAgain();
+    end(fault);
+}
+
 // The configuration changes while the store misbehaves too: operators reach it, as on the platform.
 void Faults::disturbStore(Random random, SteadyTime until)
 {
+    m_site.store().keepCopy();
     while (m_clock.now() < until) {
         pause(between(random, 300ms, 3'000ms));
-        const std::uint64_t kind = below(random, 3);
+        const std::uint64_t kind = below(random, 4);
+        if (kind == 3) {
+            returnStore(random);
+            continue;
+        }
         const std::size_t fault = begin(DisturbedPart::store, 0, kind == 0 ? "away" : kind == 1 ? "silent"
                                                                                                 : "new keys");
         if (kind == 0)
@@ -163,6 +181,8 @@
         pause(between(random, 200ms, 2'500ms));
         m_site.store().setAway(false);
         m_site.store().setSilent(false);
+        if (below(random, 2) == 0)
+            m_site.store().keepCopy();
         end(fault);
     }
 }
--- a/soak/Faults.h
+++ b/soak/Faults.h
@@ -31,6 +31,7 @@
     void disturbDaemons(Random random, SteadyTime end);
     void disturbEngines(Random random, SteadyTime end);
     void disturbStore(Random random, SteadyTime end);
+    void returnStore(Random& random);
     void disturbLinks(Random random, SteadyTime end);
     void stopDaemon(std::size_t daemon);
     void killDaemon(std::size_t daemon, std::chrono::milliseconds down);
--- a/soak/Site.cpp
+++ b/soak/Site.cpp
@@ -161,12 +161,33 @@
 {
     const EnginePlace& place = m_engines[engine];
     const json entry = { { "service", "svc" }, { "address", net::toText(place.link->address()) }, { "zone", "z" }, { "version", "v1" }, { "slots", 8 }, { "state", state }, { "sequence", 1 } };
-    m_store.write("servers/" + place.id, entry.dump());
+    write("servers/" + place.id, entry.dump());
 }
 
 void Site::unlistEngine(std::size_t engine)
 {
-    m_store.erase("servers/" + m_engines[engine].id);
+    write("servers/" + m_engines[engine].id, std::nullopt);
+}
+
+void Site::write(const std::string& key, const std::optional<std::string>& value)
+{
+    const std::lock_guard lock(m_writing);
+    m_written[key] = value;
+    if (value)
+        m_store.write(key, *value);
+    else
+        m_store.erase(key);
+}
+
+void Site::writeAgain()
+{
+    const std::lock_guard lock(m_writing);
+    for (const auto& [key, value] : m_written) {
+        if (!value)
+            m_store.erase(key);
+        else if (m_store.read(key) != *value)
+            m_store.write(key, *value);
+    }
 }
 
 void Site::configure(const std::vector<std::string>& keys)
@@ -178,7 +199,7 @@
         { "limits", { { "idle_timeout_ms", 15'000 } } },
         { "tenants", { { { "name", customer }, { "api_keys", keys } } } },
     };
-    m_store.write("op/config", configuration.dump());
+    write("op/config", configuration.dump());
 }
 
 std::set<std::string> Site::brokenOff()
--- a/soak/Site.h
+++ b/soak/Site.h
@@ -7,8 +7,10 @@
 #include "platform/StandInStore.h"
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -54,6 +56,12 @@
     Proxy& engineLink(std::size_t engine) { return *m_engines[engine].link; }
     platform::StandInStore& store() { return m_store; }
 
+    // Has the store come back from the copy that it kept last. writeAgain() follows after a moment.
+    void returnStore() { m_store.returnToCopy(); }
+
+    // Writes what the operator and the engines have written last, and removes the entries of engines that have gone.
+    void writeAgain();
+
     // Publishes a configuration in which only this key is valid, beside those that stay.
     void configure(const std::vector<std::string>& keys);
 
@@ -81,6 +89,7 @@
     };
 
     void writeSettings(std::size_t daemon);
+    void write(const std::string& key, const std::optional<std::string>& value);
     void readRuns(std::size_t engine);
     std::string logOf(const std::string& name) const { return m_plan.directory + "/" + name + ".log"; }
 
@@ -94,6 +103,8 @@
     std::mutex m_mutex;
     std::vector<RunRecord> m_runs;
     std::set<std::string> m_brokenOff;
+    std::mutex m_writing;
+    std::map<std::string, std::optional<std::string>> m_written; // By key; nothing: removed.
 };
 
 }
