Tell the list of endpoints while it holds what the copy lacks

Read before it was seen: an endpoint that the copy lacks is kept for 2.2 s, and counted as one of an outage, over which a follower tells nothing of the list. Its followers would have seemed to be gone, and all instances would have read the whole list from the store. Such an endpoint is kept by all, so the list may be told.

--- a/packages/endpoint/include/whinyard/endpoint/EndpointRoster.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointRoster.h
@@ -86,6 +86,7 @@
     struct Entry {
         backing::ListedEndpoint endpoint;
         std::optional<SteadyTime> goneAt; // When it is dropped unless it is listed again.
+        bool isLackedByCopy = false; // For that reason: all instances keep it, and may be told of it.
         std::chrono::milliseconds saidColdLeft { 0 }; // In its latest entry.
     };
 
--- a/packages/endpoint/src/EndpointRoster.cpp
+++ b/packages/endpoint/src/EndpointRoster.cpp
@@ -64,8 +64,10 @@
     }
     const ListedNames names = namesOf(listed);
     for (auto& [name, entry] : m_entries) {
-        if (!names.contains(name.value))
-            entry.goneAt = now + m_settings.returnWithin;
+        if (names.contains(name.value) || entry.goneAt)
+            continue;
+        entry.goneAt = now + m_settings.returnWithin;
+        entry.isLackedByCopy = true;
     }
 }
 
@@ -93,6 +95,7 @@
 bool EndpointRoster::take(Entry& entry, const backing::ListedEndpoint& endpoint)
 {
     entry.goneAt.reset();
+    entry.isLackedByCopy = false;
     if (entry.endpoint == endpoint)
         return false;
     entry.endpoint = endpoint;
@@ -180,7 +183,7 @@
 
 bool EndpointRoster::isSettled(SteadyTime now) const
 {
-    const auto isKept = [](const auto& entry) { return entry.second.goneAt.has_value(); };
+    const auto isKept = [](const auto& entry) { return entry.second.goneAt && !entry.second.isLackedByCopy; };
     return isStoreComplete(now) && std::none_of(m_entries.begin(), m_entries.end(), isKept);
 }
 
--- a/packages/endpoint/test/EndpointRosterTest.cpp
+++ b/packages/endpoint/test/EndpointRosterTest.cpp
@@ -210,12 +210,12 @@
     {
         m_roster.replaceByCopy({ listed("a") }, m_clock.now());
         EXPECT_TRUE(has("b"));
+        EXPECT_TRUE(m_roster.isSettled(m_clock.now())) << "what the list holds may be told";
         m_clock.advance(2s);
         m_roster.put(listed("b"));
         m_clock.advance(300ms);
         EXPECT_TRUE(has("b"));
         EXPECT_FALSE(has("c")) << "nobody wrote it again";
-        EXPECT_TRUE(m_roster.isSettled(m_clock.now())) << "what the list holds may be told";
     }
 
     // Guards against sending to an endpoint that leaves, or has left, since the copy was made.
--- a/packages/leadership/testing/whinyard/leadership/LeadershipExplorer.h
+++ b/packages/leadership/testing/whinyard/leadership/LeadershipExplorer.h
@@ -83,6 +83,8 @@
     void run()
     {
         for (std::size_t step = 0; step < m_settings.steps && !m_violation; ++step) {
+            if (m_returnsLeft > 0)
+                m_copies.push_back({ m_records, m_leases, m_revision.number, m_lastLease });
             switch (m_choices.choose(2 + 2 * m_instances.size() + (m_returnsLeft > 0 ? 1 : 0))) {
             case 0:
                 advance(std::chrono::milliseconds(1'000));
@@ -330,6 +332,14 @@
         SteadyTime end;
     };
 
+    // The store as it was.
+    struct Copy {
+        std::map<std::string, backing::Record> records;
+        std::map<std::uint64_t, Lease> leases;
+        std::uint64_t revision = 0;
+        std::uint64_t lastLease = 0;
+    };
+
     struct Arrival {
         std::size_t instance = 0;
         std::uint64_t fence = 0;
@@ -338,15 +348,20 @@
 
     void advance(std::chrono::milliseconds time) { m_clock.time += time; }
 
-    // The copy is of the begin: everything that was written is lost, and all numbers are given out again.
+    // The copy is of the begin of any step: what was written since is lost, and its numbers are given out again.
     void returnStore()
     {
         --m_returnsLeft;
-        m_history += "\n  the store comes back older";
-        m_records.clear();
-        m_leases.clear();
-        m_revision = { m_revision.era + 1, 0 };
-        m_lastLease = 0;
+        const std::size_t chosen = m_choices.choose(m_copies.size());
+        const Copy copy = m_copies[chosen];
+        m_history += "\n  the store comes back as it was before step " + std::to_string(chosen);
+        m_records = copy.records;
+        m_leases = copy.leases;
+        m_revision = { m_revision.era + 1, copy.revision };
+        m_lastLease = copy.lastLease;
+        for (auto& [key, record] : m_records)
+            record.revision.era = record.lease.era = m_revision.era;
+        m_copies.clear();
     }
 
     void keepLease(std::size_t number)
@@ -446,6 +461,7 @@
     std::map<std::uint64_t, Lease> m_leases; // By number.
     backing::Revision m_revision = 0;
     std::uint64_t m_lastLease = 0;
+    std::vector<Copy> m_copies; // Of the begin of each step.
     std::map<WindowNumber, CustomerCounts> m_accepted;
     std::vector<Arrival> m_arrivals;
     std::uint64_t m_calls = 0;
--- a/packages/peer/src/RecordBook.cpp
+++ b/packages/peer/src/RecordBook.cpp
@@ -72,7 +72,7 @@
 {
     const backing::Record* known = inForce(record.key);
     Entry& entry = m_entries[record.key];
-    if (known && entry.stored == record.revision)
+    if ((known || entry.carriedUntil) && entry.stored == record.revision)
         return;
     const bool mayBeRewritten = m_rewrittenUntil && now < *m_rewrittenUntil;
     const bool isInDoubt = entry.carriedUntil || mayBeRewritten;
--- a/packages/peer/test/RecordBookTest.cpp
+++ b/packages/peer/test/RecordBookTest.cpp
@@ -112,6 +112,8 @@
         EXPECT_EQ(valueOf("zone"), "none");
         m_book.replace({ record("config", "5", { 2, 40 }), record("order", "to v2", { 2, 41 }), record("zone", "{}", { 2, 42 }) }, { 2, 47 }, m_clock.now());
         EXPECT_EQ(valueOf("zone"), "none");
+        m_book.change({ record("zone", "{}", { 2, 42 }), false }, m_clock.now());
+        EXPECT_EQ(valueOf("zone"), "none") << "a watch tells the copy's own record";
         m_book.change({ record("zone", "{}", { 2, 48 }), false }, m_clock.now());
         EXPECT_EQ(valueOf("zone"), "{}") << "it was written since";
     }
