Make one turn of an instance's own record at a time

Since an instance looks for its record after the store's return, two fibers could make a turn side by side: one that had taken the lease away left the other with none, or each wrote the record and kept the other's lease, under which it doesn't stand. The probe reads instead while a turn waits, and a confirmation bears that the lease is gone.

--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -358,7 +358,7 @@
             m_store->answers(failure); // Others have seen an era that this instance has not.
         if (m_ownRecord->isInDoubt())
             writeOwnRecordAgain();
-        if (!m_ownRecord->isHeld() || std::exchange(isAdopted, false))
+        if (!m_ownRecord->isTurning() && (!m_ownRecord->isHeld() || std::exchange(isAdopted, false)))
             m_ownRecord->turn(failure);
         net::sleepFor(recordLook);
     }
@@ -369,7 +369,7 @@
     const std::chrono::milliseconds spread = rewriteSpread + rewritePerInstance * static_cast<int>(m_instances->size());
     net::sleepFor(std::chrono::milliseconds(below(m_random, static_cast<std::uint64_t>(spread.count()))));
     Failure failure;
-    if (m_ownRecord->turn(failure))
+    if (!m_ownRecord->isTurning() && m_ownRecord->turn(failure))
         m_serving.broadcast(ownNotice()); // Whoever reads the records meanwhile doesn't find it.
 }
 
--- a/apps/whinyardd/entry/StoreProbe.cpp
+++ b/apps/whinyardd/entry/StoreProbe.cpp
@@ -79,7 +79,8 @@
     const SteadyTime began = m_shared.clock.now();
     const auto waiting = m_probes.insert(began);
     // A renewal costs as much as the cheapest read, and shows as well that the store answers.
-    const bool answers = m_ownRecord && m_ownRecord->isHeld() ? m_ownRecord->turn(failure) : m_store.answers(failure);
+    const bool mayRenew = m_ownRecord && m_ownRecord->isHeld() && !m_ownRecord->isTurning();
+    const bool answers = mayRenew ? m_ownRecord->turn(failure) : m_store.answers(failure);
     m_probes.erase(waiting);
     noteProbe(began, answers, failure);
 }
--- a/packages/backing/include/whinyard/backing/LeasedRecord.h
+++ b/packages/backing/include/whinyard/backing/LeasedRecord.h
@@ -18,9 +18,12 @@
     LeasedRecord(WatchableStore& store, std::string key, std::string value, std::chrono::milliseconds timeToLive);
 
     // Makes sure that the record stands: writes it under a new lease, or renews the lease. Call it a few times within
-    // the time to live. Returns false with the reason when the store could not be reached or refused.
+    // the time to live, from one fiber at a time. Returns false with the reason when the store could not be reached or refused.
     bool turn(Failure& failure);
 
+    // Returns whether a turn waits for the store.
+    bool isTurning() const { return m_isTurning; }
+
     // Takes over the record that an earlier life of this process left, if it holds the same value: its lease is then renewed,
     // which costs a twentieth of a new record. turn() writes it anew if the lease has ended meanwhile.
     void adopt(const Record& record);
@@ -35,6 +38,7 @@
     void end();
 
 private:
+    bool turnOnce(Failure& failure);
     bool confirm(Failure& failure);
     bool write(Failure& failure);
 
@@ -43,6 +47,7 @@
     const std::string m_value;
     const std::chrono::milliseconds m_timeToLive;
     std::optional<LeaseId> m_lease; // Under which the record stands.
+    bool m_isTurning = false;
 };
 
 }
--- a/packages/backing/src/LeasedRecord.cpp
+++ b/packages/backing/src/LeasedRecord.cpp
@@ -1,7 +1,5 @@
 #include "whinyard/backing/LeasedRecord.h"
 
-#include <utility>
-
 namespace whinyard::backing {
 
 LeasedRecord::LeasedRecord(WatchableStore& store, std::string key, std::string value, std::chrono::milliseconds timeToLive)
@@ -13,6 +11,14 @@
 }
 
 bool LeasedRecord::turn(Failure& failure)
+{
+    m_isTurning = true;
+    const bool stands = turnOnce(failure);
+    m_isTurning = false;
+    return stands;
+}
+
+bool LeasedRecord::turnOnce(Failure& failure)
 {
     if (isInDoubt() && !confirm(failure))
         return false;
@@ -23,7 +29,7 @@
     if (failure.kind != ErrorKind::notFound)
         return false;
     if (isInDoubt())
-        return turn(failure); // The answer stated a new era.
+        return turnOnce(failure); // The answer stated a new era.
     m_lease.reset();
     return write(failure);
 }
@@ -34,9 +40,10 @@
     const std::optional<RecordPage> page = m_store.range(m_key, {}, ReadAge::mayBeOld, failure);
     if (!page)
         return false;
-    const std::uint64_t number = std::exchange(m_lease, std::nullopt)->number;
+    const std::uint64_t number = m_lease ? m_lease->number : 0;
+    m_lease.reset();
     for (const Record& record : page->records) {
-        if (record.lease.number == number)
+        if (number > 0 && record.lease.number == number)
             adopt(record);
     }
     return true;
