Go back to no version that a completed order replaced

An order counted all versions but its target as the ones in use, in the order in which they had appeared, and the endpoints of v1 are listed for some seconds after they were replaced. The target of the order that was completed last is the version in use now; the others count only where it has no endpoint.

An instance that starts in these seconds doesn't know which version is in use: not covered.

--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -248,6 +248,7 @@
     };
 
     ServiceMemory& memoryOf(const ServiceName& service) { return m_memories.try_emplace(service, m_settings).first->second; }
+    std::vector<std::string> othersOf(const ShiftOrder& order, const std::vector<std::string>& available) const;
     static double partOf(const ShiftOrder& order, std::chrono::duration<double> elapsed);
     static std::chrono::milliseconds elapsedOf(const Shift& shift, SteadyTime now);
     static void noteElapsed(Shift& shift, std::chrono::milliseconds elapsed, SteadyTime now);
@@ -270,6 +271,7 @@
     const ShiftStages m_stages;
     std::map<ServiceName, Shift> m_shifts;
     std::map<ServiceName, ShiftRecord> m_records; // The last ones, also of orders that aren't known yet.
+    std::map<ServiceName, std::string> m_inUse; // The targets of the orders that were completed last.
     std::map<ServiceName, ServiceMemory> m_memories;
 };
 
--- a/packages/policy/src/VersionShift.cpp
+++ b/packages/policy/src/VersionShift.cpp
@@ -115,6 +115,8 @@
         shift.state = record.state;
         shift.reason = record.reason;
     }
+    if (record.state == ShiftState::completed)
+        m_inUse[service] = shift.order.target;
     noteElapsed(shift, record.elapsed, now);
 }
 
@@ -176,6 +178,17 @@
     return interval.count() > 0 && (trialed + interval / 2) % interval < burst ? 1 : 0;
 }
 
+// Endpoints of a version that a completed order replaced are listed for a while after their end.
+std::vector<std::string> VersionShifts::othersOf(const ShiftOrder& order, const std::vector<std::string>& available) const
+{
+    const auto inUse = m_inUse.find(order.service);
+    if (inUse != m_inUse.end() && inUse->second != order.target && contains(available, inUse->second))
+        return { inUse->second };
+    std::vector<std::string> others;
+    std::copy_if(available.begin(), available.end(), std::back_inserter(others), [&](const std::string& version) { return version != order.target; });
+    return others;
+}
+
 VersionPreference VersionShifts::prefer(const ServiceName& service, bool hasSession, std::uint64_t draw, const std::vector<std::string>& available, SteadyTime now)
 {
     VersionPreference preference;
@@ -187,8 +200,7 @@
     }
     const Shift& shift = found->second;
     const std::string& target = shift.order.target;
-    std::vector<std::string> others;
-    std::copy_if(available.begin(), available.end(), std::back_inserter(others), [&](const std::string& version) { return version != target; });
+    const std::vector<std::string> others = othersOf(shift.order, available);
     const bool hasTarget = contains(available, target);
     if (shift.state == ShiftState::rolledBack || !hasTarget) {
         preference.versions = others;
