--- a/apps/whinyardd/entry/OperatorRelay.cpp
+++ b/apps/whinyardd/entry/OperatorRelay.cpp
@@ -104,7 +104,8 @@
         return;
     ++m_firstReads;
     Failure failure;
-    const std::optional<std::string> body = m_exchange.read(*m_firstHeard, target, failure);
+    const InstanceName from = *m_firstHeard; // Another one may be heard while this one is read.
+    const std::optional<std::string> body = m_exchange.read(from, target, failure);
     const std::optional<peer::RecordSnapshot> snapshot = body ? peer::decodeSnapshot(*body, failure) : std::nullopt;
     if (!snapshot)
         return;
