Read a probe's answer of an earlier era as one, and no era where none is stated

From reading the diff: a probe may be answered by a part of the store that is seconds behind, which isn't an outage; and a follower that knows no revision of the list states an era of zero, from which the first real one seemed to be a return.

--- a/apps/whinyardd/entry/RosterWatch.cpp
+++ b/apps/whinyardd/entry/RosterWatch.cpp
@@ -52,7 +52,7 @@
             listed.push_back(std::move(*endpoint));
     }
     m_roster.storeAnswered(now);
-    noteEra(at.era);
+    noteEra(at);
     if (m_returnedAt && now - *m_returnedAt < copiedFor)
         m_roster.replaceByCopy(listed, now);
     else
@@ -62,13 +62,13 @@
     m_relay.noteRead();
 }
 
-void RosterWatch::noteEra(std::uint64_t era)
+void RosterWatch::noteEra(const Revision& at)
 {
-    if (m_era && era <= *m_era)
+    if (at == Revision() || (m_era && at.era <= *m_era))
         return;
     if (m_era)
         m_returnedAt = m_shared.clock.now();
-    m_era = era;
+    m_era = at.era;
 }
 
 void RosterWatch::changed(const std::vector<backing::RecordChange>& changes)
@@ -216,7 +216,7 @@
     const SteadyTime now = m_shared.clock.now();
     if (!m_relay.hearWhole({ list->instance, list->life, list->sequence, false, true, list->upTo, list->upTo }, now))
         return;
-    noteEra(list->upTo.era);
+    noteEra(list->upTo);
     log::info("endpoints told", { { "by", list->instance.value }, { "listed", std::to_string(list->endpoints.size()) }, { "sequence", std::to_string(list->sequence) } });
     m_roster.replaceByTold(list->endpoints);
     settle();
@@ -235,7 +235,7 @@
     case endpoint::RelayAction::apply:
         break;
     }
-    noteEra(notice.upTo.era);
+    noteEra(notice.upTo);
     for (const backing::ListedEndpoint& endpoint : notice.changed)
         m_roster.putByTold(endpoint);
     for (const EndpointName& name : notice.gone)
--- a/apps/whinyardd/entry/RosterWatch.h
+++ b/apps/whinyardd/entry/RosterWatch.h
@@ -68,7 +68,7 @@
     void tell();
 
 private:
-    void noteEra(std::uint64_t era);
+    void noteEra(const Revision& at);
     bool mayTell() const;
     void noteUntold(const endpoint::RosterChanges& changes);
     std::set<EndpointName> takeUntold();
