Tell a new record from the copy's by the number that the store gave it last

After a second return, a record that had been written again with a small number was measured by the larger one that it had before the first return, and a later, new one was held back for ten seconds as the copy's. The number of the store's record that was seen last decides; only where none was seen, the one from before.

--- a/packages/peer/src/RecordBook.cpp
+++ b/packages/peer/src/RecordBook.cpp
@@ -161,9 +161,10 @@
             put(*copied);
         return;
     }
-    // A copy has no larger number than the last that was known before: this one was written since.
-    const std::uint64_t lastNumber = std::max(entry.stored.number, known ? known->revision.number : entry.removed->revision.number);
-    const bool isNew = copied && copied->revision.number > lastNumber && !statesOlder(*copied, key);
+    // A copy has no larger number than the last that was known of the store before: this one was written since.
+    const Revision inForceSince = known ? known->revision : entry.removed->revision;
+    const Revision last = entry.stored == Revision() ? inForceSince : entry.stored;
+    const bool isNew = copied && copied->revision.number > last.number && !statesOlder(*copied, key);
     const bool isNewer = known && copied && m_statedVersion(*known) && m_statedVersion(*copied) && !statesOlder(*copied, key);
     if (isNew || isNewer)
         put(*copied);
