Decide what is of an earlier era in a store of the backing package

The adapter to the platform's store remembered the newest era, refused calls by it and left answers out: decisions, where it only translates, and the explorer of two leaders had the same lines again. backing::EraStore does it over any store that says which era its latest answer states; the daemon and the explorer wrap theirs in it.

--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -6,6 +6,7 @@
 #include "platform/Provider.h"
 #include "platform/Store.h"
 #include "whinyard/backing/CountedStore.h"
+#include "whinyard/backing/EraStore.h"
 #include "whinyard/base/Log.h"
 #include "whinyard/peer/RecordPaces.h"
 
@@ -92,7 +93,7 @@
 bool StoreDuty::openOnDuty(Failure& failure)
 {
     m_client = net::HttpClient::create(m_duty);
-    m_store = std::make_unique<backing::CountedStore>(platform::makeStore(*m_client, m_shared.settings.store.address), m_shared.metrics);
+    m_store = std::make_unique<backing::EraStore>(std::make_unique<backing::CountedStore>(platform::makeStore(*m_client, m_shared.settings.store.address), m_shared.metrics));
     m_operators = std::make_unique<OperatorWatch>(m_shared, m_serving);
     m_exchange = std::make_unique<PeerExchange>(m_shared, *m_client);
     m_operatorRelay = std::make_unique<OperatorRelay>(m_shared, *m_operators, *m_exchange, *m_store);
--- a/packages/backing/include/whinyard/backing/WatchableStore.h
+++ b/packages/backing/include/whinyard/backing/WatchableStore.h
@@ -74,7 +74,8 @@
 public:
     virtual ~WatchableStore() = default;
 
-    // Returns the newest era that an answer has stated; 0 before the first, and for a service that states none.
+    // Returns the era that the latest answer has stated; 0 before the first, and for a service that states none. EraStore returns the
+    // newest, by which its callers go.
     virtual std::uint64_t era() const = 0;
 
     // Reads the records whose keys start with `prefix` and come after `after`.
@@ -91,9 +92,9 @@
     virtual bool answers(Failure& failure) = 0;
 
     // Does all of a transaction or nothing, and returns its revision. Fails with swapConflict when a precondition
-    // doesn't hold, and with notFound when a lease has ended. A revision or a lease of another era counts as one that is gone. Where
-    // the new era shows only by the answer, the transaction has happened, and fails with storeUncertain, or with notFound when
-    // it names a lease.
+    // doesn't hold, and with notFound when a lease has ended. By EraStore a revision or a lease of an earlier era counts as one that is
+    // gone; where the new era shows only by the answer, the transaction has happened, and fails with storeUncertain, or with
+    // notFound when it names a lease.
     virtual std::optional<Revision> transact(const Transaction& transaction, Failure& failure) = 0;
 
     virtual std::optional<LeaseId> grantLease(std::chrono::milliseconds timeToLive, Failure& failure) = 0;
--- a/packages/leadership/testing/whinyard/leadership/LeadershipExplorer.h
+++ b/packages/leadership/testing/whinyard/leadership/LeadershipExplorer.h
@@ -5,6 +5,7 @@
 // 1997). The code that runs is the daemon's own; the store, the provider and the clock are played here.
 #pragma once
 
+#include "whinyard/backing/EraStore.h"
 #include "whinyard/leadership/LeaderLease.h"
 #include "whinyard/leadership/UsageReporter.h"
 
@@ -13,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -163,8 +165,6 @@
 
         std::optional<backing::Revision> transact(const backing::Transaction& transaction, Failure& failure) override
         {
-            if (!isOfEra(transaction, failure))
-                return std::nullopt;
             const Fault fault = m_world.beginCall(m_instance);
             m_world.lapseLeases();
             for (const backing::Precondition& precondition : transaction.preconditions) {
@@ -185,7 +185,7 @@
                 m_world.m_records[put.key] = { put.key, put.value, m_world.m_revision, { put.lease.number, m_world.m_revision.era } };
             if (fault != Fault::lostAnswer) {
                 m_era = m_world.m_revision.era;
-                return isOfEra(transaction, failure) ? std::optional(m_world.m_revision) : std::nullopt;
+                return m_world.m_revision;
             }
             failure = { .kind = ErrorKind::storeUncertain, .reason = "no answer" };
             return std::nullopt;
@@ -206,8 +206,6 @@
 
         bool keepLease(backing::LeaseId lease, Failure& failure) override
         {
-            if (!isOfEra(lease, failure))
-                return false;
             const Fault fault = m_world.beginCall(m_instance);
             m_world.lapseLeases();
             const auto found = m_world.m_leases.find(lease.number);
@@ -220,39 +218,15 @@
                 return false;
             }
             m_era = m_world.m_revision.era;
-            return found != m_world.m_leases.end() && isOfEra(lease, failure);
+            return found != m_world.m_leases.end();
         }
 
         bool endLease(backing::LeaseId, Failure&) override { return false; }
 
     private:
-        // What names a number of an earlier era means something else by now.
-        bool isOfEra(backing::LeaseId lease, Failure& failure) const
-        {
-            if (lease.number == 0 || lease.era >= m_era)
-                return true;
-            failure = { .kind = ErrorKind::notFound, .reason = "of an earlier era" };
-            return false;
-        }
-
-        bool isOfEra(const backing::Transaction& transaction, Failure& failure) const
-        {
-            for (const backing::Put& put : transaction.puts) {
-                if (!isOfEra(put.lease, failure))
-                    return false;
-            }
-            for (const backing::Precondition& precondition : transaction.preconditions) {
-                if (precondition.revision.number > 0 && precondition.revision.era < m_era) {
-                    failure = { .kind = ErrorKind::swapConflict, .reason = "of an earlier era" };
-                    return false;
-                }
-            }
-            return true;
-        }
-
         ExplorerWorld& m_world;
         const std::size_t m_instance;
-        std::uint64_t m_era = 0; // The newest that an answer has stated.
+        std::uint64_t m_era = 0; // That the latest answer has stated.
     };
 
     class Receiver final : public Provider {
@@ -284,7 +258,7 @@
     struct Instance {
         Instance(ExplorerWorld& world, std::size_t number)
             : name { number == 0 ? "a" : "b" }
-            , store(world, number)
+            , store(std::make_unique<Connection>(world, number))
             , provider(world, number)
             , lease(store, world.m_clock, name, leaseSettings(world.m_settings))
             , reporter(store, provider, lease, totals, name, reporterSettings(world.m_settings, name))
@@ -312,7 +286,7 @@
         }
 
         const InstanceName name;
-        Connection store;
+        backing::EraStore store;
         Receiver provider;
         UsageTotals totals;
         LeaderLease lease;
