Tell how a process ends by a fault: one line for a fatal signal, an exception that nobody caught, or exit()

A run of StoreReturnTest ended without a word, and nothing could be told of it. The handler runs on a stack of its own in each duty's thread, the log's and the main one, and neither allocates, locks nor unwinds: it looks for addresses on the stack that follow a call.

--- a/apps/whinyardd/main.cpp
+++ b/apps/whinyardd/main.cpp
@@ -3,6 +3,7 @@
 
 #include "entry/EntryDaemon.h"
 #include "platform/SettingsFile.h"
+#include "whinyard/base/CrashReport.h"
 #include "whinyard/base/Log.h"
 
 #include <CLI/CLI.hpp>
@@ -70,6 +71,7 @@
 
 int serve(const settings::DaemonSettings& settings)
 {
+    const crash::ExitGuard guard;
     const sigset_t signals = blockSignals();
     log::start("whinyardd", settings.logLevel);
     Failure failure;
@@ -119,6 +121,7 @@
 
 int serveEntry(const settings::EntrySettings& settings, const std::function<std::optional<settings::EntrySettings>(Failure&)>& readAgain)
 {
+    const crash::ExitGuard guard;
     const sigset_t signals = blockSignals();
     log::start("whinyardd", settings.tuning.logLevel);
     Failure failure;
@@ -156,6 +159,7 @@
 
 int main(int argc, char** argv)
 {
+    crash::install("whinyardd");
     CLI::App app("whinyardd: the daemon of a whinyard entry instance", "whinyardd");
     std::string file;
     EntryArguments entry;
--- a/packages/base/src/Log.cpp
+++ b/packages/base/src/Log.cpp
@@ -1,5 +1,7 @@
 #include "whinyard/base/Log.h"
 
+#include "whinyard/base/CrashReport.h"
+
 #include <future>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -41,7 +43,7 @@
 {
     spdlog::shutdown();
     processName = process;
-    spdlog::init_thread_pool(queueLength, 1);
+    spdlog::init_thread_pool(queueLength, 1, [] { thread_local const crash::SignalStack signals("log"); });
     auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
     // When the queue is full the oldest line is overwritten: logging never holds a request back.
     auto logger = std::make_shared<spdlog::async_logger>(loggerName, std::move(sink), spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
--- a/packages/net/src/Duty.cpp
+++ b/packages/net/src/Duty.cpp
@@ -3,6 +3,7 @@
 #include "internal/FiberWait.h"
 #include "internal/ReadyCount.h"
 #include "internal/StackPool.h"
+#include "whinyard/base/CrashReport.h"
 
 #include <boost/asio.hpp>
 #include <boost/circular_buffer.hpp>
@@ -109,6 +110,7 @@
 {
     m_state->thread = std::thread([this, state = m_state.get()] {
         pthread_setname_np(pthread_self(), state->name.substr(0, maximumThreadName).c_str());
+        const crash::SignalStack signals(state->name);
         currentDuty = this;
         boost::fibers::use_scheduling_algorithm<internal::ReadyCount>();
         state->run();
--- a/packages/net/test/DutyTest.cpp
+++ b/packages/net/test/DutyTest.cpp
@@ -1,8 +1,12 @@
 #include "whinyard/net/Duty.h"
 
+#include "whinyard/base/EndedChild.h"
+
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 #include <future>
+#include <stdexcept>
 #include <vector>
 
 namespace whinyard::net {
@@ -11,6 +15,13 @@
     using std::chrono::milliseconds;
     constexpr std::chrono::seconds longTime { 60 };
 
+    [[gnu::noinline]] int overflow(int depth)
+    {
+        volatile char frame[512] = {};
+        frame[0] = static_cast<char>(depth);
+        return depth < 0 ? 0 : overflow(depth + 1) + frame[0];
+    }
+
     TEST(DutyTest, RunsTasksInFibersOfItsThread)
     {
         Duty duty("first");
@@ -114,5 +125,34 @@
         });
     }
 
+    // Guards against an end without a line: the signal's handler finds no room on a stack that has overflowed.
+    TEST(DutyTest, TellsAnOverflowOfAFibersStack)
+    {
+        const EndedChild child = runInChild([] {
+            Duty duty("deep");
+            runOn(duty, [] { overflow(0); });
+        });
+        EXPECT_TRUE(child.endedBy(SIGSEGV)) << child.status;
+        ASSERT_EQ(child.lines.size(), 1U);
+        const nlohmann::json line = nlohmann::json::parse(child.lines.back());
+        EXPECT_EQ(line["signal"], "SIGSEGV");
+        EXPECT_EQ(line["threadName"], "deep");
+        EXPECT_GT(line["stack"].size(), 10U) << "the calls that filled it";
+    }
+
+    TEST(DutyTest, TellsAnExceptionThatLeavesAFiber)
+    {
+        const EndedChild child = runInChild([] {
+            Duty duty("throwing");
+            runOn(duty, [] { throw std::runtime_error("from a fiber"); });
+        });
+        EXPECT_TRUE(child.endedBy(SIGABRT)) << child.status;
+        ASSERT_EQ(child.lines.size(), 1U);
+        const nlohmann::json line = nlohmann::json::parse(child.lines.back());
+        EXPECT_EQ(line["exception"], "std::runtime_error");
+        EXPECT_EQ(line["what"], "from a fiber");
+        EXPECT_EQ(line["threadName"], "throwing");
+    }
+
 }
 }
