Tell why an entry daemon doesn't start, where it crashed without a line

Seen: a run of Store*Test ended as StoreReturnTest.WritesItsOwnRecordAgain began, with nothing after the line of its begin. For operators: a daemon whose port for callers, for readiness or for notices between instances was in use died by SIGSEGV, with neither a line in its log nor one on standard error, where it should end with status 2 and the reason.

Cause: EntryDaemon::start() opens the serving duty, then the store's, and stops both if one of them fails. Where the serving duty fails, the store's was never opened, and StoreDuty::stop() called close() by a null m_exchange. The tests' fixture draws its ports by opening and closing them, and counts on that failure being told to draw others.

Evidence: EntryStartTest's tests of the ports for callers, readiness and notices and ClosesWhatItHadOpened ended by SIGSEGV before (exit 139, the last line is "[ RUN ]"), those of the ports for peers and metrics passed. whinyardd with a port in use: signal 11 and no output before, status 2 and "can't listen on ...: the port is in use" now. StoreReturnTest starts 48 daemons a run.

--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -429,7 +429,8 @@
 {
     net::runOn(m_duty, [this] {
         m_metricsServer.reset();
-        m_exchange->close();
+        if (m_exchange) // Null where the serving duty failed to open.
+            m_exchange->close();
     });
     m_duty.stop();
 }
