Look for the request of a connection that was accepted as the server began to drain

What callers see: a request that was sent in time on a new connection is reset as an instance ends, where the machine held the instance up from before it was accepted until after the 300 ms for late ones. Cause: a wait whose deadline has passed returns without reading. Change: on a connection that has had no request, one read without waiting follows the first wait if that timed out. A kept one isn't read: what comes on it then came late. A timeout no longer stands for the errors of later waits of the socket.

--- a/packages/net/src/internal/FiberSocket.cpp
+++ b/packages/net/src/internal/FiberSocket.cpp
@@ -122,6 +122,7 @@
     }
     FiberWait finished;
     std::size_t size = 0;
+    core->timedOut = false;
     ++core->waits;
     core->schedule();
     start([&](const error_code& result, std::size_t transferred = 0) {
--- a/packages/net/src/internal/TcpServer.cpp
+++ b/packages/net/src/internal/TcpServer.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio.hpp>
 
+#include <utility>
+
 namespace whinyard::net::internal {
 
 namespace asio = boost::asio;
@@ -115,6 +117,9 @@
         connection.socket.expireAfter(idleTimeout);
     error_code error;
     buffer.commit(connection.socket.read_some(buffer.prepare(firstReadBytes), error));
+    // Where the machine was held up, the request for which a new connection was made may be there since it was accepted.
+    if (std::exchange(connection.isNew, false) && error == asio::error::timed_out)
+        buffer.commit(connection.socket.readNow(buffer.prepare(firstReadBytes), error));
     connection.idle = false;
     return !error;
 }
--- a/packages/net/src/internal/TcpServer.h
+++ b/packages/net/src/internal/TcpServer.h
@@ -24,6 +24,7 @@
     }
 
     FiberSocket socket;
+    bool isNew = true; // No request has been waited for.
     bool idle = false; // Waits for the first byte of a request.
 };
 
--- a/packages/net/test/HttpServerTest.cpp
+++ b/packages/net/test/HttpServerTest.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <thread>
 
 namespace whinyard::net {
 namespace {
@@ -260,6 +261,32 @@
         EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
     }
 
+    // The machine holds the server up from before the request comes until after the end of the time for late ones.
+    TEST_F(HttpServerTest, AnswersWhatCameInTimeThoughItIsReadLate)
+    {
+        constexpr milliseconds heldUp { 350 };
+        start(echo);
+        RawConnection kept(address);
+        kept.write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+        kept.readUntil("X-Target: GET /1");
+        RawConnection pieces(address);
+        pieces.write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+        pieces.readUntil("X-Target: GET /1");
+        std::unique_ptr<RawConnection> accepted;
+        runOn(duty, [&] {
+            accepted = std::make_unique<RawConnection>(address);
+            server->drain();
+            kept.write("GET /kept HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+            pieces.write("GET /pieces HTTP/1.1\r\nHo");
+            accepted->write("GET /accepted HTTP/1.1\r\nHost: a\r\n\r\n");
+            std::this_thread::sleep_for(heldUp);
+        });
+        pieces.write("st: a\r\n\r\n");
+        EXPECT_NE(kept.readAll().find("X-Target: GET /kept"), std::string::npos);
+        EXPECT_NE(pieces.readAll().find("X-Target: GET /pieces"), std::string::npos);
+        EXPECT_NE(accepted->readAll().find("X-Target: GET /accepted"), std::string::npos);
+    }
+
     TEST_F(HttpServerTest, TellsThatItsPortIsInUse)
     {
         start(echo);
