Read on for a moment after an answer that closes its connection

What callers see: of an answer that an instance gives as it ends the rest is lost, where the next request is on its way (a caller that doesn't wait for the answer before). Cause: the connection was closed with unread bytes, which resets it, and the system throws away what the caller hasn't received. Change: as after a refusal the sending side is closed and what comes is read, for a second at most. A request that is read so isn't passed on: its caller sees the end of the connection in place of an answer, as before. A drain may last a second longer where callers don't close.

--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -129,11 +129,14 @@
             mode.isHead = parser.get().method() == http::verb::head;
             mode.sendTimeout = m_limits.sendTimeout;
             mode.mustClose = [this] { return m_server.isDraining(); };
+            const bool callerKeeps = mode.keepAlive;
             HttpResponderImpl responder(m_connection.socket, std::move(mode));
             const HttpRequest request = toPlain(parser.release());
             handle(request, responder);
             if (!responder.ended())
                 responder.abort();
+            else if (callerKeeps && !responder.reusable())
+                linger(); // Its next request may be on its way.
             return responder.reusable();
         }
 
--- a/packages/net/test/HttpServerTest.cpp
+++ b/packages/net/test/HttpServerTest.cpp
@@ -287,6 +287,32 @@
         EXPECT_NE(accepted->readAll().find("X-Target: GET /accepted"), std::string::npos);
     }
 
+    // The next request of a kept connection crosses the close. Guards against a close with unread bytes, which resets the connection: what the
+    // caller has not received of the answer before is lost.
+    TEST_F(HttpServerTest, LosesNoAnswerToARequestThatCrossesTheClose)
+    {
+        constexpr std::size_t largeBytes = 300'000; // More than a caller that doesn't read yet takes.
+        Signal entered;
+        Signal release;
+        start([&](const HttpRequest&, HttpResponder& responder) {
+            entered.notify();
+            release.wait(longTime);
+            responder.send({ 200, {}, std::string(largeBytes, 'x') + "whole" });
+        });
+        RawConnection kept(address);
+        runOn(duty, [&] {
+            kept.write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+            entered.wait(longTime);
+            kept.write("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+            server->drain();
+            release.notify();
+            while (!server->isDrained())
+                sleepFor(milliseconds(1));
+        });
+        const std::string answer = kept.readAll();
+        EXPECT_TRUE(answer.ends_with("whole")) << answer.size();
+    }
+
     TEST_F(HttpServerTest, TellsThatItsPortIsInUse)
     {
         start(echo);
