Read the shared record of a roll-out at once where a write of it fails

Cause: an instance that has written a record tells the others, under the condition that it has the store's answer. Where that answer is lost the record stands and nobody knows its revision. Every later write, the completion included, names the earlier one and meets a conflict until somebody happens to read the records: every three seconds at followers, every eight at others. The comment said that the watch brings the record; there is no watch of it. Meanwhile all instances write five times a second.

Change: after a write without an answer the instance reads the newest records at once, and tells what it found; so does one that meets a second conflict which no notice explains. ShiftWrites decides it, without I/O, and holds the moments of a write that ShiftKeeper held before.

Evidence: KeeperFleet runs an order on the virtual clock with the daemon's pacing of writes, notices and reads.

Not shown: that the duty that was missed on the grown site was this one. Order of events that are still late, as before: a store with over 0.9 s to its answer, an order heard 0.75 s late by all.

--- a/apps/whinyardd/entry/ShiftKeeper.cpp
+++ b/apps/whinyardd/entry/ShiftKeeper.cpp
@@ -21,10 +21,6 @@
     constexpr std::chrono::milliseconds intervalPerInstance { 5 };
     constexpr std::chrono::milliseconds longestInterval { 3'000 };
 
-    // Within which instances write a record that all of them come to.
-    constexpr std::chrono::milliseconds writeSpread { 1'200 };
-    constexpr std::chrono::milliseconds verdictSpread { 300 };
-
     constexpr std::uint32_t noticeRepeats = 2; // One datagram in some hundred is lost, more on a link that is full.
 
 }
@@ -34,15 +30,19 @@
     , m_serving(serving)
     , m_store(store)
     , m_instances(std::move(instances))
-    , m_random(seededRandom())
+    , m_writes(seededRandom())
 {
 }
 
 void ShiftKeeper::replaced(const std::vector<backing::Record>& records)
 {
     m_read = true;
-    for (const backing::Record& record : records)
-        take(record);
+    const bool wasAsked = m_writes.noteRead();
+    for (const backing::Record& record : records) {
+        // Whoever wrote it hasn't told, or not to all.
+        if (take(record) && wasAsked)
+            tell({ ServiceName { record.key.substr(recordPrefix.size()) }, record.value, record.revision });
+    }
     std::erase_if(m_revisions, [this](const auto& known) {
         if (known.second.era >= m_store.era())
             return false;
@@ -57,22 +57,25 @@
     return std::any_of(m_revisions.begin(), m_revisions.end(), [this](const auto& known) { return known.second.era < m_store.era(); });
 }
 
-void ShiftKeeper::take(const backing::Record& record)
+bool ShiftKeeper::take(const backing::Record& record)
 {
     const std::string_view key = record.key;
     if (key.starts_with(recordPrefix)) {
         const ServiceName service { std::string(key.substr(recordPrefix.size())) };
         if (record.revision.era < m_store.era() || record.revision <= m_revisions[service])
-            return; // A notice from before the store came back may be repeated after it.
+            return false; // A notice from before the store came back may be repeated after it.
         m_revisions[service] = record.revision;
+        m_writes.noteKnown(service);
         const std::optional<policy::ShiftRecord> read = policy::readShiftRecord(record.value);
         if (!read) {
             log::error("roll-out record not taken", { { "key", record.key } });
-            return;
+            return false;
         }
         log::info("roll-out record", { { "service", service.value }, { "state", std::string(toText(read->state)) }, { "elapsedMs", std::to_string(read->elapsed.count()) }, { "reason", read->reason }, { "revision", toText(record.revision) } });
         m_serving.postToShifts([service, read = *read, now = m_shared.clock.now()](policy::VersionShifts& shifts) { shifts.takeRecord(service, read, now); });
+        return true;
     }
+    return false;
 }
 
 void ShiftKeeper::turn()
@@ -98,8 +101,8 @@
         return;
     for (const Due& one : *due) {
         if (!one.record)
-            m_planned.erase(one.order.service);
-        else if (isTimeToWrite(one.order.service, *one.record, now))
+            m_writes.drop(one.order.service);
+        else if (m_writes.isTime(one.order.service, one.record->state, now))
             writeRecord(one.order, *one.record);
         if (one.evidence && isWorthTelling(one.order.service, *one.evidence, one.isDeciding, now)) {
             m_told[one.order.service] = { *one.evidence, now };
@@ -110,17 +113,6 @@
     }
 }
 
-// Every instance comes to the same record at about the same time, and one write is enough: each waits for a time of its
-// own, and the first tells the others. A verdict and a completion, for which the period leaves little time, wait for less.
-bool ShiftKeeper::isTimeToWrite(const ServiceName& service, const policy::ShiftRecord& record, SteadyTime now)
-{
-    const std::chrono::milliseconds spread = record.state == policy::ShiftState::running ? writeSpread : verdictSpread;
-    const auto [planned, isNew] = m_planned.try_emplace(service);
-    if (isNew || planned->second.state != record.state)
-        planned->second = { record.state, now + std::chrono::milliseconds(below(m_random, static_cast<std::uint64_t>(spread.count()))) };
-    return now >= planned->second.at;
-}
-
 // A notice may be lost, and an instance that misses a verdict goes on sending requests to a bad version.
 void ShiftKeeper::tell(const peer::ShiftNotice& notice)
 {
@@ -168,10 +160,12 @@
     Failure failure;
     const std::optional<backing::Revision> revision = m_store.transact(transaction, failure);
     log::info(revision ? "roll-out record written" : "roll-out record not written", { { "service", order.service.value }, { "state", std::string(toText(record.state)) }, { "elapsedMs", std::to_string(record.elapsed.count()) }, { "reason", revision ? record.reason : failure.reason } });
-    if (!revision)
-        return; // A conflict is resolved by the record that the watch brings.
+    if (!revision) {
+        m_writes.noteFailed(order.service, failure.kind);
+        return;
+    }
     m_revisions[order.service] = *revision;
-    m_planned.erase(order.service);
+    m_writes.noteWritten(order.service);
     tell({ order.service, policy::writeShiftRecord(record), *revision });
     m_serving.postToShifts([service = order.service, record, now = m_shared.clock.now()](policy::VersionShifts& shifts) { shifts.takeRecord(service, record, now); });
 }
--- a/apps/whinyardd/entry/ShiftKeeper.h
+++ b/apps/whinyardd/entry/ShiftKeeper.h
@@ -9,6 +9,7 @@
 #include "entry/ServeDuty.h"
 #include "whinyard/backing/WatchableStore.h"
 #include "whinyard/policy/ShiftRecords.h"
+#include "whinyard/policy/ShiftWrites.h"
 
 #include <cstddef>
 #include <functional>
@@ -33,6 +34,9 @@
     // Returns whether a record is known only from before the store came back.
     bool isInDoubt() const;
 
+    // Returns whether the records are to be read at once: writes fail, and nobody tells why.
+    bool mustRead() const { return m_writes.mustRead(); }
+
     // Takes what another instance has written. Called on the store duty.
     void takeNotice(const peer::ShiftNotice& notice);
 
@@ -40,11 +44,11 @@
     void turn();
 
 private:
-    void take(const backing::Record& record);
+    // Returns whether it is newer than what was known.
+    bool take(const backing::Record& record);
     void writeRecord(const policy::ShiftOrder& order, const policy::ShiftRecord& record);
     void tell(const peer::ShiftNotice& notice);
     void repeatNotices();
-    bool isTimeToWrite(const ServiceName& service, const policy::ShiftRecord& record, SteadyTime now);
     bool isWorthTelling(const ServiceName& service, const policy::ShiftEvidence& evidence, bool isDeciding, SteadyTime now);
 
     // What this instance has told last.
@@ -53,19 +57,13 @@
         SteadyTime at;
     };
 
-    struct Planned {
-        policy::ShiftState state = policy::ShiftState::running;
-        SteadyTime at;
-    };
-
     EntryShared& m_shared;
     ServeDuty& m_serving;
     backing::WatchableStore& m_store;
     const std::function<std::size_t()> m_instances;
     std::map<ServiceName, backing::Revision> m_revisions; // Of the shared records.
     std::map<ServiceName, Told> m_told;
-    std::map<ServiceName, Planned> m_planned; // Records that are due.
-    Random m_random;
+    policy::ShiftWrites m_writes;
     struct Repeated {
         peer::ShiftNotice notice;
         std::uint32_t left = 0;
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -395,13 +395,13 @@
     }
 }
 
-// Waits until the records are to be read again. Returns whether that is since the store came back from an older copy: followers read
-// and write for all, who hear of it.
+// Waits until the records are to be read again. Returns whether the newest state is needed: where a write met a record that nobody has
+// told of, or the store came back from an older copy, for which followers read and write for all, who hear of it.
 bool StoreDuty::awaitShifts(std::chrono::milliseconds interval)
 {
     const SteadyTime end = m_shared.clock.now() + interval;
     while (m_shared.clock.now() < end && !m_shared.stopping) {
-        if (m_follows && m_shifts->isInDoubt())
+        if (m_shifts->mustRead() || (m_follows && m_shifts->isInDoubt()))
             return true;
         net::sleepFor(shiftTurn);
     }
