Bring each burst of a trial to few endpoints of the new version

Cause: the trial's bursts brought the whole load of the service, but spread over all endpoints of the new version.

Change: a burst names as few endpoints as bear the load within seven tenths of their slots, other ones for each burst, the same at all instances without a message; eight bursts follow each other as everything is moved. What is full or leaves is passed over, repeats go anywhere. Where a coordinator grants slots it is asked for those endpoints first, and for any where it rejects that.

--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -43,6 +43,7 @@
     SteadyTime firstEventDue = SteadyTime::max();
     std::vector<float> prefixShares;
     std::vector<EndpointName> excluded; // Tried already.
+    std::vector<EndpointName> among; // See policy::EndpointRequest.
     config::Residency residency; // Only endpoints of these regions may get the request.
     std::uint32_t neededTokens = 0; // Of an engine's memory; see policy::EndpointRequest for these two.
     SteadyTime roomBy = SteadyTime::max();
@@ -245,6 +246,7 @@
     std::optional<policy::TargetIndex> targetOf(const EndpointWish& wish) const;
     std::vector<policy::ZoneIndex> zonesOf(const config::Residency& residency) const;
     std::vector<policy::ZoneIndex> zonesOfOwnRegion() const;
+    std::vector<policy::EndpointIndex> indexesOf(const std::vector<EndpointName>& names) const;
     void useRate(const EndpointName& endpoint);
     void usePacesOf(const std::vector<backing::ListedEndpoint>& changed, const std::vector<EndpointName>& gone);
     void refreshPaces(SteadyTime now);
--- a/packages/endpoint/src/EndpointDirectory.cpp
+++ b/packages/endpoint/src/EndpointDirectory.cpp
@@ -305,16 +305,23 @@
     return zones;
 }
 
+std::vector<policy::EndpointIndex> EndpointDirectory::indexesOf(const std::vector<EndpointName>& names) const
+{
+    std::vector<policy::EndpointIndex> indexes;
+    for (const EndpointName& name : names) {
+        if (const std::optional<policy::EndpointIndex> index = m_table.find(name))
+            indexes.push_back(*index);
+    }
+    return indexes;
+}
+
 std::optional<ChosenEndpoint> EndpointDirectory::choose(const EndpointWish& wish, SteadyTime now, Failure& failure)
 {
     const std::optional<policy::TargetIndex> target = targetOf(wish);
     policy::EndpointPlan plan;
     if (target) {
-        std::vector<policy::EndpointIndex> excluded;
-        for (const EndpointName& name : wish.excluded) {
-            if (const std::optional<policy::EndpointIndex> index = m_table.find(name))
-                excluded.push_back(*index);
-        }
+        const std::vector<policy::EndpointIndex> excluded = indexesOf(wish.excluded);
+        const std::vector<policy::EndpointIndex> among = indexesOf(wish.among);
         const std::vector<policy::ZoneIndex> allowedZones = zonesOf(wish.residency);
         const std::vector<policy::ZoneIndex> nearZones = zonesOfOwnRegion();
         policy::EndpointRequest request;
@@ -330,6 +337,7 @@
         request.mayProbe = wish.mayProbe;
         request.deadline = wish.deadline;
         request.excluded = excluded;
+        request.among = among;
         request.tokenTime = wish.tokenTime;
         request.stallsOthers = wish.stallsOthers;
         request.firstEventDue = wish.firstEventDue;
--- a/packages/policy/include/whinyard/policy/EndpointChoice.h
+++ b/packages/policy/include/whinyard/policy/EndpointChoice.h
@@ -38,6 +38,7 @@
     SteadyTime firstEventDue = SteadyTime::max(); // When its answer is late. The latest time: that isn't known.
     std::span<const float> prefixShares; // Of the prompt, up to the end of each part of `prefix`; empty: equal parts.
     std::span<const EndpointIndex> excluded; // Endpoints that this request has tried already.
+    std::span<const EndpointIndex> among; // Only these, and only while they have a free slot; empty: any.
     std::uint32_t neededTokens = 0; // Of an engine's memory, until the end of the answer; 0: it isn't accounted.
     // The request is refused if no engine has room by then. max(): it was begun already, and goes to some engine in any case.
     SteadyTime roomBy = SteadyTime::max();
--- a/packages/policy/include/whinyard/policy/VersionEvidence.h
+++ b/packages/policy/include/whinyard/policy/VersionEvidence.h
@@ -60,8 +60,8 @@
     // Returns the share as far as it is known: one half without any counts.
     double cautiousBadShare() const { return (m_bad + 1) / (m_good + m_bad + 2); }
 
-    // Returns how many a second were counted of late, once counting has gone on for the memory; before that, 0.
-    double perSecond(std::chrono::milliseconds memory, SteadyTime now) const;
+    // Returns how many a second were counted of late, once counting has gone on for `knownAfter`; before that, 0.
+    double perSecond(std::chrono::milliseconds memory, std::chrono::milliseconds knownAfter, SteadyTime now) const;
 
 private:
     double m_good = 0;
--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -9,6 +9,7 @@
 #include "whinyard/base/Clock.h"
 #include "whinyard/base/Identity.h"
 #include "whinyard/base/Revision.h"
+#include "whinyard/policy/LoadConcentration.h"
 #include "whinyard/policy/SequentialTest.h"
 #include "whinyard/policy/UsualValues.h"
 #include "whinyard/policy/VersionEvidence.h"
@@ -64,6 +65,7 @@
     bool wasSeenWhole = true; // Slowness had the time to show; a sign of it counts in any case.
     std::chrono::microseconds pause { 0 }; // Mean between the events of a stream; 0 for fewer than minimumPauses.
     bool endpointEnded = false; // It was lost with its endpoint's process.
+    std::chrono::microseconds held { 0 }; // For which it took one of the endpoint's slots, whatever its end.
 };
 
 // When how much of a service's requests goes to the target, in parts of the order's period.
@@ -126,6 +128,7 @@
 struct VersionPreference {
     std::vector<std::string> versions;
     std::string reason;
+    std::optional<LoadConcentration> concentration {}; // Of the first version's endpoints.
 };
 
 class VersionShifts {
@@ -243,6 +246,7 @@
         UsualValues times; // As multiples of what was expected.
         UsualValues pauses; // In microseconds.
         Background background;
+        double heldSeconds = 0; // Mean of VersionOutcome::held, of the versions in use.
         std::map<EndpointName, SteadyTime> crashes; // When a lost connection of an endpoint was counted last.
         SteadyTime nextSweep;
     };
@@ -259,6 +263,10 @@
     void addToFleet(Shift& shift, const ShiftEvidence& before, const ShiftEvidence& counted, SteadyTime now) const;
     void conclude(Shift& shift, ShiftRecord& record) const;
     double shareNow(const Shift& shift, bool hasSession, SteadyTime now) const;
+    std::optional<std::uint64_t> burstAt(const Shift& shift, SteadyTime now) const;
+    std::optional<std::uint64_t> burstOfMove(const Shift& shift, SteadyTime now) const;
+    std::optional<LoadConcentration> concentrationIn(const Shift& shift, std::uint64_t burst, SteadyTime now) const;
+    std::chrono::nanoseconds burstLength(const Shift& shift) const;
     bool isDrawnToTrial(std::uint64_t draw) const;
     void countCrashes(Shift& shift, SteadyTime now) const;
     bool isKnownCrash(ServiceMemory& memory, const VersionOutcome& outcome, SteadyTime now) const;
--- a/packages/policy/src/VersionEvidence.cpp
+++ b/packages/policy/src/VersionEvidence.cpp
@@ -55,9 +55,9 @@
     m_at = now;
 }
 
-double FadingCounts::perSecond(std::chrono::milliseconds memory, SteadyTime now) const
+double FadingCounts::perSecond(std::chrono::milliseconds memory, std::chrono::milliseconds knownAfter, SteadyTime now) const
 {
-    if (m_good + m_bad == 0 || now - m_since < memory)
+    if (m_good + m_bad == 0 || now - m_since < knownAfter)
         return 0;
     const double kept = std::exp(-std::chrono::duration<double>(now - m_at) / memory);
     const double filled = 1 - std::exp(-std::chrono::duration<double>(now - m_since) / memory);
--- a/packages/policy/src/VersionShift.cpp
+++ b/packages/policy/src/VersionShift.cpp
@@ -12,7 +12,8 @@
     constexpr double shortestTrial = 1e-3; // Of the period; can be divided by.
 
     // Long enough for requests to run beside each other, and often enough that a version that turns bad is found.
-    constexpr double trialBursts = 4; // Of a period.
+    constexpr std::uint64_t trialBursts = 4; // Of a period.
+    constexpr std::uint64_t moveBursts = 8;
 
     bool contains(const std::vector<std::string>& list, const std::string& wanted)
     {
@@ -173,9 +174,42 @@
         return 0;
     if (hasSession)
         return m_stages.trialShare;
-    const std::chrono::nanoseconds burst = std::min<std::chrono::nanoseconds>(m_settings.longestBurst, std::chrono::duration_cast<std::chrono::nanoseconds>(m_stages.trialShare * shift.order.period / trialBursts));
+    return burstAt(shift, now) ? 1 : 0;
+}
+
+std::chrono::nanoseconds VersionShifts::burstLength(const Shift& shift) const
+{
+    return std::min<std::chrono::nanoseconds>(m_settings.longestBurst, std::chrono::duration_cast<std::chrono::nanoseconds>(m_stages.trialShare * shift.order.period / static_cast<double>(trialBursts)));
+}
+
+// Returns the number of the burst of the trial that runs now, if one does.
+std::optional<std::uint64_t> VersionShifts::burstAt(const Shift& shift, SteadyTime now) const
+{
+    const std::chrono::nanoseconds trialed = elapsedOf(shift, now) - m_settings.trialDelay;
+    const std::chrono::nanoseconds burst = burstLength(shift);
     const auto interval = std::chrono::duration_cast<std::chrono::nanoseconds>(burst / std::max(m_stages.trialShare, shortestTrial));
-    return interval.count() > 0 && (trialed + interval / 2) % interval < burst ? 1 : 0;
+    if (trialed.count() < 0 || interval.count() <= 0 || (trialed + interval / 2) % interval >= burst)
+        return std::nullopt;
+    return static_cast<std::uint64_t>((trialed + interval / 2) / interval);
+}
+
+// Returns the same once everything is moved: some bursts follow each other then, so that the verdict doesn't hang on the trial's.
+std::optional<std::uint64_t> VersionShifts::burstOfMove(const Shift& shift, SteadyTime now) const
+{
+    const auto moved = elapsedOf(shift, now) - moveAt(shift) * std::chrono::duration<double>(shift.order.period);
+    const auto burst = static_cast<std::uint64_t>(moved / std::max<std::chrono::nanoseconds>(burstLength(shift), std::chrono::milliseconds(1)));
+    return burst < moveBursts ? std::optional(trialBursts + burst) : std::nullopt;
+}
+
+// Requests that last longer than the burst don't all run at once.
+std::optional<LoadConcentration> VersionShifts::concentrationIn(const Shift& shift, std::uint64_t burst, SteadyTime now) const
+{
+    constexpr std::chrono::milliseconds rateKnownAfter { 2'000 };
+    const double perSecond = shift.fleetOthers.perSecond(m_settings.backgroundMemory, rateKnownAfter, now);
+    const auto memory = m_memories.find(shift.order.service);
+    if (perSecond <= 0 || memory == m_memories.end() || memory->second.heldSeconds <= 0)
+        return std::nullopt;
+    return LoadConcentration { .draw = stableHash(shift.order.target) ^ burst, .requests = perSecond * std::min(memory->second.heldSeconds, std::chrono::duration<double>(burstLength(shift)).count()) };
 }
 
 // Endpoints of a version that a completed order replaced are listed for a while after their end.
@@ -214,6 +248,7 @@
         return preference;
     }
     const double share = shareNow(shift, hasSession, now);
+    const bool isMoved = progress(shift, now) >= moveAt(shift);
     bool takesTarget = unit(draw) < share;
     preference.reason = "drawn";
     const ServiceMemory& memory = memoryOf(service);
@@ -221,12 +256,14 @@
     if (hasSession && remembered != memory.sessions.end() && now - remembered->second.lastSeen <= m_settings.sessionGap) {
         // Nobody goes back from the target, and nobody goes to it during the trial.
         const bool wasTarget = remembered->second.version == target;
-        takesTarget = wasTarget || progress(shift, now) >= moveAt(shift);
+        takesTarget = wasTarget || isMoved;
         preference.reason = "session";
     }
     if (takesTarget) {
         preference.versions = { target };
         preference.versions.insert(preference.versions.end(), others.begin(), others.end());
+        if (const auto burst = isMoved ? burstOfMove(shift, now) : burstAt(shift, now); burst && !hasSession)
+            preference.concentration = concentrationIn(shift, *burst, now);
         return preference;
     }
     preference.versions = others;
@@ -282,7 +319,7 @@
 {
     constexpr std::chrono::milliseconds heardWithin { 1'000 };
     constexpr double plannedFrom = 0.4; // Of the period; the rate may change until the move.
-    const double perSecond = shift.fleetOthers.perSecond(m_settings.backgroundMemory, now);
+    const double perSecond = shift.fleetOthers.perSecond(m_settings.backgroundMemory, m_settings.backgroundMemory, now);
     const ShiftStages stages = stagesFor(m_settings.exposureShare, m_settings.exposureSlack, perSecond * std::chrono::duration<double>(shift.order.period).count());
     const double earliest = progress(shift, now) + partOf(shift.order, heardWithin);
     if (progress(shift, now) < plannedFrom || stages.moveAt >= m_stages.moveAt || earliest >= m_stages.moveAt)
--- a/packages/policy/src/VersionShiftVerdict.cpp
+++ b/packages/policy/src/VersionShiftVerdict.cpp
@@ -17,6 +17,8 @@
         return static_cast<double>(outcome.time.count()) / static_cast<double>((outcome.expected + leastExpected).count());
     }
 
+    constexpr double heldWeight = 0.05; // Of one answer, in the mean time for which requests take a slot.
+
     // Never takes a share of bad answers for certain.
     constexpr double largestShare = 0.95;
 
@@ -118,6 +120,10 @@
         memory.times.learn(outcome.measure, time);
     if (!outcome.failed && outcome.pause.count() > 0)
         memory.pauses.learn(outcome.measure, pause);
+    if (outcome.held.count() > 0) {
+        const double held = std::chrono::duration<double>(outcome.held).count();
+        memory.heldSeconds += (memory.heldSeconds > 0 ? heldWeight : 1) * (held - memory.heldSeconds);
+    }
     if (isRunning) {
         ShiftEvidence& own = found->second.own;
         const ShiftEvidence before = own;
--- a/packages/policy/src/WaitSelector.cpp
+++ b/packages/policy/src/WaitSelector.cpp
@@ -101,6 +101,8 @@
         void collect()
         {
             // The first reason given for an endpoint stays.
+            for (const EndpointIndex endpoint : m_request.among)
+                m_candidates.add(endpoint, ChoiceReason::leastLoaded, 0);
             if (m_request.stallsOthers)
                 addAffine();
             addCached();
--- a/packages/policy/src/internal/Eligibility.cpp
+++ b/packages/policy/src/internal/Eligibility.cpp
@@ -9,6 +9,14 @@
     return std::find(request.excluded.begin(), request.excluded.end(), endpoint) != request.excluded.end();
 }
 
+bool isKeptFrom(const EndpointTable& table, const EndpointRequest& request, EndpointIndex endpoint, SteadyTime now)
+{
+    if (request.among.empty())
+        return false;
+    const bool isNamed = std::find(request.among.begin(), request.among.end(), endpoint) != request.among.end();
+    return !isNamed || table.load(endpoint, now).mean >= table.row(endpoint).slots;
+}
+
 bool isInAllowedZone(const EndpointTable& table, const EndpointRequest& request, EndpointIndex endpoint)
 {
     const auto& allowed = request.allowedZones;
@@ -19,7 +27,7 @@
 {
     const EndpointRow& row = table.row(endpoint);
     const bool takesWork = !row.leaving && !row.isEvacuated && table.takesWorkAt(endpoint, now) <= now;
-    return takesWork && isInAllowedZone(table, request, endpoint) && !isExcluded(request, endpoint);
+    return takesWork && isInAllowedZone(table, request, endpoint) && !isExcluded(request, endpoint) && !isKeptFrom(table, request, endpoint, now);
 }
 
 bool hasRoom(const EndpointTable& table, const EndpointRequest& request, EndpointIndex endpoint, SteadyTime now)
--- a/packages/policy/src/internal/Eligibility.h
+++ b/packages/policy/src/internal/Eligibility.h
@@ -8,6 +8,9 @@
 // Returns whether the request has tried the endpoint already.
 bool isExcluded(const EndpointRequest& request, EndpointIndex endpoint);
 
+// Returns whether the request is one that is kept to certain endpoints, and the endpoint is none of them or has no free slot.
+bool isKeptFrom(const EndpointTable& table, const EndpointRequest& request, EndpointIndex endpoint, SteadyTime now);
+
 // Returns whether the request may be served in the endpoint's zone.
 bool isInAllowedZone(const EndpointTable& table, const EndpointRequest& request, EndpointIndex endpoint);
 
--- a/packages/policy/test/VersionShiftFleetTest.cpp
+++ b/packages/policy/test/VersionShiftFleetTest.cpp
@@ -95,6 +95,19 @@
         expectRolledBack(load, mostMissed);
     }
 
+    // The load of a service whose requests rarely meet on one endpoint. Guards against a trial that never takes half of the slots of any.
+    TEST(VersionShiftFleetTest, RollsAVersionBackThatFailsOnEndpointsWithHalfOfTheirSlotsTaken)
+    {
+        ShiftLoad load = smallSite();
+        load.targetFailure = whereHalfIsTaken;
+        for (const std::size_t endpoints : { 3, 4 }) {
+            load.endpoints = endpoints;
+            expectRolledBack(load, mostMissed);
+        }
+        load.restarts = { 8s, 10s, 12s, 14s, 16s, 18s };
+        expectRolledBack(load, mostMissed);
+    }
+
     // Six of nine instances restart during the trial. Guards against counts that are lost with the process that began them.
     TEST(VersionShiftFleetTest, RollsItBackWhereInstancesRestartMeanwhile)
     {
--- a/packages/policy/testing/whinyard/policy/ShiftFleet.h
+++ b/packages/policy/testing/whinyard/policy/ShiftFleet.h
@@ -37,6 +37,7 @@
     double clump = 3; // Requests that come together, in the mean.
     std::chrono::milliseconds workTime { 60 };
     std::size_t endpoints = 4; // Of each version.
+    std::uint32_t slots = 6; // Of each endpoint.
     std::vector<double> kindShares { 0.72, 0.28 }; // Of the requests.
     std::vector<double> kindFailures { 0.004, 0.14 }; // By themselves, at any version.
     std::chrono::milliseconds period { 24'000 };
@@ -160,12 +161,12 @@
     {
         const std::size_t sender = below(m_random, m_instances.size());
         const std::vector<std::string> versions = state == ShiftState::completed ? std::vector<std::string> { "v2" } : std::vector<std::string> { "v1", "v2" };
-        const std::vector<std::string> preferred = m_instances[sender].shifts->prefer(m_service, false, m_random(), versions, now()).versions;
-        if (preferred.empty())
+        const VersionPreference preference = m_instances[sender].shifts->prefer(m_service, false, m_random(), versions, now());
+        if (preference.versions.empty())
             return; // It takes the target for bad, and the others have completed it.
-        const std::string& version = preferred.front();
+        const std::string& version = preference.versions.front();
         const std::size_t isTarget = version == "v2" ? 1 : 0;
-        ShiftRequest request { .kind = drawKind(), .endpoint = below(m_random, m_load.endpoints), .running = 0, .at = m_at };
+        ShiftRequest request { .kind = drawKind(), .endpoint = drawEndpoint(version, preference.concentration), .running = 0, .at = m_at };
         request.running = ++m_running[isTarget][request.endpoint];
         if (m_at >= 0ms) {
             ++requests;
@@ -176,17 +177,32 @@
         const bool isSlow = isTarget == 1 && uniform(m_random) < m_load.targetSlowness(request);
         const auto time = std::chrono::milliseconds(static_cast<int>(m_load.workTime.count() * (isSlow ? 10 : 0.5 + uniform(m_random))));
         VersionOutcome outcome;
-        outcome.endpoint = { version + "-" + std::to_string(request.endpoint) };
+        outcome.endpoint = { endpointName(version, request.endpoint) };
         outcome.failed = uniform(m_random) >= sound;
         outcome.measure = "kind " + std::to_string(request.kind);
         outcome.time = outcome.failed ? std::chrono::microseconds(0) : time;
         outcome.expected = m_load.workTime;
+        outcome.held = time;
         later(time, [this, sender, version, isTarget, endpoint = request.endpoint, outcome] {
             --m_running[isTarget][endpoint];
             m_instances[sender].shifts->recordOutcome(m_service, version, outcome, now());
         });
     }
 
+    std::string endpointName(const std::string& version, std::size_t endpoint) const { return version + "-" + std::to_string(endpoint); }
+
+    std::size_t drawEndpoint(const std::string& version, const std::optional<LoadConcentration>& concentration)
+    {
+        std::vector<PooledEndpoint> endpoints;
+        for (std::size_t i = 0; concentration && i < m_load.endpoints; ++i)
+            endpoints.push_back({ { endpointName(version, i) }, {}, m_load.slots });
+        const std::vector<EndpointName> chosen = concentration ? concentratedEndpoints(*concentration, endpoints) : std::vector<EndpointName>();
+        if (chosen.empty())
+            return below(m_random, m_load.endpoints);
+        const EndpointName& name = chosen[below(m_random, chosen.size())];
+        return static_cast<std::size_t>(std::find_if(endpoints.begin(), endpoints.end(), [&](const PooledEndpoint& endpoint) { return endpoint.name == name; }) - endpoints.begin());
+    }
+
     std::size_t drawKind()
     {
         double draw = uniform(m_random);
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -197,6 +197,7 @@
     outcome.expected = attempt.target().endpoint.plan.soundWait;
     if (!failed && m_admission.route->isGenerative)
         m_core.parts.directory.recordExpectation(attempt.target().endpoint.name, outcome.time, outcome.expected, now());
+    outcome.held = std::chrono::duration_cast<std::chrono::microseconds>(now() - began);
     outcome.wasSeenWhole = !streams() || m_events > policy::VersionShifts::minimumPauses;
     if (m_events > policy::VersionShifts::minimumPauses)
         outcome.pause = std::chrono::duration_cast<std::chrono::microseconds>(*m_latestEventAt - *m_firstEventAt) / (m_events - 1);
--- a/packages/router/src/internal/ForwardChoice.cpp
+++ b/packages/router/src/internal/ForwardChoice.cpp
@@ -69,17 +69,28 @@
     return wish;
 }
 
-std::optional<AttemptTarget> ForwardRun::chooseTarget(Failure& failure)
+policy::VersionPreference ForwardRun::preferredVersions() const
 {
-    m_hold.release();
     const auto known = m_core.versions.find(m_service);
     const std::vector<std::string> available = known == m_core.versions.end() ? std::vector<std::string> {} : known->second;
-    const policy::VersionPreference preference = m_core.parts.shifts.prefer(m_service, !m_request.session.empty(), sessionDigest(), available, now());
+    return m_core.parts.shifts.prefer(m_service, !m_request.session.empty(), sessionDigest(), available, now());
+}
+
+std::optional<AttemptTarget> ForwardRun::chooseTarget(Failure& failure)
+{
+    m_hold.release();
+    const policy::VersionPreference preference = preferredVersions();
     failure = { .kind = ErrorKind::noEndpoint, .reason = "no endpoint of " + m_service.value + " is known", .retryAfter = m_core.settings.comeBackAfter };
     endpoint::EndpointWish wished = wish();
     std::vector<EndpointName> others = endpointsOfOtherSuspects();
     wished.excluded.insert(wished.excluded.end(), others.begin(), others.end());
-    std::optional<AttemptTarget> target = chooseAmong(preference.versions, wished, failure);
+    std::optional<AttemptTarget> target;
+    if (wished.among = concentrated(preference); !wished.among.empty()) {
+        target = chooseAmong({ preference.versions.front() }, wished, failure);
+        wished.among.clear();
+    }
+    if (!target)
+        target = chooseAmong(preference.versions, wished, failure);
     if (!target && !others.empty()) {
         wished.excluded = m_tried;
         target = chooseAmong(preference.versions, wished, failure);
@@ -96,6 +107,14 @@
     return target;
 }
 
+// A repeat has callers who have waited already: it isn't kept to few endpoints.
+std::vector<EndpointName> ForwardRun::concentrated(const policy::VersionPreference& preference) const
+{
+    if (!preference.concentration || preference.versions.empty() || !m_tried.empty())
+        return {};
+    return m_core.concentrated(targetName(m_service, preference.versions.front()), *preference.concentration);
+}
+
 std::optional<AttemptTarget> ForwardRun::chooseAmong(const std::vector<std::string>& versions, endpoint::EndpointWish& wished, Failure& failure)
 {
     for (const std::string& version : versions) {
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -52,6 +52,16 @@
         return returns[service].next(wait, perSecond, parts.clock.now(), random);
     }
 
+    // Returns the endpoints of the version that requests are to be concentrated on. Naming them looks at all of its endpoints, so it is
+    // done once for each draw.
+    const std::vector<EndpointName>& concentrated(const VersionName& version, const policy::LoadConcentration& concentration)
+    {
+        Concentrated& known = concentrations[version];
+        if (known.draw != concentration.draw)
+            known = { concentration.draw, policy::concentratedEndpoints(concentration, parts.directory.liveEndpoints(version)) };
+        return known.endpoints;
+    }
+
     policy::ServiceLoad& loadOf(const ServiceName& service)
     {
         const auto [entry, isNew] = loads.try_emplace(service);
@@ -122,6 +132,11 @@
             price.note(parts.directory.meanBacklog(service, parts.clock.now()), parts.directory.busyShare(service, parts.clock.now()), parts.clock.now());
     }
 
+    struct Concentrated {
+        std::uint64_t draw = 0;
+        std::vector<EndpointName> endpoints;
+    };
+
     ForwarderParts parts;
     ForwarderSettings settings;
     Random random;
@@ -139,6 +154,7 @@
     std::map<ServiceName, policy::ReturnSchedule> returns {};
     std::map<ServiceName, policy::ServiceLoad> loads {};
     std::map<ServiceName, std::vector<std::string>> versions {};
+    std::map<VersionName, Concentrated> concentrations {};
     std::set<ForwardRun*> runs {}; // With an attempt that may be given up.
     std::size_t active = 0;
     bool started = false;
--- a/packages/router/src/internal/ForwardPlaces.cpp
+++ b/packages/router/src/internal/ForwardPlaces.cpp
@@ -68,6 +68,11 @@
     const std::vector<EndpointName> others = endpointsOfOtherSuspects();
     mostKept.insert(mostKept.end(), others.begin(), others.end());
     std::vector<std::vector<EndpointName>> exclusions { std::move(mostKept), m_tried };
+    m_asksForFew = false;
+    if (std::vector<EndpointName> few = besidesConcentrated(); m_placesAsked == 0 && !few.empty()) {
+        m_asksForFew = true;
+        exclusions.insert(exclusions.begin(), std::move(few));
+    }
     if (repeatable() && m_tried.size() > 1)
         exclusions.push_back({ m_tried.back() });
     for (std::vector<EndpointName>& excluded : exclusions) {
@@ -81,12 +86,25 @@
     return std::nullopt;
 }
 
+// Returns the endpoints that a request which is to be concentrated on others is kept from; none for any other request.
+std::vector<EndpointName> ForwardRun::besidesConcentrated()
+{
+    const policy::VersionPreference preference = preferredVersions();
+    const std::vector<EndpointName> few = concentrated(preference);
+    std::vector<EndpointName> others;
+    if (few.empty())
+        return others;
+    for (const policy::PooledEndpoint& endpoint : m_core.parts.directory.liveEndpoints(targetName(m_service, preference.versions.front()))) {
+        if (std::find(few.begin(), few.end(), endpoint.name) == few.end())
+            others.push_back(endpoint.name);
+    }
+    return others;
+}
+
 // Returns the version that goes first for the request among those with another live endpoint than these.
 std::optional<std::string> ForwardRun::versionBeside(const std::vector<EndpointName>& excluded)
 {
-    const auto known = m_core.versions.find(m_service);
-    const std::vector<std::string> available = known == m_core.versions.end() ? std::vector<std::string> {} : known->second;
-    for (const std::string& version : m_core.parts.shifts.prefer(m_service, !m_request.session.empty(), sessionDigest(), available, now()).versions) {
+    for (const std::string& version : preferredVersions().versions) {
         const std::vector<policy::PooledEndpoint> live = m_core.parts.directory.liveEndpoints(targetName(m_service, version));
         if (std::any_of(live.begin(), live.end(), [&](const policy::PooledEndpoint& endpoint) { return std::find(excluded.begin(), excluded.end(), endpoint.name) == excluded.end(); }))
             return version;
@@ -111,6 +129,8 @@
     case PlaceAnswer::Kind::granted:
         return usePlace(answer, *wish);
     case PlaceAnswer::Kind::rejected:
+        if (m_asksForFew)
+            return PlaceVerdict::changed;
         failure = { .kind = ErrorKind::overloaded, .reason = "no slot of " + m_service.value + " comes free in time", .retryAfter = answer.retryAfter };
         return PlaceVerdict::refused;
     case PlaceAnswer::Kind::unavailable:
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -62,12 +62,15 @@
     std::optional<PlaceWish> placeWish();
     PlaceVerdict usePlace(const PlaceAnswer& answer, const PlaceWish& asked);
     bool isAdmittedOtherwise();
+    std::vector<EndpointName> besidesConcentrated();
     std::optional<std::string> versionBeside(const std::vector<EndpointName>& excluded);
     bool passesGateAgain(const PlaceWish& asked);
     const ServiceName& drawService() const;
     RequestDigest digest() const;
     std::uint64_t sessionDigest() const;
+    policy::VersionPreference preferredVersions() const;
     std::optional<AttemptTarget> chooseTarget(Failure& failure);
+    std::vector<EndpointName> concentrated(const policy::VersionPreference& preference) const;
     std::optional<AttemptTarget> chooseAmong(const std::vector<std::string>& versions, endpoint::EndpointWish& wished, Failure& failure);
     endpoint::EndpointWish wish();
     double costOf(const ModelName& name) const;
@@ -133,6 +136,7 @@
     std::optional<AttemptTarget> m_target;
     PlacePermit m_permit; // For `m_target`, until its attempt begins.
     std::vector<EndpointName> m_declined; // Endpoints of permits that this instance could not use for the next attempt.
+    bool m_asksForFew = false; // The permit that is asked for names few of the endpoints.
     int m_placesAsked = 0; // So often the next attempt asked for a permit.
     std::uint64_t m_comparedVersion = 0; // Of the newest configuration that admits the request as before.
     EngineHold m_hold; // Of the present attempt.
