Refuse what waits when an instance's time to end is over

What callers see: a request that waits for a permit, for room, for a repetition or for the start when the time of a drain is over is sent to an endpoint and cut, or cut without an answer. Cause: waits end by the request's own deadline, which may lie after the process's end. Evidence: with the gate's new question taken out, ForwarderEndTest failed for the permit (504), for room (502 after an attempt) and for the repetition (200 and two attempts, past the end); all pass with it. The wait for the start was not run without it. Change: Forwarder::endBy(): a quarter of a second before the end of the drain what waits is refused, as not run where that is so.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -14,6 +14,9 @@
     constexpr std::chrono::milliseconds tickInterval { 50 };
     constexpr std::chrono::milliseconds drainPoll { 50 };
 
+    // Of the time for a drain, for the answers to requests that have waited until then.
+    constexpr std::chrono::milliseconds lastAnswers { 250 };
+
     // Until then another instance has objected to a verdict on a request that it has completed lately.
     constexpr std::chrono::milliseconds storeAfter { 500 };
 
@@ -356,6 +359,8 @@
 {
     const SteadyTime closing = std::min(m_shared.clock.now() + rotationNotice, end);
     m_server->announceClose();
+    m_forwarder->endBy(end - lastAnswers);
+    noteNews();
     while (m_shared.clock.now() < closing)
         net::sleepFor(drainPoll);
     m_server->drain();
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -113,6 +113,10 @@
     // Tells that a configuration, an evacuation or a list of endpoints has come: requests that wait for their first look again.
     void noteNews();
 
+    // Has requests that wait refused from then on, rather than sent to an endpoint: the process ends soon after. Call
+    // noteNews() then.
+    void endBy(SteadyTime latest);
+
     // Returns what this instance has done for each service since its start.
     std::vector<policy::ServiceLoad> loads() const;
 
--- a/packages/router/src/Forwarder.cpp
+++ b/packages/router/src/Forwarder.cpp
@@ -55,8 +55,9 @@
             return false;
         const SteadyTime arrived = core.parts.clock.now();
         const SteadyTime latest = arrived + core.start.holdFor(request.timeLeft);
-        while (!core.isStarted() && core.parts.clock.now() < latest)
-            core.news->wait(latest - core.parts.clock.now());
+        const auto waitsUntil = [&] { return std::min(latest, core.endsAt); };
+        while (!core.isStarted() && core.parts.clock.now() < waitsUntil())
+            core.news->wait(waitsUntil() - core.parts.clock.now());
         const auto held = std::chrono::ceil<std::chrono::milliseconds>(core.parts.clock.now() - arrived);
         if (request.timeLeft)
             *request.timeLeft -= std::min(held, *request.timeLeft);
@@ -131,6 +132,11 @@
         run->look();
 }
 
+void Forwarder::endBy(SteadyTime latest)
+{
+    m_state->core.endsAt = latest;
+}
+
 std::vector<policy::ServiceLoad> Forwarder::loads() const
 {
     std::vector<policy::ServiceLoad> loads;
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -125,6 +125,9 @@
         return started;
     }
 
+    // Returns whether the process ends too soon for another attempt.
+    bool isEnding() const { return parts.clock.now() >= endsAt; }
+
     // Learns what engines' time costs now.
     void notePrices()
     {
@@ -158,6 +161,7 @@
     std::set<ForwardRun*> runs {}; // With an attempt that may be given up.
     std::size_t active = 0;
     bool started = false;
+    SteadyTime endsAt = SteadyTime::max(); // From then on nothing is sent to an endpoint.
 };
 
 }
--- a/packages/router/src/internal/ForwardPlaces.cpp
+++ b/packages/router/src/internal/ForwardPlaces.cpp
@@ -29,6 +29,10 @@
             m_failure = { .kind = ErrorKind::deadlineExceeded, .reason = "the deadline passed" };
             return false;
         }
+        if (m_core.isEnding() && !m_streaming) {
+            m_failure = { .kind = ErrorKind::shuttingDown, .reason = "this instance ends" };
+            return false;
+        }
         if (!passGate())
             return false;
         place = takePlace(failure);
@@ -121,7 +125,7 @@
     m_comparedVersion = m_admission.table->version();
     bool hasChanged = false;
     const auto isGivenUp = [&] {
-        hasChanged = hasChanged || m_callerLeft || m_guard.isRefused() || isAdmittedOtherwise();
+        hasChanged = hasChanged || m_callerLeft || m_guard.isRefused() || m_core.isEnding() || isAdmittedOtherwise();
         return hasChanged;
     };
     const PlaceAnswer answer = m_core.parts.places->acquire(*wish, isGivenUp);
@@ -143,7 +147,7 @@
 
 bool ForwardRun::passesGateAgain(const PlaceWish& asked)
 {
-    return !m_callerLeft && timeLeft() >= shortestAttempt && passGate() && m_service == asked.service && !m_admission.route->isGenerative;
+    return !m_callerLeft && timeLeft() >= shortestAttempt && !m_core.isEnding() && passGate() && m_service == asked.service && !m_admission.route->isGenerative;
 }
 
 // Has the permit's endpoint take the next attempt, if the gate still lets the request pass and the endpoint may be used.
