Drain an instance that is too busy to be asked

What callers see: all requests of an instance that ends are cut at once, where its serve duty has no room for the task that drains it. Cause: a full ring was taken for a drain that had failed. Evidence: ServeDutyTest.DrainsThoughItIsTooBusyToBeAsked failed before (drain() returned false at once, with the duty held and its ring full) and passes after. Change: it is asked again until the time of the drain is over.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -4,6 +4,7 @@
 #include "whinyard/base/Log.h"
 
 #include <algorithm>
+#include <thread>
 #include <utility>
 
 namespace whinyard::daemon {
@@ -352,7 +353,13 @@
 bool ServeDuty::drain(std::chrono::milliseconds bound)
 {
     const SteadyTime end = m_shared.clock.now() + bound;
-    return net::callOn(m_duty, [&] { return drainOnDuty(end); }).value_or(false);
+    std::optional<bool> drained;
+    while (!drained && m_shared.clock.now() < end && !m_shared.stopping) {
+        drained = net::callOn(m_duty, [&] { return drainOnDuty(end); });
+        if (!drained)
+            std::this_thread::sleep_for(drainPoll); // It is too busy to be asked; ending now would cut what it handles.
+    }
+    return drained.value_or(false);
 }
 
 bool ServeDuty::drainOnDuty(SteadyTime end)
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -96,6 +96,7 @@
     std::vector<RequestDigest> refutedVerdicts();
 
     // Answers what arrives and lets every connection end, never longer than `bound`. Returns whether all have ended.
+    // Not for a duty's thread.
     bool drain(std::chrono::milliseconds bound);
 
     // Closes the addresses at once and ends the duty.
