End the watch of a caller before the server reads on after an answer

Cause: the server read on while the responder lived, whose observer belongs to a run that had returned. Change: the responder ends first. HttpServerTest.WatchesNoCallerOnceItsHandlerHasReturned comes with it; it was not run without the change.

--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -130,14 +130,20 @@
             mode.sendTimeout = m_limits.sendTimeout;
             mode.mustClose = [this] { return m_server.isDraining(); };
             const bool callerKeeps = mode.keepAlive;
-            HttpResponderImpl responder(m_connection.socket, std::move(mode));
-            const HttpRequest request = toPlain(parser.release());
-            handle(request, responder);
-            if (!responder.ended())
-                responder.abort();
-            else if (callerKeeps && !responder.reusable())
+            bool ended = false;
+            bool reusable = false;
+            {
+                HttpResponderImpl responder(m_connection.socket, std::move(mode));
+                const HttpRequest request = toPlain(parser.release());
+                handle(request, responder);
+                ended = responder.ended();
+                reusable = responder.reusable();
+                if (!ended)
+                    responder.abort();
+            } // What the handler had watch the caller ends here.
+            if (ended && callerKeeps && !reusable)
                 linger(); // Its next request may be on its way.
-            return responder.reusable();
+            return reusable;
         }
 
         void handle(const HttpRequest& request, HttpResponder& responder)
--- a/packages/net/test/HttpServerTest.cpp
+++ b/packages/net/test/HttpServerTest.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <memory>
 #include <thread>
 
@@ -313,6 +314,27 @@
         EXPECT_TRUE(answer.ends_with("whole")) << answer.size();
     }
 
+    // Guards against an observer that outlives what it was made for, while the server still reads after an answer.
+    TEST_F(HttpServerTest, WatchesNoCallerOnceItsHandlerHasReturned)
+    {
+        std::atomic<int> told = 0;
+        start([&](const HttpRequest&, HttpResponder& responder) {
+            responder.whenPeerGone([&told] { ++told; });
+            server->announceClose();
+            responder.send({ 200, {}, "whole" });
+        });
+        RawConnection kept(address);
+        kept.write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+        kept.readAll();
+        kept.close();
+        runOn(duty, [&] {
+            server->drain();
+            while (!server->isDrained())
+                sleepFor(milliseconds(1));
+        });
+        EXPECT_EQ(told, 0);
+    }
+
     TEST_F(HttpServerTest, TellsThatItsPortIsInUse)
     {
         start(echo);
