Reproduce a sound version that is rolled back beside endpoints that end: a test that fails

KeeperFleet has endpoints of both versions that end within a second and a half, with the answers under way there.

--- a/packages/policy/testing/whinyard/policy/KeeperFleet.h
+++ b/packages/policy/testing/whinyard/policy/KeeperFleet.h
@@ -52,9 +52,11 @@
     std::function<bool(std::chrono::milliseconds)> isReadable = [](std::chrono::milliseconds) { return true; };
     std::optional<std::chrono::milliseconds> freezesWriterOfCompletion {}; // As it has sent the write, for so long.
     bool restartsWriterOfCompletion = false;
-    // Beside each answer of the target and of the others: the chance that it is lost with an endpoint that ends, by the time since the order.
-    std::function<double(std::chrono::milliseconds)> targetLoss = [](std::chrono::milliseconds) { return 0.0; };
-    std::function<double(std::chrono::milliseconds)> otherLoss = [](std::chrono::milliseconds) { return 0.0; };
+    std::chrono::milliseconds workTime { 60 };
+    std::size_t endpoints = 4; // Of each version.
+    // Endpoints of both versions that end, with the answers under way there, and come back at once; in a second and a half from then on.
+    double endingShare = 0;
+    std::chrono::milliseconds endsFrom { 0 };
     ShiftSettings settings;
     std::uint64_t seed = 1;
 };
@@ -185,16 +187,27 @@
         if (preferred.empty())
             return;
         const std::string version = preferred.front();
+        const std::size_t place = below(m_random, m_load.endpoints);
+        const std::optional<std::chrono::milliseconds> end = endOf(version == "v2" ? m_load.endpoints + place : place);
+        const std::chrono::milliseconds time = m_load.workTime / 2 + drawn(m_load.workTime);
         VersionOutcome outcome;
-        outcome.endpoint = { version + "-" + std::to_string(below(m_random, 4)) };
+        outcome.endpoint = { version + "-" + std::to_string(place) };
         outcome.measure = "kind";
-        outcome.endpointEnded = m_at >= 0ms && uniform(m_random) < (version == "v2" ? m_load.targetLoss(m_at) : m_load.otherLoss(m_at));
+        outcome.endpointEnded = end && *end >= m_at && *end < m_at + time;
         outcome.failed = outcome.endpointEnded || uniform(m_random) < 0.01;
         outcome.connectionLost = outcome.endpointEnded;
-        const std::chrono::milliseconds time = 30ms + drawn(60ms);
         outcome.time = outcome.failed ? 0ms : time;
-        outcome.expected = 60ms;
-        at(sender, time, [this, version, outcome](Instance& one) { one.shifts->recordOutcome(m_service, version, outcome, now()); });
+        outcome.expected = m_load.workTime;
+        at(sender, outcome.endpointEnded ? *end - m_at : time, [this, version, outcome](Instance& one) { one.shifts->recordOutcome(m_service, version, outcome, now()); });
+    }
+
+    // The same for an endpoint in all of a play.
+    std::optional<std::chrono::milliseconds> endOf(std::size_t endpoint) const
+    {
+        Random random(m_load.seed * 1'000 + endpoint);
+        if (uniform(random) >= m_load.endingShare)
+            return std::nullopt;
+        return m_load.endsFrom + std::chrono::milliseconds(below(random, 1'500));
     }
 
     // Returns whether it is newer than what was known.
