Write a roll-out's record at the look nearest to the drawn moment

Cause: each instance draws a moment at its first look and looks again 150 to 300 ms later, so no moment was used before the second look. Change: a look takes the moments that are nearer to it than the next one can be. About one instance in four writes at its first look where nobody has told it of a write by then; the record's condition lets one through, as before.

Tried and left: a margin of 1.15 s, which CompletesAShortMoveASecondBeforeThePeriodEnds forbids.

--- a/packages/policy/src/ShiftWrites.cpp
+++ b/packages/policy/src/ShiftWrites.cpp
@@ -12,6 +12,9 @@
     constexpr std::chrono::milliseconds writeSpread { 1'200 };
     constexpr std::chrono::milliseconds verdictSpread { 300 };
 
+    // Between two looks of an instance, at least.
+    constexpr std::chrono::milliseconds lookInterval { 150 };
+
     // The notice of a write that came first is under way at the first conflict.
     constexpr std::uint32_t toleratedConflicts = 1;
 
@@ -28,7 +31,7 @@
     const auto [planned, isNew] = m_planned.try_emplace(service);
     if (isNew || planned->second.state != state)
         planned->second = { state, now + std::chrono::milliseconds(below(m_random, static_cast<std::uint64_t>(spread.count()))) };
-    return now >= planned->second.at;
+    return now + lookInterval / 2 >= planned->second.at; // The look nearest to the moment: the next one may be far after it.
 }
 
 void ShiftWrites::drop(const ServiceName& service)
