Count losses with endpoints that ended by the clock, not with the next answer

Cause: losses wait 3.5 s until all instances have told theirs, and were then looked at only with the next answer of the new version. One instance of 69 had none from 19.6 to 25.3 s: its two losses of 17.1 s counted in the move, eight seconds late, when the wave was forgotten.

Evidence: the log's times and counts; the sum (2 ln 11 = 4.8 over a bound of 3) is worked out. VersionShiftTest.CountsLossesInTimeWhereNoAnswerFollows failed before (0 of 1 counted after 4 s) and passes after. Change: each turn looks at them, and judges where some counted.

Not mended: endpoints of both versions that end around a burst of the trial.

--- a/packages/policy/src/VersionShiftVerdict.cpp
+++ b/packages/policy/src/VersionShiftVerdict.cpp
@@ -98,7 +98,7 @@
     if (isRunning && found->second.order.target == version) {
         Shift& shift = found->second;
         ShiftEvidence& own = shift.own;
-        countCrashes(shift, now);
+        countLosses(shift, memory, now);
         const ShiftEvidence before = own;
         if (outcome.endpointEnded) {
             shift.losses.push_back({ now, kind, endpointPlace(outcome.endpoint) });
@@ -137,9 +137,10 @@
     background.at = now;
 }
 
-void VersionShifts::countCrashes(Shift& shift, SteadyTime now) const
+// Asked for in each turn as well: the next answer of the target may come long after, when what the other versions lost is forgotten.
+void VersionShifts::countLosses(Shift& shift, const ServiceMemory& memory, SteadyTime now)
 {
-    std::erase_if(shift.losses, [&](const Loss& loss) {
+    const std::size_t counted = std::erase_if(shift.losses, [&](const Loss& loss) {
         if (now - loss.at < m_settings.crashPatience)
             return false;
         ++shift.own.failures.bad;
@@ -148,6 +149,8 @@
         shift.fleetByKind.addSettled(loss.kind, loss.endpoint, { 0, 1 });
         return true;
     });
+    if (counted > 0)
+        judge(shift, memory, now);
 }
 
 bool VersionShifts::isKnownCrash(ServiceMemory& memory, const VersionOutcome& outcome, SteadyTime now) const
