Remember a session from the end of its last answer on

Callers: under a roll-out a session whose last answer took long was drawn anew within its gap, to another version in the first half of the period. Cause: the gap was counted from the sending of the last request.

--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -108,6 +108,7 @@
     void conclude();
     void refuse(Failure failure);
     void noteBegun();
+    void noteSession(const AttemptTarget& target);
     void notePace(const ForwardAttempt& attempt);
     void noteEvents(std::uint32_t count);
     void noteOutcome(const ForwardAttempt& attempt, bool failed, bool endpointEnded = false);
