Go through the endpoints in order with the bursts of a trial, and leave out those that are ejected

Callers of a burst could be sent to an ejected endpoint, which looks free as it fails soon; wait for memory there while others had room; or, where a coordinator grants slots, wait for a permit of the few that are named, by a list of exclusions that a datagram cuts at 16.

Change: the order's target and revision put the endpoints in an order, and each burst begins one further; only healthy ones are compared, and nobody else while they are asked for; a plan that waits for room is dropped. Services whose slots are granted have their trial as before. A session that has moved while an earlier answer of it ran stays where it is. A write that failed draws another moment.

Left from the review: instances bound a burst by what they know of an endpoint's load, not together; a burst takes no account of zones.

--- a/packages/policy/include/whinyard/policy/LoadConcentration.h
+++ b/packages/policy/include/whinyard/policy/LoadConcentration.h
@@ -14,7 +14,8 @@
 namespace whinyard::policy {
 
 struct LoadConcentration {
-    std::uint64_t draw = 0; // Names the endpoints; another draw names others.
+    std::uint64_t draw = 0; // Orders the endpoints; all turns of one draw go through them in the same order.
+    std::uint64_t turn = 0; // Begins at the next endpoint in order than the turn before, so that none is met more often than others.
     double requests = 0; // Of the service, that run at once.
 
     bool operator==(const LoadConcentration&) const = default;
--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -159,6 +159,9 @@
     // Notes on which version a request of the session with this digest was sent.
     void noteSession(const ServiceName& service, std::uint64_t session, const std::string& version, SteadyTime now);
 
+    // Notes that an answer to the session on that version has ended: its gap begins. A session that has moved meanwhile stays where it is.
+    void noteSessionEnd(const ServiceName& service, std::uint64_t session, const std::string& version, SteadyTime now);
+
     // Returns the sessions on the other versions, noted since the last call, that would be drawn to the target during the
     // trial by an instance that doesn't know them.
     std::vector<std::uint64_t> takePins(const ServiceName& service);
--- a/packages/policy/src/LoadConcentration.cpp
+++ b/packages/policy/src/LoadConcentration.cpp
@@ -22,9 +22,8 @@
     std::sort(ranked.begin(), ranked.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
     std::vector<EndpointName> chosen;
     double room = 0;
-    for (const auto& [rank, endpoint] : ranked) {
-        if (room > 0 && room >= concentration.requests)
-            break;
+    for (std::size_t i = 0; i < ranked.size() && (room <= 0 || room < concentration.requests); ++i) {
+        const PooledEndpoint* endpoint = ranked[(concentration.turn + i) % ranked.size()].second;
         room += usedPart * endpoint->slots;
         chosen.push_back(endpoint->name);
     }
--- a/packages/policy/src/ShiftWrites.cpp
+++ b/packages/policy/src/ShiftWrites.cpp
@@ -47,6 +47,7 @@
 
 void ShiftWrites::noteFailed(const ServiceName& service, ErrorKind kind)
 {
+    m_planned.erase(service); // The next try has a moment of its own.
     if (kind == ErrorKind::storeUncertain)
         m_failures[service] += toleratedConflicts + 1;
     else if (kind == ErrorKind::swapConflict)
--- a/packages/policy/src/VersionShift.cpp
+++ b/packages/policy/src/VersionShift.cpp
@@ -209,7 +209,7 @@
     const auto memory = m_memories.find(shift.order.service);
     if (perSecond <= 0 || memory == m_memories.end() || memory->second.heldSeconds <= 0)
         return std::nullopt;
-    return LoadConcentration { .draw = stableHash(shift.order.target) ^ burst, .requests = perSecond * std::min(memory->second.heldSeconds, std::chrono::duration<double>(burstLength(shift)).count()) };
+    return LoadConcentration { .draw = stableHash(shift.order.target, shift.order.revision.number), .turn = burst, .requests = perSecond * std::min(memory->second.heldSeconds, std::chrono::duration<double>(burstLength(shift)).count()) };
 }
 
 // Endpoints of a version that a completed order replaced are listed for a while after their end.
@@ -282,6 +282,15 @@
         found->second.pins.push_back(session);
 }
 
+void VersionShifts::noteSessionEnd(const ServiceName& service, std::uint64_t session, const std::string& version, SteadyTime now)
+{
+    const ServiceMemory& memory = memoryOf(service);
+    const auto known = memory.sessions.find(session);
+    const bool hasMoved = known != memory.sessions.end() && !known->second.version.empty() && known->second.version != version;
+    if (!hasMoved)
+        noteSession(service, session, version, now);
+}
+
 std::vector<std::uint64_t> VersionShifts::takePins(const ServiceName& service)
 {
     const auto found = m_shifts.find(service);
--- a/packages/policy/src/WaitSelector.cpp
+++ b/packages/policy/src/WaitSelector.cpp
@@ -62,9 +62,11 @@
             if (const EndpointIndex endpoint = endpointToProbe(); endpoint != noEndpointIndex)
                 return planFor({ endpoint, ChoiceReason::probe, waitAt(endpoint, 0) });
             if (m_members.healthy.empty())
-                return planAmongEjected();
+                return m_request.among.empty() ? planAmongEjected() : EndpointPlan {};
             collect();
             compare();
+            if (foundNone() && !m_request.among.empty())
+                return {};
             if (foundNone())
                 compareAll();
             if (foundNone() && m_request.isZoneRestricted)
@@ -102,7 +104,7 @@
         {
             // The first reason given for an endpoint stays.
             for (const EndpointIndex endpoint : m_request.among)
-                m_candidates.add(endpoint, ChoiceReason::leastLoaded, 0);
+                addIfServing(endpoint, 0, ChoiceReason::leastLoaded);
             if (m_request.stallsOthers)
                 addAffine();
             addCached();
@@ -145,11 +147,11 @@
         }
 
         // A remembered endpoint may have left or serve other targets now.
-        void addIfServing(EndpointIndex endpoint, double cachedShare)
+        void addIfServing(EndpointIndex endpoint, double cachedShare, ChoiceReason reason = ChoiceReason::cachedPrefix)
         {
             const EndpointRow& row = m_table.row(endpoint);
             if (row.present && row.health == HealthState::healthy && m_table.serves(endpoint, m_request.target))
-                m_candidates.add(endpoint, ChoiceReason::cachedPrefix, cachedShare);
+                m_candidates.add(endpoint, reason, cachedShare);
         }
 
         void addAffine()
--- a/packages/policy/test/LoadConcentrationTest.cpp
+++ b/packages/policy/test/LoadConcentrationTest.cpp
@@ -32,8 +32,18 @@
         }
     }
 
-    // Guards against a verdict on a version by one of its endpoints.
-    TEST(LoadConcentrationTest, NamesOtherEndpointsForAnotherDraw)
+    // Guards against a verdict on a version by one of its endpoints, which some bursts that meet the same one would be.
+    TEST(LoadConcentrationTest, MeetsEachEndpointOnceBeforeAnyAgain)
+    {
+        for (std::uint64_t draw = 1; draw <= 20; ++draw) {
+            std::set<std::string> named;
+            for (std::uint64_t turn = 0; turn < 12; ++turn)
+                named.insert(concentratedEndpoints({ .draw = draw, .turn = turn, .requests = 2 }, endpoints(12)).front().value);
+            EXPECT_EQ(named.size(), 12U);
+        }
+    }
+
+    TEST(LoadConcentrationTest, BeginsElsewhereForAnotherDraw)
     {
         std::set<std::string> named;
         for (std::uint64_t draw = 1; draw <= 20; ++draw)
--- a/packages/router/src/internal/ForwardChoice.cpp
+++ b/packages/router/src/internal/ForwardChoice.cpp
@@ -89,7 +89,7 @@
         target = chooseAmong({ preference.versions.front() }, wished, failure);
         wished.among.clear();
     }
-    if (!target)
+    if (!target || target->endpoint.plan.roomWait.count() > 0)
         target = chooseAmong(preference.versions, wished, failure);
     if (!target && !others.empty()) {
         wished.excluded = m_tried;
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -53,12 +53,12 @@
     }
 
     // Returns the endpoints of the version that requests are to be concentrated on. Naming them looks at all of its endpoints, so it is
-    // done once for each draw.
+    // done once for each turn.
     const std::vector<EndpointName>& concentrated(const VersionName& version, const policy::LoadConcentration& concentration)
     {
         Concentrated& known = concentrations[version];
-        if (known.draw != concentration.draw)
-            known = { concentration.draw, policy::concentratedEndpoints(concentration, parts.directory.liveEndpoints(version)) };
+        if (known.draw != concentration.draw || known.turn != concentration.turn)
+            known = { concentration.draw, concentration.turn, policy::concentratedEndpoints(concentration, parts.directory.liveEndpoints(version)) };
         return known.endpoints;
     }
 
@@ -137,6 +137,7 @@
 
     struct Concentrated {
         std::uint64_t draw = 0;
+        std::uint64_t turn = 0;
         std::vector<EndpointName> endpoints;
     };
 
--- a/packages/router/src/internal/ForwardPlaces.cpp
+++ b/packages/router/src/internal/ForwardPlaces.cpp
@@ -29,7 +29,7 @@
             m_failure = { .kind = ErrorKind::deadlineExceeded, .reason = "the deadline passed" };
             return false;
         }
-        if (m_core.isEnding() && !m_streaming) {
+        if (mustEnd()) {
             m_failure = { .kind = ErrorKind::shuttingDown, .reason = "this instance ends" };
             return false;
         }
@@ -72,11 +72,6 @@
     const std::vector<EndpointName> others = endpointsOfOtherSuspects();
     mostKept.insert(mostKept.end(), others.begin(), others.end());
     std::vector<std::vector<EndpointName>> exclusions { std::move(mostKept), m_tried };
-    m_asksForFew = false;
-    if (std::vector<EndpointName> few = besidesConcentrated(); m_placesAsked == 0 && !few.empty()) {
-        m_asksForFew = true;
-        exclusions.insert(exclusions.begin(), std::move(few));
-    }
     if (repeatable() && m_tried.size() > 1)
         exclusions.push_back({ m_tried.back() });
     for (std::vector<EndpointName>& excluded : exclusions) {
@@ -90,21 +85,6 @@
     return std::nullopt;
 }
 
-// Returns the endpoints that a request which is to be concentrated on others is kept from; none for any other request.
-std::vector<EndpointName> ForwardRun::besidesConcentrated()
-{
-    const policy::VersionPreference preference = preferredVersions();
-    const std::vector<EndpointName> few = concentrated(preference);
-    std::vector<EndpointName> others;
-    if (few.empty())
-        return others;
-    for (const policy::PooledEndpoint& endpoint : m_core.parts.directory.liveEndpoints(targetName(m_service, preference.versions.front()))) {
-        if (std::find(few.begin(), few.end(), endpoint.name) == few.end())
-            others.push_back(endpoint.name);
-    }
-    return others;
-}
-
 // Returns the version that goes first for the request among those with another live endpoint than these.
 std::optional<std::string> ForwardRun::versionBeside(const std::vector<EndpointName>& excluded)
 {
@@ -125,7 +105,7 @@
     m_comparedVersion = m_admission.table->version();
     bool hasChanged = false;
     const auto isGivenUp = [&] {
-        hasChanged = hasChanged || m_callerLeft || m_guard.isRefused() || m_core.isEnding() || isAdmittedOtherwise();
+        hasChanged = hasChanged || m_callerLeft || m_guard.isRefused() || mustEnd() || isAdmittedOtherwise();
         return hasChanged;
     };
     const PlaceAnswer answer = m_core.parts.places->acquire(*wish, isGivenUp);
@@ -133,8 +113,6 @@
     case PlaceAnswer::Kind::granted:
         return usePlace(answer, *wish);
     case PlaceAnswer::Kind::rejected:
-        if (m_asksForFew)
-            return PlaceVerdict::changed;
         failure = { .kind = ErrorKind::overloaded, .reason = "no slot of " + m_service.value + " comes free in time", .retryAfter = answer.retryAfter };
         return PlaceVerdict::refused;
     case PlaceAnswer::Kind::unavailable:
@@ -147,7 +125,7 @@
 
 bool ForwardRun::passesGateAgain(const PlaceWish& asked)
 {
-    return !m_callerLeft && timeLeft() >= shortestAttempt && !m_core.isEnding() && passGate() && m_service == asked.service && !m_admission.route->isGenerative;
+    return !m_callerLeft && timeLeft() >= shortestAttempt && !mustEnd() && passGate() && m_service == asked.service && !m_admission.route->isGenerative;
 }
 
 // Has the permit's endpoint take the next attempt, if the gate still lets the request pass and the endpoint may be used.
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -263,25 +263,21 @@
     if (m_admission.route->isGenerative)
         noteWork(target);
     log::info("attempt sent", { { "request", m_request.id }, { "attempt", std::to_string(m_sent + m_refused + 1) }, { "endpoint", target.endpoint.name.value }, { "version", target.version }, { "model", model().value }, { "reason", target.endpoint.reason }, { "expectedWaitMs", text(target.endpoint.plan.expectedWait) }, { "timeLeftMs", text(timeLeft()) } });
-    noteSession(target);
+    if (!m_request.session.empty())
+        m_core.parts.shifts.noteSession(target.service, sessionDigest(), target.version, now());
     m_stalled = false;
     m_silentSince = now();
     m_core.runs.insert(this);
     ++m_core.loadOf(target.service).running;
     const AttemptEnd end = conduct(attempt);
-    noteSession(target); // Its gap begins with the end of an answer.
+    if (!m_request.session.empty())
+        m_core.parts.shifts.noteSessionEnd(target.service, sessionDigest(), target.version, now());
     --m_core.loadOf(target.service).running;
     m_core.runs.erase(this);
     m_current = nullptr;
     return end;
 }
 
-void ForwardRun::noteSession(const AttemptTarget& target)
-{
-    if (!m_request.session.empty())
-        m_core.parts.shifts.noteSession(target.service, sessionDigest(), target.version, now());
-}
-
 ForwardRun::AttemptEnd ForwardRun::conduct(ForwardAttempt& attempt)
 {
     const HeadVerdict verdict = attempt.open(headFor(attempt.target()), timeLeft());
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -62,7 +62,6 @@
     std::optional<PlaceWish> placeWish();
     PlaceVerdict usePlace(const PlaceAnswer& answer, const PlaceWish& asked);
     bool isAdmittedOtherwise();
-    std::vector<EndpointName> besidesConcentrated();
     std::optional<std::string> versionBeside(const std::vector<EndpointName>& excluded);
     bool passesGateAgain(const PlaceWish& asked);
     const ServiceName& drawService() const;
@@ -108,7 +107,6 @@
     void conclude();
     void refuse(Failure failure);
     void noteBegun();
-    void noteSession(const AttemptTarget& target);
     void notePace(const ForwardAttempt& attempt);
     void noteEvents(std::uint32_t count);
     void noteOutcome(const ForwardAttempt& attempt, bool failed, bool endpointEnded = false);
@@ -118,6 +116,7 @@
     std::chrono::milliseconds timeLeft() const;
     SteadyTime now() const { return m_core.parts.clock.now(); }
     bool streams() const { return m_admission.route->kind == config::RequestKind::streaming; }
+    bool mustEnd() const { return m_core.isEnding() && !m_streaming; } // The instance ends too soon for another attempt.
     bool repeatable() const { return m_admission.route->repeatable(); }
     std::vector<std::uint64_t> prefixFor(const ModelName& model) const;
 
@@ -137,7 +136,6 @@
     std::optional<AttemptTarget> m_target;
     PlacePermit m_permit; // For `m_target`, until its attempt begins.
     std::vector<EndpointName> m_declined; // Endpoints of permits that this instance could not use for the next attempt.
-    bool m_asksForFew = false; // The permit that is asked for names few of the endpoints.
     int m_placesAsked = 0; // So often the next attempt asked for a permit.
     std::uint64_t m_comparedVersion = 0; // Of the newest configuration that admits the request as before.
     EngineHold m_hold; // Of the present attempt.
--- a/packages/router/test/ForwarderConcentrationTest.cpp
+++ b/packages/router/test/ForwarderConcentrationTest.cpp
@@ -91,6 +91,19 @@
             EXPECT_TRUE(endpoint.starts_with("v2-"));
     }
 
+    // Guards against a burst for an endpoint that is known to fail, which looks free as it fails soon.
+    TEST_F(ForwarderConcentrationTest, GoesToAnotherEndpointWhereThatOneIsEjected)
+    {
+        runToBurst();
+        runToBurst();
+        const std::string first = *send(1).begin();
+        for (int i = 0; i < 20; ++i) {
+            m_bench.directory.recordDispatch({ first }, {}, m_bench.clock.now());
+            m_bench.directory.recordEnd({ first }, endpoint::EndpointOutcome::unreachable, 1ms, m_bench.clock.now());
+        }
+        EXPECT_FALSE(send(20).contains(first));
+    }
+
     // Guards against callers who wait in the queue of a full endpoint while others are free.
     TEST_F(ForwarderConcentrationTest, LeavesItToAllEndpointsWhereThatOneIsFull)
     {
