Keep waiting for a returned follower from missing a change, and end by a fault within exit()

Callers: an endpoint that leaves could be used for good where the first follower of the list returned, told a change that was not applied as the other one was waited for, and that one never told it: the list counted as complete up to a revision whose changes it lacked. What is waited for takes such changes in now. RosterRelayTest.MissesNoChangeThatWasIgnoredAndThatTheOtherNeverTells: by reading the code before it applies the third statement.

Operators: a fault within exit(), after the line of exit() was written, was handled again and again and the process never ended. It ends by its signal now (CrashReportTest.EndsByAFaultWithinExit).

Wait ends as soon as nobody else is current.

Left: Serving and Storing, the standalone daemon's parts, ask once for their drain and take a full ring for a failure; FrameServer doesn't read on after a closing answer.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -16,7 +16,7 @@
     constexpr std::chrono::milliseconds drainPoll { 50 };
 
     // Of the time for a drain, for the answers to requests that have waited until then.
-    constexpr std::chrono::milliseconds lastAnswers { 250 };
+    constexpr std::chrono::milliseconds lastAnswers { 400 };
 
     // Until then another instance has objected to a verdict on a request that it has completed lately.
     constexpr std::chrono::milliseconds storeAfter { 500 };
@@ -354,11 +354,11 @@
 {
     const SteadyTime end = m_shared.clock.now() + bound;
     std::optional<bool> drained;
-    while (!drained && m_shared.clock.now() < end && !m_shared.stopping) {
+    do {
         drained = net::callOn(m_duty, [&] { return drainOnDuty(end); });
         if (!drained)
             std::this_thread::sleep_for(drainPoll); // It is too busy to be asked; ending now would cut what it handles.
-    }
+    } while (!drained && m_shared.clock.now() < end && !m_shared.stopping);
     return drained.value_or(false);
 }
 
--- a/packages/base/src/CrashReport.cpp
+++ b/packages/base/src/CrashReport.cpp
@@ -272,7 +272,7 @@
             goOnAfterFault();
         else if (stage == Stage::began)
             finish();
-        takeDefaultAction(reported);
+        takeDefaultAction(reported != 0 ? reported : signal); // Nothing is where exit() took the report.
     }
 
     void terminate()
--- a/packages/base/test/CrashReportTest.cpp
+++ b/packages/base/test/CrashReportTest.cpp
@@ -70,6 +70,13 @@
         std::free(again);
     }
 
+    // Set in a child: a function that exit() calls after the report's own faults.
+    std::atomic<bool> faultsAtExit = false;
+    const int registeredBeforeMain = std::atexit([] {
+        if (faultsAtExit)
+            writeToBadAddress();
+    });
+
     // Runs `body` in a child that must end by `signal` and leave one line, and returns it.
     Json lineOf(int signal, const std::function<void()>& body, bool readsLate = false)
     {
@@ -112,6 +119,17 @@
             End { SIGSEGV, "SIGSEGV", [] { kill(getpid(), SIGSEGV); } },
             End { SIGTERM, "SIGTERM", [] { kill(getpid(), SIGTERM); } }));
 
+    // Guards against a process that faults again and again, as its first fault comes after exit() has left the line.
+    TEST(CrashReportTest, EndsByAFaultWithinExit)
+    {
+        ASSERT_EQ(registeredBeforeMain, 0);
+        const EndedChild child = runInChild([] {
+            faultsAtExit = true;
+            std::exit(3);
+        });
+        EXPECT_TRUE(child.endedBy(SIGSEGV)) << child.status;
+    }
+
     TEST(CrashReportTest, NamesTheAddressAndTheCode)
     {
         const Json line = lineOf(SIGSEGV, &writeToBadAddress);
--- a/packages/endpoint/src/RosterRelay.cpp
+++ b/packages/endpoint/src/RosterRelay.cpp
@@ -190,7 +190,7 @@
 
 bool RosterRelay::isIncomplete(SteadyTime now) const
 {
-    return m_incomplete || (m_behind && now - m_behind->since > m_settings.catchUp);
+    return m_incomplete || (m_behind && (now - m_behind->since > m_settings.catchUp || !m_source || !hasOtherSource(*m_source, now)));
 }
 
 RelayAction RosterRelay::hear(const RosterStatement& statement, SteadyTime now)
@@ -230,7 +230,9 @@
     if (statement.isCurrent && statement.upTo.number > 0 && isOfSameEra && !m_incomplete && (hasBegun || (m_behind && follows)) && hasOtherSource(statement.instance, now)) {
         if (!m_behind)
             m_requests = 0;
-        m_behind = { statement.since, m_behind ? m_behind->since : now };
+        // Its changes aren't applied, so the others must tell these as well.
+        const Revision needed = statement.hasChanges ? statement.upTo : statement.since;
+        m_behind = { m_behind ? std::max(m_behind->upTo, needed) : needed, m_behind ? m_behind->since : now };
         return RelayAction::ignore;
     }
     if (wasSilent || !isSame || !follows || m_behind) {
--- a/packages/endpoint/test/RosterRelayTest.cpp
+++ b/packages/endpoint/test/RosterRelayTest.cpp
@@ -202,6 +202,21 @@
         EXPECT_EQ(need(), RosterNeed::ask);
     }
 
+    // What the returned follower tells meanwhile isn't applied. Guards against a leaving endpoint that is used for good, where the other follower
+    // never tells it: a list would count as complete up to a revision whose changes it lacks.
+    TEST_F(RosterRelayTest, MissesNoChangeThatWasIgnoredAndThatTheOtherNeverTells)
+    {
+        constexpr std::uint64_t returned = 2; // Its life.
+        ASSERT_TRUE(m_relay->hearWhole({ m_lead, 1, 0, false, true, 100, 100 }, m_clock.now()));
+        m_relay->hear({ m_second, 1, 7, false, true, 95, 101 }, m_clock.now());
+        EXPECT_EQ(m_relay->hear({ m_lead, returned, 1, false, true, 120, 120 }, m_clock.now()), RelayAction::ignore);
+        EXPECT_EQ(m_relay->hear({ m_lead, returned, 2, true, true, 121, 122 }, m_clock.now()), RelayAction::ignore);
+        EXPECT_EQ(m_relay->hear({ m_second, 1, 8, true, true, 95, 121 }, m_clock.now()), RelayAction::apply);
+        EXPECT_NE(m_relay->hear({ m_lead, returned, 3, true, true, 122, 126 }, m_clock.now()), RelayAction::apply);
+        m_clock.advance(RosterRelaySettings().catchUp + 1ms);
+        EXPECT_EQ(need(), RosterNeed::ask);
+    }
+
     // Many changes at once are told by none: nobody waits for them.
     TEST_F(RosterRelayTest, AsksAtOnceForWhatNobodyTells)
     {
