Take back the count of losses by the clock: it rolls more sound versions back

So counting late was a shield at times and a fault at others: what is wrong is the comparison, which takes the losses of one moment and the share of another.

--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -271,7 +271,7 @@
     std::optional<LoadConcentration> concentrationIn(const Shift& shift, std::uint64_t burst, SteadyTime now) const;
     std::chrono::nanoseconds burstLength(const Shift& shift) const;
     bool isDrawnToTrial(std::uint64_t draw) const;
-    void countLosses(Shift& shift, const ServiceMemory& memory, SteadyTime now);
+    void countCrashes(Shift& shift, SteadyTime now) const;
     bool isKnownCrash(ServiceMemory& memory, const VersionOutcome& outcome, SteadyTime now) const;
     BadShares sharesOver(double background, double observed, double excess) const;
     void judge(Shift& shift, const ServiceMemory& memory, SteadyTime now);
--- a/packages/policy/src/VersionShift.cpp
+++ b/packages/policy/src/VersionShift.cpp
@@ -344,7 +344,6 @@
     Shift& shift = found->second;
     if (shift.isStored && shift.known.state != ShiftState::running)
         return std::nullopt;
-    countLosses(shift, memoryOf(service), now);
     const double reached = progress(shift, now);
     ShiftRecord record;
     record.order = shift.order.revision;
--- a/packages/policy/src/VersionShiftVerdict.cpp
+++ b/packages/policy/src/VersionShiftVerdict.cpp
@@ -98,7 +98,7 @@
     if (isRunning && found->second.order.target == version) {
         Shift& shift = found->second;
         ShiftEvidence& own = shift.own;
-        countLosses(shift, memory, now);
+        countCrashes(shift, now);
         const ShiftEvidence before = own;
         if (outcome.endpointEnded) {
             shift.losses.push_back({ now, kind, endpointPlace(outcome.endpoint) });
@@ -137,10 +137,9 @@
     background.at = now;
 }
 
-// Asked for in each turn as well: the next answer of the target may come long after, when what the other versions lost is forgotten.
-void VersionShifts::countLosses(Shift& shift, const ServiceMemory& memory, SteadyTime now)
+void VersionShifts::countCrashes(Shift& shift, SteadyTime now) const
 {
-    const std::size_t counted = std::erase_if(shift.losses, [&](const Loss& loss) {
+    std::erase_if(shift.losses, [&](const Loss& loss) {
         if (now - loss.at < m_settings.crashPatience)
             return false;
         ++shift.own.failures.bad;
@@ -149,8 +148,6 @@
         shift.fleetByKind.addSettled(loss.kind, loss.endpoint, { 0, 1 });
         return true;
     });
-    if (counted > 0)
-        judge(shift, memory, now);
 }
 
 bool VersionShifts::isKnownCrash(ServiceMemory& memory, const VersionOutcome& outcome, SteadyTime now) const
