Count how connects to endpoints end, and call a refusal without a connection by its name

What operators saw: an instance that lost its ways to all endpoints refused its callers as overloaded, 340 times in the logs of the incident, though nothing was full; no metric told of a connect. So the hypotheses (no way, full endpoints, wrong ejections) could only be told apart line by line.

Change: HttpCallProgress says how the connect ended; whinyard_endpoint_connects_total counts it by outcome; a request that reached no endpoint is refused as noEndpoint (503 as before, the same Retry-After).

Whether requests are served is as before.

--- a/packages/endpoint/testing/whinyard/endpoint/FakeHttpClient.h
+++ b/packages/endpoint/testing/whinyard/endpoint/FakeHttpClient.h
@@ -103,6 +103,7 @@
             exchange = exchanges.front();
             exchanges.pop_front();
         }
+        progress.connect = exchange.bytesWritten == 0 ? net::ConnectOutcome::refused : net::ConnectOutcome::connected;
         progress.bytesWritten = exchange.bytesWritten;
         progress.responseStarted = !exchange.connectionLost || !exchange.pieces.empty();
         return exchange;
--- a/packages/net/include/whinyard/net/HttpClient.h
+++ b/packages/net/include/whinyard/net/HttpClient.h
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -52,8 +53,17 @@
     HttpCancellation* cancellation = nullptr; // Must outlive the call, for a stream until its head.
 };
 
+// How the connection for a call came about.
+enum class ConnectOutcome : std::uint8_t {
+    notTried, // A kept connection was used, or the call failed before.
+    connected,
+    refused, // The server's machine, or one on the way, answered that there is no connection.
+    silent, // No answer in time.
+};
+
 // What is known of a call. Failure::runState is filled from it: notRun while bytesWritten is zero.
 struct HttpCallProgress {
+    ConnectOutcome connect = ConnectOutcome::notTried;
     std::size_t bytesWritten = 0; // Bytes handed to a connected socket; zero proves that nothing arrived.
     bool responseStarted = false;
 };
--- a/packages/net/src/FrameClient.cpp
+++ b/packages/net/src/FrameClient.cpp
@@ -51,8 +51,9 @@
         {
             for (;;) {
                 auto connection = options.freshConnection ? nullptr : pool.takeKept(address);
+                ConnectOutcome ignored {};
                 if (!connection)
-                    connection = pool.connect(address, std::min(deadline, std::chrono::steady_clock::now() + options.connectTimeout), failure);
+                    connection = pool.connect(address, std::min(deadline, std::chrono::steady_clock::now() + options.connectTimeout), ignored, failure);
                 if (!connection)
                     return nullptr;
                 connection->socket.expireAt(deadline);
--- a/packages/net/src/internal/ConnectionPool.cpp
+++ b/packages/net/src/internal/ConnectionPool.cpp
@@ -39,7 +39,7 @@
     return nullptr;
 }
 
-std::unique_ptr<ClientConnection> ConnectionPool::connect(const Address& address, SteadyTime deadline, Failure& failure)
+std::unique_ptr<ClientConnection> ConnectionPool::connect(const Address& address, SteadyTime deadline, ConnectOutcome& outcome, Failure& failure)
 {
     const auto endpoint = toEndpoint<tcp>(address, failure);
     if (!endpoint)
@@ -48,6 +48,8 @@
     connection->socket.expireAt(deadline);
     error_code error;
     connection->socket.connect(*endpoint, error);
+    outcome = !error ? ConnectOutcome::connected : error == asio::error::timed_out ? ConnectOutcome::silent
+                                                                                   : ConnectOutcome::refused;
     if (!error)
         return connection;
     const std::string why = error == asio::error::timed_out ? "no answer in time" : error.message();
--- a/packages/net/src/internal/ConnectionPool.h
+++ b/packages/net/src/internal/ConnectionPool.h
@@ -7,6 +7,7 @@
 #include "whinyard/base/Error.h"
 #include "whinyard/net/Address.h"
 #include "whinyard/net/Duty.h"
+#include "whinyard/net/HttpClient.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 
@@ -43,7 +44,7 @@
     std::unique_ptr<ClientConnection> takeKept(const Address& address);
 
     // Returns a new connection, or null with the reason.
-    std::unique_ptr<ClientConnection> connect(const Address& address, SteadyTime deadline, Failure& failure);
+    std::unique_ptr<ClientConnection> connect(const Address& address, SteadyTime deadline, ConnectOutcome& outcome, Failure& failure);
 
     // Keeps a connection on which the last answer has ended.
     void keep(const Address& address, std::unique_ptr<ClientConnection> connection);
--- a/packages/net/src/internal/HttpExchange.cpp
+++ b/packages/net/src/internal/HttpExchange.cpp
@@ -101,7 +101,7 @@
 {
     m_connection = m_mayReuse ? m_pool.takeKept(m_address) : nullptr;
     if (!m_connection)
-        m_connection = m_pool.connect(m_address, std::min(m_deadline, std::chrono::steady_clock::now() + m_options.connectTimeout), failure);
+        m_connection = m_pool.connect(m_address, std::min(m_deadline, std::chrono::steady_clock::now() + m_options.connectTimeout), m_progress.connect, failure);
     if (!m_connection)
         return false;
     m_connection->socket.expireAt(m_deadline);
--- a/packages/net/test/HttpClientTest.cpp
+++ b/packages/net/test/HttpClientTest.cpp
@@ -116,6 +116,7 @@
         EXPECT_EQ(failure.kind, ErrorKind::endpointFailed);
         EXPECT_EQ(failure.runState, RunState::unknown);
         EXPECT_GT(progress.bytesWritten, 0U);
+        EXPECT_EQ(progress.connect, ConnectOutcome::connected);
 
         acceptor.close();
         call([] {});
@@ -123,6 +124,7 @@
         EXPECT_EQ(failure.kind, ErrorKind::peerUnreachable);
         EXPECT_EQ(failure.runState, RunState::notRun);
         EXPECT_EQ(progress.bytesWritten, 0U);
+        EXPECT_EQ(progress.connect, ConnectOutcome::refused);
     }
 
     TEST_F(HttpClientTest, StopsAtItsTimeoutAndItsBodyLimit)
--- a/packages/router/src/internal/ForwardAttempt.cpp
+++ b/packages/router/src/internal/ForwardAttempt.cpp
@@ -11,6 +11,23 @@
 
     constexpr int firstFailureStatus = 300;
 
+    void countConnect(Metrics& metrics, net::ConnectOutcome outcome)
+    {
+        switch (outcome) {
+        case net::ConnectOutcome::connected:
+            metrics.add("whinyard_endpoint_connects_total{outcome=\"connected\"}");
+            break;
+        case net::ConnectOutcome::refused:
+            metrics.add("whinyard_endpoint_connects_total{outcome=\"refused\"}");
+            break;
+        case net::ConnectOutcome::silent:
+            metrics.add("whinyard_endpoint_connects_total{outcome=\"silent\"}");
+            break;
+        case net::ConnectOutcome::notTried:
+            break;
+        }
+    }
+
 }
 
 ForwardAttempt::ForwardAttempt(ForwardCore& core, const ForwardedRequest& request, AttemptTarget target, PlacePermit permit)
@@ -32,6 +49,7 @@
     options.lastRequest = true;
     options.cancellation = &m_cancellation;
     m_stream = m_core.parts.client.open(m_target.endpoint.address, m_core.parts.codec.encodeAttempt(m_request, head), options, m_progress, m_failure);
+    countConnect(m_core.parts.metrics, m_progress.connect);
     if (m_stream)
         return judgeHead();
     m_connectionLost = wasSent() && m_failure.kind == ErrorKind::endpointFailed;
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -368,7 +368,7 @@
         failure.kind = ErrorKind::endpointFailed;
     // Nothing was begun, whatever kept it from being sent: the caller may try again.
     if (m_runState == RunState::notRun && !promisesNotRun(failure.kind) && failure.kind != ErrorKind::unknownRoute && failure.kind != ErrorKind::unauthenticated && failure.kind != ErrorKind::queryOfDeath)
-        failure.kind = ErrorKind::overloaded;
+        failure.kind = failure.kind == ErrorKind::peerUnreachable ? ErrorKind::noEndpoint : ErrorKind::overloaded;
     if (m_runState == RunState::notRun && failure.retryAfter.count() == 0 && failure.kind != ErrorKind::queryOfDeath)
         failure.retryAfter = m_core.settings.comeBackAfter;
     log::info("refused", { { "request", m_request.id }, { "kind", std::string(answerFor(failure.kind).name) }, { "notRun", failure.runState == RunState::notRun ? "true" : "false" }, { "reason", failure.reason }, { "retryAfterMs", text(failure.retryAfter) }, { "elapsedMs", text(now() - m_arrived) } });
