--- a/packages/router/testing/whinyard/router/ForwarderFleet.h
+++ b/packages/router/testing/whinyard/router/ForwarderFleet.h
@@ -118,6 +118,15 @@
         }
     }
 
+    // How an instance that is partitioned from endpoints sees its connects fail.
+    enum class Partition : std::uint8_t {
+        none,
+        refuses, // At once.
+        hangs, // Until the time for connecting is over.
+    };
+
+    void partition(std::size_t instance, Partition how) { m_partitions[instance] = how; }
+
     std::size_t served = 0;
     std::size_t refused = 0;
     double lostNotices = 0;
@@ -140,6 +149,8 @@
     {
         ForwarderBench& caller = bench(instance);
         caller.client.onCall = [this, instance] { answer(instance); };
+        if (loseConnect(instance))
+            return;
         FleetEndpoint& called = endpoint(std::string(net::fieldValue(caller.client.requests.back().fields, "endpoint")));
         called.arrivals.push_back({ instance, caller.clock.now() });
         endpoint::FakeExchange& exchange = caller.answer(200, { "whole" });
@@ -149,7 +160,20 @@
         called.toldAt.try_emplace(instance, caller.clock.now());
     }
 
+    // Has the connect fail where the instance is partitioned. Returns whether it does.
+    bool loseConnect(std::size_t instance)
+    {
+        const auto found = m_partitions.find(instance);
+        if (found == m_partitions.end() || found->second == Partition::none)
+            return false;
+        if (found->second == Partition::hangs)
+            advance(bench(instance).client.options.back().connectTimeout);
+        bench(instance).lose(0);
+        return true;
+    }
+
     Random m_random;
+    std::map<std::size_t, Partition> m_partitions;
     std::vector<std::unique_ptr<ForwarderBench>> m_benches;
     std::map<std::string, FleetEndpoint> m_endpoints;
     double m_due = 0;
