Connect by way of another process: a relay that knows CONNECT alone, and calls that use it

For instances that lose their paths to endpoints. The server side passes bytes on in both directions, closes the server's connection as soon as the client leaves, and resets the client's where the server's was reset, so that a cut answer doesn't look whole. A call by way of it counts bytes as written only once the relay has said that the connection stands; HttpCallProgress says whether the relay, or the server behind it, is at fault.

ConnectRelayTest: whole answers, why there is no connection, a client that leaves, a cut answer, a drain. Nothing uses it yet.

--- a/packages/net/include/whinyard/net/HttpClient.h
+++ b/packages/net/include/whinyard/net/HttpClient.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace whinyard::net {
 
@@ -51,6 +52,10 @@
     bool findsDeadPeer = false; // Ends the call some three seconds after its server or the way to it is gone, also while it waits.
     std::size_t bodyLimit = 16 * 1024 * 1024;
     HttpCancellation* cancellation = nullptr; // Must outlive the call, for a stream until its head.
+    // Where set, the relay at this address makes the connection, within `connectTimeout` for the whole way; see ConnectRelay.h.
+    // Such a connection is never reused.
+    std::optional<Address> relay {};
+    std::vector<HttpField> relayFields {}; // That the relay is told.
 };
 
 // How the connection for a call came about.
@@ -59,6 +64,8 @@
     connected,
     refused, // The server's machine, or one on the way, answered that there is no connection.
     silent, // No answer in time.
+    relayUnreachable, // No answer of the relay.
+    relayDeclined, // The relay hasn't tried to connect to the server.
 };
 
 // What is known of a call. Failure::runState is filled from it: notRun while bytesWritten is zero.
--- a/packages/net/src/internal/ConnectionPool.cpp
+++ b/packages/net/src/internal/ConnectionPool.cpp
@@ -2,11 +2,15 @@
 
 #include "internal/Endpoint.h"
 
+#include "internal/BeastMessage.h"
+
 #include <boost/asio.hpp>
+#include <boost/beast/http.hpp>
 
 namespace whinyard::net::internal {
 
 namespace asio = boost::asio;
+namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
 
@@ -17,6 +21,36 @@
     constexpr std::chrono::seconds sweepInterval { 10 };
     constexpr std::size_t maximumKept = 512; // For each address.
 
+    ConnectOutcome outcomeOf(http::status answer)
+    {
+        switch (answer) {
+        case http::status::ok:
+            return ConnectOutcome::connected;
+        case http::status::bad_gateway:
+            return ConnectOutcome::refused;
+        case http::status::gateway_timeout:
+            return ConnectOutcome::silent;
+        default:
+            return ConnectOutcome::relayDeclined;
+        }
+    }
+
+    // Asks a relay for a connection. An error means that it gave no answer.
+    ConnectOutcome askRelay(ClientConnection& connection, const std::vector<HttpField>& fields, const Address& address, error_code& error)
+    {
+        constexpr unsigned version11 = 11;
+        http::request<http::empty_body> request(http::verb::connect, toText(address), version11);
+        addFields(request, fields);
+        request.set(http::field::host, toText(address));
+        http::write(connection.socket, request, error);
+        if (error)
+            return ConnectOutcome::relayUnreachable;
+        http::response_parser<http::empty_body> answer;
+        answer.skip(true);
+        http::read_header(connection.socket, connection.buffer, answer, error);
+        return error ? ConnectOutcome::relayUnreachable : outcomeOf(answer.get().result());
+    }
+
 }
 
 std::unique_ptr<ClientConnection> ConnectionPool::takeKept(const Address& address)
@@ -57,6 +91,25 @@
     return nullptr;
 }
 
+std::unique_ptr<ClientConnection> ConnectionPool::connectThrough(const Address& relay, const std::vector<HttpField>& fields, const Address& address, SteadyTime deadline, ConnectOutcome& outcome, Failure& failure)
+{
+    auto connection = connect(relay, deadline, outcome, failure);
+    if (!connection) {
+        outcome = ConnectOutcome::relayUnreachable;
+        return nullptr;
+    }
+    error_code error;
+    outcome = askRelay(*connection, fields, address, error);
+    if (outcome == ConnectOutcome::connected) {
+        connection->socket.resetBytesWritten(); // What the relay was told hasn't reached the server.
+        return connection;
+    }
+    const std::string why = outcome == ConnectOutcome::relayUnreachable ? error.message() : outcome == ConnectOutcome::relayDeclined ? "it declines"
+                                                                                                                                     : "it can't connect";
+    failure = Failure { ErrorKind::peerUnreachable, "no connection to " + toText(address) + " by way of " + toText(relay) + ": " + why };
+    return nullptr;
+}
+
 void ConnectionPool::keep(const Address& address, std::unique_ptr<ClientConnection> connection)
 {
     const SteadyTime now = SystemClock().now();
--- a/packages/net/src/internal/ConnectionPool.h
+++ b/packages/net/src/internal/ConnectionPool.h
@@ -46,6 +46,9 @@
     // Returns a new connection, or null with the reason.
     std::unique_ptr<ClientConnection> connect(const Address& address, SteadyTime deadline, ConnectOutcome& outcome, Failure& failure);
 
+    // Returns a new connection to the server at `address` that the relay has made.
+    std::unique_ptr<ClientConnection> connectThrough(const Address& relay, const std::vector<HttpField>& fields, const Address& address, SteadyTime deadline, ConnectOutcome& outcome, Failure& failure);
+
     // Keeps a connection on which the last answer has ended.
     void keep(const Address& address, std::unique_ptr<ClientConnection> connection);
 
--- a/packages/net/src/internal/FiberSocket.cpp
+++ b/packages/net/src/internal/FiberSocket.cpp
@@ -248,6 +248,13 @@
     return hasPeerClosed(m_core->socket);
 }
 
+std::optional<tcp::endpoint> FiberSocket::peer() const
+{
+    error_code error;
+    const tcp::endpoint peer = m_core->socket.remote_endpoint(error);
+    return error ? std::nullopt : std::optional(peer);
+}
+
 bool FiberSocket::isReadable() const
 {
     return !isOpen() || polled(m_core->socket, POLLIN | POLLRDHUP, POLLIN | POLLRDHUP | POLLHUP | POLLERR);
--- a/packages/net/src/internal/FiberSocket.h
+++ b/packages/net/src/internal/FiberSocket.h
@@ -15,6 +15,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace whinyard::net::internal {
 
@@ -108,6 +109,9 @@
     // Returns whether a read would return something now: bytes, the peer's close or an error.
     bool isReadable() const;
 
+    // Returns the address of the peer; nothing once the connection has ended.
+    std::optional<boost::asio::ip::tcp::endpoint> peer() const;
+
     bool isOpen() const { return m_core->socket.is_open(); }
 
     // Closes our direction after what was written; reading goes on.
--- a/packages/net/src/internal/HttpExchange.cpp
+++ b/packages/net/src/internal/HttpExchange.cpp
@@ -53,7 +53,7 @@
     , m_options(options)
     , m_progress(progress)
     , m_deadline(std::chrono::steady_clock::now() + options.timeout)
-    , m_mayReuse(!options.freshConnection)
+    , m_mayReuse(!options.freshConnection && !options.relay)
 {
 }
 
@@ -100,8 +100,11 @@
 bool HttpExchange::takeConnection(Failure& failure)
 {
     m_connection = m_mayReuse ? m_pool.takeKept(m_address) : nullptr;
-    if (!m_connection)
-        m_connection = m_pool.connect(m_address, std::min(m_deadline, std::chrono::steady_clock::now() + m_options.connectTimeout), m_progress.connect, failure);
+    const SteadyTime connectBy = std::min(m_deadline, std::chrono::steady_clock::now() + m_options.connectTimeout);
+    if (!m_connection && m_options.relay)
+        m_connection = m_pool.connectThrough(*m_options.relay, m_options.relayFields, m_address, connectBy, m_progress.connect, failure);
+    else if (!m_connection)
+        m_connection = m_pool.connect(m_address, connectBy, m_progress.connect, failure);
     if (!m_connection)
         return false;
     m_connection->socket.expireAt(m_deadline);
--- /dev/null
+++ b/packages/net/test/ConnectRelayTest.cpp
@@ -0,0 +1,162 @@
+// Calls by way of a relay: what their caller learns, and what their server sees of it.
+#include "whinyard/net/ConnectRelay.h"
+
+#include "whinyard/net/HttpClient.h"
+#include "whinyard/net/RawConnection.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace whinyard::net {
+namespace {
+
+    using std::chrono::milliseconds;
+    using testing::RawConnection;
+
+    class ConnectRelayTest : public ::testing::Test {
+    protected:
+        ConnectRelayTest()
+            : m_acceptor(m_loop, { boost::asio::ip::address_v4::loopback(), 0 })
+            , m_server { "127.0.0.1", m_acceptor.local_endpoint().port() }
+        {
+            runOn(m_duty, [this] {
+                Failure failure;
+                m_client = HttpClient::create(m_duty);
+                m_relay = ConnectRelay::open(
+                    m_duty, { "127.0.0.1", 0 }, {}, [this](const RelayedConnect& connect) {
+                        m_asked = connect;
+                        return m_opens ? std::optional(connect.server) : std::nullopt;
+                    },
+                    failure);
+                m_options.relay = m_relay->address();
+            });
+            m_options.relayFields = { { "Endpoint", "e1" } };
+        }
+
+        ~ConnectRelayTest() override
+        {
+            runOn(m_duty, [this] {
+                m_relay.reset();
+                m_client.reset();
+            });
+        }
+
+        // Makes a call on the duty while `serve` plays the server on this thread.
+        void call(const std::function<void()>& serve)
+        {
+            std::thread caller([this] {
+                runOn(m_duty, [this] { m_response = m_client->call(m_server, { "POST", "/x", {}, "body" }, m_options, m_progress, m_failure); });
+            });
+            serve();
+            caller.join();
+        }
+
+        std::size_t active()
+        {
+            return *callOn(m_duty, [this] { return m_relay->active(); });
+        }
+
+        bool becomesIdle()
+        {
+            for (int looks = 0; looks < 100 && active() > 0; ++looks)
+                std::this_thread::sleep_for(milliseconds(20));
+            return active() == 0;
+        }
+
+        boost::asio::io_context m_loop;
+        boost::asio::ip::tcp::acceptor m_acceptor;
+        Address m_server;
+        Duty m_duty { "relay" };
+        std::unique_ptr<HttpClient> m_client;
+        std::unique_ptr<ConnectRelay> m_relay;
+        bool m_opens = true;
+        std::optional<RelayedConnect> m_asked;
+        HttpCallOptions m_options;
+        HttpCallProgress m_progress;
+        std::optional<HttpResponse> m_response;
+        Failure m_failure;
+    };
+
+    TEST_F(ConnectRelayTest, PassesACallOnUnchanged)
+    {
+        std::string body(300'000, 'x');
+        call([&] {
+            RawConnection server(m_acceptor);
+            EXPECT_EQ(server.readUntil("body").substr(0, 17), "POST /x HTTP/1.1\r");
+            server.write("HTTP/1.1 200 OK\r\nContent-Length: 300000\r\nConnection: close\r\n\r\n" + body);
+        });
+        ASSERT_TRUE(m_response) << m_failure.reason;
+        EXPECT_EQ(m_response->body, body);
+        EXPECT_EQ(m_progress.connect, ConnectOutcome::connected);
+        EXPECT_GT(m_progress.bytesWritten, 0U);
+        ASSERT_TRUE(m_asked);
+        EXPECT_EQ(m_asked->server, m_server);
+        EXPECT_EQ(m_asked->from.host, "127.0.0.1");
+        EXPECT_EQ(fieldValue(m_asked->fields, "Endpoint"), "e1");
+        EXPECT_TRUE(becomesIdle());
+    }
+
+    // Guards against a request that counts as possibly run, or as refused by its server, because a relay didn't connect.
+    TEST_F(ConnectRelayTest, TellsWhyThereIsNoConnection)
+    {
+        m_opens = false;
+        call([] {});
+        EXPECT_EQ(m_progress.connect, ConnectOutcome::relayDeclined);
+        m_opens = true;
+        m_acceptor.close();
+        call([] {});
+        EXPECT_EQ(m_progress.connect, ConnectOutcome::refused);
+        runOn(m_duty, [this] { m_relay->close(); });
+        call([] {});
+        EXPECT_EQ(m_progress.connect, ConnectOutcome::relayUnreachable);
+        EXPECT_FALSE(m_response);
+        EXPECT_EQ(m_progress.bytesWritten, 0U);
+        EXPECT_EQ(m_failure.kind, ErrorKind::peerUnreachable);
+        EXPECT_EQ(m_failure.runState, RunState::notRun);
+    }
+
+    // Guards against an endpoint that works on for a caller who has left the other end of a relay.
+    TEST_F(ConnectRelayTest, ClosesTheServersConnectionWhenItsClientLeaves)
+    {
+        HttpCancellation cancellation;
+        m_options.cancellation = &cancellation;
+        call([&] {
+            RawConnection server(m_acceptor);
+            server.readUntil("body");
+            runOn(m_duty, [&] { cancellation.cancel(); });
+            EXPECT_EQ(server.readAll(), "") << "the connection ends";
+        });
+        EXPECT_EQ(m_failure.runState, RunState::unknown) << "the request was written";
+        EXPECT_TRUE(becomesIdle());
+    }
+
+    // Guards against an answer without a length that was cut and looks whole.
+    TEST_F(ConnectRelayTest, ShowsACutAnswerAsCut)
+    {
+        call([&] {
+            RawConnection server(m_acceptor);
+            server.readUntil("body");
+            server.write("HTTP/1.1 200 OK\r\n\r\nhalf of it");
+            std::this_thread::sleep_for(milliseconds(50));
+            server.reset();
+        });
+        EXPECT_FALSE(m_response);
+    }
+
+    TEST_F(ConnectRelayTest, LetsConnectionsThatStandEndWhileItDrains)
+    {
+        call([&] {
+            RawConnection server(m_acceptor);
+            server.readUntil("body");
+            runOn(m_duty, [this] { m_relay->drain(); });
+            EXPECT_FALSE(*callOn(m_duty, [this] { return m_relay->isDrained(); }));
+            server.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        });
+        ASSERT_TRUE(m_response) << m_failure.reason;
+        call([] {});
+        EXPECT_EQ(m_progress.connect, ConnectOutcome::relayUnreachable) << "it takes no further ones";
+    }
+
+}
+}
--- a/packages/net/testing/whinyard/net/RawConnection.h
+++ b/packages/net/testing/whinyard/net/RawConnection.h
@@ -51,6 +51,13 @@
 
     void close() { m_socket.close(); }
 
+    // Closes with a reset in place of a proper end.
+    void reset()
+    {
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0));
+        m_socket.close();
+    }
+
 private:
     boost::asio::io_context m_loop;
     boost::asio::ip::tcp::socket m_socket;
