State how long a dead peer's connection lives, also while sent bytes aren't acknowledged

A TCP_USER_TIMEOUT, whoever sets it, decides when keep-alive probes give up, whatever their count. Nothing set or asserted one, so the three seconds of findDeadPeer() held by the absence of another setting. And they didn't hold while anything that was sent wasn't acknowledged: such a connection isn't probed. It is now set to what the probes take. FiberSocketTest.GivesUpADeadPeerWhenItsProbesAreOver compares the two; without the change the option is 0 and it fails.

--- a/packages/net/src/internal/FiberSocket.cpp
+++ b/packages/net/src/internal/FiberSocket.cpp
@@ -233,14 +233,19 @@
     constexpr int idleSeconds = 1;
     constexpr int probeSeconds = 1;
     constexpr int probes = 2;
+    // Where it is set, this decides when probes give up, whatever their number; it also ends a connection on which what was sent
+    // isn't acknowledged, which is never probed.
+    constexpr int userTimeoutMilliseconds = (idleSeconds + probes * probeSeconds) * 1'000;
     using Idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
     using Interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
     using Count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
     error_code ignored; // Without it the call's own bound holds.
     m_core->socket.set_option(asio::socket_base::keep_alive(true), ignored);
     m_core->socket.set_option(Idle(idleSeconds), ignored);
     m_core->socket.set_option(Interval(probeSeconds), ignored);
     m_core->socket.set_option(Count(probes), ignored);
+    m_core->socket.set_option(UserTimeout(userTimeoutMilliseconds), ignored);
 }
 
 bool FiberSocket::peerClosed() const
--- /dev/null
+++ b/packages/net/test/FiberSocketTest.cpp
@@ -0,0 +1,39 @@
+// How long a connection that has gone silent is taken for alive.
+#include "internal/FiberSocket.h"
+
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+#include <netinet/tcp.h>
+
+namespace whinyard::net::internal {
+namespace {
+
+    namespace asio = boost::asio;
+    using asio::ip::tcp;
+
+    int option(int descriptor, int name)
+    {
+        int value = -1;
+        socklen_t size = sizeof value;
+        EXPECT_EQ(::getsockopt(descriptor, IPPROTO_TCP, name, &value, &size), 0);
+        return value;
+    }
+
+    // Guards against probes that go on for longer than their number says: a TCP_USER_TIMEOUT, whoever set it, decides in its place.
+    TEST(FiberSocketTest, GivesUpADeadPeerWhenItsProbesAreOver)
+    {
+        constexpr int inSecond = 1'000;
+        asio::io_context loop;
+        tcp::acceptor acceptor(loop, { asio::ip::address_v4::loopback(), 0 });
+        tcp::socket connected(loop);
+        connected.connect(acceptor.local_endpoint());
+        const int descriptor = connected.native_handle();
+        FiberSocket socket(std::move(connected));
+        socket.findDeadPeer();
+        const int probed = option(descriptor, TCP_KEEPIDLE) + option(descriptor, TCP_KEEPCNT) * option(descriptor, TCP_KEEPINTVL);
+        EXPECT_EQ(probed, 3);
+        EXPECT_EQ(option(descriptor, TCP_USER_TIMEOUT), probed * inSecond);
+    }
+
+}
+}
