Reach endpoints by way of other instances where the own path to them is lost

Cause: a request had one way to an endpoint, from its own instance. Each connect that failed was judged as that endpoint's fault, so an instance that reached nothing went on from one sound endpoint to the next, 300 ms each where connects hang, and refused its callers as overloaded. Ruled out: full endpoints (no answer at all came, and the others served 99 of 100 from the same ones), wrong ejections (four connects each, also in the ninth second).

Change: such an instance has another one make the connection. policy::EndpointPaths decides for each service when the own path is lost (two different endpoints without a success between, and a relay that reaches one of them or four probes that fail), which relay is asked, and when four probes in a row end it. Where no relay helps either, requests are refused at once. The instance that took the request goes on deciding and counting everything, so that attempts, permits, deadline, bill and 'not run' hold as before; a relay connects only by its own path and to endpoints that it lists, for hosts of instances that it knows, so there is one hop. A failure by a lost path says nothing of the endpoint or its version.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -148,7 +148,7 @@
     m_server = net::HttpServer::open(m_duty, m_shared.settings.callers, serverLimits({}), forward, failure);
     if (m_server)
         m_readiness = net::HttpServer::open(m_duty, m_shared.settings.readiness, {}, tellReadiness, failure);
-    if (!m_readiness || !m_link.open(m_duty, failure))
+    if (!m_readiness || !m_link.open(m_duty, failure) || !openRelay(failure))
         return false;
     if (!m_shared.settings.peers) {
         m_forwarder->useInstances(1);
@@ -169,6 +169,32 @@
     m_link.usePlaces(m_places.get());
 }
 
+bool ServeDuty::openRelay(Failure& failure)
+{
+    if (!m_shared.settings.relay)
+        return true;
+    m_relay = net::ConnectRelay::open(
+        m_duty, *m_shared.settings.relay, {}, [this](const net::RelayedConnect& connect) { return relayTarget(connect); }, failure);
+    return m_relay != nullptr;
+}
+
+// Only other instances may connect by way of this one, and only to endpoints that it knows and reaches itself.
+std::optional<net::Address> ServeDuty::relayTarget(const net::RelayedConnect& connect)
+{
+    const EndpointName name { std::string(net::fieldValue(connect.fields, router::relayEndpointField)) };
+    const std::optional<backing::ListedEndpoint> endpoint = m_directory.findLive(name);
+    std::string reason;
+    if (!m_instanceHosts.contains(connect.from.host))
+        reason = "not asked by an instance that is known";
+    else if (!endpoint)
+        reason = "no such endpoint is known";
+    else if (!m_forwarder->reachesDirectly(endpoint->service))
+        reason = "this instance doesn't reach the endpoints of " + endpoint->service.value + " either";
+    log::info(reason.empty() ? "connection relayed" : "connection not relayed", { { "request", std::string(net::fieldValue(connect.fields, router::relayRequestField)) }, { "endpoint", name.value }, { "from", connect.from.host }, { "reason", reason } });
+    m_shared.metrics.add(reason.empty() ? "whinyard_relay_requests_total{outcome=\"taken\"}" : "whinyard_relay_requests_total{outcome=\"declined\"}");
+    return reason.empty() ? std::optional(endpoint->address) : std::nullopt;
+}
+
 void ServeDuty::noteNews()
 {
     m_forwarder->noteNews();
@@ -273,10 +299,16 @@
     m_duty.post([this, instances = std::move(instances)] {
         std::vector<InstanceName> names;
         std::map<InstanceName, net::Address> addresses;
+        std::map<InstanceName, net::Address> relays;
+        m_instanceHosts.clear();
         for (const peer::InstanceNotice& instance : instances) {
             names.push_back(instance.instance);
             addresses[instance.instance] = instance.address;
+            m_instanceHosts.insert(instance.address.host);
+            if (instance.instance != m_shared.settings.instance)
+                addRelay(instance, relays);
         }
+        m_forwarder->useRelays(std::move(relays));
         m_forwarder->useInstances(std::max<std::size_t>(1, names.size()));
         m_directory.useInstances(m_shared.settings.instance, names);
         m_link.useAddresses(std::move(addresses));
@@ -285,6 +317,14 @@
     });
 }
 
+// The ports of all instances are as far apart as those of this one.
+void ServeDuty::addRelay(const peer::InstanceNotice& instance, std::map<InstanceName, net::Address>& relays) const
+{
+    const settings::EntrySettings& settings = m_shared.settings;
+    if (settings.relay && settings.peers)
+        relays[instance.instance] = { instance.address.host, static_cast<std::uint16_t>(instance.address.port + settings.relay->port - settings.peers->port) };
+}
+
 void ServeDuty::broadcast(peer::Notice notice)
 {
     m_duty.post([this, notice = std::move(notice)] { m_link.broadcast(notice); });
@@ -366,12 +406,14 @@
 {
     const SteadyTime closing = std::min(m_shared.clock.now() + rotationNotice, end);
     m_server->announceClose();
+    if (m_relay)
+        m_relay->drain(); // What it carries ends with the requests of other instances; they find another relay.
     m_forwarder->endBy(end - lastAnswers);
     noteNews();
     while (m_shared.clock.now() < closing)
         net::sleepFor(drainPoll);
     m_server->drain();
-    while (m_forwarder->active() > 0 || !m_server->isDrained()) {
+    while (m_forwarder->active() > 0 || !m_server->isDrained() || (m_relay && !m_relay->isDrained())) {
         if (m_shared.clock.now() >= end)
             return false;
         net::sleepFor(drainPoll);
@@ -386,6 +428,8 @@
             m_server->close();
         if (m_readiness)
             m_readiness->close();
+        if (m_relay)
+            m_relay->close();
         m_link.close();
     });
     m_duty.stop();
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -9,6 +9,7 @@
 #include "whinyard/endpoint/EndpointDirectory.h"
 #include "whinyard/endpoint/EndpointRoster.h"
 #include "whinyard/leadership/UsageWindows.h"
+#include "whinyard/net/ConnectRelay.h"
 #include "whinyard/net/Duty.h"
 #include "whinyard/net/HttpServer.h"
 #include "whinyard/net/ListenProbe.h"
@@ -21,6 +22,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -109,6 +111,9 @@
     bool isReady();
     void useVersions(const ServiceName& service, const std::vector<std::string>& present);
     void openPlaces();
+    bool openRelay(Failure& failure);
+    std::optional<net::Address> relayTarget(const net::RelayedConnect& connect);
+    void addRelay(const peer::InstanceNotice& instance, std::map<InstanceName, net::Address>& relays) const;
     void noteNews();
     void refreshDirectory();
     void tickForwarder();
@@ -131,6 +136,8 @@
     std::unique_ptr<router::Forwarder> m_forwarder;
     std::unique_ptr<net::HttpServer> m_server;
     std::unique_ptr<net::HttpServer> m_readiness;
+    std::unique_ptr<net::ConnectRelay> m_relay; // Null where the settings have no address for it.
+    std::set<std::string> m_instanceHosts;
     std::atomic<bool> m_hasVerdicts = false;
     bool m_wasReady = false; // At the last question.
 };
--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -147,6 +147,13 @@
     // they run at once have no slots.
     std::vector<policy::PooledEndpoint> liveEndpoints(const VersionName& version) const;
 
+    // Returns the endpoint as it is listed; nothing where it isn't, or leaves.
+    std::optional<backing::ListedEndpoint> findLive(const EndpointName& name) const;
+
+    // Returns up to so many different endpoints of the service, drawn from the live ones of all its versions. The cost doesn't grow
+    // with their number.
+    std::vector<backing::ListedEndpoint> drawLive(const ServiceName& service, std::size_t count);
+
     // Returns the slots of the service's endpoints that are live and not in an evacuated zone, where they are fewer than
     // `bound`; nothing where they aren't, there are none, or one doesn't say how many it has. The cost grows with the bound.
     std::optional<std::uint64_t> slotsBelow(const ServiceName& service, std::uint64_t bound) const;
--- a/packages/endpoint/src/EndpointDirectory.cpp
+++ b/packages/endpoint/src/EndpointDirectory.cpp
@@ -265,6 +265,38 @@
     return sum;
 }
 
+std::optional<backing::ListedEndpoint> EndpointDirectory::findLive(const EndpointName& name) const
+{
+    const auto listed = m_listed.find(name);
+    return listed == m_listed.end() || !isLive(listed->second) ? std::nullopt : std::optional(listed->second);
+}
+
+std::vector<backing::ListedEndpoint> EndpointDirectory::drawLive(const ServiceName& service, std::size_t count)
+{
+    constexpr std::size_t drawsForEach = 4;
+    std::vector<const std::vector<policy::EndpointIndex>*> lists;
+    std::size_t size = 0;
+    for (const policy::TargetIndex target : targetsOf(service)) {
+        const policy::TargetMembers& members = m_table.members(target);
+        for (const auto* list : { &members.healthy, &members.probing, &members.ejected }) {
+            lists.push_back(list);
+            size += list->size();
+        }
+    }
+    std::vector<backing::ListedEndpoint> drawn;
+    for (std::size_t draws = 0; size > 0 && draws < count * drawsForEach && drawn.size() < std::min(count, size); ++draws) {
+        std::size_t position = below(m_random, size);
+        auto list = lists.begin();
+        for (; position >= (*list)->size(); ++list)
+            position -= (*list)->size();
+        const EndpointName& name = m_table.name((**list)[position]);
+        const bool isNew = std::none_of(drawn.begin(), drawn.end(), [&](const backing::ListedEndpoint& endpoint) { return endpoint.name == name; });
+        if (std::optional<backing::ListedEndpoint> live = isNew ? findLive(name) : std::nullopt)
+            drawn.push_back(std::move(*live));
+    }
+    return drawn;
+}
+
 std::size_t EndpointDirectory::coldEndpoints(SteadyTime now) const
 {
     return m_table.quotas().coldEndpoints(now);
--- a/packages/endpoint/testing/whinyard/endpoint/FakeHttpClient.h
+++ b/packages/endpoint/testing/whinyard/endpoint/FakeHttpClient.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <functional>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -17,6 +18,7 @@
     net::HttpResponse head;
     std::vector<std::string> pieces;
     std::function<void()> onRead {}; // Runs before each piece is read, as if that took time.
+    std::optional<net::ConnectOutcome> connect {}; // Without one: refused where no byte was written.
 };
 
 class FakeHttpClient final : public net::HttpClient {
@@ -98,12 +100,12 @@
         if (onCall)
             std::exchange(onCall, nullptr)();
         // A call that no test has scripted is lost after its first byte.
-        FakeExchange exchange { .bytesWritten = 1, .connectionLost = true, .head = {}, .pieces = {}, .onRead = {} };
+        FakeExchange exchange { .bytesWritten = 1, .connectionLost = true, .head = {}, .pieces = {}, .onRead = {}, .connect = {} };
         if (!exchanges.empty()) {
             exchange = exchanges.front();
             exchanges.pop_front();
         }
-        progress.connect = exchange.bytesWritten == 0 ? net::ConnectOutcome::refused : net::ConnectOutcome::connected;
+        progress.connect = exchange.connect.value_or(exchange.bytesWritten == 0 ? net::ConnectOutcome::refused : net::ConnectOutcome::connected);
         progress.bytesWritten = exchange.bytesWritten;
         progress.responseStarted = !exchange.connectionLost || !exchange.pieces.empty();
         return exchange;
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -12,6 +12,7 @@
 #include "whinyard/net/HttpClient.h"
 #include "whinyard/net/HttpServer.h"
 #include "whinyard/net/ListenProbe.h"
+#include "whinyard/policy/EndpointPaths.h"
 #include "whinyard/policy/EnginePrice.h"
 #include "whinyard/policy/ModelChoice.h"
 #include "whinyard/policy/QueryOfDeath.h"
@@ -22,7 +23,11 @@
 #include "whinyard/router/PlaceBroker.h"
 #include "whinyard/router/RoutingSource.h"
 
+#include <map>
 #include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace whinyard::router {
 
@@ -82,9 +87,14 @@
     double coldSlack = 5;
     bool accountMemory = false; // Keep engines from being given more than their KV cache holds.
     std::chrono::milliseconds connectTimeout { 300 }; // Many times the longest way within a region.
+    policy::EndpointPathSettings paths {};
     std::chrono::milliseconds comeBackAfter { 150 }; // Told with a refusal when nothing better is known.
 };
 
+// What an instance tells another one that connects for it: the endpoint's name, and the id of the request.
+inline constexpr std::string_view relayEndpointField = "Relay-Endpoint";
+inline constexpr std::string_view relayRequestField = "Relay-Request";
+
 // Returns the name under which the endpoints of a service's version stand in the directory.
 VersionName targetName(const ServiceName& service, const std::string& version);
 
@@ -106,6 +116,12 @@
     // policy::SharedAllowance.
     void useInstances(std::size_t count);
 
+    // Takes where the other instances that live make connections to endpoints for this one; see net::ConnectRelay.
+    void useRelays(std::map<InstanceName, net::Address> relays);
+
+    // Returns whether this instance reaches endpoints of the service by itself, so that others may connect by way of it.
+    bool reachesDirectly(const ServiceName& service) const;
+
     // Looks at the attempts that wait, and gives up those that are silent for much longer than was expected, or whose request is
     // refused by now. Call it about every 50 ms.
     void tick();
--- a/packages/router/src/Forwarder.cpp
+++ b/packages/router/src/Forwarder.cpp
@@ -41,7 +41,7 @@
 
 struct Forwarder::State {
     State(const ForwarderParts& parts, const ForwarderSettings& settings, Random random)
-        : core { .parts = parts, .settings = settings, .random = random, .sharedRepeats = policy::SharedAllowance(settings.sharedRepeats), .start = policy::StartForecast(parts.clock.now()), .news = parts.fibers.makeWakeup() }
+        : core { .parts = parts, .settings = settings, .random = random, .sharedRepeats = policy::SharedAllowance(settings.sharedRepeats), .start = policy::StartForecast(parts.clock.now()), .news = parts.fibers.makeWakeup(), .paths = policy::EndpointPaths(settings.paths, Random(random())) }
     {
     }
 
@@ -66,6 +66,48 @@
         return true;
     }
 
+    // Connects to some endpoints of a service without sending anything, at the same time.
+    void probe(const policy::PathProbe& wanted)
+    {
+        struct Round {
+            SteadyTime began;
+            std::size_t left = 0;
+            std::size_t connected = 0;
+            std::size_t failed = 0;
+        };
+        const std::vector<backing::ListedEndpoint> endpoints = core.parts.directory.drawLive(wanted.service, wanted.endpoints);
+        const auto round = std::make_shared<Round>(Round { core.parts.clock.now(), endpoints.size() });
+        if (endpoints.empty())
+            core.paths.recordProbes(wanted.service, 0, 0, round->began);
+        for (const backing::ListedEndpoint& endpoint : endpoints) {
+            core.parts.fibers.start([this, round, service = wanted.service, address = endpoint.address] {
+                const bool connected = core.parts.listening.ask(address, core.settings.connectTimeout) == net::Listening::yes;
+                ++(connected ? round->connected : round->failed);
+                core.parts.metrics.add(connected ? "whinyard_path_probes_total{outcome=\"connected\"}" : "whinyard_path_probes_total{outcome=\"failed\"}");
+                if (--round->left == 0)
+                    core.paths.recordProbes(service, round->connected, round->failed, round->began);
+            });
+        }
+    }
+
+    void tellPathChanges()
+    {
+        for (const policy::PathChange& change : core.paths.takeChanges()) {
+            const auto say = [&](std::string_view what) { log::warning(what, { { "service", change.service.value }, { "relays", std::to_string(core.relays.size()) } }); };
+            switch (change.state) {
+            case policy::PathChange::State::direct:
+                say("endpoints reached directly again");
+                break;
+            case policy::PathChange::State::relayed:
+                say("no direct path to endpoints, connecting by way of other instances");
+                break;
+            case policy::PathChange::State::lost:
+                say("no path to endpoints, not by way of other instances either");
+                break;
+            }
+        }
+    }
+
     // Refuses a request before any attempt.
     void refuse(const std::string& id, Failure failure, net::HttpResponder& responder)
     {
@@ -124,8 +166,25 @@
     m_state->core.sharedRepeats.useInstances(count, m_state->core.parts.clock.now());
 }
 
+void Forwarder::useRelays(std::map<InstanceName, net::Address> relays)
+{
+    std::vector<InstanceName> names;
+    for (const auto& [name, address] : relays)
+        names.push_back(name);
+    m_state->core.relays = std::move(relays);
+    m_state->core.paths.useRelays(std::move(names));
+}
+
+bool Forwarder::reachesDirectly(const ServiceName& service) const
+{
+    return m_state->core.paths.isDirect(service);
+}
+
 void Forwarder::tick()
 {
+    m_state->tellPathChanges();
+    for (const policy::PathProbe& probe : m_state->core.paths.takeProbes(m_state->core.parts.clock.now()))
+        m_state->probe(probe);
     m_state->core.spreadSharedRepeats();
     m_state->core.notePrices();
     for (ForwardRun* run : m_state->core.runs)
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -80,8 +80,12 @@
         m_failure = { .kind = ErrorKind::deadlineExceeded, .reason = "the deadline passed", .runState = RunState::unknown };
     m_runState = std::max(m_runState, RunState::unknown);
     const bool wasGivenUp = m_callerLeft || m_isOverdue || m_guard.isRefused();
-    const net::Listening listening = attempt.connectionLost() ? inquire(attempt) : net::Listening::unknown;
-    if (wasGivenUp) {
+    // Where the path may be at fault, nothing is said of the endpoint and its version.
+    const bool isPathSuspect = hasLostPath(attempt) || (attempt.isRelayed() && attempt.connectionLost());
+    const net::Listening listening = attempt.connectionLost() && !isPathSuspect ? inquire(attempt) : net::Listening::unknown;
+    if (isPathSuspect)
+        log::info("attempt lost with its path", { { "request", m_request.id }, { "endpoint", attempt.target().endpoint.name.value }, { "reason", m_failure.reason }, { "elapsedMs", text(attempt.age()) } });
+    if (wasGivenUp || isPathSuspect) {
         attempt.end(endpoint::EndpointOutcome::cancelled);
         return AttemptEnd::broken;
     }
--- a/packages/router/src/internal/ForwardAttempt.cpp
+++ b/packages/router/src/internal/ForwardAttempt.cpp
@@ -1,5 +1,6 @@
 #include "internal/ForwardAttempt.h"
 
+#include "internal/ForwardText.h"
 #include "whinyard/base/Log.h"
 
 namespace whinyard::router {
@@ -11,6 +12,44 @@
 
     constexpr int firstFailureStatus = 300;
 
+    // Each may take as long as it waits for the endpoint.
+    constexpr std::size_t mostRelaysAsked = 3;
+
+    policy::RelayOutcome relayOutcome(net::ConnectOutcome outcome)
+    {
+        switch (outcome) {
+        case net::ConnectOutcome::connected:
+            return policy::RelayOutcome::connected;
+        case net::ConnectOutcome::refused:
+        case net::ConnectOutcome::silent:
+            return policy::RelayOutcome::endpointUnreachable;
+        case net::ConnectOutcome::relayDeclined:
+            return policy::RelayOutcome::declined;
+        case net::ConnectOutcome::notTried:
+        case net::ConnectOutcome::relayUnreachable:
+            break;
+        }
+        return policy::RelayOutcome::unreachable;
+    }
+
+    void countRelayed(Metrics& metrics, policy::RelayOutcome outcome)
+    {
+        switch (outcome) {
+        case policy::RelayOutcome::connected:
+            metrics.add("whinyard_relayed_connects_total{outcome=\"connected\"}");
+            break;
+        case policy::RelayOutcome::endpointUnreachable:
+            metrics.add("whinyard_relayed_connects_total{outcome=\"endpointUnreachable\"}");
+            break;
+        case policy::RelayOutcome::declined:
+            metrics.add("whinyard_relayed_connects_total{outcome=\"declined\"}");
+            break;
+        case policy::RelayOutcome::unreachable:
+            metrics.add("whinyard_relayed_connects_total{outcome=\"unreachable\"}");
+            break;
+        }
+    }
+
     void countConnect(Metrics& metrics, net::ConnectOutcome outcome)
     {
         switch (outcome) {
@@ -24,6 +63,8 @@
             metrics.add("whinyard_endpoint_connects_total{outcome=\"silent\"}");
             break;
         case net::ConnectOutcome::notTried:
+        case net::ConnectOutcome::relayUnreachable:
+        case net::ConnectOutcome::relayDeclined:
             break;
         }
     }
@@ -39,6 +80,27 @@
 }
 
 HeadVerdict ForwardAttempt::open(const AttemptHead& head, std::chrono::milliseconds patience)
+{
+    const SteadyTime began = now();
+    std::optional<SteadyTime> directBegan;
+    if (m_core.paths.isDirect(m_target.service)) {
+        directBegan = began;
+        callDirectly(head, patience);
+    }
+    if (!directBegan || (failedToConnect() && m_core.paths.mayRelayAfter(m_target.service, began)))
+        callByRelays(head, patience - std::chrono::ceil<std::chrono::milliseconds>(now() - began), directBegan);
+    if (m_stream)
+        return judgeHead();
+    m_connectionLost = wasSent() && m_failure.kind == ErrorKind::endpointFailed;
+    return wasSent() ? HeadVerdict::broken : HeadVerdict::notRun;
+}
+
+bool ForwardAttempt::failedToConnect() const
+{
+    return m_progress.connect == net::ConnectOutcome::refused || m_progress.connect == net::ConnectOutcome::silent;
+}
+
+void ForwardAttempt::call(const AttemptHead& head, std::chrono::milliseconds patience, const InstanceName* relay)
 {
     net::HttpCallOptions options;
     options.connectTimeout = std::min(m_core.settings.connectTimeout, patience);
@@ -48,12 +110,51 @@
     options.freshConnection = true;
     options.lastRequest = true;
     options.cancellation = &m_cancellation;
-    m_stream = m_core.parts.client.open(m_target.endpoint.address, m_core.parts.codec.encodeAttempt(m_request, head), options, m_progress, m_failure);
+    if (relay) {
+        options.relay = m_core.relays.at(*relay);
+        options.relayFields = { { std::string(relayEndpointField), m_target.endpoint.name.value }, { std::string(relayRequestField), m_request.id } };
+    }
+    AttemptHead timed = head;
+    timed.timeLeft = std::min(head.timeLeft, patience);
+    m_stream = m_core.parts.client.open(m_target.endpoint.address, m_core.parts.codec.encodeAttempt(m_request, timed), options, m_progress, m_failure);
+}
+
+void ForwardAttempt::callDirectly(const AttemptHead& head, std::chrono::milliseconds patience)
+{
+    const SteadyTime began = now();
+    call(head, patience, nullptr);
     countConnect(m_core.parts.metrics, m_progress.connect);
-    if (m_stream)
-        return judgeHead();
-    m_connectionLost = wasSent() && m_failure.kind == ErrorKind::endpointFailed;
-    return wasSent() ? HeadVerdict::broken : HeadVerdict::notRun;
+    const bool isConnected = m_progress.connect == net::ConnectOutcome::connected;
+    if (isConnected || failedToConnect())
+        m_core.paths.recordDirect(m_target.service, m_target.endpoint.name, isConnected, began);
+}
+
+void ForwardAttempt::callByRelays(const AttemptHead& head, std::chrono::milliseconds patience, std::optional<SteadyTime> directBegan)
+{
+    const SteadyTime end = now() + patience;
+    std::vector<InstanceName> asked;
+    if (!directBegan) {
+        m_lacksPath = true;
+        m_failure = { .kind = ErrorKind::peerUnreachable, .reason = "no instance is known that reaches the endpoints of " + m_target.service.value };
+    }
+    while (asked.size() < mostRelaysAsked && !m_cancellation.cancelled()) {
+        const auto left = std::chrono::floor<std::chrono::milliseconds>(end - now());
+        const std::optional<InstanceName> relay = m_core.paths.drawRelay(m_target.service, asked, now());
+        if (left < shortestAttempt || !relay || !m_core.relays.contains(*relay))
+            return;
+        asked.push_back(*relay);
+        call(head, left, &*relay);
+        const policy::RelayOutcome outcome = relayOutcome(m_progress.connect);
+        countRelayed(m_core.parts.metrics, outcome);
+        const bool otherMayDoBetter = m_core.paths.recordRelay(m_target.service, *relay, outcome, directBegan, now());
+        m_lacksPath = m_lacksPath && outcome != policy::RelayOutcome::connected && otherMayDoBetter;
+        if (outcome == policy::RelayOutcome::connected) {
+            m_relay = relay;
+            log::info("attempt relayed", { { "request", m_request.id }, { "endpoint", m_target.endpoint.name.value }, { "by", relay->value } });
+        }
+        if (!otherMayDoBetter)
+            return;
+    }
 }
 
 HeadVerdict ForwardAttempt::judgeHead()
--- a/packages/router/src/internal/ForwardAttempt.h
+++ b/packages/router/src/internal/ForwardAttempt.h
@@ -54,9 +54,16 @@
     bool hasHead() const { return m_stream != nullptr; }
     bool timedOut() const { return m_failure.kind == ErrorKind::deadlineExceeded; }
     bool wasSent() const { return m_progress.bytesWritten > 0; }
+    bool isRelayed() const { return m_relay.has_value(); } // Its connection was made by another instance.
+    bool lacksPath() const { return m_lacksPath; } // Nobody has tried to connect to the endpoint, so nothing is known of it.
     std::chrono::nanoseconds age() const { return m_core.parts.clock.now() - m_use.began(); }
 
 private:
+    void call(const AttemptHead& head, std::chrono::milliseconds patience, const InstanceName* relay);
+    void callDirectly(const AttemptHead& head, std::chrono::milliseconds patience);
+    void callByRelays(const AttemptHead& head, std::chrono::milliseconds patience, std::optional<SteadyTime> directBegan);
+    bool failedToConnect() const;
+    SteadyTime now() const { return m_core.parts.clock.now(); }
     HeadVerdict judgeHead();
     void takeStatement();
     HeadVerdict fail(HeadVerdict verdict, ErrorKind kind, std::string reason);
@@ -68,6 +75,8 @@
     net::HttpCancellation m_cancellation;
     net::HttpCallProgress m_progress;
     std::unique_ptr<net::HttpStream> m_stream;
+    std::optional<InstanceName> m_relay;
+    bool m_lacksPath = false;
     bool m_connectionLost = false;
     EndpointReply m_reply;
     Failure m_failure;
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -147,6 +147,8 @@
     policy::SharedAllowance sharedRepeats;
     policy::StartForecast start;
     std::unique_ptr<Wakeup> news;
+    policy::EndpointPaths paths;
+    std::map<InstanceName, net::Address> relays {}; // Of the other instances.
     std::shared_ptr<const std::set<ZoneName>> evacuated {}; // As the directory knows them.
     std::shared_ptr<const config::RoutingTable> table {}; // Whose bounds the directory knows.
     std::map<ServiceName, policy::RetryBudget> budgets {};
--- a/packages/router/src/internal/ForwardPlaces.cpp
+++ b/packages/router/src/internal/ForwardPlaces.cpp
@@ -14,6 +14,9 @@
     // often knows other endpoints than the coordinator, and decides by itself.
     constexpr int mostAsked = 4;
 
+    // Paths are probed several times within it.
+    constexpr std::chrono::milliseconds lostPathComeBack { 500 };
+
 }
 
 bool ForwardRun::prepare()
@@ -35,6 +38,11 @@
         }
         if (!passGate())
             return false;
+        if (m_core.paths.isLost(m_service, now())) {
+            if (m_sent + m_refused == 0)
+                m_failure = { .kind = ErrorKind::noEndpoint, .reason = "no path to the endpoints of " + m_service.value + ", not by way of other instances either", .retryAfter = lostPathComeBack };
+            return false;
+        }
         place = takePlace(failure);
         if (place == PlaceVerdict::notNeeded)
             m_target = chooseTarget(failure);
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -32,6 +32,9 @@
     // attempts that failed: their answers are lost otherwise, and failures come many at once, when an engine crashes.
     constexpr double silencePart = 0.9;
 
+    // Of an attempt whose path is known to be lost, though its connection lives on.
+    constexpr std::chrono::nanoseconds lostPathPatience = std::chrono::milliseconds(200);
+
     // A newer configuration is read within some hundred milliseconds from another instance.
     constexpr std::chrono::milliseconds newerConfigurationWithin { 300 };
 
@@ -243,15 +246,24 @@
         m_current->cancel();
         return;
     }
-    if (!m_current || m_stalled || !mayMove() || now() - m_silentSince < patience())
+    if (!m_current || m_stalled || !mayMove())
+        return;
+    const bool lost = m_current->wasSent() && hasLostPath(*m_current);
+    if (now() - m_silentSince < (lost ? lostPathPatience : patience()))
         return;
     // Silence alone is no reason to end an answer: it is given up only for another attempt that is granted already.
-    if (!m_core.movesOf(m_service).take(now()) || !m_core.budgetOf(m_service).take(now(), silencePart))
+    if ((!lost && !m_core.movesOf(m_service).take(now())) || !m_core.budgetOf(m_service).take(now(), silencePart))
         return;
     m_stalled = true;
     m_current->cancel();
 }
 
+// The endpoint of an attempt by a path that is lost can't be blamed for its silence.
+bool ForwardRun::hasLostPath(const ForwardAttempt& attempt) const
+{
+    return !attempt.isRelayed() && !m_core.paths.isDirect(attempt.target().service);
+}
+
 ForwardRun::AttemptEnd ForwardRun::attempt()
 {
     ForwardAttempt attempt(m_core, m_request, *m_target, std::move(m_permit));
@@ -287,7 +299,8 @@
     switch (verdict) {
     case HeadVerdict::notRun:
         ++m_refused;
-        attempt.end(attempt.wasSent() ? endpoint::EndpointOutcome::turnedAway : endpoint::EndpointOutcome::unreachable);
+        attempt.end(attempt.wasSent() ? endpoint::EndpointOutcome::turnedAway : attempt.lacksPath() ? endpoint::EndpointOutcome::cancelled
+                                                                                                    : endpoint::EndpointOutcome::unreachable);
         m_failure = attempt.failure();
         end = AttemptEnd::notRun;
         break;
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -100,6 +100,7 @@
     AttemptHead headFor(const AttemptTarget& target) const;
     std::uint8_t endpointPriority() const;
     bool mayMove() const;
+    bool hasLostPath(const ForwardAttempt& attempt) const;
     bool isUnderWay() const { return streams() && m_events > 0; } // The present attempt's stream has brought events.
     std::chrono::nanoseconds patience() const;
 
--- a/packages/router/testing/whinyard/router/ForwarderFleet.h
+++ b/packages/router/testing/whinyard/router/ForwarderFleet.h
@@ -43,6 +43,8 @@
             bench(i).directory.useInstances(policy::instanceNamed(i), policy::instancesNamed(0, instances));
             bench(i).client.onCall = [this, i] { answer(i); };
         }
+        for (std::size_t i = 0; i < instances; ++i)
+            bench(i).forwarder.useRelays(relaysFor(i));
     }
 
     std::vector<std::string> endpointNames() const
@@ -58,10 +60,18 @@
     FleetEndpoint& endpoint(const std::string& name) { return m_endpoints.at(name); }
     SteadyTime now() const { return m_benches.front()->clock.now(); }
 
+    // Lets time pass, in which the instances do what they do at intervals.
     void advance(std::chrono::nanoseconds duration)
     {
         for (const auto& bench : m_benches)
             bench->clock.advance(duration);
+        if (m_isInCall || now() - m_tickedAt < tickInterval)
+            return;
+        m_tickedAt = now();
+        for (const auto& bench : m_benches) {
+            bench->forwarder.tick();
+            bench->fibers.runStarted();
+        }
     }
 
     // Lets so many requests a second come for `duration`, each at an instance that is drawn.
@@ -125,7 +135,12 @@
         hangs, // Until the time for connecting is over.
     };
 
-    void partition(std::size_t instance, Partition how) { m_partitions[instance] = how; }
+    void partition(std::size_t instance, Partition how)
+    {
+        m_partitions[instance] = how;
+        bench(instance).listening.answer = how == Partition::none ? net::Listening::yes : how == Partition::refuses ? net::Listening::no
+                                                                                                                    : net::Listening::unknown;
+    }
 
     std::size_t served = 0;
     std::size_t refused = 0;
@@ -137,6 +152,20 @@
 private:
     static constexpr std::chrono::milliseconds step { 1 };
     static constexpr std::chrono::milliseconds tellInterval { 50 };
+    static constexpr std::chrono::milliseconds tickInterval { 50 };
+    static constexpr std::chrono::milliseconds relayConnectTimeout { 150 };
+
+    static net::Address relayOf(std::size_t instance) { return { "10.1.0.1", static_cast<std::uint16_t>(instance) }; }
+
+    std::map<InstanceName, net::Address> relaysFor(std::size_t instance) const
+    {
+        std::map<InstanceName, net::Address> relays;
+        for (std::size_t i = 0; i < size(); ++i) {
+            if (i != instance)
+                relays[policy::instanceNamed(i)] = relayOf(i);
+        }
+        return relays;
+    }
 
     void tell(const RateNews& news, std::size_t to)
     {
@@ -160,15 +189,29 @@
         called.toldAt.try_emplace(instance, caller.clock.now());
     }
 
-    // Has the connect fail where the instance is partitioned. Returns whether it does.
-    bool loseConnect(std::size_t instance)
+    Partition partitionOf(std::size_t instance) const
     {
         const auto found = m_partitions.find(instance);
-        if (found == m_partitions.end() || found->second == Partition::none)
+        return found == m_partitions.end() ? Partition::none : found->second;
+    }
+
+    // Has the connect fail where the instance that makes it is partitioned: the one that calls, or its relay. Returns whether it does.
+    bool loseConnect(std::size_t instance)
+    {
+        const net::HttpCallOptions& options = bench(instance).client.options.back();
+        const std::size_t connecting = options.relay ? options.relay->port : instance;
+        const Partition partition = partitionOf(connecting);
+        if (partition == Partition::none)
             return false;
-        if (found->second == Partition::hangs)
-            advance(bench(instance).client.options.back().connectTimeout);
+        const bool declines = options.relay && !bench(connecting).forwarder.reachesDirectly({ "svc" });
+        if (partition == Partition::hangs && !declines) {
+            m_isInCall = true;
+            advance(options.relay ? std::min(relayConnectTimeout, options.connectTimeout) : options.connectTimeout);
+            m_isInCall = false;
+        }
         bench(instance).lose(0);
+        bench(instance).client.exchanges.back().connect = declines ? net::ConnectOutcome::relayDeclined : partition == Partition::hangs ? net::ConnectOutcome::silent
+                                                                                                                                        : net::ConnectOutcome::refused;
         return true;
     }
 
@@ -178,6 +221,8 @@
     std::map<std::string, FleetEndpoint> m_endpoints;
     double m_due = 0;
     SteadyTime m_toldAt;
+    SteadyTime m_tickedAt;
+    bool m_isInCall = false;
 };
 
 }
--- a/packages/settings/include/whinyard/settings/EntrySettings.h
+++ b/packages/settings/include/whinyard/settings/EntrySettings.h
@@ -65,6 +65,7 @@
     net::Address readiness; // Where the site asks whether this instance takes callers.
     std::optional<net::Address> metrics; // Where counters and latencies are read.
     std::optional<net::Address> peers; // Where other instances connect.
+    std::optional<net::Address> relay; // Where other instances have connections to endpoints made; as far from `peers` on all instances.
     std::vector<net::Address> seeds; // Of other instances; they may be outdated.
     StoreSettings store;
     std::optional<ProviderSettings> provider; // Absent: nothing is reported or ordered.
