Keep brittle endpoints from having to turn requests away

What callers would see: endpoints that say that they are brittle, and fall over for some seconds when they turn away more than a few requests in a second for want of room. Nothing read that word, and each instance knows its own requests only, so that several fill an endpoint together, and repeat at the next one what was turned away.

Change: the statement is decoded with the others. What one endpoint says holds for its service, until five seconds after the last word. Then an endpoint gets from each of its users no more requests at once than a whole part of its slots (EndpointQuotas::inFlightShare; users are neighbours in the order of the instances' hashes, so that nothing is told between instances and a choice doesn't grow with their number); its permits are no more than its slots; and an instance that was turned away pauses for a second there. What can't be placed is refused at once.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -223,6 +223,7 @@
     while (!m_shared.stopping) {
         m_directory.refresh(m_shared.clock.now());
         m_shared.metrics.set("whinyard_endpoints_cold", static_cast<double>(m_directory.coldEndpoints(m_shared.clock.now())));
+        m_shared.metrics.set("whinyard_versions_brittle", static_cast<double>(m_directory.brittleVersions()));
         if (m_shared.settings.tuning.accountMemory) {
             m_link.tellOverdueMemory();
             const policy::EngineMemory::Shares shares = m_directory.memoryShares(m_shared.clock.now());
--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -72,6 +72,7 @@
 struct StatementEffect {
     bool beganToLeave = false;
     bool beganToRest = false; // Or rests for longer than was known.
+    bool beganToBeBrittle = false; // Its service's endpoints, as far as is known.
 };
 
 class EndpointDirectory {
@@ -118,6 +119,12 @@
     // Returns what was learnt of endpoints' rates since the last call.
     std::vector<policy::RateReport> takeRateReports() { return m_rates.takeReports(); }
 
+    // Notes that an endpoint turned a request away. A brittle one gets none of this instance for a second.
+    void recordTurnedAway(const EndpointName& endpoint, SteadyTime now);
+
+    // Returns how many versions have endpoints that are brittle.
+    std::size_t brittleVersions() const { return m_brittle.size(); }
+
     // Returns how many endpoints state a rate that holds.
     std::size_t limitedEndpoints() const { return m_rates.size(); }
 
@@ -255,6 +262,7 @@
     std::vector<policy::ZoneIndex> zonesOfOwnRegion() const;
     std::vector<policy::EndpointIndex> indexesOf(const std::vector<EndpointName>& names) const;
     void useRate(const EndpointName& endpoint);
+    bool noteBrittle(const EndpointName& endpoint, SteadyTime now);
     void usePacesOf(const std::vector<backing::ListedEndpoint>& changed, const std::vector<EndpointName>& gone);
     void refreshPaces(SteadyTime now);
 
@@ -268,6 +276,7 @@
     std::set<ZoneName> m_evacuated;
     std::map<ServiceName, ColdBound> m_coldBounds;
     std::map<ServiceName, std::uint64_t> m_cacheTokens;
+    std::map<VersionName, SteadyTime> m_brittle; // Until when the endpoints of a version count as brittle.
     policy::EndpointPlan m_lastPlan;
     policy::StatedRates m_rates;
     const bool m_sharesPaces;
--- a/packages/endpoint/include/whinyard/endpoint/EndpointStatement.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointStatement.h
@@ -15,6 +15,7 @@
     bool isLeaving = false; // It takes no new work any more.
     std::chrono::milliseconds rest { 0 }; // For so long it wants no request of this instance.
     bool isRestUnreadable = false; // Then `rest` is the usual one.
+    bool isBrittle = false; // Ends when it has to turn away more than few requests in a second for want of room.
 
     bool isUnreadable() const { return isRateUnreadable || isRestUnreadable; }
 
@@ -26,6 +27,7 @@
     std::string_view rate; // Requests a second, a decimal number.
     std::string_view leaving; // "1", where the endpoint leaves.
     std::string_view rest; // Seconds, a decimal number.
+    std::string_view brittle {}; // Requests a second, a decimal number; one that can't be read stands for none.
 };
 
 // Stands for a rest that can't be read.
--- a/packages/endpoint/src/EndpointDirectory.cpp
+++ b/packages/endpoint/src/EndpointDirectory.cpp
@@ -15,6 +15,12 @@
     // Only another configuration lets such a request be served.
     constexpr std::chrono::milliseconds tooLargeUntil { 30'000 };
 
+    // After the last answer that said so.
+    constexpr std::chrono::seconds brittleFor { 5 };
+
+    // What a brittle endpoint bears is counted in this span.
+    constexpr std::chrono::seconds pauseAfterTurningAway { 1 };
+
     // Names the refusal that a plan without an endpoint stands for.
     Failure refusalOf(const policy::EndpointPlan& plan, const std::string& target)
     {
@@ -227,6 +233,7 @@
         useRate(endpoint);
     }
     StatementEffect effect;
+    effect.beganToBeBrittle = statement.isBrittle && noteBrittle(endpoint, now);
     // The list may have lapsed since the request was sent.
     const std::optional<policy::EndpointIndex> index = m_table.findRemembered(endpoint);
     if (index && statement.isLeaving && !m_table.row(*index).leaving) {
@@ -246,6 +253,27 @@
     useRate(news.endpoint);
 }
 
+// What one endpoint of a service states of it holds for the others of all its versions. Returns whether it is news.
+bool EndpointDirectory::noteBrittle(const EndpointName& endpoint, SteadyTime now)
+{
+    const auto listed = m_listed.find(endpoint);
+    if (listed == m_listed.end())
+        return false;
+    bool isNew = false;
+    for (const auto& [version, count] : m_live[listed->second.service])
+        isNew = m_brittle.insert_or_assign(version, now + brittleFor).second || isNew;
+    return isNew;
+}
+
+void EndpointDirectory::recordTurnedAway(const EndpointName& endpoint, SteadyTime now)
+{
+    const auto listed = m_listed.find(endpoint);
+    const std::optional<policy::EndpointIndex> index = m_table.find(endpoint);
+    const bool isBrittle = listed != m_listed.end() && std::any_of(listed->second.versions.begin(), listed->second.versions.end(), [this](const VersionName& version) { return m_brittle.contains(version); });
+    if (index && isBrittle)
+        m_table.recordComeBackAt(*index, now + pauseAfterTurningAway);
+}
+
 void EndpointDirectory::useRate(const EndpointName& endpoint)
 {
     if (const std::optional<policy::EndpointIndex> index = m_table.findRemembered(endpoint))
@@ -362,6 +390,7 @@
         request.nearZones = nearZones;
         request.allowedZones = allowedZones;
         request.isZoneRestricted = wish.residency.isRestricted();
+        request.boundsInFlight = m_brittle.contains(wish.version);
         request.affinity = wish.affinity;
         request.prefix = wish.prefix;
         request.promptTokens = wish.promptTokens;
@@ -465,6 +494,7 @@
 {
     m_table.refresh(now);
     refreshPaces(now);
+    std::erase_if(m_brittle, [now](const auto& entry) { return entry.second <= now; });
     m_rates.refresh(now, [this](const EndpointName& endpoint) { return m_listed.contains(endpoint); });
 }
 
--- a/packages/endpoint/src/EndpointStatement.cpp
+++ b/packages/endpoint/src/EndpointStatement.cpp
@@ -40,6 +40,7 @@
     statement.requestsPerSecond = readDecimal(rate);
     statement.isRateUnreadable = !rate.empty() && !statement.requestsPerSecond;
     statement.isLeaving = trimmed(fields.leaving) == "1";
+    statement.isBrittle = !trimmed(fields.brittle).empty();
     if (const std::string_view rest = trimmed(fields.rest); !rest.empty()) {
         const std::optional<double> seconds = readDecimal(rest);
         statement.isRestUnreadable = !seconds;
--- a/packages/endpoint/src/NamedEndpoints.cpp
+++ b/packages/endpoint/src/NamedEndpoints.cpp
@@ -16,7 +16,7 @@
         for (const policy::EndpointIndex endpoint : *list) {
             const auto listed = m_listed.find(m_table.name(endpoint));
             if (listed != m_listed.end())
-                endpoints.push_back({ listed->first, listed->second.zone, listed->second.slots });
+                endpoints.push_back({ listed->first, listed->second.zone, listed->second.slots, m_brittle.contains(version) });
         }
     }
     // The order of health would look like a change of the endpoints to who compares lists.
--- a/packages/policy/include/whinyard/policy/EndpointChoice.h
+++ b/packages/policy/include/whinyard/policy/EndpointChoice.h
@@ -23,6 +23,7 @@
     std::span<const ZoneIndex> nearZones; // Of the instance's own region, its own zone included; empty: there are no regions.
     std::span<const ZoneIndex> allowedZones; // Where it may be served, if it is restricted to zones.
     bool isZoneRestricted = false;
+    bool boundsInFlight = false; // No endpoint gets more requests at once than EndpointQuotas::inFlightShare() says.
     std::uint64_t affinity = 0; // Digest of the session, or of the prompt's first block; 0 for none.
     std::span<const std::uint64_t> prefix; // Chained digests of the prompt's blocks, the longest prefix last.
     std::uint32_t promptTokens = 0; // 0 for plain services.
--- a/packages/policy/include/whinyard/policy/EndpointQuotas.h
+++ b/packages/policy/include/whinyard/policy/EndpointQuotas.h
@@ -1,7 +1,8 @@
 // Keeps what an endpoint gets from all instances together below a quota, without a word between them.
 //
-// Two things set a quota: an endpoint that has just started, or whose zone is taken back after an evacuation, ends under more
-// than some requests a second; and an endpoint may state a rate that it takes. Only a few instances use such an endpoint, each
+// Three things set a quota: an endpoint that has just started, or whose zone is taken back after an evacuation, ends under more
+// than some requests a second; an endpoint may state a rate that it takes; and a brittle one, which ends when it turns too many
+// requests away, must get no more at once than it has slots. Only a few instances use such an endpoint, each
 // for its own part: those that rendezvous hashing of the endpoint's and the instances' names puts first (Thaler and Ravishankar,
 // IEEE/ACM Transactions on Networking, 1998). Instances whose lists hold some that have ended only leave parts unused; each live
 // instance that others don't know yet may add one part. An instance that doesn't know the others uses no such endpoint.
@@ -85,6 +86,10 @@
     // Returns the earliest time at which this instance may send the endpoint a request: `now` where it may at once.
     SteadyTime nextSend(EndpointIndex endpoint, SteadyTime now) const;
 
+    // Returns how many requests this instance may have at a brittle endpoint at once: over all instances no more than its slots,
+    // but for lists of instances that differ. 0 where this instance isn't one of its users.
+    std::uint32_t inFlightShare(const EndpointName& endpoint, std::uint32_t slots) const;
+
     // Returns when any instance is likely to have a request left for the endpoint.
     SteadyTime nextSendOfAny(EndpointIndex endpoint, SteadyTime now) const;
 
@@ -128,6 +133,7 @@
     std::size_t m_pruneAt = leastPruned; // So many states, at which those that are no longer needed go.
     std::vector<std::uint64_t> m_instances; // Hashes of the other instances' names.
     std::uint64_t m_self = 0; // 0: the instances aren't known yet.
+    std::size_t m_rank = 0; // Of this instance among all, by their hashes.
 };
 
 }
--- a/packages/policy/include/whinyard/policy/PlacePool.h
+++ b/packages/policy/include/whinyard/policy/PlacePool.h
@@ -30,6 +30,7 @@
     EndpointName name;
     ZoneName zone;
     std::uint32_t slots = 0;
+    bool isBrittle = false; // Gets no more permits than it has slots.
 
     bool operator==(const PooledEndpoint&) const = default;
 };
--- a/packages/policy/src/EndpointQuotas.cpp
+++ b/packages/policy/src/EndpointQuotas.cpp
@@ -67,6 +67,7 @@
         return;
     m_self = own;
     m_instances = std::move(others);
+    m_rank = static_cast<std::size_t>(std::lower_bound(m_instances.begin(), m_instances.end(), own) - m_instances.begin());
     for (auto& [endpoint, state] : m_states) {
         state.coldPart = coldPartOf(state);
         state.ratePart = ratePartOf(state);
@@ -130,6 +131,16 @@
     return std::max(nextCold(*state, now), nextOfRate(*state, now));
 }
 
+// The users of an endpoint are neighbours in the order of the instances' hashes, so that a choice costs nothing for each instance.
+std::uint32_t EndpointQuotas::inFlightShare(const EndpointName& endpoint, std::uint32_t slots) const
+{
+    constexpr std::uint32_t usualShare = 2; // Less makes a user turn callers away while other users have slots left.
+    const std::size_t all = instances();
+    const std::size_t users = std::clamp<std::size_t>(slots / usualShare, 1, all);
+    const std::size_t place = (stableHash(endpoint.value) % all + all - m_rank) % all;
+    return place < users ? std::max<std::uint32_t>(slots / static_cast<std::uint32_t>(users), 1) : 0;
+}
+
 SteadyTime EndpointQuotas::nextSendOfAny(EndpointIndex endpoint, SteadyTime now) const
 {
     const State* state = find(endpoint);
--- a/packages/policy/src/internal/Eligibility.cpp
+++ b/packages/policy/src/internal/Eligibility.cpp
@@ -23,11 +23,17 @@
     return !request.isZoneRestricted || std::find(allowed.begin(), allowed.end(), table.row(endpoint).zone) != allowed.end();
 }
 
+static bool hasAllItBears(const EndpointTable& table, const EndpointRequest& request, EndpointIndex endpoint)
+{
+    const EndpointRow& row = table.row(endpoint);
+    return request.boundsInFlight && row.slots > 0 && row.ownInFlight >= table.quotas().inFlightShare(table.name(endpoint), row.slots);
+}
+
 bool takesRequest(const EndpointTable& table, const EndpointRequest& request, EndpointIndex endpoint, SteadyTime now)
 {
     const EndpointRow& row = table.row(endpoint);
     const bool takesWork = !row.leaving && !row.isEvacuated && table.takesWorkAt(endpoint, now) <= now;
-    return takesWork && isInAllowedZone(table, request, endpoint) && !isExcluded(request, endpoint) && !isKeptFrom(table, request, endpoint, now);
+    return takesWork && !hasAllItBears(table, request, endpoint) && isInAllowedZone(table, request, endpoint) && !isExcluded(request, endpoint) && !isKeptFrom(table, request, endpoint, now);
 }
 
 bool hasRoom(const EndpointTable& table, const EndpointRequest& request, EndpointIndex endpoint, SteadyTime now)
--- a/packages/policy/src/internal/PermitEndpoint.cpp
+++ b/packages/policy/src/internal/PermitEndpoint.cpp
@@ -39,7 +39,8 @@
     m_zone = endpoint.zone;
     m_isListed = true;
     m_slots = std::max<std::uint32_t>(endpoint.slots, 1);
-    m_permits = std::max(static_cast<std::uint32_t>(std::ceil(m_slots * permitsPerSlot - roundingError)), 1U);
+    const double perSlot = endpoint.isBrittle ? std::min(permitsPerSlot, 1.0) : permitsPerSlot;
+    m_permits = std::max(static_cast<std::uint32_t>(std::ceil(m_slots * perSlot - roundingError)), 1U);
 }
 
 std::uint32_t PermitEndpoint::limitByFailures() const
--- a/packages/policy/test/PlacePoolEndpointTest.cpp
+++ b/packages/policy/test/PlacePoolEndpointTest.cpp
@@ -57,6 +57,16 @@
 
 }
 
+// Guards against a brittle endpoint that turns requests away because more permits are granted than it has slots.
+TEST(PlacePoolEndpointTest, GrantsABrittleEndpointNoMorePermitsThanSlots)
+{
+    PlacePool pool;
+    pool.useEndpoints({ { a, { "z-1" }, 6, true } }, start);
+    EXPECT_EQ(pool.state(start).permits, 6U);
+    pool.useEndpoints({ { a, { "z-1" }, 6 } }, start);
+    EXPECT_EQ(pool.state(start).permits, 8U);
+}
+
 // Guards against an endpoint that fails at once and, being idle, attracts all requests; and against one that is never tried again.
 TEST(PlacePoolEndpointTest, GivesAFailingEndpointFewerPermitsUntilOneSucceeds)
 {
--- a/packages/router/src/internal/ForwardAttempt.cpp
+++ b/packages/router/src/internal/ForwardAttempt.cpp
@@ -163,6 +163,7 @@
     const int status = m_stream->head().status;
     if (m_reply.notRun) {
         takeStatement();
+        m_core.parts.directory.recordTurnedAway(m_target.endpoint.name, now());
         return fail(HeadVerdict::notRun, ErrorKind::overloaded, "the endpoint didn't take the request, status " + std::to_string(status));
     }
     if (!m_reply.requestId.empty() && m_reply.requestId != m_request.id)
@@ -184,6 +185,8 @@
         say("endpoint's statement not read");
     if (effect.beganToLeave)
         say("endpoint says that it leaves");
+    if (effect.beganToBeBrittle)
+        say("endpoint says that it is brittle");
     if (effect.beganToRest)
         say("endpoint asks for rest");
 }
