Prove relays with real daemons: an instance that is partitioned from all engines beside one that isn't

A daemon takes what it connects to endpoints with, and a test gives one of two daemons a client whose own connections are refused. EndpointRelayTest: whole, unrepeatable and streamed requests are served and run once, before and after the heal; a stream that a relay passes on ends whole while that instance drains.

--- a/apps/whinyardd/entry/EntryDaemon.cpp
+++ b/apps/whinyardd/entry/EntryDaemon.cpp
@@ -13,8 +13,8 @@
 }
 
 struct EntryDaemon::State {
-    explicit State(const settings::EntrySettings& settings)
-        : shared(settings)
+    State(const settings::EntrySettings& settings, EndpointTransport transport)
+        : shared(settings, std::move(transport))
         , serving(shared)
         , storing(shared, serving)
     {
@@ -35,9 +35,9 @@
     stop();
 }
 
-std::unique_ptr<EntryDaemon> EntryDaemon::start(const settings::EntrySettings& settings, Failure& failure)
+std::unique_ptr<EntryDaemon> EntryDaemon::start(const settings::EntrySettings& settings, Failure& failure, EndpointTransport transport)
 {
-    std::unique_ptr<EntryDaemon> daemon(new EntryDaemon(std::make_unique<State>(settings)));
+    std::unique_ptr<EntryDaemon> daemon(new EntryDaemon(std::make_unique<State>(settings, std::move(transport))));
     State& state = *daemon->m_state;
     if (!state.serving.open(failure) || !state.storing.open(failure))
         return nullptr;
--- a/apps/whinyardd/entry/EntryDaemon.h
+++ b/apps/whinyardd/entry/EntryDaemon.h
@@ -3,6 +3,7 @@
 // main() makes one, waits for a signal, and has it drained and stopped.
 #pragma once
 
+#include "entry/EntryShared.h"
 #include "whinyard/base/Error.h"
 #include "whinyard/settings/EntrySettings.h"
 
@@ -14,7 +15,7 @@
 public:
     // Starts the duties and opens the addresses. An unreachable store is no failure: the daemon starts, isn't ready,
     // and keeps trying. Returns null with the reason for a port in use.
-    static std::unique_ptr<EntryDaemon> start(const settings::EntrySettings& settings, Failure& failure);
+    static std::unique_ptr<EntryDaemon> start(const settings::EntrySettings& settings, Failure& failure, EndpointTransport transport = {});
 
     ~EntryDaemon();
 
--- a/apps/whinyardd/entry/EntryShared.h
+++ b/apps/whinyardd/entry/EntryShared.h
@@ -4,19 +4,32 @@
 #include "entry/RoutingKeeper.h"
 #include "whinyard/base/Clock.h"
 #include "whinyard/base/Metrics.h"
+#include "whinyard/net/HttpClient.h"
+#include "whinyard/net/ListenProbe.h"
 #include "whinyard/settings/EntrySettings.h"
 
 #include <atomic>
+#include <functional>
+#include <memory>
+#include <utility>
 
 namespace whinyard::daemon {
 
+// Makes what connects to endpoints, for the duty that it belongs to. Tests replace it to partition an instance from them.
+struct EndpointTransport {
+    std::function<std::unique_ptr<net::HttpClient>(net::Duty&)> makeClient = net::HttpClient::create;
+    std::function<std::unique_ptr<net::ListenProbe>(net::Duty&)> makeProbe = net::ListenProbe::create;
+};
+
 struct EntryShared {
-    explicit EntryShared(const settings::EntrySettings& entrySettings)
+    explicit EntryShared(const settings::EntrySettings& entrySettings, EndpointTransport endpointTransport = {})
         : settings(entrySettings)
+        , transport(std::move(endpointTransport))
     {
     }
 
     const settings::EntrySettings settings;
+    const EndpointTransport transport;
     const SystemClock clock;
     Metrics metrics;
     RoutingKeeper routing;
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -134,8 +134,8 @@
 
 bool ServeDuty::openOnDuty(Failure& failure)
 {
-    m_client = net::HttpClient::create(m_duty);
-    m_listening = net::ListenProbe::create(m_duty);
+    m_client = m_shared.transport.makeClient(m_duty);
+    m_listening = m_shared.transport.makeProbe(m_duty);
     openPlaces();
     const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, m_queries, *m_client, *m_listening, m_fibers, &m_link, m_shared.settings.provider && m_shared.settings.provider->takesUsage ? this : nullptr, m_places.get() };
     m_forwarder = std::make_unique<router::Forwarder>(parts, forwarderSettings(m_shared.settings.bounds, m_shared.settings.tuning), seededRandom());
