Leave a stream with an engine that is silent for about a second

A stream was given up after half of the objective for pauses, 750 ms at 1.5 s, and resumed elsewhere. The first engine notices the close only when it goes on, so that two work on one stream for longer than the 400 ms that are allowed.

Change: an attempt that has brought events is given up after 900 ms of silence at the earliest, so that an engine that is silent for up to 1.3 s is back within 400 ms. A stream that is taken elsewhere after 900 ms still is in time where pauses of 1.2 s are.

ForwarderSilenceTest.LeavesAStreamWithAnEngineThatIsSilentForAMoment failed before (two engines were asked after 880 ms); TakesAStreamElsewhereInTimeForItsCaller holds before and after.

--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -27,6 +27,9 @@
     constexpr double pausePatiencePart = 0.5;
     constexpr double lastPausePatiencePart = 1;
     constexpr double stallObjectives = 2; // The longest pause that work explains, in objectives.
+    // A sound engine may be silent for about a second. Until it goes on, it doesn't notice that its stream has been given up, and two
+    // engines would work on it.
+    constexpr std::chrono::nanoseconds shortestStall = std::chrono::milliseconds(900);
 
     // The part of the budget from which an attempt is moved on silence alone, which may be a mistake. The rest is kept for
     // attempts that failed: their answers are lost otherwise, and failures come many at once, when an engine crashes.
@@ -232,7 +235,7 @@
     if (isUnderWay()) {
         const bool isLast = m_sent + 1 >= route.maximumAttempts;
         const std::chrono::nanoseconds unexplained = part(route.pauseObjective, isLast ? lastPausePatiencePart : pausePatiencePart);
-        return std::min(part(route.pauseObjective, stallObjectives), unexplained + expectedFactor * explained);
+        return std::max(shortestStall, std::min(part(route.pauseObjective, stallObjectives), unexplained + expectedFactor * explained));
     }
     return std::max(part(route.objective, firstPatiencePart), expectedFactor * std::max<std::chrono::nanoseconds>(explained, chosen.plan.expectedWait));
 }
