Test streams on a lost path, and a site of which one instance reaches the endpoints

ForwarderRelayTest.TakesAStreamOffALostPathAtOnce and ForwarderPartitionTest.ServesCallersWhereAllButOneInstanceReachNoEndpoint (refused and silent).

--- a/packages/router/test/ForwarderPartitionTest.cpp
+++ b/packages/router/test/ForwarderPartitionTest.cpp
@@ -72,6 +72,16 @@
         EXPECT_EQ(servedShare(0), 1) << "after the heal";
     }
 
+    // Guards against one instance that reaches the endpoints and isn't found by the others.
+    TEST_P(ForwarderPartitionTest, ServesCallersWhereAllButOneInstanceReachNoEndpoint)
+    {
+        m_fleet.run(5s, 100);
+        partitionFirst(instances - 1, GetParam());
+        m_fleet.run(timeToNotice, 20);
+        for (std::size_t i = 0; i + 1 < instances; ++i)
+            EXPECT_GE(servedShare(i), 2.0 / 3) << "instance " << i;
+    }
+
     // Guards against requests that go by way of other instances for good.
     TEST_P(ForwarderPartitionTest, TakesItsOwnPathAgainAfterTheHeal)
     {
--- a/packages/router/test/ForwarderRelayTest.cpp
+++ b/packages/router/test/ForwarderRelayTest.cpp
@@ -110,6 +110,37 @@
         EXPECT_EQ(m_bench.client.requests.size(), 1U);
     }
 
+    // Guards against a stream that hangs for as long as a silent engine may, though its path is known to be lost.
+    TEST_F(ForwarderRelayTest, TakesAStreamOffALostPathAtOnce)
+    {
+        config::Route& route = m_bench.useRoute(config::RequestKind::streaming, true);
+        route.timeout = 20s;
+        route.objective = 2s;
+        route.pauseObjective = 1'500ms;
+        m_bench.publish();
+        int reads = 0;
+        m_bench.answer(200, { "id: 1\ndata: x\n\n", "id: 2\ndata: x\n\n" }).onRead = [&] {
+            if (++reads != 2)
+                return;
+            // Other requests find out that the path is lost, by two different endpoints, while this stream is silent.
+            for (int i = 0; i < 20 && m_bench.forwarder.reachesDirectly({ "svc" }); ++i) {
+                FakeResponder other;
+                m_bench.clock.advance(1ms);
+                fail(net::ConnectOutcome::refused);
+                m_bench.answer(200, { "id: 1\ndata: x\n\n" });
+                m_bench.send(other);
+            }
+            ASSERT_FALSE(m_bench.forwarder.reachesDirectly({ "svc" }));
+            m_bench.answer(200, { "id: 2\ndata: x\n\n" });
+            m_bench.clock.advance(250ms);
+            m_bench.forwarder.tick();
+        };
+        const FakeResponder caller = m_bench.send({ { "wait", "20000" } });
+        EXPECT_EQ(caller.response.body, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+        EXPECT_TRUE(caller.ended);
+        EXPECT_TRUE(m_bench.client.options.back().relay);
+    }
+
     // Guards against an endpoint that is ejected because other instances declined to connect to it.
     TEST_F(ForwarderRelayTest, EjectsNoEndpointThatNobodyHasTried)
     {
