--- a/packages/router/test/ForwarderRelayTest.cpp
+++ b/packages/router/test/ForwarderRelayTest.cpp
@@ -139,6 +139,7 @@
         EXPECT_EQ(caller.response.body, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
         EXPECT_TRUE(caller.ended);
         EXPECT_TRUE(m_bench.client.options.back().relay);
+        EXPECT_EQ(m_bench.sent(m_bench.client.requests.size() - 1, "resume"), "1") << "the stream itself went on by a relay";
     }
 
     // Guards against an endpoint that is ejected because other instances declined to connect to it.
