--- a/packages/base/include/whinyard/base/RequestDigest.h
+++ b/packages/base/include/whinyard/base/RequestDigest.h
@@ -1,8 +1,11 @@
-// Identifies a request by what it asks and for whom, so that it is known again when it comes under another id.
+// Identifies a request by what it asks and for whom, so that it is known again when it comes under another id, and the parts of
+// prompts that requests share.
 //
-// The forwarding path makes one for each request; logs, notices and records hold it in place of path and body.
+// The forwarding path makes them for each request; logs, notices and records hold them in place of path, body and prompt.
 #pragma once
 
+#include "whinyard/base/Identity.h"
+
 #include <array>
 #include <compare>
 #include <cstdint>
@@ -11,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace whinyard {
 
@@ -33,9 +37,26 @@
 
 RequestDigest digestOf(const RequestContent& content);
 
+// A part of prompts for one service, known again in any request that holds it.
+struct PartDigest {
+    std::uint64_t value = 0;
+
+    auto operator<=>(const PartDigest&) const = default;
+};
+
+// `part` is the part's name at the service's endpoints.
+PartDigest digestOfPart(const ServiceName& service, std::uint64_t part);
+
+// Return a part's digest as one among those of requests, and back. Its second half is a mark, which a request's is once in 2^64.
+RequestDigest traitOf(PartDigest part);
+std::optional<PartDigest> partOf(const RequestDigest& trait);
+
 // Writes 32 hexadecimal digits.
 std::string toText(const RequestDigest& digest);
 
+// Writes the digests of several parts, with commas between.
+std::string toText(const std::vector<PartDigest>& parts);
+
 // Reads what toText() wrote; returns nothing for any other text.
 std::optional<RequestDigest> parseRequestDigest(std::string_view text);
 
@@ -50,3 +71,8 @@
         return value;
     }
 };
+
+template <>
+struct std::hash<whinyard::PartDigest> {
+    std::size_t operator()(whinyard::PartDigest digest) const noexcept { return digest.value; }
+};
--- a/packages/base/src/RequestDigest.cpp
+++ b/packages/base/src/RequestDigest.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+    // Bytes of the text "a prompt".
+    constexpr std::uint64_t partMark = 0x61'20'70'72'6F'6D'70'74;
+    static_assert(sizeof(RequestDigest::bytes) == sizeof(PartDigest::value) + sizeof partMark);
+
     using Context = std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)>;
 
     // Each part goes with its length before it, so that bytes can't move from one part to the next.
@@ -38,6 +42,36 @@
     return digest;
 }
 
+PartDigest digestOfPart(const ServiceName& service, std::uint64_t part)
+{
+    return { stableHash(service.value, part) };
+}
+
+RequestDigest traitOf(PartDigest part)
+{
+    RequestDigest trait;
+    std::memcpy(trait.bytes.data(), &part.value, sizeof part.value);
+    std::memcpy(trait.bytes.data() + sizeof part.value, &partMark, sizeof partMark);
+    return trait;
+}
+
+std::optional<PartDigest> partOf(const RequestDigest& trait)
+{
+    PartDigest part;
+    if (std::memcmp(trait.bytes.data() + sizeof part.value, &partMark, sizeof partMark) != 0)
+        return std::nullopt;
+    std::memcpy(&part.value, trait.bytes.data(), sizeof part.value);
+    return part;
+}
+
+std::string toText(const std::vector<PartDigest>& parts)
+{
+    std::string text;
+    for (const PartDigest part : parts)
+        text += (text.empty() ? "" : ",") + toText(traitOf(part));
+    return text;
+}
+
 std::string toText(const RequestDigest& digest)
 {
     return toHex({ reinterpret_cast<const char*>(digest.bytes.data()), digest.bytes.size() });
--- a/packages/base/test/RequestDigestTest.cpp
+++ b/packages/base/test/RequestDigestTest.cpp
@@ -34,6 +34,16 @@
         EXPECT_NE(digestOf(moved), digestOf(content));
     }
 
+    TEST(RequestDigestTest, TellsPartsOfPromptsFromRequests)
+    {
+        const PartDigest part = digestOfPart({ "lm" }, 7);
+        EXPECT_EQ(partOf(traitOf(part)), part);
+        EXPECT_EQ(partOf(digestOf(content)), std::nullopt);
+        EXPECT_EQ(partOf({}), std::nullopt);
+        EXPECT_NE(digestOfPart({ "other" }, 7), part) << "another service's endpoints may bear it";
+        EXPECT_EQ(toText({ part, { 1 } }), toText(traitOf(part)) + "," + toText(traitOf({ 1 })));
+    }
+
     TEST(RequestDigestTest, ReadsWhatItWrites)
     {
         const RequestDigest digest = digestOf(content);
--- a/packages/router/src/internal/ForwardQueries.cpp
+++ b/packages/router/src/internal/ForwardQueries.cpp
@@ -9,6 +9,14 @@
     return digestOf({ .customer = m_admission.customer.value, .method = message.method, .host = m_request.host, .target = message.target, .body = message.body });
 }
 
+std::vector<PartDigest> ForwardRun::sharedParts() const
+{
+    std::vector<PartDigest> parts;
+    for (std::size_t i = 0; i + 1 < m_request.promptParts.size(); ++i)
+        parts.push_back(digestOfPart(m_service, m_request.promptParts[i].digest));
+    return parts;
+}
+
 net::Listening ForwardRun::inquire(const ForwardAttempt& attempt)
 {
     const AttemptTarget& target = attempt.target();
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -66,6 +66,7 @@
     bool passesGateAgain(const PlaceWish& asked);
     const ServiceName& drawService() const;
     RequestDigest digest() const;
+    std::vector<PartDigest> sharedParts() const;
     std::uint64_t sessionDigest() const;
     policy::VersionPreference preferredVersions() const;
     std::optional<AttemptTarget> chooseTarget(Failure& failure);
