Refuse requests for the part of their prompts that ends endpoints

Cause: what may end an endpoint was known by one fixed identity, the request as a whole. Requests that share nothing but one part of their prompts were strangers to each other, and each of them lost as many endpoints as its route has attempts, until it was refused by itself.

Change: a request has traits, itself and the shared parts of its prompt. Losses are told with the parts; policy::SuspectParts finds the part that different requests were lost with, in several processes and one after the other, and that no answer has survived since. What one part explains isn't held against the others; a part that was sound before needs more, a single wave of ends is no evidence, and two parts that always came together are told apart by one more loss. Verdicts, notices, records and lifting are those of requests. Sound parts that others may suspect are told at a drawn time that grows with the number of instances, and not if two others have told it. An answer that began after the first loss lifts a verdict everywhere. Chat completions of the product's own API have their messages as parts.

Not covered: parts beyond the twelfth; losses by way of a relay.

--- a/apps/whinyardd/Shared.cpp
+++ b/apps/whinyardd/Shared.cpp
@@ -51,7 +51,7 @@
 void logQueryChanges(policy::QueryOfDeathTable& queries)
 {
     for (const policy::QueryChange& change : queries.takeChanges())
-        log::warning(change.isRefused ? "request refused from now on" : "request no longer refused", { { "digest", toText(change.request) }, { "service", change.service.value }, { "endpointsEnded", std::to_string(change.endpointsEnded) }, { "reason", std::string(toText(change.reason)) } });
+        log::warning(change.isRefused ? "request refused from now on" : "request no longer refused", { { "trait", partOf(change.request) ? "promptPart" : "request" }, { "digest", toText(change.request) }, { "service", change.service.value }, { "endpointsEnded", std::to_string(change.endpointsEnded) }, { "reason", std::string(toText(change.reason)) } });
 }
 
 OutageLog::OutageLog(std::string what)
--- a/apps/whinyardd/entry/PeerLink.cpp
+++ b/apps/whinyardd/entry/PeerLink.cpp
@@ -355,6 +355,8 @@
         m_queries.takeLoss(loss, now);
     for (const RequestDigest& request : notice.news.completed)
         m_queries.takeCompleted(request, now);
+    for (const SoundPart& sound : notice.news.soundParts)
+        m_queries.takeSound(sound, now);
     for (const QueryVerdict& verdict : notice.news.verdicts)
         m_queries.takeVerdict(verdict, now);
 }
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -311,6 +311,7 @@
         }
         m_forwarder->useRelays(std::move(relays));
         m_forwarder->useInstances(std::max<std::size_t>(1, names.size()));
+        m_queries.useInstances(names.size(), stableHash(m_shared.settings.instance.value));
         m_directory.useInstances(m_shared.settings.instance, names);
         m_link.useAddresses(std::move(addresses));
         if (m_places)
--- a/packages/peer/src/Notices.cpp
+++ b/packages/peer/src/Notices.cpp
@@ -23,7 +23,7 @@
     using internal::writeEndpoint;
     using internal::writePaces;
 
-    constexpr std::uint16_t noticeFormat = 14;
+    constexpr std::uint16_t noticeFormat = 15;
     constexpr std::int64_t longestWorkUs = 60'000'000; // A longer one is no work that anybody gave.
     constexpr std::int64_t longestVerdictMs = 3'600'000; // Longer than any verdict holds.
     constexpr std::uint64_t longestRateAgeMs = 86'400'000; // An older statement is of no use.
@@ -110,6 +110,8 @@
         writer.number(halves[1]);
     }
 
+    std::uint64_t milliseconds(std::chrono::milliseconds age) { return static_cast<std::uint64_t>(std::clamp<std::int64_t>(age.count(), 0, longestVerdictMs)); }
+
     void write(FieldWriter& writer, const QueryNotice& notice)
     {
         writer.number(static_cast<std::uint64_t>(NoticeKind::queries));
@@ -118,6 +120,10 @@
             write(writer, loss.request);
             writer.number(loss.life.digest);
             writer.number(static_cast<std::uint64_t>(loss.stage));
+            writer.number(loss.parts.size());
+            for (const PartDigest part : loss.parts)
+                writer.number(part.value);
+            writer.number(milliseconds(loss.sentAgo));
         }
         writer.number(notice.news.completed.size());
         for (const RequestDigest& request : notice.news.completed)
@@ -130,6 +136,12 @@
             for (const EndpointLife life : verdict.lives)
                 writer.number(life.digest);
             writer.number(static_cast<std::uint64_t>(verdict.left.count()));
+            writer.number(milliseconds(verdict.sinceAgo));
+        }
+        writer.number(notice.news.soundParts.size());
+        for (const SoundPart& sound : notice.news.soundParts) {
+            writer.number(sound.part.value);
+            writer.number(milliseconds(sound.begunAgo));
         }
     }
 
@@ -253,6 +265,8 @@
         return digest;
     }
 
+    std::chrono::milliseconds readMilliseconds(FieldReader& reader) { return std::chrono::milliseconds(static_cast<std::int64_t>(reader.number(longestVerdictMs))); }
+
     QueryVerdict readVerdict(FieldReader& reader)
     {
         QueryVerdict verdict;
@@ -261,7 +275,8 @@
         const std::uint64_t lives = reader.number(mostLives);
         for (std::uint64_t i = 0; i < lives; ++i)
             verdict.lives.push_back({ reader.number() });
-        verdict.left = std::chrono::milliseconds(static_cast<std::int64_t>(reader.number(longestVerdictMs)));
+        verdict.left = readMilliseconds(reader);
+        verdict.sinceAgo = readMilliseconds(reader);
         return verdict;
     }
 
@@ -272,7 +287,12 @@
         for (std::uint64_t i = 0; i < losses; ++i) {
             const RequestDigest request = readDigest(reader);
             const EndpointLife life { reader.number() };
-            notice.news.losses.push_back({ request, life, static_cast<LossStage>(reader.number(static_cast<std::uint64_t>(LossStage::begun))) });
+            RequestLoss loss { request, life, static_cast<LossStage>(reader.number(static_cast<std::uint64_t>(LossStage::begun))) };
+            const std::uint64_t parts = reader.number(mostParts);
+            for (std::uint64_t part = 0; part < parts; ++part)
+                loss.parts.push_back({ reader.number() });
+            loss.sentAgo = readMilliseconds(reader);
+            notice.news.losses.push_back(std::move(loss));
         }
         const std::uint64_t completed = reader.number(mostCompleted);
         for (std::uint64_t i = 0; i < completed; ++i)
@@ -280,6 +300,11 @@
         const std::uint64_t verdicts = reader.number(mostVerdicts);
         for (std::uint64_t i = 0; i < verdicts; ++i)
             notice.news.verdicts.push_back(readVerdict(reader));
+        const std::uint64_t sound = reader.number(mostSoundParts);
+        for (std::uint64_t i = 0; i < sound; ++i) {
+            const PartDigest part { reader.number() };
+            notice.news.soundParts.push_back({ part, readMilliseconds(reader) });
+        }
         return notice;
     }
 
--- a/packages/peer/test/NoticesTest.cpp
+++ b/packages/peer/test/NoticesTest.cpp
@@ -34,6 +34,7 @@
             RosterNotice { { "entry-1" }, 77, 3, { endpoint }, { { "i-2" } }, 11, false, 80, 95 },
             RecordsNotice { { "entry-1" }, 11 },
             QueryNotice { { { { digest, { 7 }, LossStage::begun } }, { digest }, { { digest, { "lm" }, { { 7 }, { 8 }, { 9 } }, 600s } } } },
+            QueryNotice { { { { digest, { 7 }, LossStage::begun, { { 11 }, { 12 } }, 310ms }, { digest, { 8 }, LossStage::waiting, {}, 9ms } }, {}, { { traitOf({ 11 }), { "lm" }, { { 7 } }, 600s, 2'100ms } }, { { { 12 }, 520ms } } } },
             QueryNotice {},
             RateNotice { { { { "i-1" }, 2.3, 70ms, std::nullopt }, { { "i-2" }, 0, 0ms, 12'000ms } } },
             RateNotice {},
--- a/packages/policy/include/whinyard/policy/QueryOfDeath.h
+++ b/packages/policy/include/whinyard/policy/QueryOfDeath.h
@@ -1,13 +1,16 @@
 // Finds requests that end the endpoints that run them, and says which are refused for that (queries of death: Beyer et al.,
 // "Site Reliability Engineering", 2016).
 //
-// An endpoint that ends takes all that it held with it, so each of those requests is suspected. One that was lost with three
-// processes and has not been completed lately is refused. Every instance keeps such a table, and tells the others what it notes.
+// An endpoint that ends takes all that it held with it, so each of those requests is suspected, and each part of their prompts. A
+// request that was lost with three processes and has not been completed lately is refused; so are all with a part that was found to
+// end endpoints (SuspectParts). Both are traits of a request, which verdicts, notices and records don't tell apart. Every instance
+// keeps such a table, and tells the others what it notes.
 // Belongs to the serve duty. Pure: no I/O, no clock of its own.
 #pragma once
 
 #include "whinyard/base/Clock.h"
 #include "whinyard/base/QueryNews.h"
+#include "whinyard/policy/SuspectParts.h"
 
 #include <chrono>
 #include <cstddef>
@@ -35,7 +38,7 @@
 
 // A change of belief, for the log.
 struct QueryChange {
-    RequestDigest request;
+    RequestDigest request; // Or a part: see traitOf().
     ServiceName service;
     std::size_t endpointsEnded = 0;
     bool isRefused = false;
@@ -62,19 +65,27 @@
     std::size_t mostSuspects = 16'384;
     std::size_t mostRemembered = 4'096; // Completions: at 100 requests a second more than the memory of 30 s.
     std::size_t mostRefused = 1'024;
+    SuspectPartsSettings parts {};
 };
 
 class QueryOfDeathTable {
 public:
     explicit QueryOfDeathTable(QueryOfDeathSettings settings = {});
 
-    // Returns whether the request must not be sent to an endpoint.
-    bool isRefused(const RequestDigest& request, SteadyTime now) const;
+    // Takes how many instances live, and a number that differs between them.
+    void useInstances(std::size_t count, std::uint64_t salt) { m_parts.useInstances(count, salt); }
+
+    // Returns whether the request must not be sent to an endpoint: as a whole, or for a part of its prompt.
+    bool isRefused(const QueryTraits& traits, SteadyTime now) const { return refusedTrait(traits, now).has_value(); }
+    bool isRefused(const RequestDigest& trait, SteadyTime now) const;
 
     // Returns whether the request has been lost so often that it is to wait until a verdict is reached on it, or another request
     // on the same losses: QueryOfDeathSettings::weakDelay at most.
     bool isHeld(const RequestDigest& request) const { return m_weak.contains(request); }
 
+    // The same also for the parts of its prompt.
+    bool isHeld(const QueryTraits& traits, SteadyTime now) const;
+
     // Returns whether an endpoint ended with it and it has not been completed since.
     bool isSuspect(const RequestDigest& request) const { return m_suspects.contains(request); }
 
@@ -82,9 +93,13 @@
     void noteLoss(const RequestLoss& loss, const ServiceName& service, SteadyTime now);
     void noteCompleted(const RequestDigest& request, SteadyTime now);
 
+    // Notes that an endpoint has answered a request with these parts since `begunAt`, and has not ended by it.
+    void noteSound(const std::vector<PartDigest>& parts, SteadyTime begunAt, SteadyTime now);
+
     // Takes what another instance told.
     void takeLoss(const RequestLoss& loss, SteadyTime now);
     void takeCompleted(const RequestDigest& request, SteadyTime now);
+    void takeSound(const SoundPart& sound, SteadyTime now);
     void takeVerdict(const QueryVerdict& verdict, SteadyTime now);
 
     // Takes the verdicts that stand in the store, in a state that may be seconds old. One that is known to have stood there for
@@ -138,12 +153,18 @@
         std::vector<EndpointLife> lives;
         ServiceName service;
         SteadyTime madeAt;
+        SteadyTime since; // No later than the first loss that this instance knows.
         SteadyTime until;
         bool isOwn = false;
         std::optional<SteadyTime> storedAt; // Since when it is known to stand in the store.
         bool isLifted = false; // Kept so that what others still tell of it isn't taken for news.
     };
 
+    std::optional<RequestDigest> refusedTrait(const QueryTraits& traits, SteadyTime now) const;
+    bool objects(const QueryVerdict& verdict, SteadyTime now);
+    void findParts(SteadyTime now);
+    void refute(const RequestDigest& trait);
+    void refuteIfSound(PartDigest part, SteadyTime begunAt);
     void add(const RequestLoss& loss, bool isOwn, const ServiceName& service, SteadyTime now);
     void judge(const RequestDigest& request, SteadyTime now);
     void reach(const RequestDigest& request, const Suspect& suspect, SteadyTime now);
@@ -158,8 +179,9 @@
     static QueryVerdict told(const RequestDigest& request, const Verdict& verdict, SteadyTime now);
 
     const QueryOfDeathSettings m_settings;
+    SuspectParts m_parts;
     std::unordered_map<RequestDigest, Suspect> m_suspects;
-    std::unordered_map<RequestDigest, Verdict> m_verdicts;
+    std::unordered_map<RequestDigest, Verdict> m_verdicts; // By trait.
     std::unordered_map<RequestDigest, SteadyTime> m_completed;
     std::deque<std::pair<SteadyTime, RequestDigest>> m_completions; // In order, to forget them.
     std::unordered_map<std::uint64_t, SteadyTime> m_explained; // Digests of lives that a verdict accounts for.
--- a/packages/policy/src/QueryOfDeath.cpp
+++ b/packages/policy/src/QueryOfDeath.cpp
@@ -45,15 +45,31 @@
 
 QueryOfDeathTable::QueryOfDeathTable(QueryOfDeathSettings settings)
     : m_settings(settings)
+    , m_parts(settings.parts)
 {
 }
 
-bool QueryOfDeathTable::isRefused(const RequestDigest& request, SteadyTime now) const
+bool QueryOfDeathTable::isRefused(const RequestDigest& trait, SteadyTime now) const
 {
-    const auto found = m_verdicts.find(request);
+    const auto found = m_verdicts.find(trait);
     return found != m_verdicts.end() && !found->second.isLifted && now < found->second.until;
 }
 
+std::optional<RequestDigest> QueryOfDeathTable::refusedTrait(const QueryTraits& traits, SteadyTime now) const
+{
+    if (m_verdicts.empty())
+        return std::nullopt;
+    if (isRefused(traits.request, now))
+        return traits.request;
+    const auto part = std::find_if(traits.parts.begin(), traits.parts.end(), [&](PartDigest one) { return isRefused(traitOf(one), now); });
+    return part == traits.parts.end() ? std::nullopt : std::optional(traitOf(*part));
+}
+
+bool QueryOfDeathTable::isHeld(const QueryTraits& traits, SteadyTime now) const
+{
+    return isHeld(traits.request) || std::any_of(traits.parts.begin(), traits.parts.end(), [&](PartDigest part) { return m_parts.isHeld(part, now); });
+}
+
 void QueryOfDeathTable::noteLoss(const RequestLoss& loss, const ServiceName& service, SteadyTime now)
 {
     if (m_untoldLosses.size() < m_settings.mostSuspects)
@@ -70,14 +86,18 @@
 
 void QueryOfDeathTable::add(const RequestLoss& loss, bool isOwn, const ServiceName& service, SteadyTime now)
 {
-    const auto standing = m_verdicts.find(loss.request);
-    if (standing != m_verdicts.end() && isRefused(loss.request, now)) {
+    if (const std::optional<RequestDigest> refused = refusedTrait({ loss.request, loss.parts }, now)) {
         // A copy that was under way when the verdict fell.
-        if (!contains(standing->second.lives, loss.life))
-            standing->second.lives.push_back(loss.life);
-        explain(loss.request, { loss.life }, now);
+        Verdict& verdict = m_verdicts.at(*refused);
+        if (verdict.lives.size() < mostLives && !contains(verdict.lives, loss.life))
+            verdict.lives.push_back(loss.life);
+        explain(*refused, { loss.life }, now);
         return;
     }
+    if (m_explained.contains(loss.life.digest))
+        return;
+    m_parts.addLoss(loss, service, now);
+    findParts(now);
     if (m_explained.contains(loss.life.digest) || wasCompleted(loss.request, now))
         return;
     makeRoom();
@@ -117,6 +137,7 @@
         verdict.lives.push_back(loss.life);
     verdict.service = suspect.service;
     verdict.madeAt = now;
+    verdict.since = now;
     verdict.until = now + m_settings.verdictLifetime;
     verdict.isOwn = suspect.isOwn;
     place(request, std::move(verdict), suspect.isOwn ? QueryChangeReason::ownLoss : QueryChangeReason::toldLosses, now);
@@ -138,7 +159,23 @@
     explain(request, lives, now);
 }
 
-// One request has ended these processes, so that they say nothing against the others that were lost with them.
+void QueryOfDeathTable::findParts(SteadyTime now)
+{
+    while (const std::optional<SuspectParts::Finding> found = m_parts.find(now)) {
+        Verdict verdict;
+        verdict.lives = found->lives;
+        verdict.service = found->service;
+        verdict.madeAt = now;
+        verdict.since = found->since;
+        verdict.until = now + m_settings.verdictLifetime;
+        verdict.isOwn = found->isOwn;
+        place(traitOf(found->part), std::move(verdict), found->isOwn ? QueryChangeReason::ownLoss : QueryChangeReason::toldLosses, now);
+        if (found->isOwn)
+            m_untoldVerdicts.push_back(traitOf(found->part));
+    }
+}
+
+// One trait has ended these processes, so that they say nothing against the others that were lost with them.
 void QueryOfDeathTable::explain(const RequestDigest& request, const std::vector<EndpointLife>& lives, SteadyTime now)
 {
     for (const EndpointLife life : lives)
@@ -148,6 +185,7 @@
             std::erase_if(suspect.losses, [&](const Loss& loss) { return contains(lives, loss.life); });
     }
     std::erase_if(m_suspects, [](const auto& entry) { return entry.second.losses.empty(); });
+    m_parts.explain(lives, !partOf(request));
     releaseExplained();
 }
 
@@ -172,12 +210,39 @@
     remember(request, now);
     m_suspects.erase(request);
     m_weak.erase(request);
-    const auto found = m_verdicts.find(request);
+    refute(request);
+}
+
+void QueryOfDeathTable::refute(const RequestDigest& trait)
+{
+    const auto found = m_verdicts.find(trait);
     if (found == m_verdicts.end() || found->second.isLifted)
         return;
     if (found->second.isOwn && found->second.storedAt)
-        m_refuted.push_back(request);
-    lift(request, found->second, QueryChangeReason::completed);
+        m_refuted.push_back(trait);
+    lift(trait, found->second, QueryChangeReason::completed);
+}
+
+void QueryOfDeathTable::noteSound(const std::vector<PartDigest>& parts, SteadyTime begunAt, SteadyTime now)
+{
+    for (const PartDigest part : parts) {
+        m_parts.noteSound(part, begunAt, now);
+        refuteIfSound(part, begunAt);
+    }
+}
+
+void QueryOfDeathTable::takeSound(const SoundPart& sound, SteadyTime now)
+{
+    m_parts.takeSound(sound.part, now - sound.begunAgo, now);
+    refuteIfSound(sound.part, now - sound.begunAgo);
+}
+
+// An answer that began after the first of a part's losses, and went on, shows that the part was not the cause of them.
+void QueryOfDeathTable::refuteIfSound(PartDigest part, SteadyTime begunAt)
+{
+    const auto found = m_verdicts.find(traitOf(part));
+    if (found != m_verdicts.end() && begunAt > found->second.since)
+        refute(traitOf(part));
 }
 
 void QueryOfDeathTable::lift(const RequestDigest& request, Verdict& verdict, QueryChangeReason reason)
@@ -214,12 +279,23 @@
     return found != m_completed.end() && now - found->second <= m_settings.completionMemory;
 }
 
-void QueryOfDeathTable::takeVerdict(const QueryVerdict& verdict, SteadyTime now)
+// What this instance has just seen go well is no cause of ends; those that told otherwise are told so.
+bool QueryOfDeathTable::objects(const QueryVerdict& verdict, SteadyTime now)
 {
-    if (wasCompleted(verdict.request, now)) {
+    const std::optional<PartDigest> part = partOf(verdict.request);
+    if (part ? !m_parts.isSoundSince(*part, now - verdict.sinceAgo) : !wasCompleted(verdict.request, now))
+        return false;
+    if (part)
+        m_parts.planToTell(*part, now);
+    else
         m_untoldCompleted.insert(verdict.request);
+    return true;
+}
+
+void QueryOfDeathTable::takeVerdict(const QueryVerdict& verdict, SteadyTime now)
+{
+    if (objects(verdict, now))
         return;
-    }
     if (verdict.left.count() <= 0)
         return;
     const auto found = m_verdicts.find(verdict.request);
@@ -234,7 +310,7 @@
             return;
         }
     }
-    place(verdict.request, { verdict.lives, verdict.service, now, until, false, std::nullopt, false }, QueryChangeReason::toldVerdict, now);
+    place(verdict.request, { verdict.lives, verdict.service, now, now - verdict.sinceAgo, until, false, std::nullopt, false }, QueryChangeReason::toldVerdict, now);
 }
 
 void QueryOfDeathTable::takeStored(const std::vector<QueryVerdict>& stored, SteadyTime now)
@@ -267,6 +343,7 @@
 {
     for (const RequestDigest& request : std::set<RequestDigest>(m_weak))
         judge(request, now);
+    findParts(now);
     if (now - m_forgotAt >= forgetInterval)
         forgetOld(now);
 }
@@ -274,6 +351,7 @@
 void QueryOfDeathTable::forgetOld(SteadyTime now)
 {
     m_forgotAt = now;
+    m_parts.forgetOld(now);
     std::erase_if(m_suspects, [&](const auto& entry) { return now - entry.second.latest > m_settings.suspicionMemory; });
     releaseExplained();
     std::erase_if(m_explained, [&](const auto& entry) { return now - entry.second > m_settings.explanationMemory; });
@@ -281,7 +359,9 @@
         const auto& [request, verdict] = entry;
         if (now < verdict.until)
             return false;
-        if (!verdict.isLifted) {
+        if (const std::optional<PartDigest> part = partOf(request); part && !verdict.isLifted)
+            m_parts.restore(*part, verdict.lives, now);
+        else if (!verdict.isLifted) {
             Suspect& suspect = m_suspects[request];
             for (std::size_t i = 0; i + 1 < m_settings.livesToVerdict && i < verdict.lives.size(); ++i)
                 suspect.losses.push_back({ verdict.lives[i], LossStage::begun, verdict.madeAt });
@@ -302,7 +382,13 @@
 QueryNews QueryOfDeathTable::takeNews(SteadyTime now)
 {
     QueryNews news;
-    move(m_untoldLosses, news.losses, mostLosses);
+    std::size_t parts = 0;
+    while (!m_untoldLosses.empty() && news.losses.size() < mostLosses && (news.losses.empty() || parts + m_untoldLosses.front().parts.size() <= mostLostParts)) {
+        parts += m_untoldLosses.front().parts.size();
+        news.losses.push_back(std::move(m_untoldLosses.front()));
+        m_untoldLosses.pop_front();
+    }
+    m_parts.takeNews(news.soundParts, mostSoundParts, now);
     move(m_untoldCompleted, news.completed, mostCompleted);
     std::vector<RequestDigest> verdicts;
     move(m_untoldVerdicts, verdicts, mostVerdicts);
@@ -316,7 +402,7 @@
 QueryVerdict QueryOfDeathTable::told(const RequestDigest& request, const Verdict& verdict, SteadyTime now)
 {
     const std::size_t lives = std::min(verdict.lives.size(), mostLives);
-    return { request, verdict.service, { verdict.lives.begin(), verdict.lives.begin() + static_cast<std::ptrdiff_t>(lives) }, std::chrono::duration_cast<std::chrono::milliseconds>(verdict.until - now) };
+    return { request, verdict.service, { verdict.lives.begin(), verdict.lives.begin() + static_cast<std::ptrdiff_t>(lives) }, std::chrono::duration_cast<std::chrono::milliseconds>(verdict.until - now), std::chrono::duration_cast<std::chrono::milliseconds>(now - verdict.since) };
 }
 
 std::vector<QueryVerdict> QueryOfDeathTable::standing(SteadyTime now) const
--- a/packages/router/include/whinyard/router/ChatRequest.h
+++ b/packages/router/include/whinyard/router/ChatRequest.h
@@ -3,12 +3,14 @@
 
 #include "whinyard/base/Error.h"
 #include "whinyard/base/Identity.h"
+#include "whinyard/base/QueryNews.h"
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace whinyard::router {
 
@@ -27,6 +29,9 @@
 // Reads a request. Fills `failure` with malformedRequest, naming the field and what is allowed.
 std::optional<ChatRequest> parseChatRequest(std::string_view body, Failure& failure);
 
+// Returns what the request shares with others: its messages but for the last, in order, for the model that it asks for.
+std::vector<PartDigest> messageParts(const ChatRequest& request);
+
 // Estimates the tokens of a prompt, for requests whose engine states no usage.
 std::uint32_t estimatedTokens(const ChatRequest& request);
 
--- a/packages/router/src/ChatRequest.cpp
+++ b/packages/router/src/ChatRequest.cpp
@@ -88,6 +88,18 @@
     return request;
 }
 
+std::vector<PartDigest> messageParts(const ChatRequest& request)
+{
+    const json& messages = request.document.at("messages");
+    std::vector<PartDigest> parts;
+    for (std::size_t position = 0; position + 1 < messages.size() && position < mostParts; ++position) {
+        std::string text;
+        addToPrompt(messages[position], text);
+        parts.push_back(digestOfPart({ request.model }, stableHash(text)));
+    }
+    return parts;
+}
+
 std::uint32_t estimatedTokens(const ChatRequest& request)
 {
     constexpr std::size_t bytesPerToken = 4;
--- a/packages/router/src/internal/ChatPath.cpp
+++ b/packages/router/src/internal/ChatPath.cpp
@@ -24,7 +24,7 @@
         return;
     }
     m_prefix = promptPrefix(m_chat.prompt);
-    m_context.useContent({ .customer = m_context.customer.value, .method = request.method, .host = {}, .target = request.target, .body = request.body });
+    m_context.useContent({ .customer = m_context.customer.value, .method = request.method, .host = {}, .target = request.target, .body = request.body }, messageParts(m_chat));
     run(responder);
 }
 
@@ -112,7 +112,7 @@
 void ChatPath::answered(const VersionName& version, bool delivered, std::optional<std::string> text)
 {
     m_context.record(delivered ? EventKind::answerCompleted : EventKind::callerGone, { .version = version, .amount = m_delivered });
-    m_context.guard->noteCompleted();
+    m_context.guard->noteCompleted(m_context.now());
     m_context.core.retryBudget.earn(m_context.now());
     m_context.core.redispatchBudget.earn(m_context.now());
     m_context.core.parts.judge.recordExposure(version, m_context.id, m_context.now());
--- a/packages/router/src/internal/EngineDispatch.cpp
+++ b/packages/router/src/internal/EngineDispatch.cpp
@@ -112,6 +112,7 @@
     attempt.call.timeout = m_context.timeLeft();
     attempt.endpoint = chosen->name;
     attempt.incarnation = chosen->incarnation;
+    attempt.sentAt = m_context.now();
     attempt.unqueuedWait = chosen->plan.unqueuedWait;
     attempt.elsewhere = std::move(wish);
     attempt.elsewhere.excluded.push_back(chosen->name);
@@ -149,7 +150,7 @@
 void EngineDispatch::noteLost(const Attempt& attempt, std::optional<std::chrono::nanoseconds> answeredFor)
 {
     if (m_context.guard && m_context.accounts.back().bytesWritten > 0)
-        m_context.guard->noteLost({ attempt.endpoint, attempt.call.engine, attempt.incarnation, { m_work.version.value } }, answeredFor);
+        m_context.guard->noteLost({ attempt.endpoint, attempt.call.engine, attempt.incarnation, { m_work.version.value }, attempt.sentAt }, answeredFor);
 }
 
 void EngineDispatch::cancelInBackground(const Attempt& attempt)
--- a/packages/router/src/internal/EngineDispatch.h
+++ b/packages/router/src/internal/EngineDispatch.h
@@ -21,6 +21,7 @@
     endpoint::EngineCall call;
     EndpointName endpoint;
     std::uint64_t incarnation = 0; // Of its process; 0 if it doesn't say.
+    SteadyTime sentAt;
     std::chrono::microseconds unqueuedWait { 0 }; // To the first byte, if a slot is free.
     endpoint::EndpointWish elsewhere; // What another endpoint would be chosen by.
 };
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -47,7 +47,7 @@
         return breakOff(attempt);
     attempt.end(endpoint::EndpointOutcome::succeeded);
     noteOutcome(attempt, false);
-    m_guard.noteCompleted();
+    m_guard.noteCompleted(m_firstEventAt.value_or(now()));
     m_runState = RunState::ran;
     const bool delivered = m_caller.send(*response);
     m_core.parts.metrics.add("whinyard_answers_total");
@@ -96,7 +96,7 @@
     attempt.end(isFault ? fault : endpoint::EndpointOutcome::cancelled);
     // Silence that was not waited out is slowness, of which load has its share; a lost connection is a failure.
     noteOutcome(attempt, !m_stalled, listening == net::Listening::no);
-    log::info("attempt failed", { { "request", m_request.id }, { "digest", toText(m_guard.request()) }, { "parts", toText(sharedParts()) }, { "endpoint", attempt.target().endpoint.name.value }, { "endpointListens", std::string(text(listening)) }, { "reason", m_failure.reason }, { "elapsedMs", text(attempt.age()) }, { "hadHead", attempt.hasHead() ? "true" : "false" }, { "events", std::to_string(m_events) } });
+    log::info("attempt failed", { { "request", m_request.id }, { "digest", toText(m_guard.traits().request) }, { "parts", toText(m_guard.traits().parts) }, { "endpoint", attempt.target().endpoint.name.value }, { "endpointListens", std::string(text(listening)) }, { "reason", m_failure.reason }, { "elapsedMs", text(attempt.age()) }, { "hadHead", attempt.hasHead() ? "true" : "false" }, { "events", std::to_string(m_events) } });
     return AttemptEnd::broken;
 }
 
@@ -123,7 +123,7 @@
     attempt.end(endpoint::EndpointOutcome::succeeded);
     learnAnswer();
     noteOutcome(attempt, false);
-    m_guard.noteCompleted();
+    m_guard.noteCompleted(m_firstEventAt.value_or(now()));
     m_runState = RunState::ran;
     const bool delivered = m_caller.end();
     m_core.parts.metrics.add("whinyard_answers_total");
--- a/packages/router/src/internal/ForwardQueries.cpp
+++ b/packages/router/src/internal/ForwardQueries.cpp
@@ -3,18 +3,14 @@
 
 namespace whinyard::router {
 
-RequestDigest ForwardRun::digest() const
+QueryTraits ForwardRun::traits() const
 {
     const net::HttpRequest& message = m_request.message;
-    return digestOf({ .customer = m_admission.customer.value, .method = message.method, .host = m_request.host, .target = message.target, .body = message.body });
-}
-
-std::vector<PartDigest> ForwardRun::sharedParts() const
-{
-    std::vector<PartDigest> parts;
-    for (std::size_t i = 0; i + 1 < m_request.promptParts.size(); ++i)
-        parts.push_back(digestOfPart(m_service, m_request.promptParts[i].digest));
-    return parts;
+    QueryTraits traits;
+    traits.request = digestOf({ .customer = m_admission.customer.value, .method = message.method, .host = m_request.host, .target = message.target, .body = message.body });
+    for (std::size_t i = 0; i + 1 < m_request.promptParts.size() && i < mostParts; ++i)
+        traits.parts.push_back(digestOfPart(m_service, m_request.promptParts[i].digest));
+    return traits;
 }
 
 net::Listening ForwardRun::inquire(const ForwardAttempt& attempt)
@@ -23,7 +19,7 @@
     std::optional<std::chrono::nanoseconds> answeredFor;
     if (attempt.hasHead())
         answeredFor = m_firstEventAt ? now() - *m_firstEventAt : std::chrono::nanoseconds(0);
-    return m_guard.noteLost({ target.endpoint.name, target.endpoint.address, target.endpoint.incarnation, target.service }, answeredFor);
+    return m_guard.noteLost({ target.endpoint.name, target.endpoint.address, target.endpoint.incarnation, target.service, now() - std::chrono::duration_cast<SteadyTime::duration>(attempt.age()) }, answeredFor);
 }
 
 // Requests that were lost with the same endpoint go to different ones: the one that ended it then takes fewer of the others
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -121,13 +121,14 @@
     , m_request(request)
     , m_admission(std::move(admission))
     , m_caller(caller)
-    , m_guard({ core.parts.clock, core.parts.metrics, core.parts.queries, core.parts.listening }, digest())
+    , m_guard({ core.parts.clock, core.parts.metrics, core.parts.queries, core.parts.listening }, {})
     , m_arrived(core.parts.clock.now())
     , m_lastEvent(request.resumeAfter)
 {
     const std::chrono::milliseconds wait = std::min(request.timeLeft.value_or(m_admission.route->timeout), m_admission.route->timeout);
     m_deadline = m_arrived + wait;
     m_service = drawService();
+    m_guard.useTraits(traits());
     ++m_core.loadOf(m_service).requests;
 }
 
@@ -185,8 +186,8 @@
     const bool changed = admission->table->version() != m_admission.table->version();
     m_admission = std::move(*admission);
     if (changed) {
-        m_guard.useRequest(digest());
         m_service = drawService();
+        m_guard.useTraits(traits());
     }
     return true;
 }
@@ -245,10 +246,12 @@
     // A copy that waits when others have ended their endpoints would end this one too. And the call's own timer doesn't count
     // the time for which the machine was suspended.
     m_isOverdue = now() > m_deadline + timerSlack;
-    if (m_current && (m_guard.isRefused() || m_isOverdue)) {
+    if (m_current && (m_guard.isRefusedAsWhole() || (m_guard.isRefused() && !isSound()) || m_isOverdue)) {
         m_current->cancel();
         return;
     }
+    if (m_current && isSound() && !std::exchange(m_soundNoted, true))
+        m_guard.noteSound(*m_firstEventAt);
     if (!m_current || m_stalled || !mayMove())
         return;
     const bool lost = m_current->wasSent() && hasLostPath(*m_current);
@@ -275,6 +278,7 @@
     m_current = &attempt;
     m_events = 0;
     m_firstEventAt.reset();
+    m_soundNoted = false;
     if (m_admission.route->isGenerative)
         noteWork(target);
     log::info("attempt sent", { { "request", m_request.id }, { "attempt", std::to_string(m_sent + m_refused + 1) }, { "endpoint", target.endpoint.name.value }, { "version", target.version }, { "model", model().value }, { "reason", target.endpoint.reason }, { "expectedWaitMs", text(target.endpoint.plan.expectedWait) }, { "timeLeftMs", text(timeLeft()) } });
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -65,8 +65,7 @@
     std::optional<std::string> versionBeside(const std::vector<EndpointName>& excluded);
     bool passesGateAgain(const PlaceWish& asked);
     const ServiceName& drawService() const;
-    RequestDigest digest() const;
-    std::vector<PartDigest> sharedParts() const;
+    QueryTraits traits() const;
     std::uint64_t sessionDigest() const;
     policy::VersionPreference preferredVersions() const;
     std::optional<AttemptTarget> chooseTarget(Failure& failure);
@@ -102,6 +101,7 @@
     std::uint8_t endpointPriority() const;
     bool mayMove() const;
     bool hasLostPath(const ForwardAttempt& attempt) const;
+    bool isSound() const { return m_firstEventAt && now() - *m_firstEventAt > QueryGuard::soundFor; } // The present attempt's answer.
     bool isUnderWay() const { return streams() && m_events > 0; } // The present attempt's stream has brought events.
     std::chrono::nanoseconds patience() const;
 
@@ -153,6 +153,7 @@
     bool m_callerLeft = false;
     bool m_isCounted = false; // As a request that an endpoint began.
     bool m_stalled = false; // The present attempt was given up for its silence, and another one is granted.
+    bool m_soundNoted = false; // Of the present attempt.
     bool m_isOverdue = false; // The present attempt was ended after the deadline: its own timer had not.
     SteadyTime m_silentSince; // The last sign of the present attempt.
     std::optional<SteadyTime> m_firstEventAt; // Of the present attempt.
--- a/packages/router/src/internal/QueryGuard.cpp
+++ b/packages/router/src/internal/QueryGuard.cpp
@@ -10,15 +10,11 @@
     // A little longer than a verdict waits for a better explanation of the same losses.
     constexpr std::chrono::milliseconds heldFor { 350 };
 
-    // An engine that has sent events for so long, some hundred steps, was not ended by beginning to run the request: engines that
-    // end by one do so within a fifth of a second. A longer time refuses sound streams where many engines crash at once.
-    constexpr std::chrono::milliseconds soundFor { 500 };
-
 }
 
-QueryGuard::QueryGuard(const QueryParts& parts, const RequestDigest& request)
+QueryGuard::QueryGuard(const QueryParts& parts, QueryTraits traits)
     : m_parts(parts)
-    , m_request(request)
+    , m_traits(std::move(traits))
 {
 }
 
@@ -27,11 +23,11 @@
 bool QueryGuard::pass(Failure& failure) const
 {
     if (isRefused()) {
-        failure = { .kind = ErrorKind::queryOfDeath, .reason = "endpoints that ran this request have ended" };
+        failure = { .kind = ErrorKind::queryOfDeath, .reason = isRefusedAsWhole() ? "endpoints that ran this request have ended" : "endpoints that ran requests with a part of this prompt have ended" };
         m_parts.metrics.add("whinyard_queries_refused_total");
         return false;
     }
-    if (m_parts.queries.isHeld(m_request)) {
+    if (m_parts.queries.isHeld(m_traits, m_parts.clock.now())) {
         failure = { .kind = ErrorKind::overloaded, .reason = "endpoints that ended may have run this request", .retryAfter = heldFor };
         m_parts.metrics.add("whinyard_queries_held_total");
         return false;
@@ -50,8 +46,15 @@
     if (answeredFor.value_or(soundFor) > soundFor)
         return listening;
     const LossStage stage = answeredFor ? LossStage::begun : LossStage::waiting;
-    m_parts.queries.noteLoss({ m_request, lifeOf(endpoint.name, endpoint.incarnation), stage }, endpoint.service, m_parts.clock.now());
+    const SteadyTime now = m_parts.clock.now();
+    m_parts.queries.noteLoss({ m_traits.request, lifeOf(endpoint.name, endpoint.incarnation), stage, m_traits.parts, std::chrono::duration_cast<std::chrono::milliseconds>(now - endpoint.sentAt) }, endpoint.service, now);
     return listening;
 }
 
+void QueryGuard::noteCompleted(SteadyTime begunAt) const
+{
+    m_parts.queries.noteCompleted(m_traits.request, m_parts.clock.now());
+    noteSound(begunAt);
+}
+
 }
--- a/packages/router/src/internal/QueryGuard.h
+++ b/packages/router/src/internal/QueryGuard.h
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <optional>
+#include <utility>
 
 namespace whinyard::router {
 
@@ -28,31 +29,39 @@
     net::Address address;
     std::uint64_t incarnation = 0;
     ServiceName service;
+    SteadyTime sentAt;
 };
 
 class QueryGuard {
 public:
-    QueryGuard(const QueryParts& parts, const RequestDigest& request);
+    // An answer that has gone on for so long was not ended by beginning it: engines that end by one do so within a fifth of a second.
+    // A longer time refuses sound streams where many engines crash at once.
+    static constexpr std::chrono::milliseconds soundFor { 500 };
 
-    const RequestDigest& request() const { return m_request; }
-    void useRequest(const RequestDigest& request) { m_request = request; }
+    QueryGuard(const QueryParts& parts, QueryTraits traits);
+
+    const QueryTraits& traits() const { return m_traits; }
+    void useTraits(QueryTraits traits) { m_traits = std::move(traits); }
 
     // Passes the request before a dispatch. Fails with queryOfDeath, or with overloaded while it isn't known yet which of several
     // requests has ended endpoints.
     bool pass(Failure& failure) const;
 
-    bool isRefused() const { return m_parts.queries.isRefused(m_request, m_parts.clock.now()); }
-    bool isSuspect() const { return m_parts.queries.isSuspect(m_request); }
+    bool isRefused() const { return m_parts.queries.isRefused(m_traits, m_parts.clock.now()); }
+    bool isRefusedAsWhole() const { return m_parts.queries.isRefused(m_traits.request, m_parts.clock.now()); }
+    bool isSuspect() const { return m_parts.queries.isSuspect(m_traits.request); }
 
     // Asks whether the endpoint has ended, which suspends the fiber, and suspects the request then. `answeredFor` is how long its
     // answer had been arriving there; nothing when no head of it had come.
     net::Listening noteLost(const LostEndpoint& endpoint, std::optional<std::chrono::nanoseconds> answeredFor) const;
 
-    void noteCompleted() const { m_parts.queries.noteCompleted(m_request, m_parts.clock.now()); }
+    // Notes that an answer that began at `begunAt` was completed, or has gone on for soundFor.
+    void noteCompleted(SteadyTime begunAt) const;
+    void noteSound(SteadyTime begunAt) const { m_parts.queries.noteSound(m_traits.parts, begunAt, m_parts.clock.now()); }
 
 private:
     QueryParts m_parts;
-    RequestDigest m_request;
+    QueryTraits m_traits;
 };
 
 }
--- a/packages/router/src/internal/RequestContext.cpp
+++ b/packages/router/src/internal/RequestContext.cpp
@@ -3,6 +3,7 @@
 #include "whinyard/router/RunVerdict.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace whinyard::router {
 
@@ -36,9 +37,9 @@
     return std::max(left, std::chrono::milliseconds(0));
 }
 
-void RequestContext::useContent(const RequestContent& content)
+void RequestContext::useContent(const RequestContent& content, std::vector<PartDigest> parts)
 {
-    guard.emplace(QueryParts { core.parts.clock, core.parts.metrics, core.parts.queries, core.parts.listening }, digestOf(content));
+    guard.emplace(QueryParts { core.parts.clock, core.parts.metrics, core.parts.queries, core.parts.listening }, QueryTraits { digestOf(content), std::move(parts) });
 }
 
 endpoint::AttemptId RequestContext::beginAttempt()
--- a/packages/router/src/internal/RequestContext.h
+++ b/packages/router/src/internal/RequestContext.h
@@ -76,7 +76,7 @@
     std::chrono::milliseconds timeLeft() const;
 
     // Takes what is asked: from now on the request is kept from endpoints that it would end.
-    void useContent(const RequestContent& content);
+    void useContent(const RequestContent& content, std::vector<PartDigest> parts = {});
 
     // Adds an attempt and returns its identity. Its account is `accounts.back()`.
     endpoint::AttemptId beginAttempt();
--- a/packages/router/src/internal/ServiceDispatch.cpp
+++ b/packages/router/src/internal/ServiceDispatch.cpp
@@ -98,13 +98,13 @@
     if (!response) {
         use.end(outcomeOf(account, failure));
         if (failure.kind == ErrorKind::endpointFailed && account.bytesWritten > 0)
-            m_context.guard->noteLost({ chosen->name, chosen->address, chosen->incarnation, m_work.service.name }, std::nullopt);
+            m_context.guard->noteLost({ chosen->name, chosen->address, chosen->incarnation, m_work.service.name, use.began() }, std::nullopt);
         m_context.record(EventKind::attemptFailed, { .attempt = number, .endpoint = chosen->name, .amount = account.bytesWritten, .reason = failure.reason });
         return std::nullopt;
     }
     use.firstByte();
     use.end(endpoint::EndpointOutcome::succeeded);
-    m_context.guard->noteCompleted();
+    m_context.guard->noteCompleted(m_context.now());
     m_context.record(EventKind::attemptFinished, { .attempt = number, .endpoint = chosen->name, .amount = response->body.size(), .reason = "status " + std::to_string(response->status) });
     return response;
 }
--- a/packages/router/test/ForwarderQueryTest.cpp
+++ b/packages/router/test/ForwarderQueryTest.cpp
@@ -219,5 +219,62 @@
         }
     }
 
+    // Requests of which no two are alike. Each letter of `parts` is a part of the prompt, the last one the request's own.
+    class ForwarderPartTest : public ForwarderQueryTest {
+    protected:
+        ForwarderPartTest() { m_bench.useRoute(RequestKind::streaming, true); }
+
+        FakeResponder sendWith(const std::string& parts)
+        {
+            FakeResponder caller;
+            const net::HttpRequest request { .method = "POST", .target = "/p/x", .fields = { { "id", "q" }, { "host", "a.example" }, { "key", "k1" }, { "parts", parts } }, .body = std::to_string(++m_sent) };
+            m_bench.forwarder.handle(request, caller);
+            m_bench.clock.advance(200ms);
+            m_bench.queries.refresh(m_bench.clock.now());
+            return caller;
+        }
+
+        // An endpoint ends as it begins to answer.
+        void end() { m_bench.script(200, { { "id", "q" }, { "signed", "s" } }, { "id: " }, true); }
+
+        void learnPart()
+        {
+            for (int request = 0; request < 3; ++request) {
+                end();
+                m_bench.answer(200, { "id: 1\ndata: a\n\n" });
+                sendWith("sb" + std::string(1, static_cast<char>('1' + request)));
+            }
+        }
+
+        int m_sent = 0;
+    };
+
+    // Guards against requests with a part in common that end endpoints one after the other.
+    TEST_F(ForwarderPartTest, SendsNoRequestWithAPartThatHasEndedEndpoints)
+    {
+        for (int request = 0; request < 12; ++request) {
+            end();
+            end();
+            end();
+            sendWith("sb" + std::string(1, static_cast<char>('1' + request)));
+        }
+        const std::size_t before = sends();
+        EXPECT_LE(before, 5U);
+        EXPECT_EQ(sendWith("sbx").response.status, 400);
+        EXPECT_EQ(sendWith("bx").response.status, 400) << "whatever else it holds";
+        EXPECT_EQ(sends(), before);
+    }
+
+    // Guards against the refusal of all that shares another part with such requests.
+    TEST_F(ForwarderPartTest, ServesRequestsWithTheOtherParts)
+    {
+        learnPart();
+        m_bench.client.exchanges.clear();
+        for (const char* parts : { "sx", "scx", "bs", "x" }) {
+            m_bench.answer(200, { "id: 1\ndata: a\n\n" });
+            EXPECT_EQ(sendWith(parts).response.status, 200) << parts << ": the last part is the request's own";
+        }
+    }
+
 }
 }
--- a/packages/router/testing/whinyard/router/ForwarderFakes.h
+++ b/packages/router/testing/whinyard/router/ForwarderFakes.h
@@ -16,7 +16,7 @@
 
 namespace whinyard::router {
 
-// Spells every field as its name in the types says.
+// Spells every field as its name in the types says; the parts of a prompt are a letter each.
 class FakeCodec final : public ForwardCodec {
 public:
     std::optional<ForwardedRequest> decodeRequest(const net::HttpRequest& message, Failure& failure) const override
@@ -37,6 +37,8 @@
             request.promptTokens = static_cast<std::uint32_t>(std::stoul(field("tokens")));
             request.promptParts = { { stableHash("shared"), 0 }, { stableHash(request.id), request.promptTokens } };
         }
+        for (const char letter : field("parts"))
+            request.promptParts.push_back({ stableHash(std::string(1, letter)), 100 });
         if (!field("prompt").empty())
             request.promptTokens = static_cast<std::uint32_t>(std::stoul(field("prompt")));
         if (!field("limit").empty())
