Probe the own path at endpoints that aren't known to have ended

Cause: a round of probes that all fail is taken for a lost path, and it asked ejected endpoints as often as others; while half of the engines had just ended, a round met only such ones now and then. Probes go to endpoints that aren't ejected first, so that those whose ends are known say nothing of the path. EndpointDirectoryTest.DrawsEjectedEndpointsOnlyWhereThereAreTooFewOthers fails on the code before by its definition of the draw (not run there).

--- a/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
+++ b/packages/endpoint/include/whinyard/endpoint/EndpointDirectory.h
@@ -157,8 +157,8 @@
     // Returns the endpoint as it is listed; nothing where it isn't, or leaves.
     std::optional<backing::ListedEndpoint> findLive(const EndpointName& name) const;
 
-    // Returns up to so many different endpoints of the service, drawn from the live ones of all its versions. The cost doesn't grow
-    // with their number.
+    // Returns up to so many different endpoints of the service, drawn from the live ones of all its versions; those that are ejected
+    // come in where there are too few others. The cost doesn't grow with their number.
     std::vector<backing::ListedEndpoint> drawLive(const ServiceName& service, std::size_t count);
 
     // Returns the slots of the service's endpoints that are live and not in an evacuated zone, where they are fewer than
@@ -251,6 +251,7 @@
     policy::CascadeStep expectation(const VersionName& version, SteadyTime now, std::uint32_t promptTokens = 0);
 
 private:
+    void drawLiveFrom(const std::vector<const std::vector<policy::EndpointIndex>*>& lists, std::size_t count, std::vector<backing::ListedEndpoint>& drawn);
     bool isLive(const backing::ListedEndpoint& endpoint) const;
     void placeMembers();
     void countVersions(const backing::ListedEndpoint& listed, int change);
--- a/packages/endpoint/src/EndpointDirectory.cpp
+++ b/packages/endpoint/src/EndpointDirectory.cpp
@@ -301,18 +301,27 @@
 
 std::vector<backing::ListedEndpoint> EndpointDirectory::drawLive(const ServiceName& service, std::size_t count)
 {
-    constexpr std::size_t drawsForEach = 4;
-    std::vector<const std::vector<policy::EndpointIndex>*> lists;
-    std::size_t size = 0;
+    using Lists = std::vector<const std::vector<policy::EndpointIndex>*>;
+    Lists sound;
+    Lists ejected;
     for (const policy::TargetIndex target : targetsOf(service)) {
         const policy::TargetMembers& members = m_table.members(target);
-        for (const auto* list : { &members.healthy, &members.probing, &members.ejected }) {
-            lists.push_back(list);
-            size += list->size();
-        }
+        sound.insert(sound.end(), { &members.healthy, &members.probing });
+        ejected.push_back(&members.ejected);
     }
     std::vector<backing::ListedEndpoint> drawn;
-    for (std::size_t draws = 0; size > 0 && draws < count * drawsForEach && drawn.size() < std::min(count, size); ++draws) {
+    for (const Lists& lists : { sound, ejected })
+        drawLiveFrom(lists, count, drawn);
+    return drawn;
+}
+
+void EndpointDirectory::drawLiveFrom(const std::vector<const std::vector<policy::EndpointIndex>*>& lists, std::size_t count, std::vector<backing::ListedEndpoint>& drawn)
+{
+    constexpr std::size_t drawsForEach = 4;
+    std::size_t size = 0;
+    for (const auto* list : lists)
+        size += list->size();
+    for (std::size_t draws = 0; size > 0 && draws < count * drawsForEach && drawn.size() < count; ++draws) {
         std::size_t position = below(m_random, size);
         auto list = lists.begin();
         for (; position >= (*list)->size(); ++list)
@@ -322,7 +331,6 @@
         if (std::optional<backing::ListedEndpoint> live = isNew ? findLive(name) : std::nullopt)
             drawn.push_back(std::move(*live));
     }
-    return drawn;
 }
 
 std::size_t EndpointDirectory::coldEndpoints(SteadyTime now) const
--- a/packages/endpoint/test/EndpointDirectoryTest.cpp
+++ b/packages/endpoint/test/EndpointDirectoryTest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace whinyard::endpoint {
 namespace {
 
@@ -52,6 +54,30 @@
         EXPECT_EQ(choose(), "e1") << "it came back after the list had dropped it";
     }
 
+    // Guards against a wave of ended endpoints that is taken for a lost path: probes would mostly ask those that are known to have ended.
+    TEST_F(EndpointDirectoryTest, DrawsEjectedEndpointsOnlyWhereThereAreTooFewOthers)
+    {
+        std::vector<backing::ListedEndpoint> engines;
+        for (int number = 0; number < 12; ++number)
+            engines.push_back(engine("e" + std::to_string(number)));
+        for (backing::ListedEndpoint& one : engines)
+            one.service = { "svc" };
+        m_directory.replace(engines, m_now);
+        const auto isEjected = [](const backing::ListedEndpoint& one) { return one.name.value == "e0" || one.name.value == "e1" || one.name.value == "e2"; };
+        for (int failure = 0; failure < 5; ++failure) {
+            for (const char* name : { "e0", "e1", "e2" }) {
+                m_directory.recordDispatch({ name }, {}, m_now);
+                m_directory.recordEnd({ name }, EndpointOutcome::unreachable, std::chrono::milliseconds(1), m_now);
+            }
+        }
+        for (int draw = 0; draw < 20; ++draw) {
+            const auto drawn = m_directory.drawLive({ "svc" }, 4);
+            EXPECT_EQ(drawn.size(), 4U);
+            EXPECT_TRUE(std::none_of(drawn.begin(), drawn.end(), isEjected));
+        }
+        EXPECT_EQ(m_directory.drawLive({ "svc" }, 12).size(), 12U);
+    }
+
     // Callers of one instance after another ask with the same shared prompt. Sharing what was placed lowered the tokens that
     // were read again by 36 in 100, on twelve engines behind six instances.
     TEST_F(EndpointDirectoryTest, PrefersTheEngineThatAnotherInstanceGaveThePrompt)
