Notice ends of endpoints behind a relay, and those that look like the end of an answer

Two ways in which an endpoint's end was asked about by nobody, so that the request which had caused it went on to the next one. The instance asks the relay now, which connects and tells (ListenProbe::askByWayOf). By a plain close: an answer may have neither length nor chunks. A stream that its engine's end cut within an event was a failure without a question; a head without any event was a success, and cleared the request and its prompt's parts. net::HttpStream says now that only the connection ends the answer; a stream that ends within an event or without one was lost, and for any other such answer the endpoint's address is asked: where nobody listens, it was lost, and a resumable stream goes on. Tests, which name what they guard against: ForwarderUnframedTest, ForwarderRelayTest.SuspectsARequestWhoseEndpointTheRelayFindsEnded, ConnectRelayTest.TellsWhetherAServerListens, HttpClientTest.TellsAnAnswerThatEndsWithItsConnection; they need the new functions, so they were not run on the code before. By way of a relay an answer without an end of its own isn't asked about.

--- a/packages/endpoint/testing/whinyard/endpoint/FakeHttpClient.h
+++ b/packages/endpoint/testing/whinyard/endpoint/FakeHttpClient.h
@@ -17,7 +17,9 @@
     bool connectionLost = false; // Without an answer, or after the last piece.
     net::HttpResponse head;
     std::vector<std::string> pieces;
+    bool endsWithConnection = false; // The answer has neither a length nor chunks.
     std::function<void()> onRead {}; // Runs before each piece is read, as if that took time.
+    std::chrono::nanoseconds connectTime { 0 };
     std::optional<net::ConnectOutcome> connect {}; // Without one: refused where no byte was written.
 };
 
@@ -76,6 +78,8 @@
             return std::nullopt;
         }
 
+        bool endsWithConnection() const override { return m_exchange.endsWithConnection; }
+
         void cancel() override
         {
             m_exchange.connectionLost = true;
@@ -106,6 +110,7 @@
             exchanges.pop_front();
         }
         progress.connect = exchange.connect.value_or(exchange.bytesWritten == 0 ? net::ConnectOutcome::refused : net::ConnectOutcome::connected);
+        progress.connectTime = exchange.connectTime;
         progress.bytesWritten = exchange.bytesWritten;
         progress.responseStarted = !exchange.connectionLost || !exchange.pieces.empty();
         return exchange;
--- a/packages/net/include/whinyard/net/HttpClient.h
+++ b/packages/net/include/whinyard/net/HttpClient.h
@@ -71,6 +71,7 @@
 // What is known of a call. Failure::runState is filled from it: notRun while bytesWritten is zero.
 struct HttpCallProgress {
     ConnectOutcome connect = ConnectOutcome::notTried;
+    std::chrono::nanoseconds connectTime { 0 }; // Until that outcome.
     std::size_t bytesWritten = 0; // Bytes handed to a connected socket; zero proves that nothing arrived.
     bool responseStarted = false;
 };
@@ -88,6 +89,10 @@
     // the reason, when the connection ended before that, the time ran out or cancel() was called.
     virtual std::optional<std::string> read(Failure& failure) = 0;
 
+    // Returns whether the answer has neither a length nor chunks: its proper end is that of the connection, which a server that
+    // ends amid the answer may bring about as well.
+    virtual bool endsWithConnection() const { return false; }
+
     // Bounds the wait of each further read() in place of HttpCallOptions::pieceTimeout.
     virtual void usePieceTimeout(std::chrono::milliseconds timeout) { static_cast<void>(timeout); }
 
--- a/packages/net/include/whinyard/net/ListenProbe.h
+++ b/packages/net/include/whinyard/net/ListenProbe.h
@@ -6,10 +6,12 @@
 
 #include "whinyard/net/Address.h"
 #include "whinyard/net/Duty.h"
+#include "whinyard/net/HttpMessage.h"
 
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <vector>
 
 namespace whinyard::net {
 
@@ -28,6 +30,9 @@
 
     // Suspends the calling fiber, at most for `patience`.
     virtual Listening ask(const Address& address, std::chrono::milliseconds patience) = 0;
+
+    // Has the relay at `relay` connect, which is told `fields`, where the own way there may be lost; see ConnectRelay.h.
+    virtual Listening askByWayOf(const Address& relay, const std::vector<HttpField>& fields, const Address& address, std::chrono::milliseconds patience) = 0;
 };
 
 }
--- a/packages/net/src/ListenProbe.cpp
+++ b/packages/net/src/ListenProbe.cpp
@@ -1,5 +1,6 @@
 #include "whinyard/net/ListenProbe.h"
 
+#include "internal/ConnectionPool.h"
 #include "internal/Endpoint.h"
 #include "internal/FiberSocket.h"
 
@@ -33,6 +34,16 @@
             return error == asio::error::connection_refused ? Listening::no : Listening::unknown;
         }
 
+        Listening askByWayOf(const Address& relay, const std::vector<HttpField>& fields, const Address& address, std::chrono::milliseconds patience) override
+        {
+            ConnectOutcome outcome = ConnectOutcome::notTried;
+            Failure ignored;
+            internal::ConnectionPool pool(m_duty);
+            if (pool.connectThrough(relay, fields, address, SystemClock().now() + patience, outcome, ignored))
+                return Listening::yes;
+            return outcome == ConnectOutcome::refused ? Listening::no : Listening::unknown;
+        }
+
     private:
         Duty& m_duty;
     };
--- a/packages/net/src/internal/HttpExchange.cpp
+++ b/packages/net/src/internal/HttpExchange.cpp
@@ -100,11 +100,14 @@
 bool HttpExchange::takeConnection(Failure& failure)
 {
     m_connection = m_mayReuse ? m_pool.takeKept(m_address) : nullptr;
-    const SteadyTime connectBy = std::min(m_deadline, std::chrono::steady_clock::now() + m_options.connectTimeout);
+    const SteadyTime began = std::chrono::steady_clock::now();
+    const SteadyTime connectBy = std::min(m_deadline, began + m_options.connectTimeout);
     if (!m_connection && m_options.relay)
         m_connection = m_pool.connectThrough(*m_options.relay, m_options.relayFields, m_address, connectBy, m_progress.connect, failure);
     else if (!m_connection)
         m_connection = m_pool.connect(m_address, connectBy, m_progress.connect, failure);
+    if (m_progress.connect != ConnectOutcome::notTried)
+        m_progress.connectTime = std::chrono::steady_clock::now() - began;
     if (!m_connection)
         return false;
     m_connection->socket.expireAt(m_deadline);
--- a/packages/net/src/internal/HttpStreamImpl.cpp
+++ b/packages/net/src/internal/HttpStreamImpl.cpp
@@ -30,6 +30,7 @@
 {
     m_head.status = static_cast<int>(m_parser->get().result_int());
     m_head.fields = plainFields(m_parser->get());
+    m_endsWithConnection = m_parser->need_eof();
 }
 
 HttpStreamImpl::~HttpStreamImpl()
--- a/packages/net/src/internal/HttpStreamImpl.h
+++ b/packages/net/src/internal/HttpStreamImpl.h
@@ -24,6 +24,7 @@
 
     const HttpResponse& head() const override { return m_head; }
     std::optional<std::string> read(Failure& failure) override;
+    bool endsWithConnection() const override { return m_endsWithConnection; }
     void usePieceTimeout(std::chrono::milliseconds timeout) override { m_pieceTimeout = timeout; }
     void cancel() override;
 
@@ -41,6 +42,7 @@
     std::unique_ptr<StreamParser> m_parser;
     std::chrono::milliseconds m_pieceTimeout;
     HttpResponse m_head;
+    bool m_endsWithConnection = false;
     bool m_finished = false;
     bool m_cancelled = false;
 };
--- a/packages/net/test/ConnectRelayTest.cpp
+++ b/packages/net/test/ConnectRelayTest.cpp
@@ -2,6 +2,7 @@
 #include "whinyard/net/ConnectRelay.h"
 
 #include "whinyard/net/HttpClient.h"
+#include "whinyard/net/ListenProbe.h"
 #include "whinyard/net/RawConnection.h"
 
 #include <gtest/gtest.h>
@@ -116,6 +117,23 @@
         EXPECT_EQ(m_failure.runState, RunState::notRun);
     }
 
+    // Guards against ends of servers that nobody notices who reaches them by a relay only.
+    TEST_F(ConnectRelayTest, TellsWhetherAServerListens)
+    {
+        const auto ask = [this] {
+            return *callOn(m_duty, [this] { return ListenProbe::create(m_duty)->askByWayOf(*m_options.relay, m_options.relayFields, m_server, milliseconds(2'000)); });
+        };
+        EXPECT_EQ(ask(), Listening::yes);
+        EXPECT_EQ(fieldValue(m_asked->fields, "Endpoint"), "e1");
+        m_opens = false;
+        EXPECT_EQ(ask(), Listening::unknown) << "it declines";
+        m_opens = true;
+        m_acceptor.close();
+        EXPECT_EQ(ask(), Listening::no);
+        runOn(m_duty, [this] { m_relay->close(); });
+        EXPECT_EQ(ask(), Listening::unknown);
+    }
+
     // Guards against an endpoint that works on for a caller who has left the other end of a relay.
     TEST_F(ConnectRelayTest, ClosesTheServersConnectionWhenItsClientLeaves)
     {
--- a/packages/net/test/HttpClientTest.cpp
+++ b/packages/net/test/HttpClientTest.cpp
@@ -117,6 +117,7 @@
         EXPECT_EQ(failure.runState, RunState::unknown);
         EXPECT_GT(progress.bytesWritten, 0U);
         EXPECT_EQ(progress.connect, ConnectOutcome::connected);
+        EXPECT_GT(progress.connectTime.count(), 0);
 
         acceptor.close();
         call([] {});
@@ -190,6 +191,38 @@
         EXPECT_EQ(server->readAll(), "");
     }
 
+    // Guards against an answer that its server's end has cut, and that nobody can tell from one that was complete.
+    TEST_F(HttpClientTest, TellsAnAnswerThatEndsWithItsConnection)
+    {
+        const auto readAll = [&](std::string_view head, std::string_view body) {
+            std::optional<std::string> read;
+            bool endsWithConnection = false;
+            std::thread caller([&] {
+                runOn(duty, [&] {
+                    const auto stream = client->open(address, {}, { .freshConnection = true }, progress, failure);
+                    ASSERT_TRUE(stream) << failure.reason;
+                    endsWithConnection = stream->endsWithConnection();
+                    read = readToEnd(*stream, failure);
+                });
+            });
+            {
+                RawConnection server(acceptor);
+                server.readUntil("\r\n\r\n");
+                server.write(head);
+                server.write(body);
+            }
+            caller.join();
+            EXPECT_EQ(endsWithConnection, head.find("ength") == std::string_view::npos && head.find("chunked") == std::string_view::npos);
+            return read;
+        };
+        EXPECT_EQ(readAll("HTTP/1.1 200 OK\r\n\r\n", "whole"), "whole");
+        EXPECT_EQ(readAll("HTTP/1.0 200 OK\r\n\r\n", "whole"), "whole");
+        EXPECT_EQ(readAll("HTTP/1.1 200 OK\r\n\r\n", ""), "");
+        EXPECT_EQ(readAll("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "whole"), "whole");
+        EXPECT_EQ(readAll("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n", "whole"), std::nullopt);
+        EXPECT_EQ(readAll("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nwhole\r\n"), std::nullopt);
+    }
+
     TEST_F(HttpClientTest, CancelEndsAReadThatWaits)
     {
         std::optional<RawConnection> server;
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -43,7 +43,7 @@
 {
     attempt.firstByte();
     const std::optional<net::HttpResponse> response = attempt.readWhole(m_deadline);
-    if (!response)
+    if (!response || hasEndedWithEndpoint(attempt))
         return breakOff(attempt);
     attempt.end(endpoint::EndpointOutcome::succeeded);
     noteOutcome(attempt, false);
@@ -59,7 +59,7 @@
 ForwardRun::AttemptEnd ForwardRun::keepFailure(ForwardAttempt& attempt)
 {
     std::optional<net::HttpResponse> response = attempt.readWhole(m_deadline);
-    if (!response)
+    if (!response || hasEndedWithEndpoint(attempt))
         return breakOff(attempt);
     const bool isFault = isEndpointFault(response->status);
     m_failedAnswer = std::move(*response);
@@ -80,9 +80,9 @@
         m_failure = { .kind = ErrorKind::deadlineExceeded, .reason = "the deadline passed", .runState = RunState::unknown };
     m_runState = std::max(m_runState, RunState::unknown);
     const bool wasGivenUp = m_callerLeft || m_isOverdue || m_guard.isRefused();
+    const net::Listening listening = attempt.connectionLost() ? inquire(attempt) : net::Listening::unknown;
     // Where the path may be at fault, nothing is said of the endpoint and its version.
-    const bool isPathSuspect = hasLostPath(attempt) || (attempt.isRelayed() && attempt.connectionLost());
-    const net::Listening listening = attempt.connectionLost() && !isPathSuspect ? inquire(attempt) : net::Listening::unknown;
+    const bool isPathSuspect = listening != net::Listening::no && (hasLostPath(attempt) || (attempt.isRelayed() && attempt.connectionLost()));
     if (isPathSuspect)
         log::info("attempt lost with its path", { { "request", m_request.id }, { "endpoint", attempt.target().endpoint.name.value }, { "reason", m_failure.reason }, { "elapsedMs", text(attempt.age()) } });
     if (wasGivenUp || isPathSuspect) {
@@ -112,10 +112,10 @@
         if (!relay(attempt, framer, *bytes))
             return breakOff(attempt);
     }
-    if (!framer.isWhole()) {
-        m_failure = { .kind = ErrorKind::endpointFailed, .reason = "the stream ended within an event", .runState = RunState::unknown };
+    if (!framer.isWhole())
+        attempt.loseConnection("the stream ended within an event");
+    if (attempt.connectionLost() || hasEndedWithEndpoint(attempt))
         return breakOff(attempt);
-    }
     if (!m_streaming) {
         m_streaming = true;
         m_caller.begin(attempt.head());
@@ -132,6 +132,18 @@
     return AttemptEnd::answered;
 }
 
+// The close of a connection is the end of an answer that states none, and also what an endpoint leaves behind that ends amid it.
+// Nobody listening there, or a stream without any event, tells the second from the first.
+bool ForwardRun::hasEndedWithEndpoint(ForwardAttempt& attempt)
+{
+    if (!attempt.endsWithConnection())
+        return false;
+    const bool isEmptyStream = streams() && m_events == 0 && !m_lastEvent;
+    if (isEmptyStream || (!attempt.isRelayed() && m_guard.listens(attempt.target().endpoint.address) == net::Listening::no))
+        attempt.loseConnection("the endpoint ended amid an answer without a length");
+    return attempt.connectionLost();
+}
+
 // Passes on the events that `bytes` complete. Returns false when the stream can't go on.
 bool ForwardRun::relay(ForwardAttempt& attempt, endpoint::EventFramer& framer, std::string_view bytes)
 {
--- a/packages/router/src/internal/ForwardAttempt.cpp
+++ b/packages/router/src/internal/ForwardAttempt.cpp
@@ -223,6 +223,12 @@
     return piece;
 }
 
+void ForwardAttempt::loseConnection(std::string reason)
+{
+    m_connectionLost = true;
+    m_failure = { .kind = ErrorKind::endpointFailed, .reason = std::move(reason), .runState = RunState::unknown };
+}
+
 void ForwardAttempt::cancel()
 {
     m_cancellation.cancel();
--- a/packages/router/src/internal/ForwardAttempt.h
+++ b/packages/router/src/internal/ForwardAttempt.h
@@ -40,6 +40,12 @@
     // Returns the next bytes of the body, empty at its end; nothing when it broke off or nothing came within `patience`.
     std::optional<std::string> read(std::chrono::milliseconds patience);
 
+    // Returns whether the answer has no end of its own but the connection's; see net::HttpStream.
+    bool endsWithConnection() const { return m_stream->endsWithConnection(); }
+
+    // Takes the end of the answer for that of a connection that was lost.
+    void loseConnection(std::string reason);
+
     // Ends the attempt from outside its fiber: its connection is closed, and a wait for it returns.
     void cancel();
 
@@ -55,6 +61,7 @@
     bool timedOut() const { return m_failure.kind == ErrorKind::deadlineExceeded; }
     bool wasSent() const { return m_progress.bytesWritten > 0; }
     bool isRelayed() const { return m_relay.has_value(); } // Its connection was made by another instance.
+    const std::optional<InstanceName>& relay() const { return m_relay; }
     bool lacksPath() const { return m_lacksPath; } // Nobody has tried to connect to the endpoint, so nothing is known of it.
     std::chrono::nanoseconds age() const { return m_core.parts.clock.now() - m_use.began(); }
 
--- a/packages/router/src/internal/ForwardQueries.cpp
+++ b/packages/router/src/internal/ForwardQueries.cpp
@@ -13,13 +13,29 @@
     return traits;
 }
 
+// Whether the endpoint of a lost connection has ended, by its own path or, where that may be at fault, by another instance's. The
+// request is suspected then.
 net::Listening ForwardRun::inquire(const ForwardAttempt& attempt)
 {
     const AttemptTarget& target = attempt.target();
     std::optional<std::chrono::nanoseconds> answeredFor;
     if (attempt.hasHead())
         answeredFor = m_firstEventAt ? now() - *m_firstEventAt : std::chrono::nanoseconds(0);
-    return m_guard.noteLost({ target.endpoint.name, target.endpoint.address, target.endpoint.incarnation, target.service, now() - std::chrono::duration_cast<SteadyTime::duration>(attempt.age()) }, answeredFor);
+    const net::Listening listening = attempt.isRelayed() || hasLostPath(attempt) ? inquireByRelay(attempt) : m_guard.listens(target.endpoint.address);
+    if (listening == net::Listening::no)
+        m_guard.noteEnded({ target.endpoint.name, target.endpoint.address, target.endpoint.incarnation, target.service, now() - std::chrono::duration_cast<SteadyTime::duration>(attempt.age()) }, answeredFor);
+    return listening;
+}
+
+net::Listening ForwardRun::inquireByRelay(const ForwardAttempt& attempt)
+{
+    const AttemptTarget& target = attempt.target();
+    const std::optional<InstanceName> relay = attempt.isRelayed() ? attempt.relay() : m_core.paths.drawRelay(target.service, {}, now());
+    const auto address = relay ? m_core.relays.find(*relay) : m_core.relays.end();
+    if (address == m_core.relays.end())
+        return net::Listening::unknown;
+    const std::vector<net::HttpField> fields { { std::string(relayEndpointField), target.endpoint.name.value }, { std::string(relayRequestField), m_request.id } };
+    return m_core.parts.listening.askByWayOf(address->second, fields, target.endpoint.address, QueryGuard::listenPatience);
 }
 
 // Requests that were lost with the same endpoint go to different ones: the one that ended it then takes fewer of the others
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -93,8 +93,10 @@
     AttemptEnd answerStream(ForwardAttempt& attempt);
     bool relay(ForwardAttempt& attempt, endpoint::EventFramer& framer, std::string_view bytes);
     AttemptEnd keepFailure(ForwardAttempt& attempt);
+    bool hasEndedWithEndpoint(ForwardAttempt& attempt);
     AttemptEnd breakOff(ForwardAttempt& attempt);
     net::Listening inquire(const ForwardAttempt& attempt);
+    net::Listening inquireByRelay(const ForwardAttempt& attempt);
     std::vector<EndpointName> endpointsOfOtherSuspects() const;
     bool stepsUp(const ForwardAttempt& attempt);
     AttemptHead headFor(const AttemptTarget& target) const;
--- a/packages/router/src/internal/QueryGuard.cpp
+++ b/packages/router/src/internal/QueryGuard.cpp
@@ -4,9 +4,6 @@
 
 namespace {
 
-    // Many times the way there and back within a region. The next attempt waits for it.
-    constexpr std::chrono::milliseconds listenPatience { 100 };
-
     // A little longer than a verdict waits for a better explanation of the same losses.
     constexpr std::chrono::milliseconds heldFor { 350 };
 
@@ -39,16 +36,20 @@
 // within a way there and back, long before the list of endpoints shows it.
 net::Listening QueryGuard::noteLost(const LostEndpoint& endpoint, std::optional<std::chrono::nanoseconds> answeredFor) const
 {
-    const net::Listening listening = m_parts.listening.ask(endpoint.address, listenPatience);
-    if (listening != net::Listening::no)
-        return listening;
+    const net::Listening listening = listens(endpoint.address);
+    if (listening == net::Listening::no)
+        noteEnded(endpoint, answeredFor);
+    return listening;
+}
+
+void QueryGuard::noteEnded(const LostEndpoint& endpoint, std::optional<std::chrono::nanoseconds> answeredFor) const
+{
     m_parts.metrics.add("whinyard_lost_with_endpoint_total");
     if (answeredFor.value_or(soundFor) > soundFor)
-        return listening;
+        return;
     const LossStage stage = answeredFor ? LossStage::begun : LossStage::waiting;
     const SteadyTime now = m_parts.clock.now();
     m_parts.queries.noteLoss({ m_traits.request, lifeOf(endpoint.name, endpoint.incarnation), stage, m_traits.parts, std::chrono::duration_cast<std::chrono::milliseconds>(now - endpoint.sentAt) }, endpoint.service, now);
-    return listening;
 }
 
 void QueryGuard::noteCompleted(SteadyTime begunAt) const
--- a/packages/router/src/internal/QueryGuard.h
+++ b/packages/router/src/internal/QueryGuard.h
@@ -51,8 +51,17 @@
     bool isRefusedAsWhole() const { return m_parts.queries.isRefused(m_traits.request, m_parts.clock.now()); }
     bool isSuspect() const { return m_parts.queries.isSuspect(m_traits.request); }
 
-    // Asks whether the endpoint has ended, which suspends the fiber, and suspects the request then. `answeredFor` is how long its
+    // Many times the way there and back within a region. The next attempt waits for it.
+    static constexpr std::chrono::milliseconds listenPatience { 100 };
+
+    // Asks whether anybody listens there, which suspends the fiber.
+    net::Listening listens(const net::Address& endpoint) const { return m_parts.listening.ask(endpoint, listenPatience); }
+
+    // Suspects the request: it was lost with an endpoint at whose address nobody listens any more. `answeredFor` is how long its
     // answer had been arriving there; nothing when no head of it had come.
+    void noteEnded(const LostEndpoint& endpoint, std::optional<std::chrono::nanoseconds> answeredFor) const;
+
+    // Asks whether the endpoint has ended, and suspects the request then.
     net::Listening noteLost(const LostEndpoint& endpoint, std::optional<std::chrono::nanoseconds> answeredFor) const;
 
     // Notes that an answer that began at `begunAt` was completed, or has gone on for soundFor.
--- a/packages/router/test/ForwarderQueryTest.cpp
+++ b/packages/router/test/ForwarderQueryTest.cpp
@@ -276,5 +276,68 @@
         }
     }
 
+    // Answers with neither a length nor chunks, of which a close is the end.
+    class ForwarderUnframedTest : public ForwarderPartTest {
+    protected:
+        endpoint::FakeExchange& unframed(std::vector<std::string> pieces)
+        {
+            endpoint::FakeExchange& exchange = m_bench.answer(200, std::move(pieces));
+            exchange.endsWithConnection = true;
+            return exchange;
+        }
+    };
+
+    // Guards against an endpoint that ends within an event by a close, and whose request isn't suspected.
+    TEST_F(ForwarderUnframedTest, SuspectsAStreamThatEndsWithinAnEvent)
+    {
+        m_bench.useRoute(RequestKind::streaming, false);
+        unframed({ "id: 1\ndata: a\n\nid: 2\nda" });
+        const FakeResponder caller = sendWith("sx");
+        EXPECT_FALSE(caller.ended) << "the caller sees the cut";
+        EXPECT_EQ(m_bench.queries.suspects(), 1U);
+    }
+
+    // Guards against a head without a body that counts as a success, and clears the request that ended the endpoint.
+    TEST_F(ForwarderUnframedTest, TakesAHeadWithoutAnEventForALoss)
+    {
+        unframed({});
+        m_bench.answer(200, { "id: 1\ndata: a\n\n" });
+        const FakeResponder caller = sendWith("sx");
+        EXPECT_EQ(sends(), 2U);
+        EXPECT_EQ(caller.response.body, "id: 1\ndata: a\n\n");
+    }
+
+    // Guards against a stream that looks complete though its endpoint has ended between two events.
+    TEST_F(ForwarderUnframedTest, GoesOnWhereTheEndpointHasEndedBetweenEvents)
+    {
+        unframed({ "id: 1\ndata: a\n\n" });
+        m_bench.answer(200, { "id: 2\ndata: b\n\n" });
+        sendWith("sx");
+        EXPECT_EQ(sends(), 2U);
+    }
+
+    TEST_F(ForwarderUnframedTest, EndsAStreamWhoseEndpointStillListens)
+    {
+        m_bench.listening.answer = net::Listening::yes;
+        unframed({ "id: 1\ndata: a\n\n" });
+        const FakeResponder caller = sendWith("sx");
+        EXPECT_EQ(sends(), 1U);
+        EXPECT_EQ(caller.response.body, "id: 1\ndata: a\n\n");
+        EXPECT_TRUE(caller.ended);
+    }
+
+    // Guards against a whole answer that is cut by the end of its endpoint, and shown as complete.
+    TEST_F(ForwarderUnframedTest, AsksForTheEndpointOfAWholeAnswer)
+    {
+        m_bench.useRoute(RequestKind::idempotent);
+        unframed({ "ha" });
+        m_bench.answer(200, { "half" });
+        EXPECT_EQ(sendWith("").response.body, "half");
+        m_bench.listening.answer = net::Listening::yes;
+        unframed({ "whole" });
+        EXPECT_EQ(sendWith("").response.body, "whole");
+        EXPECT_EQ(sends(), 3U);
+    }
+
 }
 }
--- a/packages/router/test/ForwarderRelayTest.cpp
+++ b/packages/router/test/ForwarderRelayTest.cpp
@@ -76,6 +76,22 @@
         EXPECT_EQ(m_bench.listening.asked, 0) << "the own path says nothing of the endpoint";
     }
 
+    // Guards against a request that goes on to end endpoints while its instance reaches them by relays only.
+    TEST_F(ForwarderRelayTest, SuspectsARequestWhoseEndpointTheRelayFindsEnded)
+    {
+        m_bench.useRoute(config::RequestKind::nonIdempotent);
+        losePath();
+        m_bench.lose(10);
+        m_bench.send();
+        EXPECT_EQ(m_bench.listening.askedByRelay, 1);
+        EXPECT_EQ(m_bench.queries.suspects(), 0U) << "the relay may have lost the connection";
+        m_bench.listening.answerByRelay = net::Listening::no;
+        m_bench.clock.advance(31s); // It was completed lately.
+        m_bench.lose(10);
+        m_bench.send();
+        EXPECT_EQ(m_bench.queries.suspects(), 1U);
+    }
+
     TEST_F(ForwarderRelayTest, SaysNotRunWhereNoRelayConnects)
     {
         m_bench.useRoute(config::RequestKind::nonIdempotent);
--- a/packages/router/testing/whinyard/router/RouterFakes.h
+++ b/packages/router/testing/whinyard/router/RouterFakes.h
@@ -36,13 +36,21 @@
 class FakeListenProbe final : public net::ListenProbe {
 public:
     net::Listening answer = net::Listening::yes;
+    net::Listening answerByRelay = net::Listening::unknown;
     int asked = 0;
+    int askedByRelay = 0;
 
     net::Listening ask(const net::Address&, std::chrono::milliseconds) override
     {
         ++asked;
         return answer;
     }
+
+    net::Listening askByWayOf(const net::Address&, const std::vector<net::HttpField>&, const net::Address&, std::chrono::milliseconds) override
+    {
+        ++askedByRelay;
+        return answerByRelay;
+    }
 };
 
 // Waiting moves the clock; background work waits until a test runs it.
