Close new connections unread while an instance gets more than its processor or link bears

Ruled out: the processor. Cause: the link is full, so connects to all endpoints run out of their 300 ms, which is taken for a lost path. Callers go to another instance, as after a refused connection.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -146,8 +146,10 @@
         responder.send({ .status = isReady() ? ready : notReady, .fields = {}, .body = {} });
     };
     m_server = net::HttpServer::open(m_duty, m_shared.settings.callers, serverLimits({}), forward, failure);
-    if (m_server)
+    if (m_server) {
+        m_server->useAdmission([this] { return admitsConnection(); });
         m_readiness = net::HttpServer::open(m_duty, m_shared.settings.readiness, {}, tellReadiness, failure);
+    }
     if (!m_readiness || !m_link.open(m_duty, failure) || !openRelay(failure))
         return false;
     if (!m_shared.settings.peers) {
@@ -247,10 +249,33 @@
         m_link.tellQueries();
         m_link.tellRates();
         m_link.tellPaces();
+        const SteadyTime due = m_shared.clock.now() + tickInterval;
         net::sleepFor(tickInterval);
+        noteDelay(m_shared.clock.now() - due);
     }
 }
 
+bool ServeDuty::admitsConnection()
+{
+    const bool admits = m_gate.admits(m_shared.clock.now());
+    if (!admits)
+        m_shared.metrics.add("whinyard_connections_turned_away_total");
+    return admits;
+}
+
+void ServeDuty::noteDelay(std::chrono::nanoseconds delay)
+{
+    const SteadyTime now = m_shared.clock.now();
+    const std::optional<std::chrono::nanoseconds> connect = m_forwarder->takeShortestConnect();
+    m_gate.noteWorkDelay(delay, now);
+    if (connect)
+        m_gate.noteConnectTime(*connect, now);
+    m_shared.metrics.set("whinyard_serve_delay_seconds", std::chrono::duration<double>(delay).count());
+    const auto inMilliseconds = [](std::chrono::nanoseconds time) { return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()); };
+    if (const bool closed = m_gate.isClosed(now); std::exchange(m_wasClosed, closed) != closed)
+        log::warning(closed ? "overloaded, turning connections away" : "no longer overloaded", { { "delayMs", inMilliseconds(delay) }, { "connectMs", connect ? inMilliseconds(*connect) : "" } });
+}
+
 void ServeDuty::takeLimits(const config::CallerLimits& limits)
 {
     m_duty.post([this, limits] {
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -13,6 +13,7 @@
 #include "whinyard/net/Duty.h"
 #include "whinyard/net/HttpServer.h"
 #include "whinyard/net/ListenProbe.h"
+#include "whinyard/policy/ConnectionGate.h"
 #include "whinyard/policy/ModelChoice.h"
 #include "whinyard/policy/QueryOfDeath.h"
 #include "whinyard/policy/VersionShift.h"
@@ -117,12 +118,16 @@
     void noteNews();
     void refreshDirectory();
     void tickForwarder();
+    bool admitsConnection();
+    void noteDelay(std::chrono::nanoseconds delay);
 
     EntryShared& m_shared;
     endpoint::EndpointDirectory m_directory;
     policy::VersionShifts m_shifts;
     policy::ModelChoice m_models;
     policy::QueryOfDeathTable m_queries;
+    policy::ConnectionGate m_gate; // Of callers' connections.
+    bool m_wasClosed = false; // At the last look.
     const platform::HttpCodec m_codec;
     std::map<ServiceName, std::vector<std::string>> m_versions; // With endpoints, in the order in which they appeared.
     leadership::UsageCounter m_usage;
--- a/packages/net/include/whinyard/net/HttpServer.h
+++ b/packages/net/include/whinyard/net/HttpServer.h
@@ -78,6 +78,9 @@
     // Takes other limits. They hold from the next request of each connection on; `connections` stays as it was.
     virtual void useLimits(const HttpServerLimits& limits) = 0;
 
+    // Has every new connection closed at once, unread, for which `admits` returns false.
+    virtual void useAdmission(std::function<bool()> admits) = 0;
+
     // Asks every connection to close after its next answer. New connections are still accepted.
     virtual void announceClose() = 0;
 
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -201,6 +201,7 @@
         }
 
         void useLimits(const HttpServerLimits& limits) override { *m_limits = limits; }
+        void useAdmission(std::function<bool()> admits) override { server().useAdmission(std::move(admits)); }
         void announceClose() override { server().announceClose(); }
 
     private:
--- a/packages/net/src/internal/TcpServer.cpp
+++ b/packages/net/src/internal/TcpServer.cpp
@@ -95,7 +95,7 @@
 
 void TcpServer::start(tcp::socket socket)
 {
-    if (m_connections.size() >= m_maximumConnections)
+    if (m_connections.size() >= m_maximumConnections || (m_admits && !m_admits()))
         return;
     auto connection = std::make_shared<ServerConnection>(std::move(socket));
     m_connections.insert(connection.get());
--- a/packages/net/src/internal/TcpServer.h
+++ b/packages/net/src/internal/TcpServer.h
@@ -64,6 +64,7 @@
         TcpServer& m_server;
     };
 
+    void useAdmission(std::function<bool()> admits) { m_admits = std::move(admits); }
     void announceClose() { m_closeAnnounced = true; }
     void drain();
     void close();
@@ -78,6 +79,7 @@
     Duty& m_duty;
     const std::size_t m_maximumConnections;
     const Serve m_serve;
+    std::function<bool()> m_admits; // Empty: every connection is admitted.
     boost::asio::ip::tcp::acceptor m_acceptor;
     Address m_address;
     std::unordered_set<ServerConnection*> m_connections;
--- a/packages/net/test/HttpServerTest.cpp
+++ b/packages/net/test/HttpServerTest.cpp
@@ -52,6 +52,22 @@
         responder.send({ 200, { { "X-Target", request.method + " " + request.target }, { "X-Was", std::string(fieldValue(request.fields, "x-sent")) } }, request.body });
     }
 
+    // Guards against a caller that waits for an instance which has no time to read its request.
+    TEST_F(HttpServerTest, ClosesConnectionsThatArentAdmittedAtOnce)
+    {
+        bool admits = false;
+        start(echo);
+        const auto call = [&] {
+            return *callOn(duty, [&] { return client->call(address, { "GET", "/", {}, {} }, { .timeout = longTime, .freshConnection = true }, progress, failure).has_value(); });
+        };
+        runOn(duty, [&] { server->useAdmission([&] { return admits; }); });
+        EXPECT_FALSE(call());
+        EXPECT_FALSE(progress.responseStarted);
+        EXPECT_EQ(*callOn(duty, [&] { return server->active(); }), 0U);
+        admits = true;
+        EXPECT_TRUE(call());
+    }
+
     TEST_F(HttpServerTest, AnswersOnKeptConnections)
     {
         start(echo);
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -136,6 +136,9 @@
     // Returns what this instance has done for each service since its start.
     std::vector<policy::ServiceLoad> loads() const;
 
+    // Returns how long the shortest connect to an endpoint took since the last call; nothing where none succeeded.
+    std::optional<std::chrono::nanoseconds> takeShortestConnect();
+
     // Returns how many requests are running.
     std::size_t active() const;
 
--- a/packages/router/src/Forwarder.cpp
+++ b/packages/router/src/Forwarder.cpp
@@ -4,6 +4,7 @@
 #include "whinyard/base/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace whinyard::router {
 
@@ -204,6 +205,11 @@
     return loads;
 }
 
+std::optional<std::chrono::nanoseconds> Forwarder::takeShortestConnect()
+{
+    return std::exchange(m_state->core.shortestConnect, std::nullopt);
+}
+
 std::size_t Forwarder::active() const
 {
     return m_state->core.active;
--- a/packages/router/src/internal/ForwardAttempt.cpp
+++ b/packages/router/src/internal/ForwardAttempt.cpp
@@ -3,6 +3,8 @@
 #include "internal/ForwardText.h"
 #include "whinyard/base/Log.h"
 
+#include <algorithm>
+
 namespace whinyard::router {
 
 namespace {
@@ -125,6 +127,8 @@
     call(head, patience, nullptr);
     countConnect(m_core.parts.metrics, m_progress.connect);
     const bool isConnected = m_progress.connect == net::ConnectOutcome::connected;
+    if (isConnected)
+        m_core.shortestConnect = std::min(m_core.shortestConnect.value_or(m_progress.connectTime), m_progress.connectTime);
     if (isConnected || failedToConnect())
         m_core.paths.recordDirect(m_target.service, m_target.endpoint.name, isConnected, began);
 }
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -162,6 +162,7 @@
     std::map<ServiceName, std::vector<std::string>> versions {};
     std::map<VersionName, Concentrated> concentrations {};
     std::set<ForwardRun*> runs {}; // With an attempt that may be given up.
+    std::optional<std::chrono::nanoseconds> shortestConnect {}; // To any endpoint, since it was taken.
     std::size_t active = 0;
     bool started = false;
     SteadyTime endsAt = SteadyTime::max(); // From then on nothing is sent to an endpoint.
--- a/packages/router/test/ForwarderConnectTest.cpp
+++ b/packages/router/test/ForwarderConnectTest.cpp
@@ -6,6 +6,8 @@
 namespace whinyard::router {
 namespace {
 
+    using namespace std::chrono_literals;
+
     // Guards against a lost way to the endpoints that looks like endpoints that are full.
     TEST(ForwarderConnectTest, TellsUnreachableEndpointsFromFullOnes)
     {
@@ -23,5 +25,22 @@
         EXPECT_EQ(bench.metrics.counter("whinyard_endpoint_connects_total{outcome=\"connected\"}"), 1U);
     }
 
+    // Guards against an instance that doesn't notice that its own link is full: no endpoint is reached in time then.
+    TEST(ForwarderConnectTimeTest, IsThatOfTheShortestThatSucceeded)
+    {
+        ForwarderBench bench;
+        EXPECT_EQ(bench.forwarder.takeShortestConnect(), std::nullopt);
+        for (const auto time : { 90ms, 7ms, 30ms }) {
+            bench.answer(200, { "x" }).connectTime = time;
+            bench.send();
+        }
+        bench.lose(0);
+        bench.client.exchanges.back().connectTime = 1ms;
+        bench.answer(200, { "x" }).connectTime = 50ms;
+        bench.send();
+        EXPECT_EQ(bench.forwarder.takeShortestConnect(), 7ms);
+        EXPECT_EQ(bench.forwarder.takeShortestConnect(), std::nullopt);
+    }
+
 }
 }
