Crowd daemons in the soak, and name the parts of prompts there

Most callers come to one daemon for 0.3 to 2 s at a time, with new connections and shorter pauses, beside all other faults.

--- a/soak/Callers.cpp
+++ b/soak/Callers.cpp
@@ -9,6 +9,9 @@
     constexpr std::chrono::milliseconds patience { 4'000 }; // Longer than any answer may take.
     constexpr std::uint64_t longestPauseMs = 40;
     constexpr double freshShare = 0.2; // Of requests on a new connection.
+    constexpr double crowdShare = 0.9; // Of callers and of new connections, while most come to one daemon.
+    constexpr int crowdHaste = 4; // Their pauses are so much shorter.
+    constexpr std::uint64_t sharedParts = 6; // Of prompts, beside the one of all.
     constexpr double impatientShare = 0.03; // Of callers that leave early.
     constexpr std::chrono::milliseconds impatience { 40 };
 
@@ -67,6 +70,16 @@
     });
 }
 
+void Callers::crowd(std::size_t daemon)
+{
+    net::runOn(m_duty, [&] { m_crowded = daemon; });
+}
+
+void Callers::stopCrowd()
+{
+    net::runOn(m_duty, [&] { m_crowded.reset(); });
+}
+
 void Callers::useKey(std::string key)
 {
     net::runOn(m_duty, [&] { m_key = std::move(key); });
@@ -84,11 +97,12 @@
 void Callers::work()
 {
     while (!m_stopping) {
-        const std::size_t daemon = below(m_random, m_site.daemons());
+        const bool isCrowd = m_crowded && uniform(m_random) < crowdShare;
+        const std::size_t daemon = isCrowd ? *m_crowded : below(m_random, m_site.daemons());
         const auto kind = static_cast<RequestKind>(below(m_random, 3));
         CallerRecord record = send(daemon, kind, m_key, uniform(m_random) < impatientShare);
         m_records.push_back(std::move(record));
-        net::sleepFor(std::chrono::milliseconds(below(m_random, longestPauseMs)));
+        net::sleepFor(std::chrono::milliseconds(below(m_random, longestPauseMs)) / (isCrowd ? crowdHaste : 1));
     }
     --m_working;
 }
@@ -105,9 +119,11 @@
 CallerRecord Callers::send(std::size_t daemon, RequestKind kind, const std::string& key, bool leavesEarly)
 {
     CallerRecord record { .id = "q" + std::to_string(++m_sent), .kind = kind, .customer = Site::customer, .daemon = daemon, .sent = m_clock.now(), .ended = {}, .events = {} };
-    const net::HttpRequest request { .method = "POST", .target = pathFor(kind), .fields = { { "Host", "a.example" }, { "X-Request-Id", record.id }, { "Authorization", "Token " + key }, { "X-Deadline-Ms", "3000" } }, .body = "body" };
+    net::HttpRequest request { .method = "POST", .target = pathFor(kind), .fields = { { "Host", "a.example" }, { "X-Request-Id", record.id }, { "Authorization", "Token " + key }, { "X-Deadline-Ms", "3000" } }, .body = "body" };
+    if (kind == RequestKind::stream)
+        request.fields.push_back({ "X-Prompt-Prefix", "1:100," + std::to_string(2 + below(m_random, sharedParts)) + ":50,f" + std::to_string(m_sent) + ":10" });
     net::HttpCallOptions options;
-    options.freshConnection = uniform(m_random) < freshShare;
+    options.freshConnection = uniform(m_random) < (m_crowded ? crowdShare : freshShare);
     options.timeout = leavesEarly ? impatience : patience;
     options.pieceTimeout = options.timeout;
     net::HttpCallProgress progress;
--- a/soak/Callers.h
+++ b/soak/Callers.h
@@ -8,6 +8,7 @@
 #include "whinyard/net/HttpClient.h"
 
 #include <atomic>
+#include <optional>
 #include <string>
 
 namespace whinyard::soak {
@@ -21,6 +22,10 @@
     // Starts callers that go on until stop().
     void start(std::size_t count);
 
+    // Has most new connections come to this daemon until stopCrowd(), more often than before.
+    void crowd(std::size_t daemon);
+    void stopCrowd();
+
     // Sets the key that requests bear from now on.
     void useKey(std::string key);
 
@@ -50,6 +55,7 @@
     std::uint64_t m_sent = 0;
     std::vector<CallerRecord> m_records;
     std::string m_key;
+    std::optional<std::size_t> m_crowded; // The daemon to which most callers come.
     std::atomic<bool> m_stopping = false;
     std::size_t m_working = 0;
 };
--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -69,6 +69,7 @@
     series.emplace_back([this, until] { disturbEngines(Random(m_seed + 1), until); });
     series.emplace_back([this, until] { disturbStore(Random(m_seed + 2), until); });
     series.emplace_back([this, until] { disturbLinks(Random(m_seed + 3), until); });
+    series.emplace_back([this, until] { crowdDaemons(Random(m_seed + 4), until); });
     for (std::thread& one : series)
         one.join();
 }
@@ -146,6 +147,17 @@
     }
 }
 
+// Most callers come to one daemon, then to another one.
+void Faults::crowdDaemons(Random random, SteadyTime until)
+{
+    while (m_clock.now() < until) {
+        pause(between(random, 200ms, 1'500ms));
+        m_callers.crowd(below(random, m_site.daemons()));
+        pause(between(random, 300ms, 2'000ms));
+        m_callers.stopCrowd();
+    }
+}
+
 // Takes the store away for a moment and has it come back without what was written since its last copy.
 void Faults::returnStore(Random& random)
 {
--- a/soak/Faults.h
+++ b/soak/Faults.h
@@ -33,6 +33,7 @@
     void disturbStore(Random random, SteadyTime end);
     void returnStore(Random& random);
     void disturbLinks(Random random, SteadyTime end);
+    void crowdDaemons(Random random, SteadyTime end);
     void stopDaemon(std::size_t daemon);
     void killDaemon(std::size_t daemon, std::chrono::milliseconds down);
     void changeKeys();
