Forget slow connects where there are no more

A gate that closed for a full link opened again by a connect in time only. An instance that then lost its own path to the endpoints makes no connects of its own any more, and would have stayed closed but for one connection each 0.2 s. Without a connect for a second nothing is known of the link (found by reading; ConnectionGateTest.ForgetsSlowConnectsWhereThereAreNoMore).

--- a/packages/policy/include/whinyard/policy/ConnectionGate.h
+++ b/packages/policy/include/whinyard/policy/ConnectionGate.h
@@ -18,6 +18,7 @@
 struct ConnectionGateSettings {
     std::chrono::milliseconds target { 80 }; // A delay that callers hardly notice, and that no time-out of ours takes for a failure.
     std::chrono::milliseconds standing { 200 }; // So long a delay above the target must last.
+    std::chrono::milliseconds connectsMemory { 1'000 }; // Without a connect nothing is known of the link.
     // An instance that is ready takes a connection each so often, whatever its delay.
     std::chrono::milliseconds longestRefusal { 200 };
 };
@@ -30,7 +31,11 @@
     void noteWorkDelay(std::chrono::nanoseconds delay, SteadyTime now) { note(delay, m_workDelayedSince, now); }
 
     // Notes how long the shortest of some connects to endpoints took.
-    void noteConnectTime(std::chrono::nanoseconds time, SteadyTime now) { note(time, m_connectsDelayedSince, now); }
+    void noteConnectTime(std::chrono::nanoseconds time, SteadyTime now)
+    {
+        note(time, m_connectsDelayedSince, now);
+        m_connectedAt = now;
+    }
 
     // Returns whether the next connection is taken.
     bool admits(SteadyTime now);
@@ -45,6 +50,7 @@
     // Since when each delay has been above the target at every look.
     std::optional<SteadyTime> m_workDelayedSince;
     std::optional<SteadyTime> m_connectsDelayedSince;
+    SteadyTime m_connectedAt; // The last of those connects.
     SteadyTime m_admittedAt;
 };
 
--- a/packages/policy/src/ConnectionGate.cpp
+++ b/packages/policy/src/ConnectionGate.cpp
@@ -19,7 +19,7 @@
 bool ConnectionGate::isClosed(SteadyTime now) const
 {
     const auto stands = [&](const std::optional<SteadyTime>& since) { return since && now - *since >= m_settings.standing; };
-    return stands(m_workDelayedSince) || stands(m_connectsDelayedSince);
+    return stands(m_workDelayedSince) || (stands(m_connectsDelayedSince) && now - m_connectedAt < m_settings.connectsMemory);
 }
 
 bool ConnectionGate::admits(SteadyTime now)
--- a/packages/policy/test/ConnectionGateTest.cpp
+++ b/packages/policy/test/ConnectionGateTest.cpp
@@ -53,6 +53,15 @@
         EXPECT_FALSE(m_gate.isClosed(m_now)) << "one endpoint is reached in time";
     }
 
+    // Guards against an instance that stays closed because its path to the endpoints was lost while its link was full.
+    TEST_F(ConnectionGateTest, ForgetsSlowConnectsWhereThereAreNoMore)
+    {
+        m_gate.noteConnectTime(250ms, m_now);
+        m_gate.noteConnectTime(250ms, m_now + 300ms);
+        EXPECT_TRUE(m_gate.isClosed(m_now + 400ms));
+        EXPECT_FALSE(m_gate.isClosed(m_now + 1'300ms));
+    }
+
     // Guards against callers that are turned away for a burst that is over in a moment, as other instances have it too.
     TEST_F(ConnectionGateTest, BearsABurst)
     {
