--- a/packages/policy/testing/whinyard/policy/ShiftFleet.h
+++ b/packages/policy/testing/whinyard/policy/ShiftFleet.h
@@ -46,6 +46,9 @@
     std::function<double(const ShiftRequest&)> targetFailure = [](const ShiftRequest&) { return 0.0; };
     std::function<double(const ShiftRequest&)> targetSlowness = [](const ShiftRequest&) { return 0.0; };
     std::function<double(const ShiftRequest&)> anyFailure = [](const ShiftRequest&) { return 0.0; }; // At both versions.
+    double slowFactor = 10; // By which an answer that is slow takes longer.
+    // When an endpoint of the target, or of the other version, ends for good, with the answers under way there.
+    std::function<std::optional<std::chrono::milliseconds>(bool isTarget, std::size_t endpoint)> endOf = [](bool, std::size_t) { return std::nullopt; };
     // Instances that lose what they counted, one after the other.
     std::vector<std::chrono::milliseconds> restarts {};
     std::uint64_t seed = 1;
@@ -160,10 +163,14 @@
     void send()
     {
         const std::size_t sender = below(m_random, m_instances.size());
-        const std::vector<std::string> versions = state == ShiftState::completed ? std::vector<std::string> { "v2" } : std::vector<std::string> { "v1", "v2" };
+        std::vector<std::string> versions;
+        for (const std::string& version : state == ShiftState::completed ? std::vector<std::string> { "v2" } : std::vector<std::string> { "v1", "v2" }) {
+            if (!endpointsUp(version).empty())
+                versions.push_back(version);
+        }
         const VersionPreference preference = m_instances[sender].shifts->prefer(m_service, false, m_random(), versions, now());
         if (preference.versions.empty())
-            return; // It takes the target for bad, and the others have completed it.
+            return; // It takes the target for bad, and the others have completed it; or nothing is left.
         const std::string& version = preference.versions.front();
         const std::size_t isTarget = version == "v2" ? 1 : 0;
         ShiftRequest request { .kind = drawKind(), .endpoint = drawEndpoint(version, preference.concentration), .running = 0, .at = m_at };
@@ -175,15 +182,19 @@
         const double fails = isTarget == 1 ? m_load.targetFailure(request) : 0;
         const double sound = (1 - m_load.kindFailures[request.kind]) * (1 - m_load.anyFailure(request)) * (1 - fails);
         const bool isSlow = isTarget == 1 && uniform(m_random) < m_load.targetSlowness(request);
-        const auto time = std::chrono::milliseconds(static_cast<int>(m_load.workTime.count() * (isSlow ? 10 : 0.5 + uniform(m_random))));
+        const auto time = std::chrono::milliseconds(static_cast<int>(m_load.workTime.count() * (isSlow ? m_load.slowFactor : 0.5 + uniform(m_random))));
+        const std::optional<std::chrono::milliseconds> end = m_load.endOf(isTarget == 1, request.endpoint);
+        const bool isLost = end && *end < m_at + time;
         VersionOutcome outcome;
         outcome.endpoint = { endpointName(version, request.endpoint) };
-        outcome.failed = uniform(m_random) >= sound;
+        outcome.failed = uniform(m_random) >= sound || isLost;
+        outcome.connectionLost = isLost;
+        outcome.endpointEnded = isLost;
         outcome.measure = "kind " + std::to_string(request.kind);
         outcome.time = outcome.failed ? std::chrono::microseconds(0) : time;
         outcome.expected = m_load.workTime;
         outcome.held = time;
-        later(time, [this, sender, version, isTarget, endpoint = request.endpoint, outcome] {
+        later(isLost ? std::max(*end - m_at, 0ms) : time, [this, sender, version, isTarget, endpoint = request.endpoint, outcome] {
             --m_running[isTarget][endpoint];
             m_instances[sender].shifts->recordOutcome(m_service, version, outcome, now());
         });
@@ -191,16 +202,28 @@
 
     std::string endpointName(const std::string& version, std::size_t endpoint) const { return version + "-" + std::to_string(endpoint); }
 
+    std::vector<std::size_t> endpointsUp(const std::string& version) const
+    {
+        std::vector<std::size_t> up;
+        for (std::size_t i = 0; i < m_load.endpoints; ++i) {
+            const std::optional<std::chrono::milliseconds> end = m_load.endOf(version == "v2", i);
+            if (!end || m_at < *end)
+                up.push_back(i);
+        }
+        return up;
+    }
+
     std::size_t drawEndpoint(const std::string& version, const std::optional<LoadConcentration>& concentration)
     {
+        const std::vector<std::size_t> up = endpointsUp(version);
         std::vector<PooledEndpoint> endpoints;
-        for (std::size_t i = 0; concentration && i < m_load.endpoints; ++i)
-            endpoints.push_back({ { endpointName(version, i) }, {}, m_load.slots });
+        for (std::size_t i = 0; concentration && i < up.size(); ++i)
+            endpoints.push_back({ { endpointName(version, up[i]) }, {}, m_load.slots });
         const std::vector<EndpointName> chosen = concentration ? concentratedEndpoints(*concentration, endpoints) : std::vector<EndpointName>();
         if (chosen.empty())
-            return below(m_random, m_load.endpoints);
+            return up[below(m_random, up.size())];
         const EndpointName& name = chosen[below(m_random, chosen.size())];
-        return static_cast<std::size_t>(std::find_if(endpoints.begin(), endpoints.end(), [&](const PooledEndpoint& endpoint) { return endpoint.name == name; }) - endpoints.begin());
+        return up[static_cast<std::size_t>(std::find_if(endpoints.begin(), endpoints.end(), [&](const PooledEndpoint& endpoint) { return endpoint.name == name; }) - endpoints.begin())];
     }
 
     std::size_t drawKind()
