Log what a verdict on a roll-out rests on

Operators saw "4 of 75 answers failed" of a version whose answers took eight times the usual, and nothing of what the verdict had made of them: neither how many counted as slow, nor what each endpoint had added, nor what the other versions gave meanwhile. Each write of a roll-out's record now has a line "roll-out findings" beside it: failed and slow answers at all instances, both sums, the parts by place of endpoints, and the other versions' failures by kind of request.

--- a/apps/whinyardd/entry/ShiftKeeper.cpp
+++ b/apps/whinyardd/entry/ShiftKeeper.cpp
@@ -21,6 +21,11 @@
     constexpr std::chrono::milliseconds intervalPerInstance { 5 };
     constexpr std::chrono::milliseconds longestInterval { 3'000 };
 
+    std::string countsText(const policy::RatedCounts& counts)
+    {
+        return std::to_string(counts.bad) + " of " + std::to_string(counts.total());
+    }
+
     constexpr std::uint32_t noticeRepeats = 2; // One datagram in some hundred is lost, more on a link that is full.
 
 }
@@ -84,6 +89,7 @@
         policy::ShiftOrder order;
         std::optional<policy::ShiftRecord> record;
         std::optional<policy::ShiftEvidence> evidence;
+        std::optional<policy::ShiftFindings> findings;
         bool isDeciding = false;
         std::chrono::milliseconds elapsed { 0 };
     };
@@ -94,7 +100,7 @@
     const auto due = m_serving.askShifts([now](policy::VersionShifts& shifts) {
         std::vector<Due> list;
         for (const ServiceName& service : shifts.services())
-            list.push_back({ *shifts.order(service), shifts.due(service, now), shifts.evidence(service), shifts.isDeciding(service, now), shifts.elapsed(service, now) });
+            list.push_back({ *shifts.order(service), shifts.due(service, now), shifts.evidence(service), shifts.findings(service), shifts.isDeciding(service, now), shifts.elapsed(service, now) });
         return list;
     });
     if (!due)
@@ -103,7 +109,7 @@
         if (!one.record)
             m_writes.drop(one.order.service);
         else if (m_writes.isTime(one.order.service, one.record->state, now))
-            writeRecord(one.order, *one.record);
+            writeRecord(one.order, *one.record, one.findings.value_or(policy::ShiftFindings()));
         if (one.evidence && isWorthTelling(one.order.service, *one.evidence, one.isDeciding, now)) {
             m_told[one.order.service] = { *one.evidence, now };
             policy::ShiftEvidence told = *one.evidence;
@@ -148,7 +154,7 @@
     return now - told->second.at >= (hasTargets || isDeciding ? interval : std::max(interval, othersInterval));
 }
 
-void ShiftKeeper::writeRecord(const policy::ShiftOrder& order, const policy::ShiftRecord& record)
+void ShiftKeeper::writeRecord(const policy::ShiftOrder& order, const policy::ShiftRecord& record, const policy::ShiftFindings& findings)
 {
     const std::string key = std::string(recordPrefix) + order.service.value;
     const auto known = m_revisions.find(order.service);
@@ -160,6 +166,7 @@
     Failure failure;
     const std::optional<backing::Revision> revision = m_store.transact(transaction, failure);
     log::info(revision ? "roll-out record written" : "roll-out record not written", { { "service", order.service.value }, { "state", std::string(toText(record.state)) }, { "elapsedMs", std::to_string(record.elapsed.count()) }, { "reason", revision ? record.reason : failure.reason } });
+    log::info("roll-out findings", { { "service", order.service.value }, { "failed", countsText(findings.failures) }, { "slow", countsText(findings.slowness) }, { "failureSum", std::to_string(findings.failureSum) }, { "slownessSum", std::to_string(findings.slownessSum) }, { "byEndpoint", findings.byEndpoint }, { "others", findings.others } });
     if (!revision) {
         m_writes.noteFailed(order.service, failure.kind);
         return;
--- a/apps/whinyardd/entry/ShiftKeeper.h
+++ b/apps/whinyardd/entry/ShiftKeeper.h
@@ -46,7 +46,7 @@
 private:
     // Returns whether it is newer than what was known.
     bool take(const backing::Record& record);
-    void writeRecord(const policy::ShiftOrder& order, const policy::ShiftRecord& record);
+    void writeRecord(const policy::ShiftOrder& order, const policy::ShiftRecord& record, const policy::ShiftFindings& findings);
     void tell(const peer::ShiftNotice& notice);
     void repeatNotices();
     bool isWorthTelling(const ServiceName& service, const policy::ShiftEvidence& evidence, bool isDeciding, SteadyTime now);
--- a/packages/policy/include/whinyard/policy/VersionEvidence.h
+++ b/packages/policy/include/whinyard/policy/VersionEvidence.h
@@ -91,6 +91,9 @@
     // The same with the answers that still wait.
     double sumOfAll() const;
 
+    // What each endpoint has added to the sum, by place; 0 for one without an answer.
+    const std::array<double, endpointPlaces>& parts() const { return m_parts; }
+
 private:
     struct Waiting {
         SteadyTime at;
--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -84,6 +84,16 @@
 // requests a service has, the longer it takes to see how its new version bears all of them.
 ShiftStages stagesFor(double exposureShare, double exposureSlack, double expectedRequests);
 
+// What a verdict on an order would rest on now, for the log.
+struct ShiftFindings {
+    RatedCounts failures; // Of the target, at all instances.
+    RatedCounts slowness;
+    double failureSum = 0; // Log likelihood ratios, of failures and of slow answers.
+    double slownessSum = 0;
+    std::string byEndpoint; // "place: bad of all, sum", for each place of endpoints that has answered.
+    std::string others; // "bad of all" of the other versions, by kind of request.
+};
+
 // The numbers that a shift is run with.
 struct ShiftSettings {
     double exposureShare = 0.15; // Of the requests of an order's period, that a bad version may get; the site's bound.
@@ -178,6 +188,9 @@
     // Returns this instance's counts under the running order; nothing when there is none.
     std::optional<ShiftEvidence> evidence(const ServiceName& service) const;
 
+    // Returns what is known of the order's target; nothing without an order.
+    std::optional<ShiftFindings> findings(const ServiceName& service) const;
+
     // Returns how much of the order's period has elapsed; 0 without an order.
     std::chrono::milliseconds elapsed(const ServiceName& service, SteadyTime now) const;
 
@@ -220,6 +233,7 @@
         // Of the target at all instances, also at processes of them that have ended.
         RatedCounts fleetFailed;
         RatedCounts fleetSlow;
+        CountsByKind fleetCounts {};
         FadingCounts fleetOthers; // Of the other versions, at all instances.
         FailuresByKind fleetByKind;
         CumulativeSum fleetSlowness; // One for all instances: each that looks at its own makes a false alarm likelier.
--- a/packages/policy/src/VersionShiftVerdict.cpp
+++ b/packages/policy/src/VersionShiftVerdict.cpp
@@ -79,6 +79,33 @@
     add(shift.fleetSlow, before.slowness, counted.slowness);
     shift.fleetOthers.add(countedSince(before.otherFailures, counted.otherFailures), m_settings.backgroundMemory, now);
     shift.fleetByKind.add(before.kinds, counted.kinds, now);
+    for (std::size_t kind = 0; kind < kindPlaces; ++kind) {
+        add(shift.fleetCounts[kind].others, before.kinds[kind].others, counted.kinds[kind].others);
+        for (std::size_t place = 0; place < endpointPlaces; ++place)
+            add(shift.fleetCounts[kind].target[place], before.kinds[kind].target[place], counted.kinds[kind].target[place]);
+    }
+}
+
+std::optional<ShiftFindings> VersionShifts::findings(const ServiceName& service) const
+{
+    const auto found = m_shifts.find(service);
+    if (found == m_shifts.end())
+        return std::nullopt;
+    const Shift& shift = found->second;
+    const auto text = [](const RatedCounts& counts) { return std::to_string(counts.bad) + " of " + std::to_string(counts.total()); };
+    ShiftFindings findings { .failures = shift.fleetFailed, .slowness = shift.fleetSlow, .failureSum = shift.fleetByKind.sum(), .slownessSum = shift.fleetSlowness.value(), .byEndpoint = {}, .others = {} };
+    for (std::size_t place = 0; place < endpointPlaces; ++place) {
+        RatedCounts counts;
+        for (const KindCounts& kind : shift.fleetCounts)
+            counts = { counts.good + kind.target[place].good, counts.bad + kind.target[place].bad };
+        if (counts.total() > 0)
+            findings.byEndpoint += (findings.byEndpoint.empty() ? "" : "; ") + std::to_string(place) + ": " + text(counts) + ", " + std::to_string(shift.fleetByKind.parts()[place]);
+    }
+    for (const KindCounts& kind : shift.fleetCounts) {
+        if (kind.others.total() > 0)
+            findings.others += (findings.others.empty() ? "" : "; ") + text(kind.others);
+    }
+    return findings;
 }
 
 void VersionShifts::recordOutcome(const ServiceName& service, const std::string& version, const VersionOutcome& outcome, SteadyTime now)
