Judge a new version by one comparison of all its answers, by kind and endpoint

Cause: the verdict on a roll-out was a one-sided sum with exceptions. No endpoint could add more than all others together, so where one endpoint gave the answers nothing counted; slowness was a test of its own, during the trial only, against what each instance had seen itself and against an expectation that had learnt the endpoint's own slowness; kinds of request were told apart by a hash of four values, so a route that fails by itself hid the others; and two seconds of few answers set what was tolerable. Class: a bound that stands in for a model of what it protects from.

VersionComparison is the model: a Bayes factor of "the version adds failures or slow answers to what the others give" against "some of its endpoints are bad by themselves", over all kinds of request or one, at three rates, from any moment on. An endpoint that disagrees costs the same small prior on either side, so endpoints count by how many agree; where one alone answers, its answers are the version's. Ends of endpoints are one observation each, likelier by themselves where the others' end too. Instances tell usual times, slow answers and ends beside failures, by places of 256 kinds and endpoints, 12 and 32 of them at most. The move takes all of the slack that a site allows: a service of few requests was judged by a quarter of what it may show. A version that has answered nothing while the others answer what should run on it isn't completed. Lost connections count once a second, not once for as long as they go on.

ReadWhatTheyWrite named kind 9 as one that can't be: places are 256 now, so it names 256, and more rows that must be refused.

--- a/packages/policy/include/whinyard/policy/VersionEvidence.h
+++ b/packages/policy/include/whinyard/policy/VersionEvidence.h
@@ -1,37 +1,79 @@
-// What instances count of the answers under a version shift, and whether the new version fails more often than the others do
-// for the same kinds of request.
+// What instances count of the answers under a version shift.
 //
-// Kinds of request fail at rates of their own: one that fails by itself hides, in a common count, a version that fails at another.
-// VersionShifts keeps the counts and asks for the verdict; instances tell each other the counts. Pure.
+// Answers are counted by kind of request and by endpoint: kinds fail, and are slow, at rates of their own, and what one endpoint does
+// by itself says little of its version. VersionShifts keeps the counts and instances tell them to each other; VersionComparison judges
+// them. Pure.
 #pragma once
 
 #include "whinyard/base/Clock.h"
 #include "whinyard/base/Identity.h"
 #include "whinyard/base/Revision.h"
 #include "whinyard/policy/SequentialTest.h"
+#include "whinyard/policy/UsualValues.h"
 
-#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
+#include <initializer_list>
+#include <map>
 #include <string_view>
 
 namespace whinyard::policy {
 
-// Kinds, and endpoints, that share a place are judged as one: the counts must fit into a datagram, however many there are.
-inline constexpr std::size_t kindPlaces = 4;
-inline constexpr std::size_t endpointPlaces = 8;
+// Kinds, and endpoints, that share a place are judged as one. An instance tells of so many at most, whose counts fit into a datagram; of
+// any further one as of one of these.
+inline constexpr std::size_t kindPlaces = 256;
+inline constexpr std::size_t endpointPlaces = 256;
+inline constexpr std::size_t maximumKinds = 12;
+inline constexpr std::size_t maximumEndpoints = 32;
+
+// Counts by place of endpoints; most places have none.
+class CountsByPlace {
+public:
+    CountsByPlace() = default;
+
+    // Takes the counts of the first places.
+    CountsByPlace(std::initializer_list<RatedCounts> counts);
+
+    RatedCounts& operator[](std::size_t place) { return m_counts[place]; }
+    RatedCounts at(std::size_t place) const;
+    std::size_t size() const { return m_counts.size(); }
+    bool contains(std::size_t place) const { return m_counts.contains(place); }
+    void clear() { m_counts.clear(); }
+
+    auto begin() const { return m_counts.begin(); }
+    auto end() const { return m_counts.end(); }
+
+    bool operator==(const CountsByPlace&) const = default;
+
+private:
+    std::map<std::size_t, RatedCounts> m_counts;
+};
 
 // Answers of one kind of request.
 struct KindCounts {
-    std::array<RatedCounts, endpointPlaces> target {}; // Of the new version, by endpoint; bad ones failed.
+    CountsByPlace target {}; // Of the new version, by endpoint; bad ones failed.
     RatedCounts others; // Of the other versions.
+    CountsByPlace slowTarget {}; // Of those that could be compared; bad ones were slow.
+    RatedCounts slowOthers {};
+    LogSum times {}; // Of the other versions: what is usual, as multiples of what was expected.
+    LogSum pauses {}; // The same, in microseconds.
 
     bool operator==(const KindCounts&) const = default;
 };
 
-using CountsByKind = std::array<KindCounts, kindPlaces>;
+using CountsByKind = std::map<std::size_t, KindCounts>; // By place.
+
+// Answers that were lost with the process of their endpoint, all bad, by endpoint: all that run there are lost at once.
+struct EndCounts {
+    CountsByPlace target {};
+    CountsByPlace others {};
+
+    bool operator==(const EndCounts&) const = default;
+};
+
+// Returns the counts of a place; none where it has none.
+const KindCounts& countsOf(const CountsByKind& kinds, std::size_t place);
 
 // Return the places of a kind of request and of an endpoint, the same at all instances.
 std::size_t kindPlace(std::string_view measure);
@@ -41,11 +83,12 @@
 struct ShiftEvidence {
     Revision order {};
     RatedCounts failures {}; // Of the target; bad ones failed.
-    RatedCounts slowness {}; // Of the target; bad ones were slow, of those that didn't fail and could be compared.
+    RatedCounts slowness {}; // Of the target; bad ones were slow, of those that could be compared.
     RatedCounts otherFailures {}; // Of the other versions: what the environment alone makes fail.
-    CountsByKind kinds {}; // The failures again, by kind of request.
+    CountsByKind kinds {}; // The same by kind of request and endpoint.
     std::uint64_t life = 0; // Of the process that counted.
     std::chrono::milliseconds elapsed { 0 }; // Of the period, when it was told.
+    EndCounts ends {}; // Not among the failures.
 
     bool operator==(const ShiftEvidence&) const = default;
 };
@@ -55,10 +98,16 @@
 public:
     void add(const RatedCounts& counts, std::chrono::milliseconds memory, SteadyTime now);
 
+    // Returns whether anything was counted not longer ago.
+    bool wasCountedWithin(std::chrono::milliseconds time, SteadyTime now) const { return m_good + m_bad > 0 && now - m_at <= time; }
+
     double badShare() const { return m_bad / (m_good + m_bad + 1); }
 
-    // Returns the share as far as it is known: one half without any counts.
-    double cautiousBadShare() const { return (m_bad + 1) / (m_good + m_bad + 2); }
+    // Returns the share as far as it is known, where `usual` is what is known without these counts.
+    double badShareFrom(double usual) const { return (m_bad + usual) / (m_good + m_bad + 1); }
+
+    // Returns the share with so many of its standard errors.
+    double badShareAbove(double errors) const;
 
     // Returns how many a second were counted of late, once counting has gone on for `knownAfter`; before that, 0.
     double perSecond(std::chrono::milliseconds memory, std::chrono::milliseconds knownAfter, SteadyTime now) const;
@@ -70,46 +119,4 @@
     SteadyTime m_since; // Of the first count.
 };
 
-// Compares the failures of the new version with the others', kind by kind, over the answers of all instances.
-class FailuresByKind {
-public:
-    // Takes what one instance counted, and what it had counted before. Answers of the new version wait for a moment, until the
-    // others' answers of the same time are known.
-    void add(const CountsByKind& before, const CountsByKind& counts, SteadyTime now);
-
-    // Takes an answer of the new version that has waited for longer already.
-    void addSettled(std::size_t kind, std::size_t endpoint, const RatedCounts& counts);
-
-    // Counts the answers that have waited for long enough, or all.
-    void settle(SteadyTime now);
-    void settleAll() { settle(SteadyTime::max()); }
-
-    // The cumulative sum of the log likelihood ratio that the new version fails more often than is tolerable. No endpoint counts for
-    // more than the others together: one that fails by itself says nothing of its version.
-    double sum() const;
-
-    // The same with the answers that still wait.
-    double sumOfAll() const;
-
-    // What each endpoint has added to the sum, by place; 0 for one without an answer.
-    const std::array<double, endpointPlaces>& parts() const { return m_parts; }
-
-private:
-    struct Waiting {
-        SteadyTime at;
-        std::size_t kind = 0;
-        std::size_t endpoint = 0;
-        RatedCounts counts;
-    };
-
-    double tolerableShare(std::size_t kind) const;
-
-    std::array<FadingCounts, kindPlaces> m_others;
-    std::array<FadingCounts, kindPlaces> m_othersBefore; // The same over a longer time.
-    std::deque<Waiting> m_waiting;
-    double m_sum = 0;
-    std::array<double, endpointPlaces> m_parts {}; // What each endpoint has added since the sum was 0.
-    std::array<bool, endpointPlaces> m_isSeen {}; // Endpoints with an answer.
-};
-
 }
--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -12,6 +12,7 @@
 #include "whinyard/policy/LoadConcentration.h"
 #include "whinyard/policy/SequentialTest.h"
 #include "whinyard/policy/UsualValues.h"
+#include "whinyard/policy/VersionComparison.h"
 #include "whinyard/policy/VersionEvidence.h"
 
 #include <chrono>
@@ -88,10 +89,11 @@
 struct ShiftFindings {
     RatedCounts failures; // Of the target, at all instances.
     RatedCounts slowness;
-    double failureSum = 0; // Log likelihood ratios, of failures and of slow answers.
-    double slownessSum = 0;
-    std::string byEndpoint; // "place: bad of all, sum", for each place of endpoints that has answered.
-    std::string others; // "bad of all" of the other versions, by kind of request.
+    double evidence = 0; // VersionComparison::evidence()
+    double evidenceOfAll = 0; // With the answers that still wait.
+    std::string byEndpoint; // "place: failed of all", for each place of endpoints that has answered.
+    std::string others; // "failed of all" of the other versions, by kind of request.
+    std::string slowOthers; // The same of slow answers.
 };
 
 // The numbers that a shift is run with.
@@ -110,26 +112,17 @@
     double slowFactor = 2.5; // An answer is bad when it takes this many times what is usual for the other versions.
     std::chrono::milliseconds slowMinimum { 80 }; // A time below this is never slow.
     std::chrono::milliseconds slowPause { 25 }; // A mean pause below this is never slow; those of small models are 6 ms.
-    std::chrono::milliseconds crashMemory { 3'000 }; // Within which the lost connections of one endpoint count once.
+    std::chrono::milliseconds crashMemory { 1'000 }; // Within which the lost connections of one endpoint count once.
     std::uint32_t baselineSamples = 5; // Of the other versions, before slowness is judged.
-    double concurrentSamples = 3; // Of theirs of late; without them a slow answer may be the load's.
-    double backgroundFactor = 1.5; // By which the other versions' share of bad answers is allowed for.
-    // The log likelihood ratio of too many failures at which a version is stopped, one false stop in about 100 shifts: during the
-    // trial, where a verdict can wait for more answers, and once everything is moved.
-    double trialStopAt = 4.6;
-    double failureStopAt = 3;
-    double failureStopAtOnceAt = 9; // Without waiting for what the other versions' answers of the same second show.
+    // The evidence (VersionComparison.h) at which a version is stopped, one false stop in about 100 shifts.
+    double stopAt = 5.6;
+    double stopAtOnceAt = 6.5; // Without waiting for what the other versions' answers of the same second show.
+    std::chrono::milliseconds judgeInterval { 20 }; // Answers make a shift judged at most so often, beside due().
     // The same where the whole load runs on the target and the period ends: it is completed or rolled back now, and callers lose more by
     // a bad version that is completed than operators by a sound one that is rolled back.
-    double doubtAt = 1;
-    // Slow answers: the least share that any version may give, how far above it a version is bad, and the ratio. They come in clusters,
-    // where an engine was given much at once, so more is asked for.
-    double slowBackground = 0.08;
-    double slowExcess = 0.25;
-    double slowStopAt = 7.2;
+    double doubtAt = 1.2;
     std::chrono::milliseconds sessionGap { 5'000 }; // A session is remembered so long after its last request.
-    // What was lost with an endpoint of the target counts this much later: by then all instances have told what was lost of
-    // the other versions in the same wave.
+    // What was lost with an endpoint of the target is told among its failures this much later.
     std::chrono::milliseconds crashPatience { 3'500 };
     std::chrono::milliseconds backgroundMemory { 6'000 }; // Time constant of the other versions' share of bad answers.
 };
@@ -209,13 +202,6 @@
     static constexpr double progressStep = 0.3;
 
 private:
-    // An answer that was lost with its endpoint's process.
-    struct Loss {
-        SteadyTime at;
-        std::size_t kind = 0;
-        std::size_t endpoint = 0;
-    };
-
     struct Shift {
         ShiftOrder order;
         ShiftRecord known; // In the store, as far as this instance knows.
@@ -228,15 +214,16 @@
         std::vector<std::uint64_t> pins; // To be told.
         std::optional<double> moveAt; // Agreed by all; the stages' own until then.
         ShiftEvidence own;
-        std::vector<Loss> losses; // With endpoints of the target that ended; they don't count yet.
+        std::vector<SteadyTime> losses; // With endpoints of the target that ended; not told among the failures yet.
         std::map<InstanceName, ShiftEvidence> others;
         // Of the target at all instances, also at processes of them that have ended.
         RatedCounts fleetFailed;
         RatedCounts fleetSlow;
         CountsByKind fleetCounts {};
         FadingCounts fleetOthers; // Of the other versions, at all instances.
-        FailuresByKind fleetByKind;
-        CumulativeSum fleetSlowness; // One for all instances: each that looks at its own makes a false alarm likelier.
+        std::uint64_t othersSinceMove = 0; // Answers of the other versions, since everything was moved.
+        SteadyTime judgedAt;
+        VersionComparison comparison; // One for all instances: each that looks at its own makes a false alarm likelier.
     };
 
     struct Session {
@@ -244,14 +231,6 @@
         SteadyTime lastSeen;
     };
 
-    // The other versions' answers of late, decaying.
-    struct Background {
-        double total = 0;
-        double seenWhole = 0; // Of them, or slow.
-        double slow = 0;
-        SteadyTime at;
-    };
-
     struct ServiceMemory {
         explicit ServiceMemory(const ShiftSettings& settings)
             : times(settings.slowFactor, settings.baselineSamples)
@@ -262,7 +241,6 @@
         std::unordered_map<std::uint64_t, Session> sessions; // By digest.
         UsualValues times; // As multiples of what was expected.
         UsualValues pauses; // In microseconds.
-        Background background;
         double heldSeconds = 0; // Mean of VersionOutcome::held, of the versions in use.
         std::map<EndpointName, SteadyTime> crashes; // When a lost connection of an endpoint was counted last.
         SteadyTime nextSweep;
@@ -275,6 +253,7 @@
     static void noteElapsed(Shift& shift, std::chrono::milliseconds elapsed, SteadyTime now);
     static double progress(const Shift& shift, SteadyTime now);
     double moveAt(const Shift& shift) const { return shift.moveAt.value_or(m_stages.moveAt); }
+    bool isMoved(const Shift& shift, SteadyTime now) const { return progress(shift, now) >= moveAt(shift); }
     double completionAt(const Shift& shift) const;
     std::optional<std::chrono::milliseconds> plannedMove(const Shift& shift, SteadyTime now) const;
     void addToFleet(Shift& shift, const ShiftEvidence& before, const ShiftEvidence& counted, SteadyTime now) const;
@@ -285,11 +264,12 @@
     std::optional<LoadConcentration> concentrationIn(const Shift& shift, std::uint64_t burst, SteadyTime now) const;
     std::chrono::nanoseconds burstLength(const Shift& shift) const;
     bool isDrawnToTrial(std::uint64_t draw) const;
-    void countCrashes(Shift& shift, SteadyTime now) const;
+    void tellUsualValues(Shift& shift, const ServiceMemory& memory) const;
+    void countLosses(Shift& shift, SteadyTime now) const;
     bool isKnownCrash(ServiceMemory& memory, const VersionOutcome& outcome, SteadyTime now) const;
-    BadShares sharesOver(double background, double observed, double excess) const;
-    void judge(Shift& shift, const ServiceMemory& memory, SteadyTime now);
-    static void rollBack(Shift& shift, const RatedCounts& counts, const char* what, const std::string& why);
+    void judgeNowAndThen(Shift& shift, SteadyTime now);
+    void judge(Shift& shift, SteadyTime now);
+    static void rollBack(Shift& shift, const std::string& why);
     void sweepSessions(ServiceMemory& memory, SteadyTime now) const;
 
     const ShiftSettings m_settings;
--- a/packages/policy/src/VersionShift.cpp
+++ b/packages/policy/src/VersionShift.cpp
@@ -62,7 +62,7 @@
     if (expectedRequests <= 0)
         return stages;
     const double move = 1 - stages.moveAt;
-    const double longer = std::min(move, usedPart * exposureSlack / expectedRequests);
+    const double longer = usedPart * exposureSlack / expectedRequests;
     ShiftStages longerStages = stages;
     longerStages.moveAt = std::min(stages.moveAt, std::max(earliestMove, stages.moveAt - longer));
     longerStages.completeAt = 1 - (1 - stages.completeAt) * (1 - longerStages.moveAt) / std::max(move, std::numeric_limits<double>::min());
@@ -84,12 +84,14 @@
     shift.order = order;
     shift.since = now;
     shift.takenAt = now;
+    shift.comparison = VersionComparison(now, order.period);
     shift.own.order = order.revision;
     shift.own.life = m_settings.life;
     for (const auto& [session, seen] : memoryOf(order.service).sessions) {
         if (seen.version != order.target && now - seen.lastSeen <= m_settings.sessionGap && isDrawnToTrial(session))
             shift.pins.push_back(session);
     }
+    tellUsualValues(shift, memoryOf(order.service));
     m_shifts[order.service] = std::move(shift);
     const auto record = m_records.find(order.service);
     if (record != m_records.end())
@@ -167,7 +169,7 @@
 
 double VersionShifts::shareNow(const Shift& shift, bool hasSession, SteadyTime now) const
 {
-    if (progress(shift, now) >= moveAt(shift))
+    if (isMoved(shift, now))
         return 1;
     const std::chrono::nanoseconds trialed = elapsedOf(shift, now) - m_settings.trialDelay;
     if (trialed.count() < 0)
@@ -248,7 +250,7 @@
         return preference;
     }
     const double share = shareNow(shift, hasSession, now);
-    const bool isMoved = progress(shift, now) >= moveAt(shift);
+    const bool takesAll = isMoved(shift, now);
     bool takesTarget = unit(draw) < share;
     preference.reason = "drawn";
     const ServiceMemory& memory = memoryOf(service);
@@ -256,13 +258,13 @@
     if (hasSession && remembered != memory.sessions.end() && now - remembered->second.lastSeen <= m_settings.sessionGap) {
         // Nobody goes back from the target, and nobody goes to it during the trial.
         const bool wasTarget = remembered->second.version == target;
-        takesTarget = wasTarget || isMoved;
+        takesTarget = wasTarget || takesAll;
         preference.reason = "session";
     }
     if (takesTarget) {
         preference.versions = { target };
         preference.versions.insert(preference.versions.end(), others.begin(), others.end());
-        if (const auto burst = isMoved ? burstOfMove(shift, now) : burstAt(shift, now); burst && !hasSession)
+        if (const auto burst = takesAll ? burstOfMove(shift, now) : burstAt(shift, now); burst && !hasSession)
             preference.concentration = concentrationIn(shift, *burst, now);
         return preference;
     }
@@ -344,6 +346,7 @@
     Shift& shift = found->second;
     if (shift.isStored && shift.known.state != ShiftState::running)
         return std::nullopt;
+    judge(shift, now);
     const double reached = progress(shift, now);
     ShiftRecord record;
     record.order = shift.order.revision;
@@ -365,7 +368,7 @@
 bool VersionShifts::isDeciding(const ServiceName& service, SteadyTime now) const
 {
     const auto found = m_shifts.find(service);
-    return found != m_shifts.end() && found->second.state == ShiftState::running && progress(found->second, now) >= moveAt(found->second);
+    return found != m_shifts.end() && found->second.state == ShiftState::running && isMoved(found->second, now);
 }
 
 std::optional<ShiftEvidence> VersionShifts::evidence(const ServiceName& service) const
--- a/packages/policy/src/VersionShiftVerdict.cpp
+++ b/packages/policy/src/VersionShiftVerdict.cpp
@@ -19,9 +19,6 @@
 
     constexpr double heldWeight = 0.05; // Of one answer, in the mean time for which requests take a slot.
 
-    // Never takes a share of bad answers for certain.
-    constexpr double largestShare = 0.95;
-
     // Of an instance that doesn't tell kinds of request, as one that runs an earlier release: one kind, at an endpoint of its own.
     KindCounts countsOfOneKind(const ShiftEvidence& evidence, const InstanceName& instance)
     {
@@ -31,6 +28,43 @@
         return counts;
     }
 
+    std::string countsText(const RatedCounts& counts)
+    {
+        return std::to_string(counts.bad) + " of " + std::to_string(counts.total());
+    }
+
+    // Adds what was counted between the two.
+    void add(RatedCounts& sum, const RatedCounts& earlier, const RatedCounts& later)
+    {
+        const RatedCounts added = countedSince(earlier, later);
+        sum = { sum.good + added.good, sum.bad + added.bad };
+    }
+
+    void add(LogSum& sum, const LogSum& earlier, const LogSum& later)
+    {
+        if (later.count > earlier.count)
+            sum = { sum.count + later.count - earlier.count, sum.thousandths + later.thousandths - earlier.thousandths };
+    }
+
+    // Returns a place among those that are told, of `most` at most: that of another one where they are as many already.
+    template <typename Told>
+    std::size_t toldPlace(const Told& told, std::size_t place, std::size_t most)
+    {
+        if (told.contains(place) || told.size() < most)
+            return place;
+        return std::next(told.begin(), static_cast<std::ptrdiff_t>(place % most))->first;
+    }
+
+    KindCounts& kindOf(ShiftEvidence& evidence, const std::string& measure)
+    {
+        return evidence.kinds[toldPlace(evidence.kinds, kindPlace(measure), maximumKinds)];
+    }
+
+    std::size_t toldEndpoint(const CountsByPlace& told, const EndpointName& endpoint)
+    {
+        return toldPlace(told, endpointPlace(endpoint), maximumEndpoints);
+    }
+
     // Within which instances that run tell their first counts.
     constexpr std::chrono::milliseconds firstTold { 2'000 };
 
@@ -39,8 +73,11 @@
     {
         evidence.failures = {};
         evidence.slowness = {};
-        for (KindCounts& kind : evidence.kinds)
-            kind.target.fill({});
+        evidence.ends.target.clear();
+        for (auto& [place, kind] : evidence.kinds) {
+            kind.target.clear();
+            kind.slowTarget.clear();
+        }
         return evidence;
     }
 
@@ -52,8 +89,8 @@
     if (found == m_shifts.end() || found->second.order.revision != told.order)
         return;
     ShiftEvidence evidence = told;
-    if (evidence.kinds == CountsByKind())
-        evidence.kinds.front() = countsOfOneKind(evidence, instance);
+    if (evidence.kinds.empty())
+        evidence.kinds[0] = countsOfOneKind(evidence, instance);
     Shift& shift = found->second;
     const auto [entry, isNew] = shift.others.try_emplace(instance);
     ShiftEvidence& known = entry->second;
@@ -66,24 +103,29 @@
     noteElapsed(shift, evidence.elapsed, now);
     if (evidence.failures.total() + evidence.otherFailures.total() >= known.failures.total() + known.otherFailures.total())
         known = evidence; // An older notice may come later.
-    judge(shift, memoryOf(service), now);
+    judgeNowAndThen(shift, now);
 }
 
 void VersionShifts::addToFleet(Shift& shift, const ShiftEvidence& before, const ShiftEvidence& counted, SteadyTime now) const
 {
-    const auto add = [](RatedCounts& sum, const RatedCounts& earlier, const RatedCounts& later) {
-        const RatedCounts added = countedSince(earlier, later);
-        sum = { sum.good + added.good, sum.bad + added.bad };
-    };
     add(shift.fleetFailed, before.failures, counted.failures);
     add(shift.fleetSlow, before.slowness, counted.slowness);
-    shift.fleetOthers.add(countedSince(before.otherFailures, counted.otherFailures), m_settings.backgroundMemory, now);
-    shift.fleetByKind.add(before.kinds, counted.kinds, now);
-    for (std::size_t kind = 0; kind < kindPlaces; ++kind) {
-        add(shift.fleetCounts[kind].others, before.kinds[kind].others, counted.kinds[kind].others);
-        for (std::size_t place = 0; place < endpointPlaces; ++place)
-            add(shift.fleetCounts[kind].target[place], before.kinds[kind].target[place], counted.kinds[kind].target[place]);
+    const RatedCounts others = countedSince(before.otherFailures, counted.otherFailures);
+    shift.fleetOthers.add(others, m_settings.backgroundMemory, now);
+    if (isMoved(shift, now))
+        shift.othersSinceMove += others.total();
+    for (const auto& [place, kind] : counted.kinds) {
+        const KindCounts& known = countsOf(before.kinds, place);
+        KindCounts& sum = shift.fleetCounts[place];
+        add(sum.others, known.others, kind.others);
+        add(sum.slowOthers, known.slowOthers, kind.slowOthers);
+        add(sum.times, known.times, kind.times);
+        add(sum.pauses, known.pauses, kind.pauses);
+        for (const auto& [endpoint, counts] : kind.target)
+            add(sum.target[endpoint], known.target.at(endpoint), counts);
     }
+    shift.comparison.add(before.kinds, counted.kinds, now);
+    shift.comparison.addEnds(before.ends, counted.ends, now);
 }
 
 std::optional<ShiftFindings> VersionShifts::findings(const ServiceName& service) const
@@ -92,18 +134,20 @@
     if (found == m_shifts.end())
         return std::nullopt;
     const Shift& shift = found->second;
-    const auto text = [](const RatedCounts& counts) { return std::to_string(counts.bad) + " of " + std::to_string(counts.total()); };
-    ShiftFindings findings { .failures = shift.fleetFailed, .slowness = shift.fleetSlow, .failureSum = shift.fleetByKind.sum(), .slownessSum = shift.fleetSlowness.value(), .byEndpoint = {}, .others = {} };
-    for (std::size_t place = 0; place < endpointPlaces; ++place) {
-        RatedCounts counts;
-        for (const KindCounts& kind : shift.fleetCounts)
-            counts = { counts.good + kind.target[place].good, counts.bad + kind.target[place].bad };
-        if (counts.total() > 0)
-            findings.byEndpoint += (findings.byEndpoint.empty() ? "" : "; ") + std::to_string(place) + ": " + text(counts) + ", " + std::to_string(shift.fleetByKind.parts()[place]);
-    }
-    for (const KindCounts& kind : shift.fleetCounts) {
+    ShiftFindings findings { .failures = shift.fleetFailed, .slowness = shift.fleetSlow, .evidence = shift.comparison.evidence(), .evidenceOfAll = shift.comparison.evidenceOfAll(), .byEndpoint = {}, .others = {}, .slowOthers = {} };
+    const auto append = [](std::string& list, const std::string& text) { list += (list.empty() ? "" : "; ") + text; };
+    CountsByPlace byEndpoint;
+    for (const auto& [kindPlace, kind] : shift.fleetCounts) {
+        for (const auto& [place, counts] : kind.target)
+            add(byEndpoint[place], {}, counts);
+    }
+    for (const auto& [place, counts] : byEndpoint)
+        append(findings.byEndpoint, std::to_string(place) + ": " + countsText(counts));
+    for (const auto& [place, kind] : shift.fleetCounts) {
         if (kind.others.total() > 0)
-            findings.others += (findings.others.empty() ? "" : "; ") + text(kind.others);
+            append(findings.others, countsText(kind.others));
+        if (kind.slowOthers.total() > 0)
+            append(findings.slowOthers, countsText(kind.slowOthers));
     }
     return findings;
 }
@@ -113,68 +157,69 @@
     ServiceMemory& memory = memoryOf(service);
     if (isKnownCrash(memory, outcome, now))
         return;
-    Background& background = memory.background;
     const auto found = m_shifts.find(service);
-    const bool isRunning = found != m_shifts.end() && found->second.state == ShiftState::running;
+    Shift* shift = found != m_shifts.end() && found->second.state == ShiftState::running ? &found->second : nullptr;
+    const bool isTarget = shift && shift->order.target == version;
+    const KindCounts& told = shift ? countsOf(shift->fleetCounts, toldPlace(shift->own.kinds, kindPlace(outcome.measure), maximumKinds)) : countsOf({}, 0);
     const double time = relativeTime(outcome);
     const auto pause = static_cast<double>(outcome.pause.count());
-    const bool startsLate = outcome.time >= m_settings.slowMinimum && memory.times.exceeds(outcome.measure, time);
-    const bool isSlowAnswer = startsLate || (outcome.pause >= m_settings.slowPause && memory.pauses.exceeds(outcome.measure, pause));
-    const double kept = std::exp(-std::chrono::duration<double>(now - background.at) / m_settings.backgroundMemory);
-    const std::size_t kind = kindPlace(outcome.measure);
-    if (isRunning && found->second.order.target == version) {
-        Shift& shift = found->second;
-        ShiftEvidence& own = shift.own;
-        countCrashes(shift, now);
-        const ShiftEvidence before = own;
-        if (outcome.endpointEnded) {
-            shift.losses.push_back({ now, kind, endpointPlace(outcome.endpoint) });
-            return;
+    const bool startsLate = outcome.time >= m_settings.slowMinimum && memory.times.exceeds(outcome.measure, time, told.times);
+    const bool isSlow = startsLate || (outcome.pause >= m_settings.slowPause && memory.pauses.exceeds(outcome.measure, pause, told.pauses));
+    const bool isCompared = !outcome.failed && (outcome.wasSeenWhole || isSlow) && memory.times.isKnown(outcome.measure, told.times);
+    const bool hasTime = !outcome.failed && outcome.time.count() > 0;
+    const bool hasPause = !outcome.failed && outcome.pause.count() > 0;
+    if (!isTarget) {
+        if (hasTime)
+            memory.times.learn(outcome.measure, time);
+        if (hasPause)
+            memory.pauses.learn(outcome.measure, pause);
+        if (outcome.held.count() > 0) {
+            const double held = std::chrono::duration<double>(outcome.held).count();
+            memory.heldSeconds += (memory.heldSeconds > 0 ? heldWeight : 1) * (held - memory.heldSeconds);
         }
-        ++(outcome.failed ? own.failures.bad : own.failures.good);
-        RatedCounts& byKind = own.kinds[kind].target[endpointPlace(outcome.endpoint)];
-        ++(outcome.failed ? byKind.bad : byKind.good);
-        // Without answers of the other versions at the same time, slowness may be the load's.
-        const bool shows = outcome.wasSeenWhole || isSlowAnswer;
-        const bool isCompared = progress(shift, now) < moveAt(shift) && background.total * kept >= m_settings.concurrentSamples;
-        if (!outcome.failed && shows && isCompared)
-            ++(isSlowAnswer ? own.slowness.bad : own.slowness.good);
-        addToFleet(shift, before, own, now);
-        judge(shift, memory, now);
+    }
+    if (!shift)
         return;
+    const auto rate = [](RatedCounts& counts, bool isBad) { ++(isBad ? counts.bad : counts.good); };
+    ShiftEvidence& own = shift->own;
+    const ShiftEvidence before = own;
+    countLosses(*shift, now);
+    KindCounts& kind = kindOf(own, outcome.measure);
+    if (!isTarget && hasTime)
+        UsualValues::add(kind.times, time);
+    if (!isTarget && hasPause)
+        UsualValues::add(kind.pauses, pause);
+    if (outcome.endpointEnded) {
+        CountsByPlace& ends = isTarget ? own.ends.target : own.ends.others;
+        ++ends[toldEndpoint(ends, outcome.endpoint)].bad;
+        if (isTarget)
+            shift->losses.push_back(now);
+    } else {
+        const std::size_t endpoint = toldEndpoint(kind.target, outcome.endpoint);
+        rate(isTarget ? kind.target[endpoint] : kind.others, outcome.failed);
+        if (isCompared)
+            rate(isTarget ? kind.slowTarget[endpoint] : kind.slowOthers, isSlow);
+        if (isTarget && isCompared)
+            rate(own.slowness, isSlow);
     }
-    if (!outcome.failed && outcome.time.count() > 0)
-        memory.times.learn(outcome.measure, time);
-    if (!outcome.failed && outcome.pause.count() > 0)
-        memory.pauses.learn(outcome.measure, pause);
-    if (outcome.held.count() > 0) {
-        const double held = std::chrono::duration<double>(outcome.held).count();
-        memory.heldSeconds += (memory.heldSeconds > 0 ? heldWeight : 1) * (held - memory.heldSeconds);
-    }
-    if (isRunning) {
-        ShiftEvidence& own = found->second.own;
-        const ShiftEvidence before = own;
-        ++(outcome.failed ? own.otherFailures.bad : own.otherFailures.good);
-        ++(outcome.failed ? own.kinds[kind].others.bad : own.kinds[kind].others.good);
-        addToFleet(found->second, before, own, now);
-    }
-    background.total = background.total * kept + 1;
-    background.seenWhole = background.seenWhole * kept + (outcome.wasSeenWhole || isSlowAnswer ? 1 : 0);
-    background.slow = background.slow * kept + (isSlowAnswer ? 1 : 0);
-    background.at = now;
+    if (!isTarget || !outcome.endpointEnded)
+        rate(isTarget ? own.failures : own.otherFailures, outcome.failed);
+    addToFleet(*shift, before, own, now);
+    judgeNowAndThen(*shift, now);
+}
+
+// What was usual before the order is told with the first counts.
+void VersionShifts::tellUsualValues(Shift& shift, const ServiceMemory& memory) const
+{
+    const ShiftEvidence before = shift.own;
+    memory.times.forEach([&](const std::string& measure, const LogSum& sum) { add(kindOf(shift.own, measure).times, {}, sum); });
+    memory.pauses.forEach([&](const std::string& measure, const LogSum& sum) { add(kindOf(shift.own, measure).pauses, {}, sum); });
+    addToFleet(shift, before, shift.own, shift.takenAt);
 }
 
-void VersionShifts::countCrashes(Shift& shift, SteadyTime now) const
+void VersionShifts::countLosses(Shift& shift, SteadyTime now) const
 {
-    std::erase_if(shift.losses, [&](const Loss& loss) {
-        if (now - loss.at < m_settings.crashPatience)
-            return false;
-        ++shift.own.failures.bad;
-        ++shift.own.kinds[loss.kind].target[loss.endpoint].bad;
-        ++shift.fleetFailed.bad;
-        shift.fleetByKind.addSettled(loss.kind, loss.endpoint, { 0, 1 });
-        return true;
-    });
+    shift.own.failures.bad += std::erase_if(shift.losses, [&](SteadyTime at) { return now - at >= m_settings.crashPatience; });
 }
 
 bool VersionShifts::isKnownCrash(ServiceMemory& memory, const VersionOutcome& outcome, SteadyTime now) const
@@ -185,51 +230,53 @@
     if (isNew)
         return false;
     const bool isKnown = now - at->second < m_settings.crashMemory;
-    at->second = now;
+    if (!isKnown)
+        at->second = now;
     return isKnown;
 }
 
-BadShares VersionShifts::sharesOver(double background, double observed, double excess) const
+// Many answers come at once where there are many instances.
+void VersionShifts::judgeNowAndThen(Shift& shift, SteadyTime now)
 {
-    BadShares shares;
-    shares.tolerable = std::min(std::max(background, m_settings.backgroundFactor * observed), largestShare - excess);
-    shares.unacceptable = shares.tolerable + excess;
-    return shares;
+    if (now - shift.judgedAt >= m_settings.judgeInterval)
+        judge(shift, now);
 }
 
-void VersionShifts::judge(Shift& shift, const ServiceMemory& memory, SteadyTime now)
+void VersionShifts::judge(Shift& shift, SteadyTime now)
 {
     if (shift.state != ShiftState::running)
         return;
-    const Background& background = memory.background;
     // Once everything is moved, no answers of the others come.
-    const bool isMoved = progress(shift, now) >= moveAt(shift);
-    if (isMoved)
-        shift.fleetByKind.settleAll();
-    const BadShares slow = sharesOver(m_settings.slowBackground, background.slow / (background.seenWhole + 1), m_settings.slowExcess);
-    const bool fleetIsSlow = shift.fleetSlowness.update(shift.fleetSlow, slow) >= m_settings.slowStopAt;
-    if (shift.fleetByKind.sum() >= (isMoved ? m_settings.failureStopAt : m_settings.trialStopAt) || shift.fleetByKind.sumOfAll() >= m_settings.failureStopAtOnceAt)
-        rollBack(shift, shift.fleetFailed, "failed", "more than those of the other versions to the same kinds of request");
-    else if (fleetIsSlow)
-        rollBack(shift, shift.fleetSlow, "were slow", std::to_string(std::lround(100 * slow.tolerable)) + " in 100 are tolerable now");
+    if (isMoved(shift, now))
+        shift.comparison.settleAll();
+    shift.judgedAt = now;
+    if (!shift.comparison.takeWorsened())
+        return;
+    if (shift.comparison.evidence() >= m_settings.stopAt || shift.comparison.evidenceOfAll() >= m_settings.stopAtOnceAt)
+        rollBack(shift, "more than the other versions give for the same kinds of request");
 }
 
-void VersionShifts::rollBack(Shift& shift, const RatedCounts& counts, const char* what, const std::string& why)
+void VersionShifts::rollBack(Shift& shift, const std::string& why)
 {
     shift.state = ShiftState::rolledBack;
-    shift.reason = std::to_string(counts.bad) + " of " + std::to_string(counts.total()) + " answers of " + shift.order.target + " " + what + "; " + why;
+    shift.reason = "of " + shift.order.target + ", " + countsText(shift.fleetFailed) + " answers failed and " + countsText(shift.fleetSlow) + " were slow; " + why;
 }
 
 // The record isn't in force until it stands: what is counted meanwhile may still turn it.
 void VersionShifts::conclude(Shift& shift, ShiftRecord& record) const
 {
-    shift.fleetByKind.settleAll();
-    if (shift.fleetByKind.sum() >= m_settings.doubtAt) {
-        rollBack(shift, shift.fleetFailed, "failed", "the whole traffic runs on it, and it fails more than the other versions did");
+    constexpr std::uint64_t enoughOthers = 10; // That the new version should have answered by then.
+    shift.comparison.settleAll();
+    if (shift.comparison.evidence() >= m_settings.doubtAt) {
+        rollBack(shift, "the whole traffic runs on it, and the other versions gave less of them");
+        return;
+    }
+    if (shift.fleetFailed.total() + shift.losses.size() == 0 && shift.othersSinceMove >= enoughOthers) {
+        rollBack(shift, "it has answered nothing, and the other versions answer what should run on it");
         return;
     }
     record.state = ShiftState::completed;
-    record.reason = "the whole traffic runs on " + shift.order.target + "; " + std::to_string(shift.fleetFailed.bad) + " of " + std::to_string(shift.fleetFailed.total()) + " answers failed";
+    record.reason = "the whole traffic runs on " + shift.order.target + "; " + countsText(shift.fleetFailed) + " answers failed and " + countsText(shift.fleetSlow) + " were slow";
 }
 
 }
--- a/packages/policy/test/VersionShiftTest.cpp
+++ b/packages/policy/test/VersionShiftTest.cpp
@@ -413,9 +413,17 @@
         ShiftEvidence byKind = evidence;
         byKind.life = 9;
         byKind.elapsed = 3s;
-        byKind.kinds[3] = { { RatedCounts { 1, 2 } }, { 3, 4 } };
+        byKind.kinds[3] = { { RatedCounts { 1, 2 } }, { 3, 4 }, { RatedCounts { 5, 6 } }, { 7, 8 }, { 9, -10 }, { 11, 12 } };
+        byKind.kinds[255].target[255] = { 1, 0 };
+        byKind.ends.target[7].bad = 2;
+        byKind.ends.others[8].bad = 3;
         EXPECT_EQ(readShiftEvidence(writeShiftEvidence(byKind)), byKind);
-        EXPECT_FALSE(readShiftEvidence(R"({"order": 1, "failures": [1, 0], "slowness": [1, 0], "otherFailures": [1, 0], "targets": [[9, 0, 1, 1]]})"));
+        const std::string counts = R"({"order": 1, "failures": [1, 0], "slowness": [1, 0], "otherFailures": [1, 0], )";
+        EXPECT_TRUE(readShiftEvidence(counts + R"("byEndpoint": [[9, 0, 1, 1, 0, 0]]})"));
+        EXPECT_FALSE(readShiftEvidence(counts + R"("byEndpoint": [[256, 0, 1, 1, 0, 0]]})")) << "no such kind";
+        EXPECT_FALSE(readShiftEvidence(counts + R"("byEndpoint": [[0, 256, 1, 1, 0, 0]]})")) << "no such endpoint";
+        EXPECT_FALSE(readShiftEvidence(counts + R"("byEndpoint": [[9, 0, 1, 1]]})"));
+        EXPECT_FALSE(readShiftEvidence(counts + R"("byKind": [[256, 1, 1, 0, 0, 0, 0, 0, 0]]})"));
         for (const char* text : { "", "[]", "{}", R"({"order": 1, "state": "other", "elapsedMs": 1})", R"({"order": "1"})" }) {
             EXPECT_FALSE(readShiftRecord(text)) << text;
             EXPECT_FALSE(readShiftEvidence(text)) << text;
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -209,8 +209,8 @@
     if (!failed && !m_stalled && m_admission.route->isGenerative && attempt.target().endpoint.plan.reason != policy::ChoiceReason::cachedPrefix)
         learnReadingTime(end - began);
     outcome.time = std::chrono::duration_cast<std::chrono::microseconds>(end - began);
-    // What is known of the endpoint's own slowness must not excuse its version.
-    outcome.expected = attempt.target().endpoint.plan.soundWait;
+    // What is known of the endpoint's own slowness must not excuse its version; the wait at a plain one is little else.
+    outcome.expected = m_admission.route->isGenerative ? attempt.target().endpoint.plan.soundWait : std::chrono::microseconds(0);
     if (!failed && m_admission.route->isGenerative)
         m_core.parts.directory.recordExpectation(attempt.target().endpoint.name, outcome.time, outcome.expected, now());
     outcome.held = std::chrono::duration_cast<std::chrono::microseconds>(now() - began);
