--- a/packages/policy/include/whinyard/policy/VersionEvidence.h
+++ b/packages/policy/include/whinyard/policy/VersionEvidence.h
@@ -26,6 +26,7 @@
 inline constexpr std::size_t endpointPlaces = 256;
 inline constexpr std::size_t maximumKinds = 12;
 inline constexpr std::size_t maximumEndpoints = 32;
+inline constexpr std::size_t maximumPairs = 64; // Of a kind and an endpoint of the target; one more for each kind that has none.
 
 // Counts by place of endpoints; most places have none.
 class CountsByPlace {
--- a/packages/policy/src/VersionShiftVerdict.cpp
+++ b/packages/policy/src/VersionShiftVerdict.cpp
@@ -60,9 +60,14 @@
         return evidence.kinds[toldPlace(evidence.kinds, kindPlace(measure), maximumKinds)];
     }
 
-    std::size_t toldEndpoint(const CountsByPlace& told, const EndpointName& endpoint)
+    // Returns the place at which answers of an endpoint to a kind of request are told.
+    std::size_t toldEndpoint(const ShiftEvidence& evidence, const KindCounts& kind, const EndpointName& endpoint)
     {
-        return toldPlace(told, endpointPlace(endpoint), maximumEndpoints);
+        std::size_t pairs = 0;
+        for (const auto& [place, counts] : evidence.kinds)
+            pairs += counts.target.size();
+        const std::size_t most = pairs < maximumPairs ? maximumEndpoints : std::max<std::size_t>(kind.target.size(), 1);
+        return toldPlace(kind.target, endpointPlace(endpoint), most);
     }
 
     // Within which instances that run tell their first counts.
@@ -191,11 +196,11 @@
         UsualValues::add(kind.pauses, pause);
     if (outcome.endpointEnded) {
         CountsByPlace& ends = isTarget ? own.ends.target : own.ends.others;
-        ++ends[toldEndpoint(ends, outcome.endpoint)].bad;
+        ++ends[toldPlace(ends, endpointPlace(outcome.endpoint), maximumEndpoints)].bad;
         if (isTarget)
             shift->losses.push_back(now);
     } else {
-        const std::size_t endpoint = toldEndpoint(kind.target, outcome.endpoint);
+        const std::size_t endpoint = isTarget ? toldEndpoint(own, kind, outcome.endpoint) : 0;
         rate(isTarget ? kind.target[endpoint] : kind.others, outcome.failed);
         if (isCompared)
             rate(isTarget ? kind.slowTarget[endpoint] : kind.slowOthers, isSlow);
--- a/packages/policy/test/VersionShiftTest.cpp
+++ b/packages/policy/test/VersionShiftTest.cpp
@@ -327,6 +327,27 @@
         EXPECT_EQ(stateAfter(1), ShiftState::running);
     }
 
+    // Guards against counts that no datagram holds, where a service has many endpoints and kinds of request.
+    TEST_F(VersionShiftTest, TellsABoundedNumberOfCounts)
+    {
+        for (int i = 0; i < 20'000; ++i) {
+            VersionOutcome outcome = good();
+            outcome.endpoint.value = "e" + std::to_string(i % 1'700);
+            outcome.measure = "r" + std::to_string(i % 29);
+            outcome.connectionLost = outcome.endpointEnded = outcome.failed = i % 3 == 0;
+            m_shifts.recordOutcome(service, i % 2 == 0 ? "v1" : "v2", outcome, m_clock.now());
+        }
+        const ShiftEvidence evidence = *m_shifts.evidence(service);
+        EXPECT_LE(evidence.kinds.size(), maximumKinds);
+        std::size_t pairs = 0;
+        for (const auto& [place, kind] : evidence.kinds)
+            pairs += kind.target.size();
+        EXPECT_LE(pairs, maximumPairs + maximumKinds);
+        EXPECT_LE(evidence.ends.target.size(), maximumEndpoints);
+        EXPECT_LE(evidence.ends.others.size(), maximumEndpoints);
+        EXPECT_LE(writeShiftEvidence(evidence).size(), 4'000U);
+    }
+
     // Guards against a verdict that waits until a restarted instance has counted more than its earlier process.
     TEST_F(VersionShiftTest, CountsWhatARestartedInstanceTells)
     {
