Take an instance that has counted nothing for no earlier release

The log of a roll-out named endpoints with "0 of 0" answers: an instance that has counted nothing yet tells no kinds of request, and was taken for one of an earlier release, which tells none at all, so a kind and an endpoint of its own stood for it. Nothing was judged by them.

--- a/packages/policy/src/VersionShiftVerdict.cpp
+++ b/packages/policy/src/VersionShiftVerdict.cpp
@@ -94,7 +94,7 @@
     if (found == m_shifts.end() || found->second.order.revision != told.order)
         return;
     ShiftEvidence evidence = told;
-    if (evidence.kinds.empty())
+    if (evidence.kinds.empty() && evidence.failures.total() + evidence.otherFailures.total() > 0)
         evidence.kinds[0] = countsOfOneKind(evidence, instance);
     Shift& shift = found->second;
     const auto [entry, isNew] = shift.others.try_emplace(instance);
