Write no verdict on a roll-out that was due before a newer record was known

Cause: the keeper asks another thread what is due, and reads records meanwhile. The answer was due without the record of the completion, which had been read 12 ms before the write, so the write's condition was the newest revision and held.

ShiftWrites knows when a turn begins and which records were learnt in it: what was due for them isn't written. Whatever is still due is due again in the next turn, with the record known. WritesNothingThatWasDueBeforeANewerRecordWasKnown needs the new function; without the check in isTime() it fails (by reading).

--- a/apps/whinyardd/entry/ShiftKeeper.cpp
+++ b/apps/whinyardd/entry/ShiftKeeper.cpp
@@ -97,6 +97,7 @@
     if (!m_read)
         return;
     const SteadyTime now = m_shared.clock.now();
+    m_writes.beginTurn(); // A record may be learnt while the question is under way.
     const auto due = m_serving.askShifts([now](policy::VersionShifts& shifts) {
         std::vector<Due> list;
         for (const ServiceName& service : shifts.services())
--- a/packages/policy/include/whinyard/policy/ShiftWrites.h
+++ b/packages/policy/include/whinyard/policy/ShiftWrites.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 
 namespace whinyard::policy {
 
@@ -19,6 +20,9 @@
 public:
     explicit ShiftWrites(Random random);
 
+    // Begins a turn: what is due is asked for from now on.
+    void beginTurn() { m_known.clear(); }
+
     // Returns whether a record that is due may be written now. One write is enough: each instance waits for a time of its own, and the
     // first tells the others.
     bool isTime(const ServiceName& service, ShiftState state, SteadyTime now);
@@ -32,7 +36,7 @@
     // nothing of a write without an answer, or has ended.
     void noteFailed(const ServiceName& service, ErrorKind kind);
 
-    // Notes that a newer record is known.
+    // Notes that a newer record is known: what was due in this turn was due without it.
     void noteKnown(const ServiceName& service);
 
     // Returns whether the records are to be read at once, before the next write can succeed.
@@ -49,6 +53,7 @@
 
     Random m_random;
     std::map<ServiceName, Planned> m_planned;
+    std::set<ServiceName> m_known; // Services whose record was learnt in this turn.
     std::map<ServiceName, std::uint32_t> m_failures; // Writes that met another record than the one that is known.
 };
 
--- a/packages/policy/src/ShiftWrites.cpp
+++ b/packages/policy/src/ShiftWrites.cpp
@@ -27,6 +27,8 @@
 
 bool ShiftWrites::isTime(const ServiceName& service, ShiftState state, SteadyTime now)
 {
+    if (m_known.contains(service))
+        return false;
     const std::chrono::milliseconds spread = state == ShiftState::running ? writeSpread : verdictSpread;
     const auto [planned, isNew] = m_planned.try_emplace(service);
     if (isNew || planned->second.state != state)
@@ -56,6 +58,7 @@
 
 void ShiftWrites::noteKnown(const ServiceName& service)
 {
+    m_known.insert(service);
     m_failures.erase(service);
 }
 
--- a/packages/policy/test/ShiftWritesTest.cpp
+++ b/packages/policy/test/ShiftWritesTest.cpp
@@ -37,6 +37,20 @@
         EXPECT_TRUE(m_writes.isTime(service, ShiftState::completed, m_clock.now()));
     }
 
+    // Seen: an instance that woke from a freeze asked what was due, read that the others had completed the roll-out, and wrote its own
+    // verdict over theirs: all requests went back to endpoints that had ended.
+    TEST_F(ShiftWritesTest, WritesNothingThatWasDueBeforeANewerRecordWasKnown)
+    {
+        m_writes.beginTurn();
+        EXPECT_FALSE(m_writes.isTime(service, ShiftState::rolledBack, m_clock.now()));
+        m_clock.advance(300ms);
+        m_writes.beginTurn();
+        m_writes.noteKnown(service);
+        EXPECT_FALSE(m_writes.isTime(service, ShiftState::rolledBack, m_clock.now()));
+        m_writes.beginTurn();
+        EXPECT_TRUE(m_writes.isTime(service, ShiftState::rolledBack, m_clock.now())) << "still due with the record known";
+    }
+
     // Seen: the first of 69 instances wrote a completion 0.17 to 0.22 s after it was due, since no moment that is drawn was used before the
     // next look. With an order that was heard late it stood too late.
     TEST(ShiftWritesFirstLookTest, HasOneOfSomeInstancesWriteAtItsFirstLook)
--- a/packages/policy/testing/whinyard/policy/KeeperFleet.h
+++ b/packages/policy/testing/whinyard/policy/KeeperFleet.h
@@ -271,6 +271,7 @@
             --notice.left;
         }
         std::erase_if(self.notices, [](const Notice& notice) { return notice.left == 0; });
+        self.writes.beginTurn();
         const std::optional<ShiftRecord> due = self.shifts->due(m_service, now());
         const std::optional<ShiftEvidence> evidence = self.shifts->evidence(m_service);
         tell(index, evidence);
