Tell how much of its own link an instance uses

Whether an instance that lost its paths had lost them, or had filled its own link, could not be told from its logs and metrics: connects that run out of time look alike. The serve duty now counts the bytes of its connections, compares them with the link of the settings, and logs when the link becomes full and when it no longer is. No decision uses it yet.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -2,6 +2,7 @@
 
 #include "Shared.h"
 #include "whinyard/base/Log.h"
+#include "whinyard/net/CarriedBytes.h"
 
 #include <algorithm>
 #include <thread>
@@ -29,6 +30,9 @@
     // that a request never meets our close.
     constexpr int idleQuarters = 5;
 
+    // From which part of the link in use on whatever is sent waits.
+    constexpr double fullShare = 0.85;
+
     // So many changes of the list of endpoints leave megabytes behind, which a process of a small machine can't keep.
     constexpr std::size_t manyChanges = 1'000;
 
@@ -77,6 +81,12 @@
         return settings;
     }
 
+    double bytesPerSecond(std::uint32_t megabits)
+    {
+        constexpr double bytesOfMegabit = 1e6 / 8;
+        return bytesOfMegabit * megabits;
+    }
+
     policy::ShiftSettings shiftSettings(const settings::ServiceBounds& bounds)
     {
         policy::ShiftSettings settings;
@@ -120,6 +130,7 @@
     , m_directory(shared.settings.zone, seededRandom(), tableSettings(), selectorSettings(shared.settings.tuning))
     , m_shifts(shiftSettings(shared.settings.bounds))
     , m_models(modelSettings(shared.settings.tuning))
+    , m_linkUse(bytesPerSecond(shared.settings.linkMegabits))
     , m_usage(shared.settings.bounds.usageWindow, shared.settings.bounds.usageDue)
     , m_wallClock(shared.clock)
     , m_link(shared, m_directory, m_shifts, m_queries)
@@ -252,6 +263,7 @@
         const SteadyTime due = m_shared.clock.now() + tickInterval;
         net::sleepFor(tickInterval);
         noteDelay(m_shared.clock.now() - due);
+        noteLinkUse();
     }
 }
 
@@ -276,6 +288,17 @@
         log::warning(closed ? "overloaded, turning connections away" : "no longer overloaded", { { "delayMs", inMilliseconds(delay) }, { "connectMs", connect ? inMilliseconds(*connect) : "" } });
 }
 
+void ServeDuty::noteLinkUse()
+{
+    const net::CarriedBytes carried = net::carriedBytes();
+    m_linkUse.note({ carried.received, carried.sent }, m_shared.clock.now());
+    m_shared.metrics.set("whinyard_serve_received_bytes", static_cast<double>(carried.received));
+    m_shared.metrics.set("whinyard_serve_sent_bytes", static_cast<double>(carried.sent));
+    m_shared.metrics.set("whinyard_link_use_share", m_linkUse.share());
+    if (const bool isFull = m_linkUse.share() >= fullShare; std::exchange(m_wasLinkFull, isFull) != isFull)
+        log::warning(isFull ? "own link is full" : "own link is no longer full", { { "share", std::to_string(m_linkUse.share()) } });
+}
+
 void ServeDuty::takeLimits(const config::CallerLimits& limits)
 {
     m_duty.post([this, limits] {
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -14,6 +14,7 @@
 #include "whinyard/net/HttpServer.h"
 #include "whinyard/net/ListenProbe.h"
 #include "whinyard/policy/ConnectionGate.h"
+#include "whinyard/policy/LinkUse.h"
 #include "whinyard/policy/ModelChoice.h"
 #include "whinyard/policy/QueryOfDeath.h"
 #include "whinyard/policy/VersionShift.h"
@@ -120,6 +121,7 @@
     void tickForwarder();
     bool admitsConnection();
     void noteDelay(std::chrono::nanoseconds delay);
+    void noteLinkUse();
 
     EntryShared& m_shared;
     endpoint::EndpointDirectory m_directory;
@@ -128,6 +130,8 @@
     policy::QueryOfDeathTable m_queries;
     policy::ConnectionGate m_gate; // Of callers' connections.
     bool m_wasClosed = false; // At the last look.
+    policy::LinkUse m_linkUse;
+    bool m_wasLinkFull = false; // At the last look.
     const platform::HttpCodec m_codec;
     std::map<ServiceName, std::vector<std::string>> m_versions; // With endpoints, in the order in which they appeared.
     leadership::UsageCounter m_usage;
--- a/packages/net/src/internal/FiberSocket.cpp
+++ b/packages/net/src/internal/FiberSocket.cpp
@@ -1,6 +1,7 @@
 #include "internal/FiberSocket.h"
 
 #include "internal/FiberWait.h"
+#include "whinyard/net/CarriedBytes.h"
 
 #include <boost/asio.hpp>
 #include <boost/fiber/operations.hpp>
@@ -22,6 +23,9 @@
     // work for a caller that left has to be cancelled.
     constexpr std::chrono::milliseconds peerLookInterval { 250 };
 
+    // All sockets of a duty are used on its thread.
+    thread_local CarriedBytes carriedOnThread;
+
     bool polled(tcp::socket& socket, short events, short wanted)
     {
         pollfd descriptor { socket.native_handle(), events, 0 };
@@ -149,12 +153,21 @@
     else
         countCall();
     m_moreExpected = size == buffer.size();
+    carriedOnThread.received += size;
     return size;
 }
 
 std::size_t FiberSocket::readNow(asio::mutable_buffer buffer, error_code& error)
 {
-    return m_core->socket.read_some(buffer, error);
+    const std::size_t size = m_core->socket.read_some(buffer, error);
+    carriedOnThread.received += size;
+    return size;
+}
+
+void FiberSocket::countWritten(std::size_t size)
+{
+    m_bytesWritten += size;
+    carriedOnThread.sent += size;
 }
 
 bool FiberSocket::mustWaitToWrite(error_code& error)
@@ -287,3 +300,12 @@
 }
 
 }
+
+namespace whinyard::net {
+
+CarriedBytes carriedBytes()
+{
+    return internal::carriedOnThread;
+}
+
+}
--- a/packages/net/src/internal/FiberSocket.h
+++ b/packages/net/src/internal/FiberSocket.h
@@ -81,7 +81,7 @@
     {
         for (;;) {
             const std::size_t size = m_core->socket.write_some(buffers, error);
-            m_bytesWritten += size;
+            countWritten(size);
             if (!mustWaitToWrite(error))
                 return size;
         }
@@ -143,6 +143,8 @@
 
     std::size_t read(boost::asio::mutable_buffer buffer, boost::system::error_code& error);
 
+    void countWritten(std::size_t size);
+
     // Returns whether the write must be tried again; it has waited until then.
     bool mustWaitToWrite(boost::system::error_code& error);
 
