Refuse connections before they fill the own link, and judge nobody by its fullness

What callers saw: an instance that most new connections went to read their requests and refused them.

Cause: the link was full within 0.2 s, before any delay had stood for long enough to be noticed, since connections were closed after their callers had sent their prompts; connects and probes then timed out, the paths to all endpoints were taken for lost, and everything that was read was refused at once.

Change: (1) new connections get a share of the link that the settings state. Each is counted, as it is taken, with what connections have cost of late; beyond the share the listener is closed for a while, so that callers are refused before they send anything and go to other instances. One connection each 200 ms is taken whatever the load. (2) While the link is full or own work or connects are late, connects and probes that time out say nothing of endpoints, paths and relays, and connects wait for a second; silence is borne twice as long before a prompt is sent once more. Connects that are refused count as before.

It works since the link no longer fills, so that the path can be judged again: a real cut in a crowd is found (FindsALostPathWhileItIsCrowded).

The model now counts answers in a span for goodput, where it counted answers to requests of that span: callers that come back made the latter fall while as much was served. ClosesConnectionsThatArentAdmittedAtOnce is replaced by RefusesConnectionsUnreadWhileItPauses, which also asks that no byte is sent.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -30,9 +30,6 @@
     // that a request never meets our close.
     constexpr int idleQuarters = 5;
 
-    // From which part of the link in use on whatever is sent waits.
-    constexpr double fullShare = 0.85;
-
     // So many changes of the list of endpoints leave megabytes behind, which a process of a small machine can't keep.
     constexpr std::size_t manyChanges = 1'000;
 
@@ -81,10 +78,12 @@
         return settings;
     }
 
-    double bytesPerSecond(std::uint32_t megabits)
+    policy::ConnectionGateSettings gateSettings(std::uint32_t linkMegabits)
     {
         constexpr double bytesOfMegabit = 1e6 / 8;
-        return bytesOfMegabit * megabits;
+        policy::ConnectionGateSettings settings;
+        settings.linkBytesPerSecond = bytesOfMegabit * linkMegabits;
+        return settings;
     }
 
     policy::ShiftSettings shiftSettings(const settings::ServiceBounds& bounds)
@@ -130,7 +129,7 @@
     , m_directory(shared.settings.zone, seededRandom(), tableSettings(), selectorSettings(shared.settings.tuning))
     , m_shifts(shiftSettings(shared.settings.bounds))
     , m_models(modelSettings(shared.settings.tuning))
-    , m_linkUse(bytesPerSecond(shared.settings.linkMegabits))
+    , m_gate(gateSettings(shared.settings.linkMegabits))
     , m_usage(shared.settings.bounds.usageWindow, shared.settings.bounds.usageDue)
     , m_wallClock(shared.clock)
     , m_link(shared, m_directory, m_shifts, m_queries)
@@ -148,7 +147,7 @@
     m_client = m_shared.transport.makeClient(m_duty);
     m_listening = m_shared.transport.makeProbe(m_duty);
     openPlaces();
-    const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, m_queries, *m_client, *m_listening, m_fibers, &m_link, m_shared.settings.provider && m_shared.settings.provider->takesUsage ? this : nullptr, m_places.get() };
+    const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, m_queries, *m_client, *m_listening, m_fibers, &m_link, m_shared.settings.provider && m_shared.settings.provider->takesUsage ? this : nullptr, m_places.get(), this };
     m_forwarder = std::make_unique<router::Forwarder>(parts, forwarderSettings(m_shared.settings.bounds, m_shared.settings.tuning), seededRandom());
     const net::HttpHandler forward = [this](const net::HttpRequest& request, net::HttpResponder& responder) { m_forwarder->handle(request, responder); };
     const net::HttpHandler tellReadiness = [this](const net::HttpRequest&, net::HttpResponder& responder) {
@@ -158,7 +157,7 @@
     };
     m_server = net::HttpServer::open(m_duty, m_shared.settings.callers, serverLimits({}), forward, failure);
     if (m_server) {
-        m_server->useAdmission([this] { return admitsConnection(); });
+        m_server->useAdmission([this] { return pauseAfterConnection(); });
         m_readiness = net::HttpServer::open(m_duty, m_shared.settings.readiness, {}, tellReadiness, failure);
     }
     if (!m_readiness || !m_link.open(m_duty, failure) || !openRelay(failure))
@@ -267,12 +266,21 @@
     }
 }
 
-bool ServeDuty::admitsConnection()
+std::chrono::nanoseconds ServeDuty::pauseAfterConnection()
 {
-    const bool admits = m_gate.admits(m_shared.clock.now());
-    if (!admits)
-        m_shared.metrics.add("whinyard_connections_turned_away_total");
-    return admits;
+    noteBytes();
+    const std::chrono::nanoseconds pause = m_gate.pauseAfterConnection(m_shared.clock.now());
+    if (pause.count() > 0) {
+        m_shared.metrics.add("whinyard_listener_pauses_total");
+        m_shared.metrics.observe("whinyard_listener_pause_seconds", pause);
+    }
+    return pause;
+}
+
+void ServeDuty::noteBytes()
+{
+    const net::CarriedBytes carried = net::carriedBytes();
+    m_gate.noteBytes({ carried.received, carried.sent }, m_shared.clock.now());
 }
 
 void ServeDuty::noteDelay(std::chrono::nanoseconds delay)
@@ -284,19 +292,19 @@
         m_gate.noteConnectTime(*connect, now);
     m_shared.metrics.set("whinyard_serve_delay_seconds", std::chrono::duration<double>(delay).count());
     const auto inMilliseconds = [](std::chrono::nanoseconds time) { return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()); };
-    if (const bool closed = m_gate.isClosed(now); std::exchange(m_wasClosed, closed) != closed)
-        log::warning(closed ? "overloaded, turning connections away" : "no longer overloaded", { { "delayMs", inMilliseconds(delay) }, { "connectMs", connect ? inMilliseconds(*connect) : "" } });
+    if (const bool delayed = m_gate.isDelayed(now); std::exchange(m_wasDelayed, delayed) != delayed)
+        log::warning(delayed ? "overloaded, turning connections away" : "no longer overloaded", { { "delayMs", inMilliseconds(delay) }, { "connectMs", connect ? inMilliseconds(*connect) : "" }, { "linkUse", std::to_string(m_gate.linkUse()) } });
 }
 
 void ServeDuty::noteLinkUse()
 {
+    noteBytes();
     const net::CarriedBytes carried = net::carriedBytes();
-    m_linkUse.note({ carried.received, carried.sent }, m_shared.clock.now());
     m_shared.metrics.set("whinyard_serve_received_bytes", static_cast<double>(carried.received));
     m_shared.metrics.set("whinyard_serve_sent_bytes", static_cast<double>(carried.sent));
-    m_shared.metrics.set("whinyard_link_use_share", m_linkUse.share());
-    if (const bool isFull = m_linkUse.share() >= fullShare; std::exchange(m_wasLinkFull, isFull) != isFull)
-        log::warning(isFull ? "own link is full" : "own link is no longer full", { { "share", std::to_string(m_linkUse.share()) } });
+    m_shared.metrics.set("whinyard_link_use_share", m_gate.linkUse());
+    if (const bool isFull = m_gate.isLinkFull(); std::exchange(m_wasLinkFull, isFull) != isFull)
+        log::warning(isFull ? "own link is full" : "own link is no longer full", { { "share", std::to_string(m_gate.linkUse()) } });
 }
 
 void ServeDuty::takeLimits(const config::CallerLimits& limits)
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -14,7 +14,6 @@
 #include "whinyard/net/HttpServer.h"
 #include "whinyard/net/ListenProbe.h"
 #include "whinyard/policy/ConnectionGate.h"
-#include "whinyard/policy/LinkUse.h"
 #include "whinyard/policy/ModelChoice.h"
 #include "whinyard/policy/QueryOfDeath.h"
 #include "whinyard/policy/VersionShift.h"
@@ -30,7 +29,7 @@
 
 namespace whinyard::daemon {
 
-class ServeDuty final : private router::UsageObserver {
+class ServeDuty final : private router::UsageObserver, private router::OwnLoad {
 public:
     // `shared` must outlive the object.
     explicit ServeDuty(EntryShared& shared);
@@ -119,7 +118,9 @@
     void noteNews();
     void refreshDirectory();
     void tickForwarder();
-    bool admitsConnection();
+    bool isBehind() const override { return m_gate.isBehind(m_shared.clock.now()); }
+    std::chrono::nanoseconds pauseAfterConnection();
+    void noteBytes();
     void noteDelay(std::chrono::nanoseconds delay);
     void noteLinkUse();
 
@@ -129,8 +130,7 @@
     policy::ModelChoice m_models;
     policy::QueryOfDeathTable m_queries;
     policy::ConnectionGate m_gate; // Of callers' connections.
-    bool m_wasClosed = false; // At the last look.
-    policy::LinkUse m_linkUse;
+    bool m_wasDelayed = false; // At the last look.
     bool m_wasLinkFull = false; // At the last look.
     const platform::HttpCodec m_codec;
     std::map<ServiceName, std::vector<std::string>> m_versions; // With endpoints, in the order in which they appeared.
--- a/packages/net/include/whinyard/net/HttpServer.h
+++ b/packages/net/include/whinyard/net/HttpServer.h
@@ -60,6 +60,9 @@
 // with 500.
 using HttpHandler = std::function<void(const HttpRequest&, HttpResponder&)>;
 
+// Tells how long no other connection is to be taken after the one that was; zero if the next may come at once.
+using AdmissionPause = std::function<std::chrono::nanoseconds()>;
+
 // Accepts connections until it is closed. All functions are called on the duty's thread.
 class HttpServer {
 public:
@@ -78,8 +81,9 @@
     // Takes other limits. They hold from the next request of each connection on; `connections` stays as it was.
     virtual void useLimits(const HttpServerLimits& limits) = 0;
 
-    // Has every new connection closed at once, unread, for which `admits` returns false.
-    virtual void useAdmission(std::function<bool()> admits) = 0;
+    // Has `pause` called for each connection that is taken. The server doesn't listen for as long as it returns: callers that come
+    // meanwhile are refused before they send anything.
+    virtual void useAdmission(AdmissionPause pause) = 0;
 
     // Asks every connection to close after its next answer. New connections are still accepted.
     virtual void announceClose() = 0;
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -201,7 +201,7 @@
         }
 
         void useLimits(const HttpServerLimits& limits) override { *m_limits = limits; }
-        void useAdmission(std::function<bool()> admits) override { server().useAdmission(std::move(admits)); }
+        void useAdmission(AdmissionPause pause) override { server().useAdmission(std::move(pause)); }
         void announceClose() override { server().announceClose(); }
 
     private:
--- a/packages/net/src/internal/TcpServer.cpp
+++ b/packages/net/src/internal/TcpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "internal/Endpoint.h"
 #include "internal/FiberWait.h"
+#include "whinyard/base/Log.h"
 
 #include <boost/asio.hpp>
 
@@ -23,6 +24,10 @@
     // Most requests fit into their first read.
     constexpr std::size_t firstReadBytes = 4 * 1024;
 
+    // A server that pauses is asked by more callers than it takes: those that wait while it pauses again are reset, with what they have
+    // sent by then.
+    constexpr int backlogAfterPause = 8;
+
     // The pause after the system had no descriptor or memory for another connection.
     constexpr std::chrono::milliseconds acceptPause { 50 };
 
@@ -50,16 +55,7 @@
     const auto endpoint = toEndpoint<tcp>(address, failure);
     if (!endpoint)
         return false;
-    error_code error;
-    m_acceptor.open(endpoint->protocol(), error);
-    if (!error)
-        m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    if (!error)
-        m_acceptor.bind(*endpoint, error);
-    if (!error)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (!error)
-        m_acceptor.non_blocking(true, error);
+    const error_code error = listen(*endpoint, asio::socket_base::max_listen_connections);
     if (error) {
         const std::string why = error == asio::error::address_in_use ? "the port is in use" : error.message();
         failure = Failure { ErrorKind::invalidSettings, "can't listen on " + toText(address) + ": " + why };
@@ -69,12 +65,50 @@
     return true;
 }
 
+error_code TcpServer::listen(const tcp::endpoint& endpoint, int backlog)
+{
+    error_code error;
+    m_acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        m_acceptor.bind(endpoint, error);
+    if (!error)
+        m_acceptor.listen(backlog, error);
+    if (!error)
+        m_acceptor.non_blocking(true, error);
+    return error;
+}
+
+void TcpServer::pauseListening(std::chrono::nanoseconds duration)
+{
+    error_code error;
+    const tcp::endpoint endpoint = m_acceptor.local_endpoint(error);
+    if (error)
+        return;
+    do {
+        error_code ignored;
+        m_acceptor.close(ignored);
+        sleepFor(duration);
+        if (m_draining)
+            return;
+        error = listen(endpoint, backlogAfterPause);
+        if (error)
+            log::error("can't listen again, trying once more", { { "address", toText(m_address) }, { "reason", error.message() } });
+        duration = acceptPause;
+    } while (error);
+}
+
 void TcpServer::acceptAll()
 {
     const auto self = shared_from_this();
     while (m_acceptor.is_open()) {
         error_code error;
-        while (acceptOne(error)) { }
+        while (m_pause.count() == 0 && acceptOne(error)) { }
+        if (m_pause.count() > 0) {
+            pauseListening(std::exchange(m_pause, std::chrono::nanoseconds(0)));
+            continue;
+        }
         if (error != asio::error::would_block && error != asio::error::try_again)
             sleepFor(acceptPause);
         if (!m_acceptor.is_open())
@@ -95,8 +129,10 @@
 
 void TcpServer::start(tcp::socket socket)
 {
-    if (m_connections.size() >= m_maximumConnections || (m_admits && !m_admits()))
+    if (m_connections.size() >= m_maximumConnections)
         return;
+    if (m_pauseAfterConnection)
+        m_pause = m_pauseAfterConnection();
     auto connection = std::make_shared<ServerConnection>(std::move(socket));
     m_connections.insert(connection.get());
     m_duty.spawn([self = shared_from_this(), connection = std::move(connection)] {
--- a/packages/net/src/internal/TcpServer.h
+++ b/packages/net/src/internal/TcpServer.h
@@ -9,6 +9,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -64,27 +65,33 @@
         TcpServer& m_server;
     };
 
-    void useAdmission(std::function<bool()> admits) { m_admits = std::move(admits); }
+    // See HttpServer::useAdmission().
+    void useAdmission(std::function<std::chrono::nanoseconds()> pause) { m_pauseAfterConnection = std::move(pause); }
     void announceClose() { m_closeAnnounced = true; }
     void drain();
     void close();
 
 private:
     bool bind(const Address& address, Failure& failure);
+    // Opens the listening socket, on which so many connections may wait to be accepted.
+    boost::system::error_code listen(const boost::asio::ip::tcp::endpoint& endpoint, int backlog);
     void acceptAll();
     // Returns whether there may be more to accept.
     bool acceptOne(boost::system::error_code& error);
+    // Closes the listening socket for a while. What waits there is reset by the system.
+    void pauseListening(std::chrono::nanoseconds duration);
     void start(boost::asio::ip::tcp::socket socket);
 
     Duty& m_duty;
     const std::size_t m_maximumConnections;
     const Serve m_serve;
-    std::function<bool()> m_admits; // Empty: every connection is admitted.
+    std::function<std::chrono::nanoseconds()> m_pauseAfterConnection; // Empty: there is none.
+    std::chrono::nanoseconds m_pause { 0 }; // That is due now.
     boost::asio::ip::tcp::acceptor m_acceptor;
     Address m_address;
     std::unordered_set<ServerConnection*> m_connections;
     std::size_t m_active = 0;
-    bool m_draining = false;
+    bool m_draining = false; // Or closed: it doesn't listen again.
     bool m_closeAnnounced = false;
     SteadyTime m_drainGraceEnd;
 };
--- a/packages/policy/include/whinyard/policy/EndpointPaths.h
+++ b/packages/policy/include/whinyard/policy/EndpointPaths.h
@@ -93,6 +93,9 @@
     // Takes how a round of probes ended that began at `began`.
     void recordProbes(const ServiceName& service, std::size_t connected, std::size_t failed, SteadyTime began);
 
+    // Takes that a round of probes says nothing, as this instance was behind.
+    void dismissProbes(const ServiceName& service) { at(service).isProbing = false; }
+
     // Returns what has changed since the last call.
     std::vector<PathChange> takeChanges();
 
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -55,6 +55,14 @@
     virtual void began(const CustomerName& customer) = 0;
 };
 
+// Says whether this instance is behind: then what times out may be late by its own fault.
+class OwnLoad {
+public:
+    virtual ~OwnLoad() = default;
+
+    virtual bool isBehind() const = 0;
+};
+
 // What the forwarder works with; everything must outlive it.
 struct ForwarderParts {
     const Clock& clock;
@@ -71,6 +79,7 @@
     WorkObserver* work = nullptr; // Null: nobody is told.
     UsageObserver* usage = nullptr;
     PlaceBroker* places = nullptr; // Null: this instance alone chooses the endpoints of every service.
+    const OwnLoad* load = nullptr; // Null: this instance is never behind.
 };
 
 struct ForwarderSettings {
@@ -87,6 +96,7 @@
     double coldSlack = 5;
     bool accountMemory = false; // Keep engines from being given more than their KV cache holds.
     std::chrono::milliseconds connectTimeout { 300 }; // Many times the longest way within a region.
+    std::chrono::milliseconds connectTimeoutBehind { 1'000 }; // While this instance is behind: another connect would wait as long.
     policy::EndpointPathSettings paths {};
     std::chrono::milliseconds comeBackAfter { 150 }; // Told with a refusal when nothing better is known.
 };
--- a/packages/router/src/Forwarder.cpp
+++ b/packages/router/src/Forwarder.cpp
@@ -75,6 +75,7 @@
             std::size_t left = 0;
             std::size_t connected = 0;
             std::size_t failed = 0;
+            std::size_t timedOut = 0; // Of these.
         };
         const std::vector<backing::ListedEndpoint> endpoints = core.parts.directory.drawLive(wanted.service, wanted.endpoints);
         const auto round = std::make_shared<Round>(Round { core.parts.clock.now(), endpoints.size() });
@@ -82,10 +83,16 @@
             core.paths.recordProbes(wanted.service, 0, 0, round->began);
         for (const backing::ListedEndpoint& endpoint : endpoints) {
             core.parts.fibers.start([this, round, service = wanted.service, address = endpoint.address] {
-                const bool connected = core.parts.listening.ask(address, core.settings.connectTimeout) == net::Listening::yes;
+                const net::Listening answer = core.parts.listening.ask(address, core.connectTimeout());
+                const bool connected = answer == net::Listening::yes;
                 ++(connected ? round->connected : round->failed);
+                round->timedOut += answer == net::Listening::unknown ? 1 : 0;
                 core.parts.metrics.add(connected ? "whinyard_path_probes_total{outcome=\"connected\"}" : "whinyard_path_probes_total{outcome=\"failed\"}");
-                if (--round->left == 0)
+                if (--round->left > 0)
+                    return;
+                if (round->connected + round->failed == round->timedOut && core.isBehind())
+                    core.paths.dismissProbes(service);
+                else
                     core.paths.recordProbes(service, round->connected, round->failed, round->began);
             });
         }
--- a/packages/router/src/internal/ForwardAttempt.cpp
+++ b/packages/router/src/internal/ForwardAttempt.cpp
@@ -89,7 +89,9 @@
         directBegan = began;
         callDirectly(head, patience);
     }
-    if (!directBegan || (failedToConnect() && m_core.paths.mayRelayAfter(m_target.service, began)))
+    if (directBegan && wasLateItself())
+        m_lacksPath = true;
+    else if (!directBegan || (failedToConnect() && m_core.paths.mayRelayAfter(m_target.service, began)))
         callByRelays(head, patience - std::chrono::ceil<std::chrono::milliseconds>(now() - began), directBegan);
     if (m_stream)
         return judgeHead();
@@ -102,10 +104,15 @@
     return m_progress.connect == net::ConnectOutcome::refused || m_progress.connect == net::ConnectOutcome::silent;
 }
 
+bool ForwardAttempt::wasLateItself() const
+{
+    return m_progress.connect == net::ConnectOutcome::silent && m_core.isBehind();
+}
+
 void ForwardAttempt::call(const AttemptHead& head, std::chrono::milliseconds patience, const InstanceName* relay)
 {
     net::HttpCallOptions options;
-    options.connectTimeout = std::min(m_core.settings.connectTimeout, patience);
+    options.connectTimeout = std::min(m_core.connectTimeout(), patience);
     options.timeout = patience;
     // A connection of its own for each attempt costs about a millisecond. It spares what a kept one may bring: bytes
     // that belong to an earlier answer, and a reset that leaves open whether the request has run.
@@ -129,7 +136,7 @@
     const bool isConnected = m_progress.connect == net::ConnectOutcome::connected;
     if (isConnected)
         m_core.shortestConnect = std::min(m_core.shortestConnect.value_or(m_progress.connectTime), m_progress.connectTime);
-    if (isConnected || failedToConnect())
+    if (isConnected || (failedToConnect() && !wasLateItself()))
         m_core.paths.recordDirect(m_target.service, m_target.endpoint.name, isConnected, began);
 }
 
--- a/packages/router/src/internal/ForwardAttempt.h
+++ b/packages/router/src/internal/ForwardAttempt.h
@@ -62,7 +62,7 @@
     bool wasSent() const { return m_progress.bytesWritten > 0; }
     bool isRelayed() const { return m_relay.has_value(); } // Its connection was made by another instance.
     const std::optional<InstanceName>& relay() const { return m_relay; }
-    bool lacksPath() const { return m_lacksPath; } // Nobody has tried to connect to the endpoint, so nothing is known of it.
+    bool lacksPath() const { return m_lacksPath; } // Nobody has tried to connect to the endpoint, or only this instance while it was behind, so nothing is known of it.
     std::chrono::nanoseconds age() const { return m_core.parts.clock.now() - m_use.began(); }
 
 private:
@@ -70,6 +70,7 @@
     void callDirectly(const AttemptHead& head, std::chrono::milliseconds patience);
     void callByRelays(const AttemptHead& head, std::chrono::milliseconds patience, std::optional<SteadyTime> directBegan);
     bool failedToConnect() const;
+    bool wasLateItself() const; // The connect has timed out while this instance was behind.
     SteadyTime now() const { return m_core.parts.clock.now(); }
     HeadVerdict judgeHead();
     void takeStatement();
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -125,6 +125,12 @@
         return started;
     }
 
+    // Returns whether this instance is behind; then time-outs say nothing of endpoints, paths and relays, and are no reason to send a
+    // request anew.
+    bool isBehind() const { return parts.load && parts.load->isBehind(); }
+
+    std::chrono::milliseconds connectTimeout() const { return isBehind() ? settings.connectTimeoutBehind : settings.connectTimeout; }
+
     // Returns whether the process ends too soon for another attempt.
     bool isEnding() const { return parts.clock.now() >= endsAt; }
 
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -35,6 +35,9 @@
     // attempts that failed: their answers are lost otherwise, and failures come many at once, when an engine crashes.
     constexpr double silencePart = 0.9;
 
+    // An instance that is behind waits so many times as long.
+    constexpr int behindFactor = 2;
+
     // Of an attempt whose path is known to be lost, though its connection lives on.
     constexpr std::chrono::nanoseconds lostPathPatience = std::chrono::milliseconds(200);
 
@@ -255,7 +258,9 @@
     if (!m_current || m_stalled || !mayMove())
         return;
     const bool lost = m_current->wasSent() && hasLostPath(*m_current);
-    if (now() - m_silentSince < (lost ? lostPathPatience : patience()))
+    // What is late by this instance's own fault seldom comes sooner by sending the prompt once more.
+    const int factor = m_core.isBehind() ? behindFactor : 1;
+    if (now() - m_silentSince < (lost ? lostPathPatience : factor * patience()))
         return;
     // Silence alone is no reason to end an answer: it is given up only for another attempt that is granted already.
     if ((!lost && !m_core.movesOf(m_service).take(now())) || !m_core.budgetOf(m_service).take(now(), silencePart))
--- a/packages/router/testing/whinyard/router/CrowdedInstance.h
+++ b/packages/router/testing/whinyard/router/CrowdedInstance.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace whinyard::router {
@@ -33,6 +34,7 @@
     struct Count {
         std::size_t read = 0;
         std::size_t served = 0; // Of those that were read.
+        std::size_t answered = 0; // In that time, whenever their requests came.
         std::size_t unread = 0; // Tries whose connection was refused, or closed before the request was read.
 
         double servedShare() const { return read == 0 ? 1 : static_cast<double>(served) / static_cast<double>(read); }
@@ -41,6 +43,7 @@
     explicit CrowdedInstance(const CrowdSettings& settings, std::uint64_t seed = 1)
         : m_settings(settings)
         , m_random(seed)
+        , m_gate({ .linkBytesPerSecond = settings.linkMegabits * bytesOfMegabit })
         , m_paths({}, Random(seed + 1))
         , m_in(settings.linkMegabits)
         , m_out(settings.linkMegabits)
@@ -58,13 +61,13 @@
     void cutPath(bool cut) { m_isCut = cut; }
     void run(std::chrono::milliseconds duration) { m_events.runUntil(now() + duration); }
 
-    // Returns what became of the requests that came after the last call and were over by now.
+    // Returns what became of the requests that have come since countFromNow(), once they are over.
     Count takeCount()
     {
+        const std::size_t answered = m_count.answered;
         run(deadline);
-        m_counted = m_count;
-        m_count = {};
-        return m_counted;
+        m_count.answered = answered;
+        return std::exchange(m_count, {});
     }
 
     // Drops what was counted.
@@ -79,11 +82,13 @@
     SteadyTime::duration longestWithoutAccept() const { return m_longestWithoutAccept; }
 
 private:
+    static constexpr double bytesOfMegabit = 1e6 / 8;
+
     // One direction of the link.
     class Direction {
     public:
         explicit Direction(double megabits)
-            : m_bytesPerSecond(megabits * 1e6 / 8)
+            : m_bytesPerSecond(megabits * bytesOfMegabit)
         {
         }
 
@@ -144,14 +149,11 @@
                 pass(m_out, packetBytes, [this, began] { turnAway(began); });
                 return;
             }
-            // The connection stands whether it is taken or not, and the caller sends its request.
-            const bool isTaken = accept();
-            pass(m_out, packetBytes, [this, began, isTaken] {
-                pass(m_in, m_settings.promptBytes, [this, began, isTaken] {
-                    if (isTaken)
-                        serve(std::make_shared<Call>(Call { began, now() }));
-                    else
-                        turnAway(began);
+            accept();
+            pass(m_out, packetBytes, [this, began] {
+                pass(m_in, m_settings.promptBytes, [this, began] {
+                    m_received += m_settings.promptBytes;
+                    serve(std::make_shared<Call>(Call { began, now() }));
                 });
             });
         });
@@ -164,17 +166,18 @@
             after(comeBack, [this, began] { open(began); });
     }
 
-    bool isListening() const { return true; }
+    bool isListening() const { return now() >= m_closedUntil; }
 
-    bool accept()
+    void accept()
     {
-        if (!m_gate.admits(now()))
-            return false;
+        noteBytes();
+        m_closedUntil = now() + m_gate.pauseAfterConnection(now());
         m_longestWithoutAccept = std::max(m_longestWithoutAccept, now() - m_acceptedAt);
         m_acceptedAt = now();
-        return true;
     }
 
+    void noteBytes() { m_gate.noteBytes({ m_received, m_sent }, now()); }
+
     void serve(const std::shared_ptr<Call>& call)
     {
         m_count.read += call->began >= m_from ? 1 : 0;
@@ -199,6 +202,8 @@
         connect(m_isCut, [this, call, began, endpoint](bool isConnected) {
             if (isConnected)
                 m_shortestConnect = std::min<std::chrono::nanoseconds>(m_shortestConnect.value_or(now() - began), now() - began);
+            if (!isConnected && m_gate.isBehind(now()))
+                return attempt(call);
             m_paths.recordDirect(service, endpoint, isConnected, began);
             if (isConnected)
                 exchange(call);
@@ -240,17 +245,29 @@
 
     void exchange(const std::shared_ptr<Call>& call)
     {
+        m_sent += m_settings.promptBytes;
         pass(m_out, m_settings.promptBytes, [this, call] {
             after(work, [this, call] {
                 pass(m_in, m_settings.answerBytes, [this, call] {
-                    pass(m_out, m_settings.answerBytes, [this, call] { m_count.served += call->began >= m_from && now() - call->began <= deadline ? 1 : 0; });
+                    m_received += m_settings.answerBytes;
+                    m_sent += m_settings.answerBytes;
+                    pass(m_out, m_settings.answerBytes, [this, call] { finish(*call); });
                 });
             });
         });
     }
 
+    void finish(const Call& call)
+    {
+        if (now() - call.began > deadline)
+            return;
+        ++m_count.answered;
+        m_count.served += call.began >= m_from ? 1 : 0;
+    }
+
     void tick()
     {
+        noteBytes();
         m_gate.noteWorkDelay(std::chrono::nanoseconds(0), now());
         if (const auto connect = std::exchange(m_shortestConnect, std::nullopt))
             m_gate.noteConnectTime(*connect, now());
@@ -271,7 +288,11 @@
         for (std::size_t i = 0; i < count; ++i) {
             connect(m_isCut, [this, round](bool isConnected) {
                 ++(isConnected ? round->connected : round->failed);
-                if (--round->left == 0)
+                if (--round->left > 0)
+                    return;
+                if (m_gate.isBehind(now()))
+                    m_paths.dismissProbes(service);
+                else
                     m_paths.recordProbes(service, round->connected, round->failed, round->began);
             });
         }
@@ -290,10 +311,12 @@
     std::optional<std::chrono::nanoseconds> m_shortestConnect; // Since the last tick.
     SteadyTime m_from; // Since when requests are counted.
     SteadyTime m_acceptedAt;
+    SteadyTime m_closedUntil;
+    std::uint64_t m_received = 0; // Bytes, as the instance counts them.
+    std::uint64_t m_sent = 0;
     SteadyTime::duration m_longestWithoutAccept { 0 };
     std::size_t m_relaysAsked = 0;
     Count m_count;
-    Count m_counted;
 };
 
 }
--- a/packages/router/testing/whinyard/router/ForwarderFakes.h
+++ b/packages/router/testing/whinyard/router/ForwarderFakes.h
@@ -105,6 +105,13 @@
     }
 };
 
+class FakeOwnLoad final : public OwnLoad {
+public:
+    bool behind = false;
+
+    bool isBehind() const override { return behind; }
+};
+
 // What a test may set of a bench.
 struct ForwarderBenchParts {
     PlaceBroker* places = nullptr;
@@ -112,6 +119,7 @@
     policy::ModelChoiceSettings choice { .cheapFirstBelow = 1 };
     ForwarderSettings forwarder { .repeatRatio = 1, .repeatsPerSecond = 10 };
     WorkObserver* work = nullptr;
+    const OwnLoad* load = nullptr;
 };
 
 // One forwarder with two endpoints of one service.
@@ -120,7 +128,7 @@
     explicit ForwarderBench(std::uint64_t seed = 1, const ForwarderBenchParts& parts = {})
         : directory({ "z" }, Random(seed), {}, parts.selector)
         , models(parts.choice)
-        , forwarder({ clock, metrics, source, codec, directory, shifts, models, queries, client, listening, fibers, parts.work, nullptr, parts.places }, parts.forwarder, Random(seed + 1))
+        , forwarder({ clock, metrics, source, codec, directory, shifts, models, queries, client, listening, fibers, parts.work, nullptr, parts.places, parts.load }, parts.forwarder, Random(seed + 1))
     {
         routing.services = { { { "svc" }, 100, 0, 0, 1, { { { "small" }, 0.02 }, { { "large" }, 0.25 } } } };
         routing.customers = { { { "school" }, { "k1" }, std::nullopt } };
