Tell the new version's counts by kind, and its slow answers by endpoint

The line of findings of a roll-out told failed answers by endpoint only, so it could not be seen whether slow answers were missing or weighed too little. No verdict changes: the sums are kept for the line.

--- a/apps/whinyardd/entry/ShiftKeeper.cpp
+++ b/apps/whinyardd/entry/ShiftKeeper.cpp
@@ -167,7 +167,7 @@
     Failure failure;
     const std::optional<backing::Revision> revision = m_store.transact(transaction, failure);
     log::info(revision ? "roll-out record written" : "roll-out record not written", { { "service", order.service.value }, { "state", std::string(toText(record.state)) }, { "elapsedMs", std::to_string(record.elapsed.count()) }, { "reason", revision ? record.reason : failure.reason } });
-    log::info("roll-out findings", { { "service", order.service.value }, { "failed", countsText(findings.failures) }, { "slow", countsText(findings.slowness) }, { "evidence", std::to_string(findings.evidence) }, { "evidenceOfAll", std::to_string(findings.evidenceOfAll) }, { "byEndpoint", findings.byEndpoint }, { "others", findings.others }, { "slowOthers", findings.slowOthers } });
+    log::info("roll-out findings", { { "service", order.service.value }, { "failed", countsText(findings.failures) }, { "slow", countsText(findings.slowness) }, { "evidence", std::to_string(findings.evidence) }, { "evidenceOfAll", std::to_string(findings.evidenceOfAll) }, { "byEndpoint", findings.byEndpoint }, { "others", findings.others }, { "slowOthers", findings.slowOthers }, { "byKind", findings.byKind }, { "slowByEndpoint", findings.slowByEndpoint } });
     if (!revision) {
         m_writes.noteFailed(order.service, failure.kind);
         return;
--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -94,6 +94,8 @@
     std::string byEndpoint; // "place: failed of all", for each place of endpoints that has answered.
     std::string others; // "failed of all" of the other versions, by kind of request.
     std::string slowOthers; // The same of slow answers.
+    std::string byKind; // "failed of all, slow of all that were compared" of the target, by kind of request.
+    std::string slowByEndpoint; // "place: slow of all that were compared".
 };
 
 // The numbers that a shift is run with.
--- a/packages/policy/src/VersionShiftVerdict.cpp
+++ b/packages/policy/src/VersionShiftVerdict.cpp
@@ -126,6 +126,8 @@
         add(sum.pauses, known.pauses, kind.pauses);
         for (const auto& [endpoint, counts] : kind.target)
             add(sum.target[endpoint], known.target.at(endpoint), counts);
+        for (const auto& [endpoint, counts] : kind.slowTarget)
+            add(sum.slowTarget[endpoint], known.slowTarget.at(endpoint), counts);
     }
     shift.comparison.add(before.kinds, counted.kinds, now);
     shift.comparison.addEnds(before.ends, counted.ends, now);
@@ -137,15 +139,28 @@
     if (found == m_shifts.end())
         return std::nullopt;
     const Shift& shift = found->second;
-    ShiftFindings findings { .failures = shift.fleetFailed, .slowness = shift.fleetSlow, .evidence = shift.comparison.evidence(), .evidenceOfAll = shift.comparison.evidenceOfAll(), .byEndpoint = {}, .others = {}, .slowOthers = {} };
+    ShiftFindings findings { .failures = shift.fleetFailed, .slowness = shift.fleetSlow, .evidence = shift.comparison.evidence(), .evidenceOfAll = shift.comparison.evidenceOfAll(), .byEndpoint = {}, .others = {}, .slowOthers = {}, .byKind = {}, .slowByEndpoint = {} };
     const auto append = [](std::string& list, const std::string& text) { list += (list.empty() ? "" : "; ") + text; };
     CountsByPlace byEndpoint;
+    CountsByPlace slowByEndpoint;
     for (const auto& [kindPlace, kind] : shift.fleetCounts) {
-        for (const auto& [place, counts] : kind.target)
+        RatedCounts failed;
+        RatedCounts slow;
+        for (const auto& [place, counts] : kind.target) {
             add(byEndpoint[place], {}, counts);
+            add(failed, {}, counts);
+        }
+        for (const auto& [place, counts] : kind.slowTarget) {
+            add(slowByEndpoint[place], {}, counts);
+            add(slow, {}, counts);
+        }
+        if (failed.total() + slow.total() > 0)
+            append(findings.byKind, countsText(failed) + ", " + countsText(slow));
     }
     for (const auto& [place, counts] : byEndpoint)
         append(findings.byEndpoint, std::to_string(place) + ": " + countsText(counts));
+    for (const auto& [place, counts] : slowByEndpoint)
+        append(findings.slowByEndpoint, std::to_string(place) + ": " + countsText(counts));
     for (const auto& [place, kind] : shift.fleetCounts) {
         if (kind.others.total() > 0)
             append(findings.others, countsText(kind.others));
