--- a/packages/policy/test/VersionShiftVerdictTest.cpp
+++ b/packages/policy/test/VersionShiftVerdictTest.cpp
@@ -74,6 +74,27 @@
         }
     }
 
+    // Guards against a slow version that is completed because its callers give up before its slow answers come.
+    TEST(VersionShiftVerdictTest, RollsASlowVersionBackWhoseCallersGiveUp)
+    {
+        for (const std::size_t instances : { 9, 30, 100 }) {
+            ShiftLoad load = plainService(instances);
+            load.targetSlowness = [](const ShiftRequest&) { return 0.5; };
+            load.patience = 400ms;
+            EXPECT_LE(verdictsOf(load, ShiftState::completed), mostWrong) << instances;
+        }
+    }
+
+    // Guards against a sound version that is rolled back since callers give up on both versions alike.
+    TEST(VersionShiftVerdictTest, CompletesASoundVersionWhoseCallersGiveUp)
+    {
+        for (const std::size_t instances : { 9, 30, 100 }) {
+            ShiftLoad load = plainService(instances);
+            load.patience = 80ms;
+            EXPECT_LE(verdictsOf(load, ShiftState::rolledBack), mostWrong) << instances;
+        }
+    }
+
     // Guards against what few answers of the other versions seem to allow.
     TEST(VersionShiftVerdictTest, RollsAVersionBackOfAServiceOfFewRequests)
     {
--- a/packages/policy/testing/whinyard/policy/ShiftFleet.h
+++ b/packages/policy/testing/whinyard/policy/ShiftFleet.h
@@ -46,6 +46,7 @@
     std::function<double(const ShiftRequest&)> targetFailure = [](const ShiftRequest&) { return 0.0; };
     std::function<double(const ShiftRequest&)> targetSlowness = [](const ShiftRequest&) { return 0.0; };
     std::function<double(const ShiftRequest&)> anyFailure = [](const ShiftRequest&) { return 0.0; }; // At both versions.
+    std::optional<std::chrono::milliseconds> patience {}; // After which callers give up; empty: never.
     double slowFactor = 10; // By which an answer that is slow takes longer.
     // When an endpoint of the target, or of the other version, ends for good, with the answers under way there.
     std::function<std::optional<std::chrono::milliseconds>(bool isTarget, std::size_t endpoint)> endOf = [](bool, std::size_t) { return std::nullopt; };
@@ -185,6 +186,10 @@
         const auto time = std::chrono::milliseconds(static_cast<int>(m_load.workTime.count() * (isSlow ? m_load.slowFactor : 0.5 + uniform(m_random))));
         const std::optional<std::chrono::milliseconds> end = m_load.endOf(isTarget == 1, request.endpoint);
         const bool isLost = end && *end < m_at + time;
+        if (!isLost && m_load.patience && time > *m_load.patience) {
+            later(*m_load.patience, [this, isTarget, endpoint = request.endpoint] { --m_running[isTarget][endpoint]; });
+            return;
+        }
         VersionOutcome outcome;
         outcome.endpoint = { endpointName(version, request.endpoint) };
         outcome.failed = uniform(m_random) >= sound || isLost;
