Count what callers give up as slow where they have waited for long

Cause: an attempt that its caller gives up counted as nothing, so a slow version showed its sound answers only: a censored observation that was dropped.

Change: what is given up before its first event after longer than is usual counts as a slow answer, at both versions alike; one that is given up sooner still says nothing, and neither is a failure. Nothing is counted while this instance is behind. It works since the wait that is known already is above the bound for slow ones, however long the answer would have taken.

--- a/bench/RolloutErrors.cpp
+++ b/bench/RolloutErrors.cpp
@@ -21,6 +21,8 @@
 
 constexpr double badShare = 0.5; // Of the requests of a bad version.
 constexpr std::chrono::milliseconds turnsBadAt { 8'000 };
+constexpr std::chrono::milliseconds patience { 400 }; // Of callers: below the time of a slow answer.
+constexpr std::chrono::milliseconds shortPatience { 80 }; // Below that of many sound ones.
 
 struct Fault {
     const char* name;
@@ -35,9 +37,12 @@
     { "one kind", true, [](ShiftLoad& load) { load.targetFailure = [](const ShiftRequest& request) { return request.kind == 1 ? badShare : 0; }; } },
     { "late", true, [](ShiftLoad& load) { load.targetFailure = [](const ShiftRequest& request) { return request.at >= turnsBadAt ? badShare : 0; }; } },
     { "calm", false, [](ShiftLoad&) {} },
-    { "grey endpoint", false, [](ShiftLoad& load) { load.targetFailure = [](const ShiftRequest& request) { return request.endpoint == 1 && request.at >= 8s && request.at < 13s ? 0.4 : 0; }; } },
-    { "grey in the move", false, [](ShiftLoad& load) { load.targetFailure = [](const ShiftRequest& request) { return request.endpoint == 1 && request.at >= 16s ? 0.4 : 0; }; } },
+    { "failing endpoint", false, [](ShiftLoad& load) { load.targetFailure = [](const ShiftRequest& request) { return request.endpoint == 1 && request.at >= 8s && request.at < 13s ? 0.4 : 0; }; } },
+    { "failing in move", false, [](ShiftLoad& load) { load.targetFailure = [](const ShiftRequest& request) { return request.endpoint == 1 && request.at >= 16s ? 0.4 : 0; }; } },
     { "slow endpoint", false, [](ShiftLoad& load) { load.targetSlowness = [](const ShiftRequest& request) { return request.endpoint == 1 && request.at >= 8s && request.at < 13s ? 0.9 : 0; }; } },
+    { "slow, given up", true, [](ShiftLoad& load) { load.targetSlowness = [](const ShiftRequest&) { return badShare; }; load.patience = patience; } },
+    { "calm, given up", false, [](ShiftLoad& load) { load.patience = patience; } },
+    { "calm, soon given up", false, [](ShiftLoad& load) { load.patience = shortPatience; } },
     { "wave at all", false, [](ShiftLoad& load) { load.anyFailure = [](const ShiftRequest& request) { return request.at >= 9s && request.at < 11s ? 0.33 : 0; }; } },
 };
 
@@ -84,7 +89,7 @@
         sizes.push_back(static_cast<std::size_t>(std::atoi(argv[i])));
     if (sizes.empty())
         sizes = { 9 };
-    std::printf("%-18s %9s %6s %9s %-12s %6s %9s %9s %9s\n", "fault", "instances", "rate", "endpoints", "end", "wrong", "late", "exposed", "allowed");
+    std::printf("%-20s %9s %6s %9s %-12s %6s %9s %9s %9s\n", "fault", "instances", "rate", "endpoints", "end", "wrong", "late", "exposed", "allowed");
     for (const std::size_t instances : sizes) {
         for (const Fault& fault : faults) {
             int wrongOfFault = 0;
@@ -112,11 +117,11 @@
                         }
                         wrongOfFault += wrong;
                         playsOfFault += seeds;
-                        std::printf("%-18s %9zu %6.0f %9zu %-12s %6d %9d %9.1f %9.1f\n", fault.name, instances, rate, endpoints, ends.name, wrong, late, exposed / seeds, allowed / seeds);
+                        std::printf("%-20s %9zu %6.0f %9zu %-12s %6d %9d %9.1f %9.1f\n", fault.name, instances, rate, endpoints, ends.name, wrong, late, exposed / seeds, allowed / seeds);
                     }
                 }
             }
-            std::printf("%-18s %9zu %s: %d of %d\n", fault.name, instances, fault.isBad ? "bad and completed" : "sound and rolled back", wrongOfFault, playsOfFault);
+            std::printf("%-20s %9zu %s: %d of %d\n", fault.name, instances, fault.isBad ? "bad and completed" : "sound and rolled back", wrongOfFault, playsOfFault);
             std::fflush(stdout);
         }
     }
--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -60,6 +60,8 @@
     EndpointName endpoint;
     bool failed = false;
     bool connectionLost = false; // How it failed: every request of an endpoint that crashes does so at once.
+    // The caller left before the answer or its first event, after `time`: it counts if that alone is slow, and says nothing else.
+    bool wasGivenUp = false;
     std::string measure; // Groups requests whose times are comparable, such as route and model.
     std::chrono::microseconds time { 0 }; // To the answer or the first event; 0 if there was none.
     std::chrono::microseconds expected { 0 }; // The same, as the load and size of the request let expect.
--- a/packages/policy/src/VersionShiftVerdict.cpp
+++ b/packages/policy/src/VersionShiftVerdict.cpp
@@ -182,9 +182,11 @@
     const double time = relativeTime(outcome);
     const auto pause = static_cast<double>(outcome.pause.count());
     const bool startsLate = outcome.time >= m_settings.slowMinimum && memory.times.exceeds(outcome.measure, time, told.times);
+    if (outcome.wasGivenUp && !startsLate)
+        return;
     const bool isSlow = startsLate || (outcome.pause >= m_settings.slowPause && memory.pauses.exceeds(outcome.measure, pause, told.pauses));
     const bool isCompared = !outcome.failed && (outcome.wasSeenWhole || isSlow) && memory.times.isKnown(outcome.measure, told.times);
-    const bool hasTime = !outcome.failed && outcome.time.count() > 0;
+    const bool hasTime = !outcome.failed && !outcome.wasGivenUp && outcome.time.count() > 0;
     const bool hasPause = !outcome.failed && outcome.pause.count() > 0;
     if (!isTarget) {
         if (hasTime)
@@ -214,13 +216,14 @@
             shift->losses.push_back(now);
     } else {
         const std::size_t endpoint = isTarget ? toldEndpoint(own, kind, outcome.endpoint) : 0;
-        rate(isTarget ? kind.target[endpoint] : kind.others, outcome.failed);
+        if (!outcome.wasGivenUp)
+            rate(isTarget ? kind.target[endpoint] : kind.others, outcome.failed);
         if (isCompared)
             rate(isTarget ? kind.slowTarget[endpoint] : kind.slowOthers, isSlow);
         if (isTarget && isCompared)
             rate(own.slowness, isSlow);
     }
-    if (!isTarget || !outcome.endpointEnded)
+    if (!outcome.wasGivenUp && (!isTarget || !outcome.endpointEnded))
         rate(isTarget ? own.failures : own.otherFailures, outcome.failed);
     addToFleet(*shift, before, own, now);
     judgeNowAndThen(*shift, now);
--- a/packages/policy/testing/whinyard/policy/ShiftFleet.h
+++ b/packages/policy/testing/whinyard/policy/ShiftFleet.h
@@ -186,20 +186,19 @@
         const auto time = std::chrono::milliseconds(static_cast<int>(m_load.workTime.count() * (isSlow ? m_load.slowFactor : 0.5 + uniform(m_random))));
         const std::optional<std::chrono::milliseconds> end = m_load.endOf(isTarget == 1, request.endpoint);
         const bool isLost = end && *end < m_at + time;
-        if (!isLost && m_load.patience && time > *m_load.patience) {
-            later(*m_load.patience, [this, isTarget, endpoint = request.endpoint] { --m_running[isTarget][endpoint]; });
-            return;
-        }
+        const bool isGivenUp = !isLost && m_load.patience && time > *m_load.patience;
         VersionOutcome outcome;
         outcome.endpoint = { endpointName(version, request.endpoint) };
-        outcome.failed = uniform(m_random) >= sound || isLost;
+        outcome.failed = (uniform(m_random) >= sound && !isGivenUp) || isLost;
+        outcome.wasGivenUp = isGivenUp;
         outcome.connectionLost = isLost;
         outcome.endpointEnded = isLost;
         outcome.measure = "kind " + std::to_string(request.kind);
-        outcome.time = outcome.failed ? std::chrono::microseconds(0) : time;
+        const std::chrono::milliseconds held = isGivenUp ? *m_load.patience : time;
+        outcome.time = outcome.failed ? std::chrono::microseconds(0) : held;
         outcome.expected = m_load.workTime;
-        outcome.held = time;
-        later(isLost ? std::max(*end - m_at, 0ms) : time, [this, sender, version, isTarget, endpoint = request.endpoint, outcome] {
+        outcome.held = held;
+        later(isLost ? std::max(*end - m_at, 0ms) : held, [this, sender, version, isTarget, endpoint = request.endpoint, outcome] {
             --m_running[isTarget][endpoint];
             m_instances[sender].shifts->recordOutcome(m_service, version, outcome, now());
         });
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -86,6 +86,8 @@
     if (isPathSuspect)
         log::info("attempt lost with its path", { { "request", m_request.id }, { "endpoint", attempt.target().endpoint.name.value }, { "reason", m_failure.reason }, { "elapsedMs", text(attempt.age()) } });
     if (wasGivenUp || isPathSuspect) {
+        if (m_callerLeft && !isPathSuspect && !m_firstEventAt && !m_core.isBehind())
+            noteGivenUp(attempt);
         attempt.end(endpoint::EndpointOutcome::cancelled);
         return AttemptEnd::broken;
     }
@@ -195,22 +197,37 @@
     log::info("prefill curve changed", { { "service", m_service.value }, { "ratioPerThousandTokens", std::to_string(rates.ratio() * thousand) } });
 }
 
-void ForwardRun::noteOutcome(const ForwardAttempt& attempt, bool failed, bool endpointEnded)
+policy::VersionOutcome ForwardRun::outcomeOf(const ForwardAttempt& attempt) const
 {
-    m_hold.release();
     policy::VersionOutcome outcome;
     outcome.endpoint = attempt.target().endpoint.name;
+    outcome.measure = m_admission.route->name + "/" + model().value;
+    // What is known of the endpoint's own slowness must not excuse its version; the wait at a plain one is little else.
+    outcome.expected = m_admission.route->isGenerative ? attempt.target().endpoint.plan.soundWait : std::chrono::microseconds(0);
+    return outcome;
+}
+
+// Slow answers make callers leave: were they counted as nothing, a slow version would show its sound answers only.
+void ForwardRun::noteGivenUp(const ForwardAttempt& attempt)
+{
+    policy::VersionOutcome outcome = outcomeOf(attempt);
+    outcome.wasGivenUp = true;
+    outcome.time = std::chrono::duration_cast<std::chrono::microseconds>(attempt.age());
+    m_core.parts.shifts.recordOutcome(attempt.target().service, attempt.target().version, outcome, now());
+}
+
+void ForwardRun::noteOutcome(const ForwardAttempt& attempt, bool failed, bool endpointEnded)
+{
+    m_hold.release();
+    policy::VersionOutcome outcome = outcomeOf(attempt);
     outcome.failed = failed;
     outcome.connectionLost = failed && !m_failedAnswer;
     outcome.endpointEnded = failed && endpointEnded;
-    outcome.measure = m_admission.route->name + "/" + model().value;
     const SteadyTime end = m_firstEventAt.value_or(now());
     const auto began = now() - attempt.age();
     if (!failed && !m_stalled && m_admission.route->isGenerative && attempt.target().endpoint.plan.reason != policy::ChoiceReason::cachedPrefix)
         learnReadingTime(end - began);
     outcome.time = std::chrono::duration_cast<std::chrono::microseconds>(end - began);
-    // What is known of the endpoint's own slowness must not excuse its version; the wait at a plain one is little else.
-    outcome.expected = m_admission.route->isGenerative ? attempt.target().endpoint.plan.soundWait : std::chrono::microseconds(0);
     if (!failed && m_admission.route->isGenerative)
         m_core.parts.directory.recordExpectation(attempt.target().endpoint.name, outcome.time, outcome.expected, now());
     outcome.held = std::chrono::duration_cast<std::chrono::microseconds>(now() - began);
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -113,6 +113,8 @@
     void noteBegun();
     void notePace(const ForwardAttempt& attempt);
     void noteEvents(std::uint32_t count);
+    policy::VersionOutcome outcomeOf(const ForwardAttempt& attempt) const; // What all outcomes of the attempt have in common.
+    void noteGivenUp(const ForwardAttempt& attempt);
     void noteOutcome(const ForwardAttempt& attempt, bool failed, bool endpointEnded = false);
     void learnReadingTime(std::chrono::nanoseconds elapsed); // From the time to the first event of the present attempt.
     void callerLeft();
