--- /dev/null
+++ b/packages/endpoint/testing/whinyard/endpoint/SpreadFleet.h
@@ -0,0 +1,436 @@
+// A whole fleet that learns of endpoints and of operators' records from one store: each instance moves its RosterRelay and its
+// peer::HeardRevisions as the daemon does, on machines of limited rates. Tests disturb it, and ask when each instance knew what.
+#pragma once
+
+#include "whinyard/base/Random.h"
+#include "whinyard/endpoint/RatedMachines.h"
+#include "whinyard/endpoint/RosterRelay.h"
+#include "whinyard/peer/HeardRevisions.h"
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace whinyard::endpoint {
+
+class SpreadFleet {
+public:
+    static constexpr std::chrono::milliseconds drain { 5'000 };
+    static constexpr std::chrono::milliseconds inForce { 5'000 };
+
+    explicit SpreadFleet(int size)
+    {
+        // One in sixteen has a large link.
+        for (int i = 0; i < size; ++i)
+            m_instances.push_back(std::make_unique<Instance>("entry-" + std::to_string(i), i % 16 == 0 ? 200 : 20, i % 16 == 0 ? 0.5 : 0.12));
+    }
+
+    // All start within 300 ms and know each other.
+    void startAll()
+    {
+        for (const auto& instance : m_instances) {
+            const auto after = std::chrono::milliseconds(300 * (stableHash(instance->name.value) % 16) / 16);
+            m_events.after(after, [this, &self = *instance] { begin(self); });
+        }
+    }
+
+    // Has the first instances in order come back as other processes after a time.
+    void restart(std::size_t rank, std::chrono::milliseconds away)
+    {
+        Instance& instance = *ordered()[rank];
+        instance.machine.lives = false;
+        ++instance.life;
+        m_events.after(away, [this, &instance] {
+            instance.machine.lives = true;
+            instance.relay.emplace(instance.name, relaySettingsFor(drain));
+            instance.heard.emplace(Random(instance.life));
+            instance.known = 0;
+            instance.hasList = instance.follows = instance.isCalling = false;
+            instance.reads = 0;
+            instance.operators = 0;
+            begin(instance);
+        });
+    }
+
+    void run(std::chrono::nanoseconds duration) { m_events.run(duration); }
+
+    // Has something done at each of `count` moments.
+    void repeat(int count, std::chrono::nanoseconds pause, std::function<void()> action)
+    {
+        for (int i = 0; i < count; ++i)
+            m_events.after(pause * i, action);
+    }
+
+    void registerEndpoints(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            m_store.registerEndpoint();
+    }
+
+    // An endpoint says that it leaves: everybody must know within `drain`.
+    void leave()
+    {
+        m_store.changeEndpoint();
+        m_leaving.push_back(m_store.revision());
+    }
+
+    // Operators write a version: it must be in force within `inForce`.
+    void writeVersion()
+    {
+        m_versions.push_back({ ++m_operators, m_events.now() });
+    }
+
+    void turnAway(std::size_t rank) { ordered()[rank]->machine.isTurnedAway = true; }
+    void letIn()
+    {
+        for (const auto& instance : m_instances)
+            instance->machine.isTurnedAway = false;
+    }
+
+    RatedStore& store() { return m_store; }
+    std::size_t size() const { return m_instances.size(); }
+
+    // Returns how many instances don't know the list up to now.
+    std::size_t behind() const
+    {
+        return static_cast<std::size_t>(std::count_if(m_instances.begin(), m_instances.end(), [&](const auto& instance) { return instance->machine.lives && (!instance->hasList || instance->known < m_store.revision()); }));
+    }
+
+    // Returns the longest time after which an instance knew of an endpoint that leaves, or of a version; the whole time where it doesn't yet.
+    std::chrono::milliseconds slowestLeaving()
+    {
+        std::chrono::nanoseconds slowest { 0 };
+        for (const auto& instance : m_instances) {
+            noteKnown(*instance);
+            slowest = std::max(slowest, instance->slowestLeaving);
+            for (std::size_t i = instance->leavingKnown; instance->machine.lives && i < m_leaving.size(); ++i)
+                slowest = std::max<std::chrono::nanoseconds>(slowest, m_events.now() - m_store.writtenAt(m_leaving[i]));
+        }
+        return std::chrono::duration_cast<std::chrono::milliseconds>(slowest);
+    }
+
+    std::chrono::milliseconds slowestVersion()
+    {
+        std::chrono::nanoseconds slowest { 0 };
+        for (const auto& instance : m_instances) {
+            noteOperators(*instance);
+            slowest = std::max(slowest, instance->slowestVersion);
+            for (std::size_t i = instance->versionsKnown; instance->machine.lives && i < m_versions.size(); ++i)
+                slowest = std::max<std::chrono::nanoseconds>(slowest, m_events.now() - m_versions[i].second);
+        }
+        return std::chrono::duration_cast<std::chrono::milliseconds>(slowest);
+    }
+
+    // Returns the most bytes that an instance has sent since the last call of clearSent().
+    double mostSent() const
+    {
+        double most = 0;
+        for (const auto& instance : m_instances)
+            most = std::max(most, instance->machine.out.used() - instance->sentBefore);
+        return most;
+    }
+
+    void clearSent()
+    {
+        for (const auto& instance : m_instances)
+            instance->sentBefore = instance->machine.out.used();
+    }
+
+private:
+    static constexpr std::chrono::microseconds way { 1'400 };
+    static constexpr double bytesOfNotice = 150;
+    static constexpr double bytesOfNoticedRow = 130;
+    static constexpr double bytesOfRow = 30; // Compressed.
+    static constexpr double bytesOfRecords = 60'000;
+    static constexpr double bytesOfRequest = 300;
+    static constexpr double secondsOfNotice = 60e-6; // Of a core.
+    static constexpr double secondsOfSending = 10e-6;
+    static constexpr double secondsOfRead = 300e-6; // For a connection, at each end.
+    static constexpr double secondsToEncodeRow = 5e-6;
+    static constexpr double secondsToTakeRow = 20e-6;
+    static constexpr std::size_t mostRows = 24; // Of a notice.
+
+    struct Instance {
+        Instance(const std::string& text, double linkMegabits, double cores)
+            : name { text }
+            , link(linkMegabits)
+            , machine(linkMegabits, cores)
+            , relay(std::in_place, name, relaySettingsFor(drain))
+            , heard(std::in_place, Random(stableHash(text)))
+        {
+        }
+
+        const InstanceName name;
+        const double link;
+        RatedMachine machine;
+        std::uint64_t life = 1;
+        std::optional<RosterRelay> relay;
+        std::optional<peer::HeardRevisions> heard;
+        std::uint64_t known = 0; // Up to which the list is complete.
+        bool hasList = false;
+        bool follows = false;
+        bool isCalling = false; // The store.
+        int reads = 0; // Of other instances, under way.
+        std::uint64_t told = 0; // As a follower.
+        std::uint64_t sequence = 0;
+        bool mayTellAll = false;
+        std::uint64_t encoded = 0; // The revision of the encoded list.
+        std::uint64_t operators = 0; // The version in force.
+        bool isReadingOperators = false;
+        std::size_t leavingKnown = 0;
+        std::size_t versionsKnown = 0;
+        std::chrono::nanoseconds slowestLeaving { 0 };
+        std::chrono::nanoseconds slowestVersion { 0 };
+        double sentBefore = 0;
+    };
+
+    void noteKnown(Instance& self)
+    {
+        for (; self.hasList && self.leavingKnown < m_leaving.size() && m_leaving[self.leavingKnown] <= self.known; ++self.leavingKnown)
+            self.slowestLeaving = std::max<std::chrono::nanoseconds>(self.slowestLeaving, m_events.now() - m_store.writtenAt(m_leaving[self.leavingKnown]));
+    }
+
+    void noteOperators(Instance& self)
+    {
+        for (; self.versionsKnown < m_versions.size() && m_versions[self.versionsKnown].first <= self.operators; ++self.versionsKnown)
+            self.slowestVersion = std::max<std::chrono::nanoseconds>(self.slowestVersion, m_events.now() - m_versions[self.versionsKnown].second);
+    }
+
+    void begin(Instance& self)
+    {
+        std::vector<RelayCandidate> all;
+        for (const auto& one : m_instances)
+            all.push_back({ one->name, static_cast<std::uint32_t>(one->link) });
+        self.relay->useInstances(std::move(all), m_events.now());
+        look(self, self.life);
+        tellRepeatedly(self, self.life);
+    }
+
+    bool isOver(const Instance& self, std::uint64_t life) const { return !self.machine.lives || self.life != life; }
+
+    // As the loop that follows the endpoints.
+    void look(Instance& self, std::uint64_t life)
+    {
+        constexpr std::chrono::milliseconds pause { 100 };
+        constexpr std::chrono::milliseconds startPause { 10 };
+        if (isOver(self, life))
+            return;
+        const SteadyTime now = m_events.now();
+        const RosterNeed need = self.relay->need(now);
+        if (need == RosterNeed::ask && self.reads == 0) {
+            for (const InstanceName& name : self.relay->toAsk(now))
+                ask(self, find(name));
+        }
+        if (need != RosterNeed::follow) {
+            self.follows = false;
+            m_events.after(self.hasList ? pause : startPause, [=, this, &self] { look(self, life); });
+            return;
+        }
+        const auto failed = [=, this, &self] {
+            constexpr std::chrono::milliseconds failurePause { 150 };
+            self.relay->noteFailed(m_events.now());
+            m_events.after(failurePause, [=, this, &self] { look(self, life); });
+        };
+        const auto reached = [=, this, &self](std::uint64_t upTo) {
+            self.known = upTo;
+            self.hasList = true;
+            noteKnown(self);
+            readOperatorsOfStore(self);
+            self.relay->noteRead();
+            self.relay->noteCurrent(m_events.now());
+            tell(self);
+            m_events.after(relaySettingsFor(drain).pause, [=, this, &self] { look(self, life); });
+        };
+        if (!std::exchange(self.follows, true)) {
+            const auto known = self.relay->known();
+            self.told = known ? known->upTo.number : 0;
+            self.known = known ? known->upTo.number : 0;
+        }
+        const auto readAll = [=, this, &self] {
+            m_store.readAll(self.machine, [=, this, &self](bool isReached, std::uint64_t revision) {
+                if (!isOver(self, life))
+                    isReached ? reached(revision) : failed();
+            });
+        };
+        if (self.known == 0)
+            return readAll();
+        constexpr std::chrono::milliseconds wait { 250 };
+        m_store.watch(self.machine, self.known, wait, [=, this, &self](bool isReached, bool isGone, std::uint64_t upTo) {
+            if (isOver(self, life))
+                return;
+            if (isGone)
+                readAll();
+            else
+                isReached ? reached(upTo) : failed();
+        });
+    }
+
+    void readOperatorsOfStore(Instance& self)
+    {
+        if (self.machine.isTurnedAway || !self.relay->isFollower(m_events.now()))
+            return;
+        self.operators = m_operators;
+        noteOperators(self);
+    }
+
+    void tellRepeatedly(Instance& self, std::uint64_t life)
+    {
+        m_events.after(relaySettingsFor(drain).tellInterval, [=, this, &self] {
+            if (isOver(self, life))
+                return;
+            tell(self);
+            tellRepeatedly(self, life);
+        });
+    }
+
+    void tell(Instance& self)
+    {
+        const SteadyTime now = m_events.now();
+        if (!self.relay->isFollower(now))
+            return;
+        const bool isCurrent = self.relay->mayTell(now);
+        if (!isCurrent && !self.machine.isTurnedAway)
+            return;
+        RosterStatement statement { self.name, self.life, self.sequence, false, isCurrent };
+        const std::uint64_t rows = self.told == 0 ? 0 : self.known - self.told;
+        if (isCurrent) {
+            statement.hasChanges = self.told == 0 || rows > 0;
+            statement.since = self.told == 0 || rows > mostRows ? self.known : self.told;
+            statement.upTo = self.told = self.known;
+            statement.sequence = self.sequence += statement.hasChanges ? 1 : 0;
+            self.relay->noteKnown({ self.known, self.known });
+        }
+        const double bytes = bytesOfNotice + (rows > mostRows ? 0 : static_cast<double>(rows) * bytesOfNoticedRow);
+        for (const auto& other : m_instances) {
+            if (other.get() == &self)
+                continue;
+            self.machine.core.use(secondsOfSending, now);
+            send(self, *other, bytes, [=, this, &other = *other, operators = self.operators] { hear(other, statement, operators); });
+        }
+    }
+
+    // Delivers a datagram.
+    void send(Instance& from, Instance& to, double bytes, std::function<void()> arrive)
+    {
+        m_events.at(from.machine.out.use(bytes, m_events.now()) + way, [=, this, &to, arrive = std::move(arrive)] {
+            if (to.machine.lives)
+                m_events.at(to.machine.core.use(secondsOfNotice, to.machine.in.use(bytes, m_events.now())), arrive);
+        });
+    }
+
+    void hear(Instance& self, const RosterStatement& statement, std::uint64_t operators)
+    {
+        const SteadyTime now = m_events.now();
+        const RelayAction action = self.relay->hear(statement, now);
+        if (action == RelayAction::apply || (action == RelayAction::ignore && self.relay->known())) {
+            if (const auto known = self.relay->known())
+                self.known = std::max(self.known, known->upTo.number);
+            noteKnown(self);
+        }
+        self.heard->hear(statement.instance, operators, now);
+        readOperators(self);
+    }
+
+    void readOperators(Instance& self)
+    {
+        const std::optional<peer::RevisionRead> read = self.heard->due(self.operators, self.follows, m_events.now());
+        if (!read)
+            return;
+        self.heard->noteBegun();
+        const auto end = [=, this, &self](bool succeeded) {
+            self.heard->noteEnded(succeeded, m_events.now());
+            noteOperators(self);
+        };
+        if (!read->from) {
+            ++m_store.calls;
+            constexpr std::chrono::milliseconds readTime { 10 };
+            m_events.after(readTime, [=, this, &self] {
+                if (!self.machine.isTurnedAway)
+                    self.operators = m_operators;
+                end(!self.machine.isTurnedAway);
+            });
+            return;
+        }
+        Instance& source = find(*read->from);
+        exchange(self, source, [&source] { return std::optional(bytesOfRecords); }, [=, this, &self, &source](bool isAnswered) {
+            const bool isNewer = isAnswered && source.operators > self.operators;
+            if (isNewer)
+                self.operators = source.operators;
+            end(isNewer);
+        });
+    }
+
+    void ask(Instance& self, Instance& source)
+    {
+        ++self.reads;
+        const auto revision = std::make_shared<RosterStatement>();
+        exchange(self, source, [=, this, &source]() -> std::optional<double> {
+            if (!source.relay->mayTell(m_events.now()))
+                return std::nullopt;
+            ++m_wholeLists;
+            *revision = { source.name, source.life, source.sequence, false, true, source.told, source.told };
+            const double rows = static_cast<double>(m_store.listedAt(source.told));
+            if (std::exchange(source.encoded, source.told) != source.told)
+                source.machine.core.use(rows * secondsToEncodeRow, m_events.now());
+            return rows * bytesOfRow; }, [=, this, &self](bool isAnswered) {
+            --self.reads;
+            if (!isAnswered)
+                return;
+            const double rows = static_cast<double>(m_store.listedAt(revision->upTo.number));
+            m_events.at(self.machine.core.use(rows * secondsToTakeRow, m_events.now()), [=, this, &self] {
+                if (!self.relay->hearWhole(*revision, m_events.now()))
+                    return;
+                self.known = revision->upTo.number;
+                self.hasList = true;
+                noteKnown(self);
+            }); });
+    }
+
+    // Reads over a connection: the source's answer has a size, or there is none.
+    void exchange(Instance& self, Instance& source, std::function<std::optional<double>()> answer, std::function<void(bool)> done)
+    {
+        constexpr std::chrono::milliseconds connectTimeout { 400 };
+        const auto sent = self.machine.out.use(bytesOfRequest, self.machine.core.use(secondsOfRead, m_events.now())) + 3 * way;
+        m_events.at(sent, [=, this, &self, &source, answer = std::move(answer), done = std::move(done)] {
+            if (!source.machine.lives) {
+                m_events.after(connectTimeout, [done] { done(false); });
+                return;
+            }
+            m_events.at(source.machine.core.use(secondsOfRead, m_events.now()), [=, this, &self, &source] {
+                const std::optional<double> bytes = answer();
+                const SteadyTime ready = source.machine.core.use(0, m_events.now());
+                m_events.at(source.machine.out.use(bytes.value_or(bytesOfRequest), ready) + way, [=, this, &self] {
+                    m_events.at(self.machine.in.use(bytes.value_or(bytesOfRequest), m_events.now()), [=] { done(bytes.has_value()); });
+                });
+            });
+        });
+    }
+
+    Instance& find(const InstanceName& name) { return *m_instances[static_cast<std::size_t>(std::stoul(name.value.substr(name.value.find('-') + 1)))]; }
+
+    // In the order in which they follow.
+    std::vector<Instance*> ordered()
+    {
+        std::vector<Instance*> all;
+        for (const auto& instance : m_instances)
+            all.push_back(instance.get());
+        std::sort(all.begin(), all.end(), [](const auto* left, const auto* right) {
+            if (left->link != right->link)
+                return left->link > right->link;
+            return stableHash(left->name.value) < stableHash(right->name.value);
+        });
+        return all;
+    }
+
+    FakeClock m_clock;
+    EventQueue m_events { m_clock };
+    RatedStore m_store { m_events };
+    std::vector<std::unique_ptr<Instance>> m_instances;
+    std::vector<std::uint64_t> m_leaving; // Revisions.
+    std::uint64_t m_operators = 1;
+    std::vector<std::pair<std::uint64_t, SteadyTime>> m_versions;
+    std::size_t m_wholeLists = 0;
+};
+
+}
