Tell whether an answer to a watch held all that has changed

Cause: the store's answer to a watch holds 500 changes, and whoever follows it couldn't tell a full answer from an empty one, so it slept the same second after both: the longest list of any of 985 instances grew by 500 a second, to 7,001 of 10,002 as callers came.

ChangePage says so now (the adapter knows how much an answer holds), and PrefixFollower::isBehind() that the next turn need not wait. The stand-in of the store answers 500 events at a time as the platform does; PrefixFollowerTest. SaysThatAnAnswerHeldNotAll doesn't compile on the code before.

--- a/packages/backing/include/whinyard/backing/PrefixFollower.h
+++ b/packages/backing/include/whinyard/backing/PrefixFollower.h
@@ -41,6 +41,9 @@
     // failure the caller pauses before the next one.
     bool turn();
 
+    // Returns whether the last turn was told that more has changed: the next one need not wait.
+    bool isBehind() const { return m_isBehind; }
+
     // Bounds the watches that begin from now on.
     void useWait(std::chrono::milliseconds wait) { m_wait = wait; }
 
@@ -63,6 +66,7 @@
     const std::string m_prefix;
     std::chrono::milliseconds m_wait;
     PrefixObserver& m_observer;
+    bool m_isBehind = false;
     bool m_placed = false; // A range was read, and no change after it was missed.
     Revision m_revision = 0; // Up to which the observer knows everything.
 };
--- a/packages/backing/include/whinyard/backing/WatchableStore.h
+++ b/packages/backing/include/whinyard/backing/WatchableStore.h
@@ -35,6 +35,7 @@
 struct ChangePage {
     std::vector<RecordChange> changes; // In the order of their revisions.
     Revision storeRevision = 0; // Where the next watch continues.
+    bool hasMore = false; // The answer holds no more than this, and further changes stand already.
 };
 
 // What a watch may take beyond its wait before its connection counts as silent: a slow service answers within some hundred
--- a/packages/backing/src/PrefixFollower.cpp
+++ b/packages/backing/src/PrefixFollower.cpp
@@ -15,6 +15,7 @@
 
 bool PrefixFollower::turn()
 {
+    m_isBehind = false;
     return m_placed ? watchOnce() : readAll();
 }
 
@@ -51,6 +52,7 @@
     // was then dropped is found out by that, at the price of one range read for each span of history without a change.
     for (const RecordChange& change : page->changes)
         m_revision = std::max(m_revision, change.record.revision);
+    m_isBehind = page->hasMore;
     if (!page->changes.empty())
         m_observer.changed(page->changes);
     m_observer.proven(startedAt);
--- a/packages/backing/test/PrefixFollowerTest.cpp
+++ b/packages/backing/test/PrefixFollowerTest.cpp
@@ -107,6 +107,22 @@
         EXPECT_EQ(m_copy.values["a/1"], "new");
     }
 
+    // Guards against a follower that waits between full answers: ten thousand records took twenty of its pauses.
+    TEST_F(PrefixFollowerTest, SaysThatAnAnswerHeldNotAll)
+    {
+        m_follower.turn();
+        EXPECT_FALSE(m_follower.isBehind());
+        m_store.pageSize = 3;
+        for (int i = 0; i < 7; ++i)
+            m_store.write("a/" + std::to_string(i), "new");
+        for (const bool isBehind : { true, true, false }) {
+            EXPECT_TRUE(m_follower.turn());
+            EXPECT_EQ(m_follower.isBehind(), isBehind);
+        }
+        EXPECT_EQ(m_copy.values.size(), 7U);
+        EXPECT_EQ(m_copy.replacements, 1);
+    }
+
     TEST_F(PrefixFollowerTest, TellsOfFailuresAndProvesNothingByThem)
     {
         m_store.isAway = true;
--- a/packages/backing/testing/whinyard/backing/FakeWatchableStore.h
+++ b/packages/backing/testing/whinyard/backing/FakeWatchableStore.h
@@ -96,8 +96,12 @@
         ChangePage page;
         page.storeRevision = m_revision;
         for (const RecordChange& change : m_history) {
-            if (!isSilent && change.record.revision > after && change.record.key.starts_with(prefix))
-                page.changes.push_back(change);
+            if (isSilent || change.record.revision <= after || !change.record.key.starts_with(prefix))
+                continue;
+            page.hasMore = page.changes.size() == pageSize;
+            if (page.hasMore)
+                break;
+            page.changes.push_back(change);
         }
         return page;
     }
