Let a follower that the store fails be told by others, and hand on what was held

A statement that was held until the list was complete is handed on also where another statement completed it.

--- a/apps/whinyardd/entry/RosterWatch.cpp
+++ b/apps/whinyardd/entry/RosterWatch.cpp
@@ -329,6 +329,8 @@
     }
     noteBehind(m_relay.isIncomplete());
     handOn(notice);
+    if (!m_relay.isIncomplete())
+        handOnHeld();
 }
 
 // One that tells of more than it holds is handed on by those that have it, so that who hears of it can ask them.
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -243,7 +243,10 @@
                 follower.readAnew();
             m_followsNow.notify();
         }
-        m_probe->awaitStore();
+        if (!m_probe->answers()) { // Others may tell what the store doesn't, or follow it.
+            net::sleepFor(relayLook);
+            continue;
+        }
         const std::uint64_t interruptions = m_probe->interruptions();
         const bool reached = follower.turn();
         m_roster->settle();
--- a/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
+++ b/packages/endpoint/include/whinyard/endpoint/RosterRelay.h
@@ -188,7 +188,6 @@
     std::chrono::microseconds scaled(std::chrono::milliseconds least, std::chrono::microseconds perInstance) const;
     bool isNew() const { return m_heard.empty(); } // Nobody was ever heard: this instance has just started.
     bool isAwaited(SteadyTime now) const;
-    bool hasLostStore(SteadyTime now) const;
     bool isOutage(const std::vector<RankedHeard>& before, SteadyTime now) const;
     bool mustAskFirst(SteadyTime now) const;
     bool mustFollowAlone(SteadyTime now) const;
@@ -214,7 +213,7 @@
     SteadyTime m_requestedAt;
     std::optional<SteadyTime> m_toldListAt; // When another instance's list was taken last.
     std::optional<SteadyTime> m_failedAt; // When the store failed this instance last, or a follower said so of itself.
-    std::optional<SteadyTime> m_lostStoreAt; // Since when the store fails this instance.
+    bool m_hasLostStore = false; // The store has failed this instance, and not answered a call that follows it since.
     std::optional<SteadyTime> m_currentAt; // When the store answered last, unless it has failed since.
 };
 
--- a/packages/endpoint/src/RosterRelay.cpp
+++ b/packages/endpoint/src/RosterRelay.cpp
@@ -57,15 +57,14 @@
 void RosterRelay::noteCurrent(SteadyTime now)
 {
     m_currentAt = now;
-    m_lostStoreAt.reset();
+    m_hasLostStore = false;
 }
 
 void RosterRelay::noteFailed(SteadyTime now)
 {
     m_currentAt.reset();
     m_failedAt = now;
-    if (!m_lostStoreAt)
-        m_lostStoreAt = now;
+    m_hasLostStore = true;
 }
 
 std::vector<RosterRelay::RankedHeard> RosterRelay::heardBefore(std::size_t rank) const
@@ -180,7 +179,7 @@
         return RosterNeed::follow;
     if (isFollower(now) && mustAskFirst(now))
         return isAwaited(now) ? RosterNeed::nothing : RosterNeed::ask;
-    if (isFollower(now) && !(m_lostStoreAt && m_isIncomplete && source(now)))
+    if (isFollower(now) && !(m_hasLostStore && m_isIncomplete && source(now)))
         return RosterNeed::follow;
     if (!source(now)) {
         const bool followersMayReturn = m_failedAt && now - *m_failedAt <= m_settings.followersReturn;
@@ -286,11 +285,6 @@
     return std::nullopt;
 }
 
-bool RosterRelay::hasLostStore(SteadyTime now) const
-{
-    return m_lostStoreAt && now - *m_lostStoreAt > m_settings.currentFor;
-}
-
 bool RosterRelay::hasHeard(const RosterStatement& statement) const
 {
     const auto known = m_heard.find(statement.instance);
@@ -309,7 +303,7 @@
     }
     m_heard[statement.instance] = { statement.life, statement.number, now, failedAt };
     // A follower's own list comes from the store, for as long as that answers it.
-    if (!statement.isCurrent || statement.upTo == Revision() || (m_currentAt && isFollower(now) && !hasLostStore(now)))
+    if (!statement.isCurrent || statement.upTo == Revision() || (m_currentAt && isFollower(now)))
         return RelayAction::ignore;
     if (statement.upTo < m_listedUpTo)
         return RelayAction::ignore;
