--- a/packages/endpoint/testing/whinyard/endpoint/SpreadFleet.h
+++ b/packages/endpoint/testing/whinyard/endpoint/SpreadFleet.h
@@ -445,7 +445,7 @@
         }
         Instance& source = find(*read->from);
         exchange(
-            self, source, [&source] { return std::optional(bytesOfRecords); }, [=, this, &self, &source](bool isAnswered) {
+            self, source, [] { return std::optional(bytesOfRecords); }, [=, &self, &source](bool isAnswered) {
             const bool isNewer = isAnswered && source.operators > self.operators;
             if (isNewer)
                 self.operators = source.operators;
