--- a/packages/peer/test/NoticesTest.cpp
+++ b/packages/peer/test/NoticesTest.cpp
@@ -1,6 +1,7 @@
 #include "whinyard/peer/Notices.h"
 
 #include "whinyard/base/Random.h"
+#include "whinyard/net/UdpSocket.h"
 
 #include <gtest/gtest.h>
 
@@ -153,5 +154,33 @@
         }
     }
 
+    // Guards against statements that are never sent, since the most changes that one may hold don't fit into a datagram.
+    TEST(NoticesTest, FitsIntoADatagramWithTheMostChanges)
+    {
+        Random random(5);
+        const auto hex = [&](int digits) {
+            std::string text;
+            for (int i = 0; i < digits; ++i)
+                text += "0123456789abcdef"[below(random, 16)];
+            return text;
+        };
+        RosterNotice notice { { "entry-" + hex(20) }, random(), random(), {}, {}, true, { random(), random() }, { random(), random() }, { "entry-" + hex(20) }, { random(), random() }, { random(), random() } };
+        for (std::size_t i = 0; i < mostRosterChanges; ++i) {
+            backing::ListedEndpoint endpoint;
+            endpoint.name.value = "i-" + hex(10);
+            endpoint.address = { std::to_string(below(random, 256)) + "." + std::to_string(below(random, 256)) + "." + std::to_string(below(random, 256)) + "." + std::to_string(below(random, 256)), static_cast<std::uint16_t>(random()) };
+            endpoint.zone.value = "zone-" + hex(8);
+            endpoint.service.value = "service-" + hex(8);
+            endpoint.versions = { { "v" + hex(6) } };
+            endpoint.slots = static_cast<std::uint32_t>(random());
+            endpoint.coldLeft = std::chrono::milliseconds(below(random, 100'000));
+            endpoint.born = random();
+            notice.changed.push_back(endpoint);
+        }
+        const std::string bytes = encodeNotice(notice);
+        EXPECT_LE(bytes.size(), net::maximumDatagramBytes);
+        EXPECT_EQ(decodeNotice(bytes), Notice(notice));
+    }
+
 }
 }
