Tell how much of its budget of repeats an instance uses, and since when a request may have waited

The log gave no means to tell a start that forgets from requests dated late: a repeat was logged without what was spent and earned, and a request without how long it may have waited in its socket. RepeatBudget now holds what the forwarder composed of RetryBudget and SharedAllowance (the same decisions), and says its use: metric whinyard_repeats_used_share{service}, field repeatsUsed of 'attempt repeated' and 'repeats are spent'. ReadDelay dates what is read after a late turn of the duty: field readWithinMs of 'request admitted'.

--- a/packages/router/src/Forwarder.cpp
+++ b/packages/router/src/Forwarder.cpp
@@ -145,6 +145,7 @@
         m_state->refuse("", failure, responder);
         return;
     }
+    const SteadyTime sentSince = core.reads.sentSince(core.parts.clock.now());
     if (m_state->awaitStart(*request) && responder.peerGone()) {
         log::info("caller left", { { "request", request->id }, { "attempts", "0" } });
         core.parts.metrics.add("whinyard_callers_left_total");
@@ -155,7 +156,7 @@
         m_state->refuse(request->id, failure, responder);
         return;
     }
-    ForwardRun(core, *request, std::move(*admission), responder).run();
+    ForwardRun(core, *request, std::move(*admission), responder, sentSince).run();
 }
 
 void Forwarder::useVersions(const ServiceName& service, std::vector<std::string> versions)
@@ -190,10 +191,11 @@
 
 void Forwarder::tick()
 {
+    m_state->core.reads.noteTurn(m_state->core.parts.clock.now());
     m_state->tellPathChanges();
     for (const policy::PathProbe& probe : m_state->core.paths.takeProbes(m_state->core.parts.clock.now()))
         m_state->probe(probe);
-    m_state->core.spreadSharedRepeats();
+    m_state->core.tellRepeats();
     m_state->core.notePrices();
     for (ForwardRun* run : m_state->core.runs)
         run->look();
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -4,6 +4,8 @@
 #include "whinyard/policy/AnswerLengths.h"
 #include "whinyard/policy/EnginePrice.h"
 #include "whinyard/policy/PromptRates.h"
+#include "whinyard/policy/ReadDelay.h"
+#include "whinyard/policy/RepeatBudget.h"
 #include "whinyard/policy/RetryPolicy.h"
 #include "whinyard/policy/ReturnSchedule.h"
 #include "whinyard/policy/StartForecast.h"
@@ -21,22 +23,17 @@
 class ForwardRun;
 
 struct ForwardCore {
-    // Repeats are bounded for each service by the requests for it that this instance got: such shares add up to no
-    // more than the bound over all instances, whichever of them live, without a word between them.
-    policy::RetryBudget& budgetOf(const ServiceName& service)
+    // Repeats are bounded for each service by itself.
+    policy::RepeatBudget& budgetOf(const ServiceName& service)
     {
-        const auto [entry, isNew] = budgets.try_emplace(service, settings.repeatRatio, settings.repeatsPerSecond);
-        if (isNew)
-            entry->second.useMinimum(repeatsWithoutRequests());
-        return entry->second;
+        return budgets.try_emplace(service, policy::RepeatBounds { settings.repeatRatio, settings.repeatsPerSecond }, sharedRepeats).first->second;
     }
 
-    // Gives each service's budget its part of what all instances share. The bound holds for each service by itself.
-    void spreadSharedRepeats()
+    // Tells how much of what is allowed the repeats of each service take.
+    void tellRepeats()
     {
-        const double minimum = repeatsWithoutRequests();
         for (auto& [service, budget] : budgets)
-            budget.useMinimum(minimum);
+            parts.metrics.set("whinyard_repeats_used_share{service=\"" + service.value + "\"}", budget.use(parts.clock.now()).share());
     }
 
     // Moves on silence have a bound of their own beside that of all repeats.
@@ -77,11 +74,6 @@
 
     policy::PromptRates& ratesOf(const ServiceName& service) { return rates.try_emplace(service).first->second; }
 
-    double repeatsWithoutRequests()
-    {
-        return settings.repeatsPerSecond * static_cast<double>(policy::RetryBudget::window.count()) + sharedRepeats.part(parts.clock.now());
-    }
-
     // Has endpoints chosen by the newest routing and evacuations. Every dispatch asks for it in the gate before.
     void followRouting()
     {
@@ -151,13 +143,14 @@
     ForwarderSettings settings;
     Random random;
     policy::SharedAllowance sharedRepeats;
+    policy::ReadDelay reads {};
     policy::StartForecast start;
     std::unique_ptr<Wakeup> news;
     policy::EndpointPaths paths;
     std::map<InstanceName, net::Address> relays {}; // Of the other instances.
     std::shared_ptr<const std::set<ZoneName>> evacuated {}; // As the directory knows them.
     std::shared_ptr<const config::RoutingTable> table {}; // Whose bounds the directory knows.
-    std::map<ServiceName, policy::RetryBudget> budgets {};
+    std::map<ServiceName, policy::RepeatBudget> budgets {};
     std::map<ServiceName, policy::RetryBudget> moves {};
     std::map<ServiceName, policy::PromptRates> rates {};
     policy::SufficiencyRates sufficiency {};
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -119,12 +119,13 @@
     return admission;
 }
 
-ForwardRun::ForwardRun(ForwardCore& core, const ForwardedRequest& request, Admission admission, net::HttpResponder& caller)
+ForwardRun::ForwardRun(ForwardCore& core, const ForwardedRequest& request, Admission admission, net::HttpResponder& caller, SteadyTime sentSince)
     : m_core(core)
     , m_request(request)
     , m_admission(std::move(admission))
     , m_caller(caller)
     , m_guard({ core.parts.clock, core.parts.metrics, core.parts.queries, core.parts.listening }, {})
+    , m_sentSince(sentSince)
     , m_arrived(core.parts.clock.now())
     , m_lastEvent(request.resumeAfter)
 {
@@ -143,12 +144,12 @@
 
 void ForwardRun::run()
 {
-    log::info("request admitted", { { "request", m_request.id }, { "route", m_admission.route->name }, { "customer", m_admission.customer.value }, { "configuration", std::to_string(m_admission.table->version()) }, { "timeLeftMs", text(timeLeft()) } });
+    log::info("request admitted", { { "request", m_request.id }, { "route", m_admission.route->name }, { "customer", m_admission.customer.value }, { "configuration", std::to_string(m_admission.table->version()) }, { "timeLeftMs", text(timeLeft()) }, { "readWithinMs", text(now() - m_sentSince) } });
     if (!m_guard.pass(m_failure)) {
         refuse(m_failure);
         return;
     }
-    m_core.budgetOf(m_service).earn(now());
+    m_core.budgetOf(m_service).noteRequest(m_sentSince, now());
     m_core.movesOf(m_service).earn(now());
     m_caller.whenPeerGone([this] { callerLeft(); });
     chooseModel();
@@ -356,7 +357,7 @@
     // An attempt that never reached its endpoint is no arrival there.
     const bool reached = mayHaveRun || m_failure.kind != ErrorKind::peerUnreachable;
     const bool granted = !reached || m_stalled || m_core.budgetOf(m_service).take(now());
-    log::info(granted ? "attempt repeated" : "repeats are spent", { { "request", m_request.id }, { "service", m_service.value }, { "after", m_failure.reason }, { "attempts", std::to_string(m_sent + m_refused) }, { "timeLeftMs", text(timeLeft()) } });
+    log::info(granted ? "attempt repeated" : "repeats are spent", { { "request", m_request.id }, { "service", m_service.value }, { "after", m_failure.reason }, { "attempts", std::to_string(m_sent + m_refused) }, { "repeatsUsed", std::to_string(m_core.budgetOf(m_service).use(now()).share()) }, { "timeLeftMs", text(timeLeft()) } });
     if (granted && reached)
         m_core.parts.metrics.add("whinyard_repeats_total");
     return granted;
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -29,8 +29,8 @@
 
 class ForwardRun {
 public:
-    // All must outlive the object.
-    ForwardRun(ForwardCore& core, const ForwardedRequest& request, Admission admission, net::HttpResponder& caller);
+    // All must outlive the object. The caller sent the request at `sentSince` or later.
+    ForwardRun(ForwardCore& core, const ForwardedRequest& request, Admission admission, net::HttpResponder& caller, SteadyTime sentSince);
 
     // Answers the request, or refuses it.
     void run();
@@ -131,6 +131,7 @@
     Admission m_admission;
     net::HttpResponder& m_caller;
     QueryGuard m_guard;
+    const SteadyTime m_sentSince;
     const SteadyTime m_arrived;
     SteadyTime m_deadline;
 
