Count repeats over the whole of the window that a site states

Callers saw engines get up to 1.7 times the repeats that are allowed where answers broke off twice, 9.1 s apart. Cause: the budget kept whole seconds, so its window was 9 to 10 s and what was spent in half a second could be spent anew 9.1 s later; a site's own window was read from the settings and not used. Now a ring of hundredths of the stated window; repeats count for one slot longer than the window, requests for one less.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -105,6 +105,7 @@
         settings.repeatRatio = usedPart * bounds.repeatRatio;
         settings.repeatsPerSecond = 0;
         settings.sharedRepeats = bounds.repeatSlack;
+        settings.repeatWindow = bounds.repeatWindow;
         settings.coldFactor = bounds.coldFactor;
         settings.coldSlack = bounds.coldSlack;
         settings.enginePrice.delayShare = tuning.delayShare;
--- a/packages/policy/include/whinyard/policy/RepeatBudget.h
+++ b/packages/policy/include/whinyard/policy/RepeatBudget.h
@@ -10,6 +10,9 @@
 #include "whinyard/base/Clock.h"
 #include "whinyard/policy/RetryPolicy.h"
 
+#include <array>
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 
 namespace whinyard::policy {
@@ -17,6 +20,7 @@
 struct RepeatBounds {
     double ratio = 0.8; // Repeats for each request, in any window.
     double perSecond = 0; // Beyond that, of this instance, without any request.
+    std::chrono::milliseconds window { 10'000 };
 };
 
 // What is used of a budget, over the window that ends now.
@@ -43,11 +47,27 @@
     RepeatUse use(SteadyTime now);
 
 private:
-    double withoutRequests(SteadyTime now);
+    static constexpr std::int64_t slotsInWindow = 100;
+
+    struct Slot {
+        std::uint32_t requests = 0;
+        std::uint32_t repeats = 0;
+    };
+
+    std::int64_t slotAt(SteadyTime time) const { return time.time_since_epoch() / m_slotLength; }
+    Slot& slot(std::int64_t index) { return m_slots[static_cast<std::size_t>(index % static_cast<std::int64_t>(m_slots.size()))]; }
+    void advance(SteadyTime now);
+    double allowed(SteadyTime now);
 
     const RepeatBounds m_bounds;
+    const std::chrono::nanoseconds m_slotLength;
     SharedAllowance& m_slack;
-    RetryBudget m_budget;
+
+    // One more than a window has: repeats count for at least a window, requests for at most one.
+    std::array<Slot, slotsInWindow + 1> m_slots {};
+    std::int64_t m_current = 0;
+    std::uint64_t m_requests = 0; // Sums over the window.
+    std::uint64_t m_repeats = 0;
 };
 
 }
--- a/packages/policy/include/whinyard/policy/RetryPolicy.h
+++ b/packages/policy/include/whinyard/policy/RetryPolicy.h
@@ -44,24 +44,16 @@
     // an answer, may take from the first `part` of the budget alone.
     bool take(SteadyTime now, double part = 1);
 
-    // Changes the retries of a window that are allowed without any request.
-    void useMinimum(double retriesPerWindow) { m_minimum = retriesPerWindow; }
-
-    // Lets what has left the window fall out of the sums.
-    void advance(SteadyTime now);
-
-    // The sums as they were at the last call.
-    std::uint64_t successes() const { return m_successes; }
-    std::uint64_t retries() const { return m_retries; }
-
 private:
     struct Second {
         std::uint32_t successes = 0;
         std::uint32_t retries = 0;
     };
 
+    void advance(SteadyTime now);
+
     const double m_ratio;
-    double m_minimum; // Retries in a window without any success.
+    const double m_minimum; // Retries in a window without any success.
     std::array<Second, static_cast<std::size_t>(window.count())> m_seconds {};
     std::int64_t m_current = 0;
     std::uint64_t m_successes = 0; // Sums over the window.
--- a/packages/policy/src/RepeatBudget.cpp
+++ b/packages/policy/src/RepeatBudget.cpp
@@ -1,36 +1,55 @@
 #include "whinyard/policy/RepeatBudget.h"
 
-#include <chrono>
+#include <algorithm>
 
 namespace whinyard::policy {
 
 RepeatBudget::RepeatBudget(const RepeatBounds& bounds, SharedAllowance& slack)
     : m_bounds(bounds)
+    , m_slotLength(std::chrono::nanoseconds(bounds.window) / slotsInWindow)
     , m_slack(slack)
-    , m_budget(bounds.ratio, 0)
 {
 }
 
-void RepeatBudget::noteRequest(SteadyTime, SteadyTime now)
+void RepeatBudget::advance(SteadyTime now)
 {
-    m_budget.earn(now);
+    const std::int64_t latest = slotAt(now);
+    for (std::int64_t index = std::max(m_current + 1, latest - slotsInWindow); index <= latest; ++index) {
+        m_repeats -= slot(index).repeats;
+        m_requests -= slot(index).requests + slot(index + 1).requests;
+        slot(index) = {};
+        slot(index + 1).requests = 0;
+    }
+    m_current = std::max(m_current, latest);
 }
 
-bool RepeatBudget::take(SteadyTime now, double part)
+double RepeatBudget::allowed(SteadyTime now)
 {
-    m_budget.useMinimum(withoutRequests(now));
-    return m_budget.take(now, part);
+    const double withoutRequests = m_bounds.perSecond * std::chrono::duration<double>(m_bounds.window).count() + m_slack.part(now);
+    return m_bounds.ratio * static_cast<double>(m_requests) + withoutRequests;
 }
 
-RepeatUse RepeatBudget::use(SteadyTime now)
+void RepeatBudget::noteRequest(SteadyTime, SteadyTime now)
 {
-    m_budget.advance(now);
-    return { m_budget.successes(), m_budget.retries(), m_bounds.ratio * static_cast<double>(m_budget.successes()) + withoutRequests(now) };
+    advance(now);
+    ++slot(m_current).requests;
+    ++m_requests;
 }
 
-double RepeatBudget::withoutRequests(SteadyTime now)
+bool RepeatBudget::take(SteadyTime now, double part)
+{
+    advance(now);
+    if (static_cast<double>(m_repeats + 1) > part * allowed(now))
+        return false;
+    ++slot(m_current).repeats;
+    ++m_repeats;
+    return true;
+}
+
+RepeatUse RepeatBudget::use(SteadyTime now)
 {
-    return m_bounds.perSecond * static_cast<double>(RetryBudget::window.count()) + m_slack.part(now);
+    advance(now);
+    return { m_requests, m_repeats, allowed(now) };
 }
 
 }
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -90,7 +90,8 @@
     double moveRatio = 0.12;
     double movesPerSecond = 0.1;
     policy::EnginePriceSettings enginePrice {};
-    double sharedRepeats = 0; // In ten seconds, of all instances together, beyond those that requests allow.
+    double sharedRepeats = 0; // In a window, of all instances together, beyond those that requests allow.
+    std::chrono::milliseconds repeatWindow { 10'000 };
     // What a cold endpoint may get in any second: its service's rate times the factor, and the slack.
     double coldFactor = 1.5;
     double coldSlack = 5;
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -26,7 +26,7 @@
     // Repeats are bounded for each service by itself.
     policy::RepeatBudget& budgetOf(const ServiceName& service)
     {
-        return budgets.try_emplace(service, policy::RepeatBounds { settings.repeatRatio, settings.repeatsPerSecond }, sharedRepeats).first->second;
+        return budgets.try_emplace(service, policy::RepeatBounds { settings.repeatRatio, settings.repeatsPerSecond, settings.repeatWindow }, sharedRepeats).first->second;
     }
 
     // Tells how much of what is allowed the repeats of each service take.
