Leave an instance's part of the slack unused until it has run for a window

Cause: a part of the slack was granted at each start, and a new life knows nothing of what the one before took; five lives of six instances may take 5 x 0.8 of it. The part is granted once a window has passed since the instance's start: whatever its place spent before has then left every window.

--- a/packages/policy/include/whinyard/policy/RepeatBudget.h
+++ b/packages/policy/include/whinyard/policy/RepeatBudget.h
@@ -3,6 +3,7 @@
 // A site allows repeats at a ratio of the requests that callers sent for the service, over any window, and a slack beside them. Each
 // instance takes the ratio of the requests that it got itself, and its part of the slack: such shares add up to no more than the bound,
 // without a word between instances.
+// An instance takes nothing of the slack before it has run for a window: the one before it, at its place, may just have spent its own.
 //
 // The forwarder notes each request and asks before each repeat. Pure: no I/O, no clock of its own, no allocation per decision.
 #pragma once
@@ -34,8 +35,9 @@
 
 class RepeatBudget {
 public:
-    // `slack` must outlive the object: the part of what all instances share is the same for each service.
-    RepeatBudget(const RepeatBounds& bounds, SharedAllowance& slack);
+    // `slack` must outlive the object: the part of what all instances share is the same for each service. `startedAt` is when this
+    // instance began, whenever its first request for the service comes.
+    RepeatBudget(const RepeatBounds& bounds, SharedAllowance& slack, SteadyTime startedAt);
 
     // Notes a request that a caller sent at `sentSince` or later, and that was read now.
     void noteRequest(SteadyTime sentSince, SteadyTime now);
@@ -61,6 +63,7 @@
 
     const RepeatBounds m_bounds;
     const std::chrono::nanoseconds m_slotLength;
+    const SteadyTime m_startedAt;
     SharedAllowance& m_slack;
 
     // One more than a window has: repeats count for at least a window, requests for at most one.
--- a/packages/policy/src/RepeatBudget.cpp
+++ b/packages/policy/src/RepeatBudget.cpp
@@ -4,9 +4,10 @@
 
 namespace whinyard::policy {
 
-RepeatBudget::RepeatBudget(const RepeatBounds& bounds, SharedAllowance& slack)
+RepeatBudget::RepeatBudget(const RepeatBounds& bounds, SharedAllowance& slack, SteadyTime startedAt)
     : m_bounds(bounds)
     , m_slotLength(std::chrono::nanoseconds(bounds.window) / slotsInWindow)
+    , m_startedAt(startedAt)
     , m_slack(slack)
 {
 }
@@ -25,8 +26,9 @@
 
 double RepeatBudget::allowed(SteadyTime now)
 {
-    const double withoutRequests = m_bounds.perSecond * std::chrono::duration<double>(m_bounds.window).count() + m_slack.part(now);
-    return m_bounds.ratio * static_cast<double>(m_requests) + withoutRequests;
+    const double own = m_bounds.ratio * static_cast<double>(m_requests) + m_bounds.perSecond * std::chrono::duration<double>(m_bounds.window).count();
+    const bool isSettled = now - m_startedAt >= m_bounds.window;
+    return own + (isSettled ? m_slack.part(now) : 0);
 }
 
 void RepeatBudget::noteRequest(SteadyTime, SteadyTime now)
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -26,7 +26,7 @@
     // Repeats are bounded for each service by itself.
     policy::RepeatBudget& budgetOf(const ServiceName& service)
     {
-        return budgets.try_emplace(service, policy::RepeatBounds { settings.repeatRatio, settings.repeatsPerSecond, settings.repeatWindow }, sharedRepeats).first->second;
+        return budgets.try_emplace(service, policy::RepeatBounds { settings.repeatRatio, settings.repeatsPerSecond, settings.repeatWindow }, sharedRepeats, startedAt).first->second;
     }
 
     // Tells how much of what is allowed the repeats of each service take.
@@ -142,6 +142,7 @@
     ForwarderParts parts;
     ForwarderSettings settings;
     Random random;
+    SteadyTime startedAt; // Of this instance.
     policy::SharedAllowance sharedRepeats;
     policy::ReadDelay reads {};
     policy::StartForecast start;
