Split what requests allow, so that no start and no loss of instances makes repeats twice

Cause: an instance may save what ten seconds of requests allow and spend it at once; who comes after it, or gets its callers, earns for the same ten seconds anew. Ruled out as the way: telling others what was spent (all may restart at once), a record in the store (writes for each repeat), nothing at all for a window after a start (a start while endpoints reject would serve far less).

Now half of the ratio pays at once, by a bucket that holds a tenth of a window's, so that it belongs to requests of the same window whoever reads them; the other half is saved over a window, like the part of the slack only by who has run for one, and by the share of the instances of late that still live. In any window the parts add up to what requests allow. A young instance has half of the ratio and saves nothing. A fraction is drawn for each budget, since at 5 requests a second the parts are less than one repeat.

In ForwarderTest the instance of ResumesABrokenStreamWhereStepsToLargerModelsTookAllTheyMay has run for a window first: a young one saves nothing for a stream by design; the checks are the same. A repeat that others go before leaves at least one whole one.

--- a/packages/policy/include/whinyard/policy/RepeatBudget.h
+++ b/packages/policy/include/whinyard/policy/RepeatBudget.h
@@ -1,9 +1,12 @@
 // Bounds the repeats of one service that this instance makes, so that those of all instances keep within what the site allows.
 //
-// A site allows repeats at a ratio of the requests that callers sent for the service, over any window, and a slack beside them. Each
-// instance takes the ratio of the requests that it got itself, and its part of the slack: such shares add up to no more than the bound,
-// without a word between instances.
-// An instance takes nothing of the slack before it has run for a window: the one before it, at its place, may just have spent its own.
+// A site allows repeats at a ratio of the requests that callers sent for the service, and a slack, in any window, whoever makes them.
+// No word passes between instances, and none knows what the instance before it, at its place, has spent. So the ratio is split:
+//
+//   * a request pays at once for its part of a repeat, which is kept for about a tenth of a window. What is spent so in any window
+//     belongs to requests of that window, whatever became of the instance that read them;
+//   * another part is saved over a window, for answers that break off many at once. It, and the part of the slack, is left unused
+//     by an instance that is younger than a window: the instance before it may just have spent its own.
 //
 // The forwarder notes each request and asks before each repeat. Pure: no I/O, no clock of its own, no allocation per decision.
 #pragma once
@@ -36,14 +39,15 @@
 class RepeatBudget {
 public:
     // `slack` must outlive the object: the part of what all instances share is the same for each service. `startedAt` is when this
-    // instance began, whenever its first request for the service comes.
-    RepeatBudget(const RepeatBounds& bounds, SharedAllowance& slack, SteadyTime startedAt);
+    // instance began, whenever its first request for the service comes. `offset`, at least 0 and below 1, is drawn for each budget:
+    // what is too little for a repeat at any instance is rounded up at some of them.
+    RepeatBudget(const RepeatBounds& bounds, SharedAllowance& slack, SteadyTime startedAt, double offset);
 
     // Notes a request that a caller sent at `sentSince` or later, and that was read now.
     void noteRequest(SteadyTime sentSince, SteadyTime now);
 
-    // Takes one repeat; returns false when none is left. A repeat that is only of use, where others save an answer, may take from
-    // the first `part` of the budget alone.
+    // Takes one repeat; returns false when none is left. A repeat that is only of use, where others save an answer, leaves them all
+    // but the first `part` of what can be left at most, and one repeat at least.
     bool take(SteadyTime now, double part = 1);
 
     RepeatUse use(SteadyTime now);
@@ -54,16 +58,28 @@
     struct Slot {
         std::uint32_t requests = 0;
         std::uint32_t repeats = 0;
+        double saved = 0; // Of the repeats.
+        double shared = 0;
+    };
+
+    // What may be spent of each part over a window that ends now.
+    struct Limits {
+        double paced = 0;
+        double saved = 0;
+        double shared = 0;
+
+        double sum() const { return paced + saved + shared; }
     };
 
     std::int64_t slotAt(SteadyTime time) const { return time.time_since_epoch() / m_slotLength; }
     Slot& slot(std::int64_t index) { return m_slots[static_cast<std::size_t>(index % static_cast<std::int64_t>(m_slots.size()))]; }
     void advance(SteadyTime now);
-    double allowed(SteadyTime now);
+    Limits limits(SteadyTime now);
 
     const RepeatBounds m_bounds;
     const std::chrono::nanoseconds m_slotLength;
     const SteadyTime m_startedAt;
+    const double m_offset;
     SharedAllowance& m_slack;
 
     // One more than a window has: repeats count for at least a window, requests for at most one.
@@ -71,6 +87,9 @@
     std::int64_t m_current = 0;
     std::uint64_t m_requests = 0; // Sums over the window.
     std::uint64_t m_repeats = 0;
+    double m_saved = 0;
+    double m_shared = 0;
+    double m_paced = 0; // Earned and not spent.
 };
 
 }
--- a/packages/policy/include/whinyard/policy/RetryPolicy.h
+++ b/packages/policy/include/whinyard/policy/RetryPolicy.h
@@ -79,6 +79,9 @@
     // Returns the part of this instance: nothing while no number is known.
     double part(SteadyTime now);
 
+    // Returns which part of the instances that lived of late still do.
+    double presentShare(SteadyTime now);
+
 private:
     static constexpr std::chrono::seconds memory { 20 }; // Two windows.
     // What stays unused for instances that this one doesn't know yet.
--- a/packages/policy/src/RepeatBudget.cpp
+++ b/packages/policy/src/RepeatBudget.cpp
@@ -4,10 +4,26 @@
 
 namespace whinyard::policy {
 
-RepeatBudget::RepeatBudget(const RepeatBounds& bounds, SharedAllowance& slack, SteadyTime startedAt)
+namespace {
+
+    // Of the ratio. In any window a request pays for the first part, one of the window before for what was kept of it then, and for
+    // the saved part: the three add up to one.
+    constexpr double pacedShare = 0.5;
+    constexpr double keptShare = 0.05;
+    constexpr double savedShare = 0.45;
+
+    double clamped(double left)
+    {
+        return std::max(left, 0.0);
+    }
+
+}
+
+RepeatBudget::RepeatBudget(const RepeatBounds& bounds, SharedAllowance& slack, SteadyTime startedAt, double offset)
     : m_bounds(bounds)
     , m_slotLength(std::chrono::nanoseconds(bounds.window) / slotsInWindow)
     , m_startedAt(startedAt)
+    , m_offset(offset)
     , m_slack(slack)
 {
 }
@@ -15,20 +31,28 @@
 void RepeatBudget::advance(SteadyTime now)
 {
     const std::int64_t latest = slotAt(now);
+    // Requests leave the window a slot before repeats do.
     for (std::int64_t index = std::max(m_current + 1, latest - slotsInWindow); index <= latest; ++index) {
-        m_repeats -= slot(index).repeats;
-        m_requests -= slot(index).requests + slot(index + 1).requests;
-        slot(index) = {};
+        Slot& oldest = slot(index);
+        m_repeats -= oldest.repeats;
+        m_saved -= oldest.saved;
+        m_shared -= oldest.shared;
+        oldest = {};
+        m_requests -= slot(index + 1).requests;
         slot(index + 1).requests = 0;
     }
     m_current = std::max(m_current, latest);
 }
 
-double RepeatBudget::allowed(SteadyTime now)
+RepeatBudget::Limits RepeatBudget::limits(SteadyTime now)
 {
-    const double own = m_bounds.ratio * static_cast<double>(m_requests) + m_bounds.perSecond * std::chrono::duration<double>(m_bounds.window).count();
+    const double earned = m_bounds.ratio * static_cast<double>(m_requests);
     const bool isSettled = now - m_startedAt >= m_bounds.window;
-    return own + (isSettled ? m_slack.part(now) : 0);
+    Limits limits;
+    limits.paced = keptShare * earned;
+    limits.saved = (isSettled ? savedShare * earned * m_slack.presentShare(now) : 0) + m_bounds.perSecond * std::chrono::duration<double>(m_bounds.window).count();
+    limits.shared = isSettled ? m_slack.part(now) : 0;
+    return limits;
 }
 
 void RepeatBudget::noteRequest(SteadyTime, SteadyTime now)
@@ -36,22 +60,37 @@
     advance(now);
     ++slot(m_current).requests;
     ++m_requests;
+    m_paced = std::min(m_paced + pacedShare * m_bounds.ratio, limits(now).paced);
 }
 
 bool RepeatBudget::take(SteadyTime now, double part)
 {
     advance(now);
-    if (static_cast<double>(m_repeats + 1) > part * allowed(now))
+    const Limits most = limits(now);
+    m_paced = std::min(m_paced, most.paced);
+    const Limits left { m_paced + m_offset, clamped(most.saved - m_saved), clamped(most.shared - m_shared) };
+    const double kept = part < 1 ? std::max(1.0, (1 - part) * most.sum()) : 0;
+    if (left.sum() < 1 + kept)
         return false;
-    ++slot(m_current).repeats;
+    const double paced = std::min(left.paced, 1.0);
+    const double saved = std::min(left.saved, 1 - paced);
+    const double shared = 1 - paced - saved;
+    m_paced -= paced;
+    Slot& present = slot(m_current);
+    ++present.repeats;
+    present.saved += saved;
+    present.shared += shared;
     ++m_repeats;
+    m_saved += saved;
+    m_shared += shared;
     return true;
 }
 
 RepeatUse RepeatBudget::use(SteadyTime now)
 {
     advance(now);
-    return { m_requests, m_repeats, allowed(now) };
+    const Limits most = limits(now);
+    return { m_requests, m_repeats, pacedShare * m_bounds.ratio * static_cast<double>(m_requests) + most.sum() };
 }
 
 }
--- a/packages/policy/src/RetryPolicy.cpp
+++ b/packages/policy/src/RetryPolicy.cpp
@@ -95,6 +95,14 @@
     return usedPart * m_total / static_cast<double>(m_mostOfLate);
 }
 
+double SharedAllowance::presentShare(SteadyTime now)
+{
+    if (m_count == 0)
+        return 1;
+    useInstances(m_count, now);
+    return static_cast<double>(m_count) / static_cast<double>(m_mostOfLate);
+}
+
 RetryPlan planRetry(const RetrySettings& settings, const FailedAttempt& failed, RetryBudget& budget, SteadyTime now, Random& random)
 {
     if (failed.answerBegan)
--- a/packages/policy/testing/whinyard/policy/RepeatFleet.h
+++ b/packages/policy/testing/whinyard/policy/RepeatFleet.h
@@ -136,7 +136,7 @@
     std::unique_ptr<RepeatBudget> makeBudget(Instance& instance)
     {
         constexpr double usedPart = 0.9;
-        return std::make_unique<RepeatBudget>(RepeatBounds { usedPart * m_settings.ratio, 0 }, *instance.slack, m_now);
+        return std::make_unique<RepeatBudget>(RepeatBounds { usedPart * m_settings.ratio, 0 }, *instance.slack, m_now, uniform(m_random));
     }
 
     std::size_t countOf(double share) const { return static_cast<std::size_t>(share * static_cast<double>(m_instances.size()) + 0.5); }
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -26,7 +26,11 @@
     // Repeats are bounded for each service by itself.
     policy::RepeatBudget& budgetOf(const ServiceName& service)
     {
-        return budgets.try_emplace(service, policy::RepeatBounds { settings.repeatRatio, settings.repeatsPerSecond, settings.repeatWindow }, sharedRepeats, startedAt).first->second;
+        const auto known = budgets.find(service);
+        if (known != budgets.end())
+            return known->second;
+        const policy::RepeatBounds bounds { settings.repeatRatio, settings.repeatsPerSecond, settings.repeatWindow };
+        return budgets.try_emplace(service, bounds, sharedRepeats, startedAt, uniform(random)).first->second;
     }
 
     // Tells how much of what is allowed the repeats of each service take.
--- a/packages/router/test/ForwarderTest.cpp
+++ b/packages/router/test/ForwarderTest.cpp
@@ -369,6 +369,7 @@
         m_bench.publish();
         Forwarder forwarder({ m_bench.clock, m_bench.metrics, m_bench.source, m_bench.codec, m_bench.directory, m_bench.shifts, m_bench.models, m_bench.queries, m_bench.client, m_bench.listening, m_bench.fibers }, { .repeatRatio = 0.5, .repeatsPerSecond = 0 }, Random(2));
         forwarder.useVersions({ "svc" }, { "v1" });
+        m_bench.clock.advance(ForwarderSettings().repeatWindow); // A young instance saves no repeats.
         const net::HttpRequest request { .method = "POST", .target = "/p/x", .fields = { { "id", "q" }, { "host", "a.example" }, { "key", "k1" }, { "model", "any" } }, .body = {} };
         const auto poor = [this] { m_bench.script(200, { { "id", "q" }, { "signed", "s" }, { "confidence", "20" } }, { event(1) }); };
         std::size_t steps = 0;
