Date requests by when they may have been sent, not by when they were read

Cause: what waited in sockets earned budget as it was read, for the ten seconds after the stall, while a part of it had been sent before that window. Now a request counts in the window from the earliest time on at which it may have been sent, by the late turns of the duty that reads (ReadDelay; also where it was then held at a start), and one that was read a second late pays for nothing at once.

What waits on a full link, or while a caller connects anew, isn't known to an instance and isn't dated.

--- a/packages/policy/include/whinyard/policy/RepeatBudget.h
+++ b/packages/policy/include/whinyard/policy/RepeatBudget.h
@@ -8,7 +8,7 @@
 //   * another part is saved over a window, for answers that break off many at once. It, and the part of the slack, is left unused
 //     by an instance that is younger than a window: the instance before it may just have spent its own.
 //
-// The forwarder notes each request and asks before each repeat. Pure: no I/O, no clock of its own, no allocation per decision.
+// The forwarder notes each request, dated by when it was sent, asks before each repeat. Pure: no I/O, no clock of its own, no allocation per decision.
 #pragma once
 
 #include "whinyard/base/Clock.h"
--- a/packages/policy/src/RepeatBudget.cpp
+++ b/packages/policy/src/RepeatBudget.cpp
@@ -12,6 +12,9 @@
     constexpr double keptShare = 0.05;
     constexpr double savedShare = 0.45;
 
+    // A request that was read so much later than it was sent pays for no repeat at once.
+    constexpr std::chrono::duration<double> latestReading { 1 };
+
     double clamped(double left)
     {
         return std::max(left, 0.0);
@@ -55,12 +58,16 @@
     return limits;
 }
 
-void RepeatBudget::noteRequest(SteadyTime, SteadyTime now)
+void RepeatBudget::noteRequest(SteadyTime sentSince, SteadyTime now)
 {
     advance(now);
-    ++slot(m_current).requests;
-    ++m_requests;
-    m_paced = std::min(m_paced + pacedShare * m_bounds.ratio, limits(now).paced);
+    const std::int64_t sent = slotAt(sentSince);
+    if (sent > m_current - slotsInWindow) {
+        ++slot(sent).requests;
+        ++m_requests;
+    }
+    const double late = std::clamp(std::chrono::duration<double>(now - sentSince) / latestReading, 0.0, 1.0);
+    m_paced = std::min(m_paced + pacedShare * m_bounds.ratio * (1 - late), limits(now).paced);
 }
 
 bool RepeatBudget::take(SteadyTime now, double part)
