Count a repeat when it is sent

Callers saw more repeats in a window than were granted in it: a repeat was counted as it was granted, and sent after it had waited for a place or an endpoint, or after its instance had stood still, beside what was granted meanwhile. Now a grant that is older than 100 ms is given back and taken anew as the attempt is about to be sent, at the service that gets it; where nothing is left by then the request ends as if it had not been granted. What passes between that and the arrival is the connect, 300 ms at most.

--- a/packages/policy/include/whinyard/policy/RepeatBudget.h
+++ b/packages/policy/include/whinyard/policy/RepeatBudget.h
@@ -8,7 +8,8 @@
 //   * another part is saved over a window, for answers that break off many at once. It, and the part of the slack, is left unused
 //     by an instance that is younger than a window: the instance before it may just have spent its own.
 //
-// The forwarder notes each request, dated by when it was sent, asks before each repeat. Pure: no I/O, no clock of its own, no allocation per decision.
+// The forwarder notes each request, dated by when it was sent, asks before each repeat, and renews what it was granted where the
+// repeat is sent later. Pure: no I/O, no clock of its own, no allocation per decision.
 #pragma once
 
 #include "whinyard/base/Clock.h"
@@ -18,6 +19,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace whinyard::policy {
 
@@ -36,6 +38,14 @@
     double share() const { return allowed > 0 ? static_cast<double>(repeats) / allowed : 0; }
 };
 
+// One repeat, and what it was taken from.
+struct RepeatGrant {
+    SteadyTime at;
+    double paced = 0;
+    double saved = 0;
+    double shared = 0;
+};
+
 class RepeatBudget {
 public:
     // `slack` must outlive the object: the part of what all instances share is the same for each service. `startedAt` is when this
@@ -46,9 +56,12 @@
     // Notes a request that a caller sent at `sentSince` or later, and that was read now.
     void noteRequest(SteadyTime sentSince, SteadyTime now);
 
-    // Takes one repeat; returns false when none is left. A repeat that is only of use, where others save an answer, leaves them all
+    // Takes one repeat; returns nothing when none is left. A repeat that is only of use, where others save an answer, leaves them all
     // but the first `part` of what can be left at most, and one repeat at least.
-    bool take(SteadyTime now, double part = 1);
+    std::optional<RepeatGrant> take(SteadyTime now, double part = 1);
+
+    // Takes the repeat anew where it was granted a while ago; returns nothing when none is left by now.
+    std::optional<RepeatGrant> renew(const RepeatGrant& grant, SteadyTime now);
 
     RepeatUse use(SteadyTime now);
 
--- a/packages/policy/src/RepeatBudget.cpp
+++ b/packages/policy/src/RepeatBudget.cpp
@@ -15,6 +15,9 @@
     // A request that was read so much later than it was sent pays for no repeat at once.
     constexpr std::chrono::duration<double> latestReading { 1 };
 
+    // What is sent within this time after it was granted counts as sent then.
+    constexpr std::chrono::milliseconds grantLifetime { 100 };
+
     double clamped(double left)
     {
         return std::max(left, 0.0);
@@ -70,7 +73,7 @@
     m_paced = std::min(m_paced + pacedShare * m_bounds.ratio * (1 - late), limits(now).paced);
 }
 
-bool RepeatBudget::take(SteadyTime now, double part)
+std::optional<RepeatGrant> RepeatBudget::take(SteadyTime now, double part)
 {
     advance(now);
     const Limits most = limits(now);
@@ -78,19 +81,38 @@
     const Limits left { m_paced + m_offset, clamped(most.saved - m_saved), clamped(most.shared - m_shared) };
     const double kept = part < 1 ? std::max(1.0, (1 - part) * most.sum()) : 0;
     if (left.sum() < 1 + kept)
-        return false;
-    const double paced = std::min(left.paced, 1.0);
-    const double saved = std::min(left.saved, 1 - paced);
-    const double shared = 1 - paced - saved;
-    m_paced -= paced;
+        return std::nullopt;
+    RepeatGrant grant { .at = now };
+    grant.paced = std::min(left.paced, 1.0);
+    grant.saved = std::min(left.saved, 1 - grant.paced);
+    grant.shared = 1 - grant.paced - grant.saved;
+    m_paced -= grant.paced;
     Slot& present = slot(m_current);
     ++present.repeats;
-    present.saved += saved;
-    present.shared += shared;
+    present.saved += grant.saved;
+    present.shared += grant.shared;
     ++m_repeats;
-    m_saved += saved;
-    m_shared += shared;
-    return true;
+    m_saved += grant.saved;
+    m_shared += grant.shared;
+    return grant;
+}
+
+std::optional<RepeatGrant> RepeatBudget::renew(const RepeatGrant& grant, SteadyTime now)
+{
+    if (now - grant.at <= grantLifetime)
+        return grant;
+    advance(now);
+    const std::int64_t taken = slotAt(grant.at);
+    if (taken >= m_current - slotsInWindow) {
+        Slot& then = slot(taken);
+        --then.repeats;
+        then.saved -= grant.saved;
+        then.shared -= grant.shared;
+        --m_repeats;
+        m_saved -= grant.saved;
+        m_shared -= grant.shared;
+    }
+    return take(now);
 }
 
 RepeatUse RepeatBudget::use(SteadyTime now)
--- a/packages/policy/test/RepeatBudgetTest.cpp
+++ b/packages/policy/test/RepeatBudgetTest.cpp
@@ -84,6 +84,22 @@
         EXPECT_EQ(m_budget.use(settled + 10s).requests, 0U) << "sent before the window";
     }
 
+    // Guards against repeats that are granted in one window and sent in the next: those of both may have spent all.
+    TEST_F(RepeatBudgetTest, CountsARepeatWhenItIsSent)
+    {
+        m_slack.useInstances(1, settled);
+        const std::optional<RepeatGrant> grant = m_budget.take(settled);
+        ASSERT_TRUE(grant);
+        EXPECT_EQ(m_budget.renew(*grant, settled + 50ms)->at, settled) << "sent at once";
+        EXPECT_EQ(takeAll(settled + 5s), 79);
+        const std::optional<RepeatGrant> renewed = m_budget.renew(*grant, settled + 5s);
+        ASSERT_TRUE(renewed) << "what it had taken was given back";
+        EXPECT_EQ(renewed->at, settled + 5s);
+        EXPECT_EQ(takeAll(settled + 10'200ms), 0) << "the window of its first grant is over, not that of its second";
+        EXPECT_EQ(takeAll(settled + 15'100ms), 80);
+        EXPECT_FALSE(m_budget.renew(*renewed, settled + 15'200ms)) << "spent by now";
+    }
+
     TEST_F(RepeatBudgetTest, LeavesTheLastRepeatsToWhatSavesAnAnswer)
     {
         m_slack.useInstances(1, settled);
--- a/packages/policy/testing/whinyard/policy/RepeatFleet.h
+++ b/packages/policy/testing/whinyard/policy/RepeatFleet.h
@@ -103,8 +103,7 @@
     struct Attempt {
         SteadyTime due;
         std::uint32_t made = 1;
-        bool isGranted = false;
-        SteadyTime grantedAt {};
+        std::optional<RepeatGrant> grant {};
     };
 
     struct Instance {
@@ -178,7 +177,7 @@
             break;
         case Disturbance::breakOff:
             for (std::size_t i = 0; i < instance.readAt.size(); ++i)
-                instance.attempts.push_back({ m_now, 1, false, {} });
+                instance.attempts.push_back({ m_now, 1, {} });
             instance.readAt.clear();
             break;
         case Disturbance::wait:
@@ -230,7 +229,7 @@
             instance.budget->noteRequest(instance.turnedAt, m_now);
             instance.unread.pop_front();
             instance.readAt.push_back(m_now);
-            attempt(instance, { m_now, 1, false, {} });
+            attempt(instance, { m_now, 1, {} });
         }
         while (!instance.readAt.empty() && m_now - instance.readAt.front() > answersTake)
             instance.readAt.pop_front();
@@ -265,22 +264,23 @@
         if (attempt.made > 1)
             m_repeats.push_back(m_now);
         if (m_now < m_rejectsUntil && uniform(m_random) < m_settings.rejectedShare && attempt.made < mostAttempts)
-            instance.attempts.push_back({ m_now + rejectsAfter, attempt.made, false, {} });
+            instance.attempts.push_back({ m_now + rejectsAfter, attempt.made, {} });
     }
 
     void goOn(Instance& instance, Attempt next)
     {
-        if (!next.isGranted) {
-            if (!instance.budget->take(m_now))
+        if (!next.grant) {
+            next.grant = instance.budget->take(m_now);
+            if (!next.grant)
                 return;
-            next.isGranted = true;
-            next.grantedAt = m_now;
             next.due = m_now + (m_now < m_waitsUntil ? m_wait : Milliseconds(0));
             if (next.due > m_now) {
                 instance.attempts.push_back(next);
                 return;
             }
         }
+        if (!instance.budget->renew(*next.grant, m_now))
+            return;
         ++next.made;
         attempt(instance, next);
     }
--- a/packages/router/src/internal/ForwardChoice.cpp
+++ b/packages/router/src/internal/ForwardChoice.cpp
@@ -223,7 +223,7 @@
     const std::optional<std::size_t> larger = m_core.parts.models.stepUp(question, *m_model, attempt.reply().confidence);
     if (asksSmallModel() && attempt.reply().confidence)
         m_core.sufficiency.note(m_admission.route->name, m_request.promptTokens, !larger, now());
-    if (!larger || !m_core.budgetOf(m_service).take(now(), stepPart))
+    if (!larger || !takeRepeat(stepPart))
         return false;
     log::info("larger model asked", { { "request", m_request.id }, { "confidence", std::to_string(attempt.reply().confidence.value_or(0)) }, { "from", model().value }, { "to", m_admission.route->models[*larger].value }, { "backlogMs", text(question.queue) }, { "elapsedMs", text(now() - m_arrived) } });
     m_core.parts.metrics.add("whinyard_model_steps_total");
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -153,7 +153,7 @@
     m_core.movesOf(m_service).earn(now());
     m_caller.whenPeerGone([this] { callerLeft(); });
     chooseModel();
-    while (!m_callerLeft && prepare()) {
+    while (!m_callerLeft && prepare() && renewRepeat()) {
         const AttemptEnd end = attempt();
         if (end == AttemptEnd::answered)
             return;
@@ -264,7 +264,7 @@
     if (now() - m_silentSince < (lost ? lostPathPatience : factor * patience()))
         return;
     // Silence alone is no reason to end an answer: it is given up only for another attempt that is granted already.
-    if ((!lost && !m_core.movesOf(m_service).take(now())) || !m_core.budgetOf(m_service).take(now(), silencePart))
+    if ((!lost && !m_core.movesOf(m_service).take(now())) || !takeRepeat(silencePart))
         return;
     m_stalled = true;
     m_current->cancel();
@@ -356,13 +356,42 @@
         return false;
     // An attempt that never reached its endpoint is no arrival there.
     const bool reached = mayHaveRun || m_failure.kind != ErrorKind::peerUnreachable;
-    const bool granted = !reached || m_stalled || m_core.budgetOf(m_service).take(now());
-    log::info(granted ? "attempt repeated" : "repeats are spent", { { "request", m_request.id }, { "service", m_service.value }, { "after", m_failure.reason }, { "attempts", std::to_string(m_sent + m_refused) }, { "repeatsUsed", std::to_string(m_core.budgetOf(m_service).use(now()).share()) }, { "timeLeftMs", text(timeLeft()) } });
+    const bool granted = !reached || m_stalled || takeRepeat(1);
+    tellRepeat(granted);
     if (granted && reached)
         m_core.parts.metrics.add("whinyard_repeats_total");
     return granted;
 }
 
+bool ForwardRun::takeRepeat(double part)
+{
+    policy::RepeatBudget& budget = m_core.budgetOf(m_service);
+    const std::optional<policy::RepeatGrant> grant = budget.take(now(), part);
+    if (!grant)
+        return false;
+    m_repeat = grant;
+    m_repeatBudget = &budget;
+    return true;
+}
+
+// A repeat that waited for its endpoint counts when it is sent, at the service that gets it.
+bool ForwardRun::renewRepeat()
+{
+    if (!m_repeat)
+        return true;
+    policy::RepeatBudget& budget = m_core.budgetOf(m_service);
+    m_repeat = &budget == m_repeatBudget ? budget.renew(*m_repeat, now()) : budget.take(now());
+    m_repeatBudget = &budget;
+    if (!m_repeat)
+        tellRepeat(false);
+    return m_repeat.has_value();
+}
+
+void ForwardRun::tellRepeat(bool granted) const
+{
+    log::info(granted ? "attempt repeated" : "repeats are spent", { { "request", m_request.id }, { "service", m_service.value }, { "after", m_failure.reason }, { "attempts", std::to_string(m_sent + m_refused) }, { "repeatsUsed", std::to_string(m_core.budgetOf(m_service).use(now()).share()) }, { "timeLeftMs", text(timeLeft()) } });
+}
+
 void ForwardRun::conclude()
 {
     if (m_callerLeft) {
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -108,6 +108,9 @@
     std::chrono::nanoseconds patience() const;
 
     bool mayGoOn(AttemptEnd end);
+    bool takeRepeat(double part);
+    bool renewRepeat();
+    void tellRepeat(bool granted) const;
     void conclude();
     void refuse(Failure failure);
     void noteBegun();
@@ -141,6 +144,8 @@
     std::vector<EndpointName> m_tried;
     ForwardAttempt* m_current = nullptr; // While an attempt runs.
     std::optional<AttemptTarget> m_target;
+    std::optional<policy::RepeatGrant> m_repeat; // For the next attempt, or of the present one; nothing for the first.
+    const policy::RepeatBudget* m_repeatBudget = nullptr; // That granted it.
     PlacePermit m_permit; // For `m_target`, until its attempt begins.
     std::vector<EndpointName> m_declined; // Endpoints of permits that this instance could not use for the next attempt.
     int m_placesAsked = 0; // So often the next attempt asked for a permit.
