Let a request pay at once for two thirds of what it may, and a young instance keep as much as an old one

What may be kept is now counted from the part of a window that the instance has seen, nothing but a part is left for others, and 0.64 of the ratio pays at once, 0.06 may be kept, 0.3 is saved (before 0.5, 0.05, 0.45).

--- a/packages/policy/include/whinyard/policy/RepeatBudget.h
+++ b/packages/policy/include/whinyard/policy/RepeatBudget.h
@@ -3,8 +3,8 @@
 // A site allows repeats at a ratio of the requests that callers sent for the service, and a slack, in any window, whoever makes them.
 // No word passes between instances, and none knows what the instance before it, at its place, has spent. So the ratio is split:
 //
-//   * a request pays at once for its part of a repeat, which is kept for about a tenth of a window. What is spent so in any window
-//     belongs to requests of that window, whatever became of the instance that read them;
+//   * a request pays at once for a part of a repeat, and what isn't spent of it is kept up to a tenth of a window's. What is spent so in
+//     any window belongs to requests of that window, whatever became of the instance that read them;
 //   * another part is saved over a window, for answers that break off many at once. It, and the part of the slack, is left unused
 //     by an instance that is younger than a window: the instance before it may just have spent its own.
 //
@@ -57,7 +57,7 @@
     void noteRequest(SteadyTime sentSince, SteadyTime now);
 
     // Takes one repeat; returns nothing when none is left. A repeat that is only of use, where others save an answer, leaves them all
-    // but the first `part` of what can be left at most, and one repeat at least.
+    // but the first `part` of what can be left at most.
     std::optional<RepeatGrant> take(SteadyTime now, double part = 1);
 
     // Takes the repeat anew where it was granted a while ago; returns nothing when none is left by now.
--- a/packages/policy/src/RepeatBudget.cpp
+++ b/packages/policy/src/RepeatBudget.cpp
@@ -8,9 +8,11 @@
 
     // Of the ratio. In any window a request pays for the first part, one of the window before for what was kept of it then, and for
     // the saved part: the three add up to one.
-    constexpr double pacedShare = 0.5;
-    constexpr double keptShare = 0.05;
-    constexpr double savedShare = 0.45;
+    constexpr double pacedShare = 0.64;
+    constexpr double keptShare = 0.06;
+    constexpr double savedShare = 0.3;
+
+    constexpr double leastSeen = 0.05; // Of a window.
 
     // A request that was read so much later than it was sent pays for no repeat at once.
     constexpr std::chrono::duration<double> latestReading { 1 };
@@ -53,9 +55,12 @@
 RepeatBudget::Limits RepeatBudget::limits(SteadyTime now)
 {
     const double earned = m_bounds.ratio * static_cast<double>(m_requests);
-    const bool isSettled = now - m_startedAt >= m_bounds.window;
+    const std::chrono::nanoseconds age = now - m_startedAt;
+    const bool isSettled = age >= m_bounds.window;
+    // A young instance has seen a part of a window's requests.
+    const double seen = std::clamp(std::chrono::duration<double>(age) / m_bounds.window, leastSeen, 1.0);
     Limits limits;
-    limits.paced = keptShare * earned;
+    limits.paced = keptShare * earned / seen;
     limits.saved = (isSettled ? savedShare * earned * m_slack.presentShare(now) : 0) + m_bounds.perSecond * std::chrono::duration<double>(m_bounds.window).count();
     limits.shared = isSettled ? m_slack.part(now) : 0;
     return limits;
@@ -79,8 +84,7 @@
     const Limits most = limits(now);
     m_paced = std::min(m_paced, most.paced);
     const Limits left { m_paced + m_offset, clamped(most.saved - m_saved), clamped(most.shared - m_shared) };
-    const double kept = part < 1 ? std::max(1.0, (1 - part) * most.sum()) : 0;
-    if (left.sum() < 1 + kept)
+    if (left.sum() < 1 + (1 - part) * most.sum())
         return std::nullopt;
     RepeatGrant grant { .at = now };
     grant.paced = std::min(left.paced, 1.0);
