Count a slow answer of a new version while it is waited for

Cause: answers were compared as they came. The move to the new version lasts a second or two, so of what was asked for in its last half second the fast answers were counted and the slow ones were still on their way. Class: a sample cut off by what is measured; the same as slow answers that callers give up. Now an attempt that takes longer than 2.5 times what is usual counts as slow while it is waited for, once, at both versions, unless the instance is behind or its path is lost.

--- a/packages/policy/include/whinyard/policy/VersionShift.h
+++ b/packages/policy/include/whinyard/policy/VersionShift.h
@@ -62,6 +62,7 @@
     bool connectionLost = false; // How it failed: every request of an endpoint that crashes does so at once.
     // The caller left before the answer or its first event, after `time`: it counts if that alone is slow, and says nothing else.
     bool wasGivenUp = false;
+    bool wasCountedSlow = false; // By recordWaiting(): it isn't counted as slow once more.
     std::string measure; // Groups requests whose times are comparable, such as route and model.
     std::chrono::microseconds time { 0 }; // To the answer or the first event; 0 if there was none.
     std::chrono::microseconds expected { 0 }; // The same, as the load and size of the request let expect.
@@ -178,6 +179,10 @@
 
     void recordOutcome(const ServiceName& service, const std::string& version, const VersionOutcome& outcome, SteadyTime now);
 
+    // Counts an attempt that still waits for its answer as slow, where its time so far says that it will be, under an order. Returns
+    // whether it did; its outcome then says so. Call it for each attempt about every 50 ms.
+    bool recordWaiting(const ServiceName& service, const std::string& version, VersionOutcome outcome, SteadyTime now);
+
     // Returns the record that should stand in the store now, if it differs from the one that is known: the state has
     // changed, or the elapsed time has grown by `progressStep` since.
     std::optional<ShiftRecord> due(const ServiceName& service, SteadyTime now);
--- a/packages/policy/src/VersionShiftVerdict.cpp
+++ b/packages/policy/src/VersionShiftVerdict.cpp
@@ -182,10 +182,10 @@
     const double time = relativeTime(outcome);
     const auto pause = static_cast<double>(outcome.pause.count());
     const bool startsLate = outcome.time >= m_settings.slowMinimum && memory.times.exceeds(outcome.measure, time, told.times);
-    if (outcome.wasGivenUp && !startsLate)
+    if (outcome.wasGivenUp && (!startsLate || outcome.wasCountedSlow))
         return;
     const bool isSlow = startsLate || (outcome.pause >= m_settings.slowPause && memory.pauses.exceeds(outcome.measure, pause, told.pauses));
-    const bool isCompared = !outcome.failed && (outcome.wasSeenWhole || isSlow) && memory.times.isKnown(outcome.measure, told.times);
+    const bool isCompared = !outcome.failed && !outcome.wasCountedSlow && (outcome.wasSeenWhole || isSlow) && memory.times.isKnown(outcome.measure, told.times);
     const bool hasTime = !outcome.failed && !outcome.wasGivenUp && outcome.time.count() > 0;
     const bool hasPause = !outcome.failed && outcome.pause.count() > 0;
     if (!isTarget) {
@@ -229,6 +229,21 @@
     judgeNowAndThen(*shift, now);
 }
 
+// Answers are compared by when they are asked for: were slow ones counted as they come, those of the last moment before a verdict would
+// be the fast ones only.
+bool VersionShifts::recordWaiting(const ServiceName& service, const std::string& version, VersionOutcome outcome, SteadyTime now)
+{
+    const auto found = m_shifts.find(service);
+    if (found == m_shifts.end() || found->second.state != ShiftState::running || outcome.time < m_settings.slowMinimum)
+        return false;
+    const KindCounts& told = countsOf(found->second.fleetCounts, toldPlace(found->second.own.kinds, kindPlace(outcome.measure), maximumKinds));
+    if (!memoryOf(service).times.exceeds(outcome.measure, relativeTime(outcome), told.times))
+        return false;
+    outcome.wasGivenUp = true;
+    recordOutcome(service, version, outcome, now);
+    return true;
+}
+
 // What was usual before the order is told with the first counts.
 void VersionShifts::tellUsualValues(Shift& shift, const ServiceMemory& memory) const
 {
--- a/packages/policy/testing/whinyard/policy/ShiftFleet.h
+++ b/packages/policy/testing/whinyard/policy/ShiftFleet.h
@@ -95,6 +95,7 @@
 
 private:
     static constexpr std::chrono::milliseconds way { 3 };
+    static constexpr std::chrono::milliseconds lookTime { 50 };
     static constexpr std::chrono::milliseconds verdictSpread { 300 };
     static constexpr std::chrono::milliseconds turnTime { 150 }; // With as much again at random.
 
@@ -198,8 +199,18 @@
         outcome.time = outcome.failed ? std::chrono::microseconds(0) : held;
         outcome.expected = m_load.workTime;
         outcome.held = held;
-        later(isLost ? std::max(*end - m_at, 0ms) : held, [this, sender, version, isTarget, endpoint = request.endpoint, outcome] {
+        const std::chrono::milliseconds endsAfter = isLost ? std::max(*end - m_at, 0ms) : held;
+        const auto wasCountedSlow = std::make_shared<bool>(false);
+        for (std::chrono::milliseconds after = lookTime; after < endsAfter; after += lookTime) {
+            later(after, [this, sender, version, outcome, after, wasCountedSlow]() mutable {
+                outcome.time = after;
+                outcome.failed = false;
+                *wasCountedSlow = *wasCountedSlow || m_instances[sender].shifts->recordWaiting(m_service, version, outcome, now());
+            });
+        }
+        later(endsAfter, [this, sender, version, isTarget, endpoint = request.endpoint, outcome, wasCountedSlow]() mutable {
             --m_running[isTarget][endpoint];
+            outcome.wasCountedSlow = *wasCountedSlow;
             m_instances[sender].shifts->recordOutcome(m_service, version, outcome, now());
         });
     }
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -201,6 +201,7 @@
 {
     policy::VersionOutcome outcome;
     outcome.endpoint = attempt.target().endpoint.name;
+    outcome.wasCountedSlow = m_countedSlow;
     outcome.measure = m_admission.route->name + "/" + model().value;
     // What is known of the endpoint's own slowness must not excuse its version; the wait at a plain one is little else.
     outcome.expected = m_admission.route->isGenerative ? attempt.target().endpoint.plan.soundWait : std::chrono::microseconds(0);
@@ -216,6 +217,15 @@
     m_core.parts.shifts.recordOutcome(attempt.target().service, attempt.target().version, outcome, now());
 }
 
+void ForwardRun::noteWaiting()
+{
+    if (!m_current || m_countedSlow || m_firstEventAt || !m_current->wasSent() || m_core.isBehind() || hasLostPath(*m_current))
+        return;
+    policy::VersionOutcome outcome = outcomeOf(*m_current);
+    outcome.time = std::chrono::duration_cast<std::chrono::microseconds>(m_current->age());
+    m_countedSlow = m_core.parts.shifts.recordWaiting(m_current->target().service, m_current->target().version, outcome, now());
+}
+
 void ForwardRun::noteOutcome(const ForwardAttempt& attempt, bool failed, bool endpointEnded)
 {
     m_hold.release();
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -256,6 +256,7 @@
     }
     if (m_current && isSound() && !std::exchange(m_soundNoted, true))
         m_guard.noteSound(*m_firstEventAt);
+    noteWaiting();
     if (!m_current || m_stalled || !mayMove())
         return;
     const bool lost = m_current->wasSent() && hasLostPath(*m_current);
@@ -285,6 +286,7 @@
     m_events = 0;
     m_firstEventAt.reset();
     m_soundNoted = false;
+    m_countedSlow = false;
     if (m_admission.route->isGenerative)
         noteWork(target);
     log::info("attempt sent", { { "request", m_request.id }, { "attempt", std::to_string(m_sent + m_refused + 1) }, { "endpoint", target.endpoint.name.value }, { "version", target.version }, { "model", model().value }, { "reason", target.endpoint.reason }, { "expectedWaitMs", text(target.endpoint.plan.expectedWait) }, { "timeLeftMs", text(timeLeft()) } });
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -118,6 +118,7 @@
     void noteEvents(std::uint32_t count);
     policy::VersionOutcome outcomeOf(const ForwardAttempt& attempt) const; // What all outcomes of the attempt have in common.
     void noteGivenUp(const ForwardAttempt& attempt);
+    void noteWaiting();
     void noteOutcome(const ForwardAttempt& attempt, bool failed, bool endpointEnded = false);
     void learnReadingTime(std::chrono::nanoseconds elapsed); // From the time to the first event of the present attempt.
     void callerLeft();
@@ -164,6 +165,7 @@
     bool m_isCounted = false; // As a request that an endpoint began.
     bool m_stalled = false; // The present attempt was given up for its silence, and another one is granted.
     bool m_soundNoted = false; // Of the present attempt.
+    bool m_countedSlow = false; // The present attempt, while it waited; see VersionShifts::recordWaiting().
     bool m_isOverdue = false; // The present attempt was ended after the deadline: its own timer had not.
     SteadyTime m_silentSince; // The last sign of the present attempt.
     std::optional<SteadyTime> m_firstEventAt; // Of the present attempt.
--- a/packages/router/test/ForwarderGivenUpTest.cpp
+++ b/packages/router/test/ForwarderGivenUpTest.cpp
@@ -1,4 +1,4 @@
-// What a request that its caller has given up says of a new version.
+// What a request without an answer yet, or that its caller has given up, says of a new version.
 #include "whinyard/router/ForwarderFakes.h"
 
 #include <gtest/gtest.h>
@@ -60,5 +60,24 @@
         EXPECT_EQ(evidence().failures.total(), 0U);
     }
 
+    // Guards against a slow version that is completed as its slow answers are still on their way, and only the fast ones of the last
+    // moment are counted.
+    TEST_F(ForwarderGivenUpTest, CountsAsSlowWhileItWaitsAndNotOnceMore)
+    {
+        std::vector<std::uint64_t> slow;
+        m_bench.answer(200, { "late" }).onRead = [&] {
+            for (int i = 0; i < 8 && slow.size() < 8; ++i) {
+                m_bench.clock.advance(50ms);
+                m_bench.forwarder.tick();
+                slow.push_back(evidence().slowness.bad);
+            }
+        };
+        m_bench.send();
+        EXPECT_EQ(slow, (std::vector<std::uint64_t> { 0, 0, 1, 1, 1, 1, 1, 1 })) << "at 2.5 times the usual 60 ms";
+        EXPECT_EQ(evidence().slowness.bad, 1U);
+        EXPECT_EQ(evidence().slowness.good, 0U);
+        EXPECT_EQ(evidence().failures.good, 1U);
+    }
+
 }
 }
