End answers that have no end by their size, wherever they don't end

An engine in trouble may send bytes without end until its caller closes. A stream of events without the end of one was kept in memory too, and looked through from its begin with each piece. Cause: the parser bounds heads and bodies, and the buffer it reads from had no bound of its own.

Now that buffer holds 256 KB at most, 16 heads may come before that of the answer, and an event may have 256 KB; an event's end is looked for in what is new. What goes beyond ends the attempt as one whose connection is lost: the connection is closed and not used again, the endpoint is judged, and "not run" isn't said. EventFramerTest.TellsWhereAnEventNeverEnds needs the new bound.

--- a/packages/endpoint/include/whinyard/endpoint/EventFramer.h
+++ b/packages/endpoint/include/whinyard/endpoint/EventFramer.h
@@ -23,6 +23,9 @@
 
 class EventFramer {
 public:
+    // Many times the longest event of an engine.
+    static constexpr std::size_t largestEvent = 256 * 1024;
+
     // `after` is the identity that the first event has to be above.
     explicit EventFramer(std::optional<std::uint64_t> after = std::nullopt);
 
@@ -33,9 +36,13 @@
     // Returns whether the bytes so far end between two events.
     bool isWhole() const { return m_rest.empty(); }
 
+    // Returns whether an event is larger than it may be: the stream can't go on.
+    bool isOverLimit() const { return m_rest.size() > largestEvent; }
+
 private:
-    // Returns the length of the first event of `text` with its blank line; 0 while it isn't complete.
-    static std::size_t eventLength(std::string_view text);
+    // Returns the length of the first event of `text` with its blank line; 0 while it isn't complete. Its last byte lies at `from` or
+    // behind.
+    static std::size_t eventLength(std::string_view text, std::size_t from);
     static std::optional<std::uint64_t> idOf(std::string_view event);
 
     std::string m_rest; // The beginning of an event whose end has not arrived.
--- a/packages/endpoint/src/EventFramer.cpp
+++ b/packages/endpoint/src/EventFramer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace whinyard::endpoint {
 
@@ -12,10 +13,11 @@
 
 FramedEvents EventFramer::feed(std::string_view bytes)
 {
+    std::size_t from = m_rest.size(); // No event ends before.
     m_rest += bytes;
     FramedEvents events;
     std::size_t begin = 0;
-    while (const std::size_t length = eventLength(std::string_view(m_rest).substr(begin))) {
+    while (const std::size_t length = eventLength(std::string_view(m_rest).substr(begin), std::exchange(from, 0))) {
         const std::optional<std::uint64_t> id = idOf(std::string_view(m_rest).substr(begin, length));
         if (id && m_lastId && *id <= *m_lastId) {
             events.outOfOrder = true;
@@ -32,16 +34,12 @@
     return events;
 }
 
-std::size_t EventFramer::eventLength(std::string_view text)
+std::size_t EventFramer::eventLength(std::string_view text, std::size_t from)
 {
-    std::size_t lineBegin = 0;
-    for (std::size_t position = 0; position < text.size(); ++position) {
-        if (text[position] != '\n')
-            continue;
-        const std::string_view line = text.substr(lineBegin, position - lineBegin);
-        if (line.empty() || line == "\r")
+    for (std::size_t position = text.find('\n', from); position != std::string_view::npos; position = text.find('\n', position + 1)) {
+        const std::size_t lineEnd = position > 0 && text[position - 1] == '\r' ? position - 1 : position;
+        if (lineEnd == 0 || text[lineEnd - 1] == '\n')
             return position + 1;
-        lineBegin = position + 1;
     }
     return 0;
 }
--- a/packages/endpoint/test/EventFramerTest.cpp
+++ b/packages/endpoint/test/EventFramerTest.cpp
@@ -45,5 +45,19 @@
         EXPECT_FALSE(EventFramer().feed("data: id: 5\n\n").lastId);
     }
 
+    // Guards against a stream without the end of an event, which filled the memory and was looked through from its begin with each piece.
+    TEST(EventFramerTest, TellsWhereAnEventNeverEnds)
+    {
+        EventFramer framer;
+        const std::string piece(8 * 1024, 'x');
+        std::size_t fed = 0;
+        while (!framer.isOverLimit() && fed < 10 * EventFramer::largestEvent) {
+            EXPECT_EQ(framer.feed(piece).count, 0U);
+            fed += piece.size();
+        }
+        EXPECT_TRUE(framer.isOverLimit());
+        EXPECT_LE(fed, EventFramer::largestEvent + piece.size());
+    }
+
 }
 }
--- a/packages/net/src/internal/ConnectionPool.h
+++ b/packages/net/src/internal/ConnectionPool.h
@@ -20,13 +20,16 @@
 
 // A connection to a server, with the bytes that were read ahead.
 struct ClientConnection {
+    // More than the largest head: whatever is larger and ends nowhere, such as the extension of a chunk, breaks the answer off.
+    static constexpr std::size_t mostReadAhead = 256 * 1024;
+
     explicit ClientConnection(boost::asio::io_context& loop)
         : socket(loop)
     {
     }
 
     FiberSocket socket;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer { mostReadAhead };
     bool reused = false;
     bool requestCut = false; // The server answered before it took the whole request: the rest can't be sent any more.
     SteadyTime idleSince;
--- a/packages/net/src/internal/HttpExchange.cpp
+++ b/packages/net/src/internal/HttpExchange.cpp
@@ -15,6 +15,7 @@
 
     constexpr unsigned version11 = 11;
     constexpr std::uint32_t responseHeaderLimit = 64 * 1024;
+    constexpr int mostInformational = 16; // Heads before that of the answer.
 
     using RequestMessage = http::request<http::span_body<const char>>;
 
@@ -136,7 +137,12 @@
 template <typename Body>
 bool HttpExchange::readHead(std::unique_ptr<http::response_parser<Body>>& parser, error_code& error)
 {
+    int informational = 0;
     do {
+        if (informational++ > mostInformational) {
+            error = http::error::header_limit;
+            return false;
+        }
         parser = std::make_unique<http::response_parser<Body>>();
         parser->header_limit(responseHeaderLimit);
         parser->body_limit(m_options.bodyLimit);
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -164,7 +164,9 @@
         m_caller.write(events.bytes);
         m_lastEvent = events.lastId;
     }
-    return !events.outOfOrder && !m_callerLeft;
+    if (framer.isOverLimit())
+        attempt.loseConnection("an event of the stream is over " + std::to_string(endpoint::EventFramer::largestEvent) + " bytes");
+    return !events.outOfOrder && !framer.isOverLimit() && !m_callerLeft;
 }
 
 // An attempt that takes up a stream or was given up for its silence says little of its engine's speed.
