Let the first start of a whole system make repeats from its first request on

Callers of a system that had just been started for the first time got a 503 where another engine was free, and streams that broke were cut: a young instance pays for repeats with the few requests that it has seen. Where nothing has run before at any place, as the settings say, nobody can have spent what a young instance leaves, so it counts as one that has run for a window. ForwarderFirstStartTest holds both cases. After a restart the loss stays: it is what keeps the bound.

--- a/apps/whinyardd/entry/EntryDaemon.cpp
+++ b/apps/whinyardd/entry/EntryDaemon.cpp
@@ -41,7 +41,7 @@
     State& state = *daemon->m_state;
     if (!state.serving.open(failure) || !state.storing.open(failure))
         return nullptr;
-    log::info("started", { { "instance", settings.instance.value }, { "zone", settings.zone.value }, { "callers", net::toText(settings.callers) }, { "store", net::toText(settings.store.address) } });
+    log::info("started", { { "instance", settings.instance.value }, { "zone", settings.zone.value }, { "firstStart", settings.isFirstStart ? "true" : "false" }, { "callers", net::toText(settings.callers) }, { "store", net::toText(settings.store.address) } });
     return daemon;
 }
 
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -97,7 +97,7 @@
         return settings;
     }
 
-    router::ForwarderSettings forwarderSettings(const settings::ServiceBounds& bounds, const settings::EntryTuning& tuning)
+    router::ForwarderSettings forwarderSettings(const settings::ServiceBounds& bounds, const settings::EntryTuning& tuning, bool isFirstStart)
     {
         // A tenth of the bound stays unused, for windows that don't begin when ours do.
         constexpr double usedPart = 0.9;
@@ -106,6 +106,7 @@
         settings.repeatsPerSecond = 0;
         settings.sharedRepeats = bounds.repeatSlack;
         settings.repeatWindow = bounds.repeatWindow;
+        settings.isFirstStart = isFirstStart;
         settings.coldFactor = bounds.coldFactor;
         settings.coldSlack = bounds.coldSlack;
         settings.enginePrice.delayShare = tuning.delayShare;
@@ -150,7 +151,7 @@
     m_listening = m_shared.transport.makeProbe(m_duty);
     openPlaces();
     const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, m_queries, *m_client, *m_listening, m_fibers, &m_link, m_shared.settings.provider && m_shared.settings.provider->takesUsage ? this : nullptr, m_places.get(), this };
-    m_forwarder = std::make_unique<router::Forwarder>(parts, forwarderSettings(m_shared.settings.bounds, m_shared.settings.tuning), seededRandom());
+    m_forwarder = std::make_unique<router::Forwarder>(parts, forwarderSettings(m_shared.settings.bounds, m_shared.settings.tuning, m_shared.settings.isFirstStart), seededRandom());
     const net::HttpHandler forward = [this](const net::HttpRequest& request, net::HttpResponder& responder) { m_forwarder->handle(request, responder); };
     const net::HttpHandler tellReadiness = [this](const net::HttpRequest&, net::HttpResponder& responder) {
         constexpr int ready = 200;
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -92,6 +92,7 @@
     policy::EnginePriceSettings enginePrice {};
     double sharedRepeats = 0; // In a window, of all instances together, beyond those that requests allow.
     std::chrono::milliseconds repeatWindow { 10'000 };
+    bool isFirstStart = false; // No instance before this one can have made repeats.
     // What a cold endpoint may get in any second: its service's rate times the factor, and the slack.
     double coldFactor = 1.5;
     double coldSlack = 5;
--- a/packages/router/src/Forwarder.cpp
+++ b/packages/router/src/Forwarder.cpp
@@ -42,7 +42,7 @@
 
 struct Forwarder::State {
     State(const ForwarderParts& parts, const ForwarderSettings& settings, Random random)
-        : core { .parts = parts, .settings = settings, .random = random, .startedAt = parts.clock.now(), .sharedRepeats = policy::SharedAllowance(settings.sharedRepeats), .start = policy::StartForecast(parts.clock.now()), .news = parts.fibers.makeWakeup(), .paths = policy::EndpointPaths(settings.paths, Random(random())) }
+        : core { .parts = parts, .settings = settings, .random = random, .startedAt = parts.clock.now() - (settings.isFirstStart ? settings.repeatWindow : std::chrono::milliseconds(0)), .sharedRepeats = policy::SharedAllowance(settings.sharedRepeats), .start = policy::StartForecast(parts.clock.now()), .news = parts.fibers.makeWakeup(), .paths = policy::EndpointPaths(settings.paths, Random(random())) }
     {
     }
 
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -146,7 +146,7 @@
     ForwarderParts parts;
     ForwarderSettings settings;
     Random random;
-    SteadyTime startedAt; // Of this instance.
+    SteadyTime startedAt; // Of this instance; a window before where none ran before it.
     policy::SharedAllowance sharedRepeats;
     policy::ReadDelay reads {};
     policy::StartForecast start;
--- a/packages/router/test/ForwarderRepeatTest.cpp
+++ b/packages/router/test/ForwarderRepeatTest.cpp
@@ -70,5 +70,17 @@
         EXPECT_EQ(m_bench.send().response.status, 200);
     }
 
+    // Guards against a system that repeats nothing for the first callers of its life, where nobody can have spent its slack.
+    TEST(ForwarderFirstStartTest, RepeatsFromTheFirstRequestOnWhereNothingRanBefore)
+    {
+        for (const bool isFirstStart : { false, true }) {
+            ForwarderBench bench { 1, { .forwarder = { .repeatRatio = 0, .repeatsPerSecond = 0, .sharedRepeats = 50, .isFirstStart = isFirstStart } } };
+            bench.forwarder.useInstances(6);
+            bench.script(503, { { "id", "q" }, { "not-run", "yes" } }, { "full" });
+            bench.answer(200, { "whole" });
+            EXPECT_EQ(bench.send().response.status, isFirstStart ? 200 : 503);
+        }
+    }
+
 }
 }
--- a/packages/settings/include/whinyard/settings/EntrySettings.h
+++ b/packages/settings/include/whinyard/settings/EntrySettings.h
@@ -70,6 +70,7 @@
     StoreSettings store;
     std::optional<ProviderSettings> provider; // Absent: nothing is reported or ordered.
     ServiceBounds bounds;
+    bool isFirstStart = false; // Of the whole system: nothing has run before at any instance's place.
     std::uint32_t linkMegabits = 0; // A second, of the instance's own link; 0 if unknown.
     std::uint32_t memoryMegabytes = 0; // The process is killed above it; 0 if unknown.
     EntryTuning tuning;
