Review, case 1: an answer without a length that is cut behind a relay looks complete

Tried: two daemons, one of them partitioned from all engines, the other, by way of which it reaches them, killed amid answers that end with their connection. The daemons of a script share one address, as instances know each other by it. Nothing is fixed here.

--- a/review/standins/Harness.h
+++ b/review/standins/Harness.h
@@ -418,7 +418,7 @@
 class Store {
 public:
     explicit Store(const Address& at)
-        : m_listener(at, [this](Wire& wire) { serve(wire); })
+        : m_listener(at, [this](Wire& wire) { serve(wire, {}); })
         , m_sweeper([this] {
             while (!m_ends) {
                 std::this_thread::sleep_for(50ms);
@@ -433,9 +433,18 @@
         m_ends = true;
         m_changed.notify_all();
         m_sweeper.join();
+        m_views.clear();
         m_listener.close();
     }
 
+    // What a reader at an address of its own sees of an item: the engines' addresses on its own links.
+    using View = std::function<std::string(const std::string& key, const std::string& value)>;
+    Address addView(const Address& at, View view)
+    {
+        m_views.push_back(std::make_unique<Listener>(at, [this, view = std::move(view)](Wire& wire) { serve(wire, view); }));
+        return m_views.back()->address();
+    }
+
     Address address() const { return m_listener.address(); }
 
     void write(const std::string& key, const std::string& value)
@@ -498,7 +507,7 @@
     struct Event {
         std::uint64_t revision = 0;
         std::string key;
-        json body;
+        std::optional<Item> item; // Nothing where the key was removed.
     };
     struct Lease {
         Millis timeToLive;
@@ -510,9 +519,9 @@
         std::map<std::uint64_t, Lease> leases;
     };
 
-    static json render(const std::string& key, const Item& item)
+    static json render(const std::string& key, const Item& item, const View& view)
     {
-        return { { "key", key }, { "value", base64(item.value) }, { "revision", item.revision }, { "created_rev", item.created }, { "lease", item.lease } };
+        return { { "key", key }, { "value", base64(view ? view(key, item.value) : item.value) }, { "revision", item.revision }, { "created_rev", item.created }, { "lease", item.lease } };
     }
     void put(const std::string& key, const std::string& value, std::uint64_t lease, std::uint64_t revision)
     {
@@ -521,7 +530,7 @@
         item.revision = m_revision = revision;
         item.created = item.created == 0 ? revision : item.created;
         item.lease = lease;
-        m_events.push_back({ revision, key, render(key, item) });
+        m_events.push_back({ revision, key, item });
         m_changed.notify_all();
     }
     void remove(const std::string& key, std::uint64_t revision)
@@ -529,7 +538,7 @@
         if (m_items.erase(key) == 0)
             return;
         m_revision = revision;
-        m_events.push_back({ revision, key, { { "key", key }, { "revision", revision }, { "deleted", true } } });
+        m_events.push_back({ revision, key, std::nullopt });
         m_changed.notify_all();
     }
     void lapse()
@@ -550,7 +559,7 @@
         wire.write("HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\nStore-Era: " + std::to_string(m_era) + "\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text);
     }
 
-    void serve(Wire& wire)
+    void serve(Wire& wire, const View& view)
     {
         std::string first;
         Fields fields;
@@ -560,7 +569,7 @@
             request.target = first.substr(begin, first.find(' ', begin) - begin);
             if (readBody(wire, fields, false, request.body, Clock::now() + 10s) != BodyEnd::whole)
                 return;
-            handle(wire, request);
+            handle(wire, request, view);
             if (fields.get("Connection") == "close")
                 return;
         }
@@ -576,7 +585,7 @@
         return query;
     }
 
-    void handle(Wire& wire, const Request& request)
+    void handle(Wire& wire, const Request& request, const View& view)
     {
         if (m_away)
             return answer(wire, 503);
@@ -586,7 +595,7 @@
         lapse();
         if (path == "/api/kv-key") {
             const auto item = m_items.find(query["key"]);
-            json body = item == m_items.end() ? json::object() : render(item->first, item->second);
+            json body = item == m_items.end() ? json::object() : render(item->first, item->second, view);
             body["store_revision"] = m_revision;
             const int status = item == m_items.end() ? 404 : 200;
             lock.unlock();
@@ -601,7 +610,7 @@
                     body["has_more"] = true;
                     break;
                 }
-                body["entries"].push_back(render(key, item));
+                body["entries"].push_back(render(key, item, view));
             }
             lock.unlock();
             return answer(wire, 200, body);
@@ -618,7 +627,7 @@
                 json events = json::array();
                 for (const Event& event : m_events) {
                     if (event.revision > after && event.key.starts_with(query["prefix"]) && events.size() < 500)
-                        events.push_back(event.body);
+                        events.push_back(event.item ? render(event.key, *event.item, view) : json { { "key", event.key }, { "revision", event.revision }, { "deleted", true } });
                 }
                 const bool isCut = m_away || m_era != era || m_ends;
                 if (isCut || !events.empty() || Clock::now() >= end) {
@@ -630,7 +639,7 @@
             }
         }
         if (path == "/api/kv-txn")
-            return transact(wire, json::parse(request.body), lock);
+            return transact(wire, json::parse(request.body), lock, view);
         if (path == "/api/kv-lease") {
             const Millis time(json::parse(request.body)["ttl_ms"].get<std::int64_t>());
             const std::uint64_t number = ++m_lastLease;
@@ -658,7 +667,7 @@
         answer(wire, 404);
     }
 
-    void transact(Wire& wire, const json& body, std::unique_lock<std::mutex>& lock)
+    void transact(Wire& wire, const json& body, std::unique_lock<std::mutex>& lock, const View& view)
     {
         int status = 200;
         json told = json::object();
@@ -678,7 +687,7 @@
             told["entries"] = json::array();
             for (const json& row : body["precondition"]) {
                 if (const auto item = m_items.find(row["key"].get<std::string>()); item != m_items.end())
-                    told["entries"].push_back(render(item->first, item->second));
+                    told["entries"].push_back(render(item->first, item->second, view));
             }
         }
         if (status == 200) {
@@ -705,9 +714,76 @@
     Copy m_copy;
     std::atomic<bool> m_away = false, m_ends = false;
     Listener m_listener;
+    std::vector<std::unique_ptr<Listener>> m_views;
     std::thread m_sweeper;
 };
 
+// A proxy on the way between two processes. While it is cut, nobody listens there, and what it carried is reset.
+class Link {
+public:
+    Link(const Address& at, Address target)
+        : m_target(std::move(target))
+        , m_listener(at, [this](Wire& wire) { carry(wire); })
+    {
+    }
+
+    const Address& address() const { return m_listener.address(); }
+    void cut()
+    {
+        m_isCut = true;
+        m_listener.close(false);
+    }
+    void heal()
+    {
+        m_isCut = false;
+        m_listener.open();
+    }
+
+private:
+    // Passes on bytes, ends and resets, each way.
+    void carry(Wire& from)
+    {
+        const auto to = connectTo(m_target);
+        if (!to->isOpen())
+            return from.reset();
+        bool isFromOpen = true;
+        bool isToOpen = true;
+        while ((isFromOpen || isToOpen) && !m_isCut) {
+            pollfd both[2] = { { isFromOpen ? from.fd() : -1, POLLIN, 0 }, { isToOpen ? to->fd() : -1, POLLIN, 0 } };
+            if (::poll(both, 2, 20) <= 0)
+                continue;
+            if (both[0].revents && !pass(from, *to, isFromOpen))
+                return;
+            if (both[1].revents && !pass(*to, from, isToOpen))
+                return;
+        }
+        if (m_isCut) {
+            from.reset();
+            to->reset();
+        }
+    }
+    static bool pass(Wire& from, Wire& to, bool& isOpen)
+    {
+        const int got = from.fill(Clock::now() + 1s);
+        if (got == -1) {
+            to.reset();
+            from.reset();
+            return false;
+        }
+        if (got == 0) {
+            isOpen = false;
+            to.shutdownSend();
+        }
+        const bool isWritten = to.write(from.buffer);
+        from.buffer.clear();
+        return isWritten;
+    }
+
+    Address m_target;
+    std::atomic<bool> m_isCut = false;
+    Listener m_listener;
+};
+
 // An engine or plain service: it runs what names it, signs its answers, and is listed in the store.
 class Engine {
 public:
@@ -730,9 +806,9 @@
     const std::string& id() const { return m_place.id; }
     const Address& address() const { return m_listener.address(); }
 
-    json entry(const char* state = "ready") const
+    json entry(const char* state = "ready")
     {
-        return { { "service", m_place.service }, { "address", address().text() }, { "zone", m_place.zone }, { "version", m_place.version }, { "slots", m_place.slots }, { "state", state }, { "cold_left_ms", 0 }, { "sequence", 1 } };
+        return { { "service", m_place.service }, { "address", address().text() }, { "zone", m_place.zone }, { "version", m_place.version }, { "slots", m_place.slots }, { "state", state }, { "cold_left_ms", 0 }, { "sequence", ++m_sequence } };
     }
     void list(const char* state = "ready") { m_store.write("servers/" + m_place.id, entry(state).dump()); }
     void unlist() { m_store.erase("servers/" + m_place.id); }
@@ -784,6 +860,7 @@
     Place m_place;
     Answer m_answer;
     std::atomic<int> m_running = 0;
+    std::atomic<int> m_sequence = 0;
     Listener m_listener;
 };
 
@@ -880,8 +957,7 @@
         char name[] = "/tmp/review-XXXXXX";
         m_folder = mkdtemp(name);
         m_pids.resize(static_cast<std::size_t>(options.daemons), -1);
-        // Free ports, the same on all machines of the site.
-        for (m_base = 20'000 + getpid() % 20'000; !isFree(m_base); m_base += 40) { }
+        for (m_base = 10'000 + getpid() * 97 % 20'000; !isFree(); m_base += 97) { }
     }
     ~Site()
     {
@@ -893,8 +969,11 @@
     }
 
     std::string host(int last) const { return m_net + std::to_string(last); }
-    Address front(std::size_t daemon) const { return { host(static_cast<int>(daemon) + 1), m_base }; }
-    Address ready(std::size_t daemon) const { return { host(static_cast<int>(daemon) + 1), m_base + 1 }; }
+    // Instances know each other by the address that connections come from, which on loopback is the same for all.
+    std::string ip() const { return "127.0.0.1"; }
+    int base(std::size_t daemon) const { return m_base + 30 * static_cast<int>(daemon); }
+    Address front(std::size_t daemon) const { return { ip(), base(daemon) }; }
+    Address ready(std::size_t daemon) const { return { ip(), base(daemon) + 1 }; }
     std::string logOf(std::size_t daemon) const { return m_folder + "/entry-" + std::to_string(daemon) + ".log"; }
     pid_t pid(std::size_t daemon) const { return m_pids[daemon]; }
 
@@ -908,16 +987,16 @@
     // Starts one daemon by the command of the deploy file. The address of its store may be a proxy's.
     void start(std::size_t daemon, std::optional<Address> storeAddress = {})
     {
-        const std::string own = host(static_cast<int>(daemon) + 1);
+        const std::string own = ip();
         json settings = { { "node_name", "edge-" + std::to_string(daemon) }, { "role", "entry" }, { "machine_class", "edge" }, { "serves", { "edge" } }, { "ip", own }, { "zone", "hall-a" }, { "region", "cz" }, { "zones", { { "hall-a", "cz" }, { "hall-b", "cz" } } },
-            { "listen", { { "front", front(daemon).text() }, { "ready", ready(daemon).text() } } }, { "port_range", { m_base + 10, m_base + 25 } }, { "seeds", json::array() }, { "bootstrap", true },
+            { "listen", { { "front", front(daemon).text() }, { "ready", ready(daemon).text() } } }, { "port_range", { base(daemon) + 10, base(daemon) + 25 } }, { "seeds", json::array() }, { "bootstrap", true },
             { "limits", { { "cpu_share", 0.25 }, { "cores", 1 }, { "memory_mb", m_options.memoryMb }, { "max_fds", 4100 }, { "link_mbps", 1000.0 }, { "disk_mb", 0 } } }, { "data_dir", nullptr }, { "discovery", "platform" }, { "entry", "vip" }, { "heartbeat_ms", 1200 },
             { "bounds", { { "seed_lag_s", 3 }, { "reuse_after_s", 2 }, { "contact_ms", 3000 }, { "ack_ms", 4000 }, { "catch_up_s", 4 }, { "drain_ms", 2000 }, { "grace_s", 8 }, { "loss_slack_ms", 200 }, { "config_apply_ms", 2000 }, { "rollback_slack_ms", 250 }, { "max_stretch_ms", 5000 }, { "strict_revoke", false }, { "revoke_ms", 5000 }, { "budget_ratio", 0.9 }, { "budget_window_s", 10 }, { "retry_slack", 58 }, { "expose_share", 0.15 }, { "expose_slack", 30 }, { "rollback_ms", 5000 }, { "recover_s", 12 }, { "pass_ms", 120 }, { "reuse_window_s", 9 }, { "session_s", 5 } } },
             { "platform", { { "address", storeAddress.value_or(store.address()).text() }, { "form", "kv" }, { "writes_per_s", 400 }, { "reads_per_s", 2000 }, { "history_s", 20 }, { "value_bytes", 1048576 }, { "ttl_min_ms", 1000 } } } };
         settings.update(m_options.more);
         const std::string file = m_folder + "/entry-" + std::to_string(daemon) + ".json";
         std::ofstream(file) << settings.dump(2);
-        const std::string metrics = own + ":" + std::to_string(m_base + 2);
+        const std::string metrics = own + ":" + std::to_string(base(daemon) + 2);
         const std::string log = logOf(daemon);
         const pid_t child = fork();
         if (child == 0) {
@@ -986,17 +1065,16 @@
     }
 
 private:
-    bool isFree(int base) const
+    // Whether the ports of all daemons are free. They lie below those that the system gives to clients.
+    bool isFree() const
     {
-        for (std::size_t daemon = 0; daemon < m_pids.size(); ++daemon) {
-            for (int port = base; port < base + 26; ++port) {
-                const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-                const sockaddr_in address = addressOf(host(static_cast<int>(daemon) + 1), port);
-                const bool free = ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
-                ::close(fd);
-                if (!free)
-                    return false;
-            }
+        for (int port = m_base; port < base(m_pids.size()); ++port) {
+            const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+            const sockaddr_in address = addressOf(ip(), port);
+            const bool free = ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+            ::close(fd);
+            if (!free)
+                return false;
         }
         return true;
     }
