--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/standins/*.cpp; do
+for source in review/test/*.cpp; do
     name=$(basename "$source" .cpp)
     ${CXX:-g++} -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review/$name" "$source"
 done
