--- a/review/test/Harness.h
+++ b/review/test/Harness.h
@@ -1057,15 +1057,6 @@
         m_pids[daemon] = -1;
         return status;
     }
-    long residentKb(std::size_t daemon) const
-    {
-        std::ifstream file("/proc/" + std::to_string(m_pids[daemon]) + "/status");
-        for (std::string line; std::getline(file, line);) {
-            if (line.starts_with("VmRSS:"))
-                return std::atol(line.c_str() + 6);
-        }
-        return 0;
-    }
 
 private:
     // Whether the ports of all daemons are free. They lie below those that the system gives to clients.
