--- a/review/test/Harness.h
+++ b/review/test/Harness.h
@@ -27,6 +27,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -1003,6 +1004,7 @@
         const std::string log = logOf(daemon);
         const pid_t child = fork();
         if (child == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL); // It ends with the script, however that ends.
             const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             dup2(out, 1);
             dup2(out, 2);
