Tell how each relayed connection and each relayed answer has ended

The logs didn't tell who had ended such a connection. Hypotheses: (1) the endpoint closes, (2) the path to it is lost and the relay passes a close on, (3) the relay's process ends and its system closes.

The relay now logs a line and counts for each connection (endpointClosed, endpointLost, instanceLeft, expired, with the bytes of the answer), the asking instance one for each relayed answer (how it ends, whether it was seen whole, its bytes).

No change of behaviour. ConnectRelayTest.TellsWhatHasEndedEachConnection covers the report.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -34,6 +34,21 @@
     // can't keep.
     constexpr std::size_t manyChanges = 1'000;
 
+    std::string_view text(net::RelayedEnd end)
+    {
+        switch (end) {
+        case net::RelayedEnd::serverClosed:
+            return "endpointClosed";
+        case net::RelayedEnd::serverLost:
+            return "endpointLost";
+        case net::RelayedEnd::clientLeft:
+            return "instanceLeft";
+        case net::RelayedEnd::expired:
+            break;
+        }
+        return "expired";
+    }
+
     bool contains(const std::vector<std::string>& list, const std::string& wanted)
     {
         return std::find(list.begin(), list.end(), wanted) != list.end();
@@ -189,7 +204,8 @@
     if (!m_shared.settings.relay)
         return true;
     m_relay = net::ConnectRelay::open(
-        m_duty, *m_shared.settings.relay, {}, [this](const net::RelayedConnect& connect) { return relayTarget(connect); }, failure);
+        m_duty, *m_shared.settings.relay, {}, [this](const net::RelayedConnect& connect) { return relayTarget(connect); },
+        [this](const net::RelayedConnect& connect, const net::RelayedResult& result) { noteRelayed(connect, result); }, failure);
     return m_relay != nullptr;
 }
 
@@ -210,6 +226,13 @@
     return reason.empty() ? std::optional(endpoint->address) : std::nullopt;
 }
 
+void ServeDuty::noteRelayed(const net::RelayedConnect& connect, const net::RelayedResult& result)
+{
+    const std::string end(text(result.end));
+    log::info("relayed connection ended", { { "request", std::string(net::fieldValue(connect.fields, router::relayRequestField)) }, { "endpoint", std::string(net::fieldValue(connect.fields, router::relayEndpointField)) }, { "end", end }, { "answerBytes", std::to_string(result.answerBytes) } });
+    m_shared.metrics.add("whinyard_relay_ends_total{end=\"" + end + "\"}");
+}
+
 void ServeDuty::noteNews()
 {
     m_forwarder->noteNews();
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -117,6 +117,7 @@
     void openPlaces();
     bool openRelay(Failure& failure);
     std::optional<net::Address> relayTarget(const net::RelayedConnect& connect);
+    void noteRelayed(const net::RelayedConnect& connect, const net::RelayedResult& result);
     void addRelay(const peer::InstanceNotice& instance, std::map<InstanceName, net::Address>& relays) const;
     void noteNews();
     void refreshDirectory();
--- a/packages/net/include/whinyard/net/ConnectRelay.h
+++ b/packages/net/include/whinyard/net/ConnectRelay.h
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -35,11 +36,27 @@
 // Returns where to connect; nothing declines. Called on the duty's thread.
 using RelayGate = std::function<std::optional<Address>(const RelayedConnect&)>;
 
+// What has ended a relayed connection.
+enum class RelayedEnd : std::uint8_t {
+    serverClosed, // The server, by a proper close.
+    serverLost, // The server's connection, in any other way.
+    clientLeft,
+    expired, // ConnectRelayLimits::lifetime.
+};
+
+struct RelayedResult {
+    RelayedEnd end = RelayedEnd::serverLost;
+    std::size_t answerBytes = 0; // That the server has sent.
+};
+
+// Is told how each relayed connection has ended. Called on the duty's thread.
+using RelayObserver = std::function<void(const RelayedConnect&, const RelayedResult&)>;
+
 // Accepts connections until it is closed. All functions are called on the duty's thread.
 class ConnectRelay {
 public:
     // Opens the listening socket; port 0 takes a free one. On failure returns null with the reason.
-    static std::unique_ptr<ConnectRelay> open(Duty& duty, const Address& address, const ConnectRelayLimits& limits, RelayGate gate, Failure& failure);
+    static std::unique_ptr<ConnectRelay> open(Duty& duty, const Address& address, const ConnectRelayLimits& limits, RelayGate gate, RelayObserver ended, Failure& failure);
 
     virtual ~ConnectRelay() = default;
 
--- a/packages/net/src/ConnectRelay.cpp
+++ b/packages/net/src/ConnectRelay.cpp
@@ -27,30 +27,45 @@
     // A client that has the whole answer closes at once.
     constexpr std::chrono::milliseconds lastClose { 1'000 };
 
-    // Passes on what comes until the connection ends. Returns eof for a proper end.
-    error_code passOn(FiberSocket& from, FiberSocket& to)
+    // Why bytes are passed on no longer.
+    struct PassedBytes {
+        error_code readError; // The one of them that came first; eof for a proper end.
+        error_code writeError;
+        std::size_t count = 0;
+    };
+
+    // Passes on what comes until one of the connections ends.
+    PassedBytes passOn(FiberSocket& from, FiberSocket& to)
     {
         std::array<char, pieceBytes> bytes;
-        error_code error;
-        while (!error) {
-            const std::size_t size = from.read_some(asio::buffer(bytes), error);
-            if (size > 0) {
-                error_code writeError;
-                asio::write(to, asio::buffer(bytes.data(), size), writeError);
-                error = writeError ? writeError : error;
-            }
+        PassedBytes passed;
+        while (!passed.readError && !passed.writeError) {
+            const std::size_t size = from.read_some(asio::buffer(bytes), passed.readError);
+            passed.count += size;
+            if (size > 0)
+                asio::write(to, asio::buffer(bytes.data(), size), passed.writeError);
         }
-        return error;
+        return passed;
+    }
+
+    RelayedEnd endOf(const PassedBytes& answer)
+    {
+        if (answer.readError == asio::error::timed_out || answer.writeError == asio::error::timed_out)
+            return RelayedEnd::expired;
+        if (answer.writeError || answer.readError == asio::error::operation_aborted)
+            return RelayedEnd::clientLeft;
+        return answer.readError == asio::error::eof ? RelayedEnd::serverClosed : RelayedEnd::serverLost;
     }
 
     // One client's connection and the one that was made for it.
     class Tunnel {
     public:
-        Tunnel(ServerConnection& client, const ConnectRelayLimits& limits, const RelayGate& gate)
+        Tunnel(ServerConnection& client, const ConnectRelayLimits& limits, const RelayGate& gate, const RelayObserver& ended)
             : m_client(client.socket)
             , m_server(Duty::current()->loop())
             , m_limits(limits)
             , m_gate(gate)
+            , m_ended(ended)
         {
         }
 
@@ -64,7 +79,7 @@
             m_client.expireAfter(m_limits.lifetime);
             m_server.expireAfter(m_limits.lifetime);
             Duty::current()->spawn([this] { passRequest(); });
-            passAnswer();
+            m_ended(m_connect, passAnswer());
             while (!m_requestPassed)
                 m_requestEnd.wait(m_limits.lifetime);
         }
@@ -86,7 +101,10 @@
             if (!server)
                 return http::status::bad_request;
             const std::optional<tcp::endpoint> from = m_client.peer();
-            const std::optional<Address> target = from ? m_gate({ internal::toAddress(*from), *server, internal::plainFields(request.get()) }) : std::nullopt;
+            if (!from)
+                return http::status::service_unavailable;
+            m_connect = { internal::toAddress(*from), *server, internal::plainFields(request.get()) };
+            const std::optional<Address> target = m_gate(m_connect);
             const auto endpoint = target ? internal::toEndpoint<tcp>(*target, failure) : std::nullopt;
             if (!endpoint)
                 return http::status::service_unavailable;
@@ -120,38 +138,43 @@
             m_requestEnd.notify();
         }
 
-        void passAnswer()
+        RelayedResult passAnswer()
         {
-            if (passOn(m_server, m_client) != asio::error::eof) {
+            const PassedBytes answer = passOn(m_server, m_client);
+            const RelayedEnd end = endOf(answer);
+            if (end == RelayedEnd::serverClosed) {
+                m_client.shutdownSend();
+                m_client.expireAfter(lastClose);
+            } else {
                 m_client.reset(); // A cut answer must not look like one that has ended.
-                return;
             }
-            m_client.shutdownSend();
-            m_client.expireAfter(lastClose);
+            return { end, answer.count };
         }
 
         FiberSocket& m_client;
         FiberSocket m_server;
         const ConnectRelayLimits& m_limits;
         const RelayGate& m_gate;
+        const RelayObserver& m_ended;
+        RelayedConnect m_connect;
         Signal m_requestEnd;
         bool m_requestPassed = false;
     };
 
-    void serve(TcpServer& server, ServerConnection& connection, const ConnectRelayLimits& limits, const RelayGate& gate)
+    void serve(TcpServer& server, ServerConnection& connection, const ConnectRelayLimits& limits, const RelayGate& gate, const RelayObserver& ended)
     {
         boost::beast::flat_buffer buffer;
         if (!server.awaitRequest(connection, buffer, limits.headTimeout))
             return;
         const TcpServer::ActiveRequest active(server);
-        Tunnel(connection, limits, gate).run(buffer);
+        Tunnel(connection, limits, gate, ended).run(buffer);
     }
 
 }
 
-std::unique_ptr<ConnectRelay> ConnectRelay::open(Duty& duty, const Address& address, const ConnectRelayLimits& limits, RelayGate gate, Failure& failure)
+std::unique_ptr<ConnectRelay> ConnectRelay::open(Duty& duty, const Address& address, const ConnectRelayLimits& limits, RelayGate gate, RelayObserver ended, Failure& failure)
 {
-    auto serveAll = [limits, gate = std::move(gate)](TcpServer& server, ServerConnection& connection) { serve(server, connection, limits, gate); };
+    auto serveAll = [limits, gate = std::move(gate), ended = std::move(ended)](TcpServer& server, ServerConnection& connection) { serve(server, connection, limits, gate, ended); };
     auto server = TcpServer::open(duty, address, limits.connections, std::move(serveAll), failure);
     if (!server)
         return nullptr;
--- a/packages/net/test/ConnectRelayTest.cpp
+++ b/packages/net/test/ConnectRelayTest.cpp
@@ -27,9 +27,8 @@
                 m_relay = ConnectRelay::open(
                     m_duty, { "127.0.0.1", 0 }, {}, [this](const RelayedConnect& connect) {
                         m_asked = connect;
-                        return m_opens ? std::optional(connect.server) : std::nullopt;
-                    },
-                    failure);
+                        return m_opens ? std::optional(connect.server) : std::nullopt; },
+                    [this](const RelayedConnect&, const RelayedResult& result) { m_results.push_back(result); }, failure);
                 m_options.relay = m_relay->address();
             });
             m_options.relayFields = { { "Endpoint", "e1" } };
@@ -73,6 +72,7 @@
         std::unique_ptr<ConnectRelay> m_relay;
         bool m_opens = true;
         std::optional<RelayedConnect> m_asked;
+        std::vector<RelayedResult> m_results;
         HttpCallOptions m_options;
         HttpCallProgress m_progress;
         std::optional<HttpResponse> m_response;
@@ -162,6 +162,36 @@
         EXPECT_FALSE(m_response);
     }
 
+    // Guards against cut answers of which nobody can tell whether the server or the relay has ended them.
+    TEST_F(ConnectRelayTest, TellsWhatHasEndedEachConnection)
+    {
+        call([&] {
+            RawConnection server(m_acceptor);
+            server.readUntil("body");
+            server.write("HTTP/1.1 200 OK\r\n\r\nwhole");
+        });
+        call([&] {
+            RawConnection server(m_acceptor);
+            server.readUntil("body");
+            server.write("HTTP/1.1 200 OK\r\n\r\nhalf");
+            std::this_thread::sleep_for(milliseconds(50));
+            server.reset();
+        });
+        m_options.timeout = milliseconds(200);
+        call([&] {
+            RawConnection server(m_acceptor);
+            server.readUntil("body");
+            EXPECT_EQ(server.readAll(), "");
+        });
+        ASSERT_TRUE(becomesIdle());
+        ASSERT_EQ(m_results.size(), 3U);
+        EXPECT_EQ(m_results[0].end, RelayedEnd::serverClosed);
+        EXPECT_EQ(m_results[0].answerBytes, 24U);
+        EXPECT_EQ(m_results[1].end, RelayedEnd::serverLost);
+        EXPECT_EQ(m_results[1].answerBytes, 23U);
+        EXPECT_EQ(m_results[2].end, RelayedEnd::clientLeft);
+    }
+
     TEST_F(ConnectRelayTest, LetsConnectionsThatStandEndWhileItDrains)
     {
         call([&] {
--- a/packages/router/src/internal/ForwardAttempt.cpp
+++ b/packages/router/src/internal/ForwardAttempt.cpp
@@ -231,9 +231,28 @@
     m_stream->usePieceTimeout(patience);
     std::optional<std::string> piece = m_stream->read(m_failure);
     m_connectionLost = !piece && m_failure.kind == ErrorKind::endpointFailed;
+    m_isAtEnd = piece && piece->empty();
+    m_bodyBytes += piece ? piece->size() : 0;
     return piece;
 }
 
+void ForwardAttempt::end(endpoint::EndpointOutcome outcome)
+{
+    m_use.end(outcome);
+    if (isRelayed() && hasHead())
+        noteRelayedEnd();
+}
+
+// What an answer without a length ends with is known to the relay alone.
+void ForwardAttempt::noteRelayedEnd() const
+{
+    const std::string endsWith = endsWithConnection() ? "connection" : "itself";
+    const std::string seen = m_connectionLost ? "lost" : m_isAtEnd ? "whole"
+                                                                   : "left";
+    log::info("relayed answer ended", { { "request", m_request.id }, { "endpoint", m_target.endpoint.name.value }, { "by", m_relay->value }, { "endsWith", endsWith }, { "seen", seen }, { "bytes", std::to_string(m_bodyBytes) } });
+    m_core.parts.metrics.add("whinyard_relayed_answers_total{endsWith=\"" + endsWith + "\",seen=\"" + seen + "\"}");
+}
+
 void ForwardAttempt::loseConnection(std::string reason)
 {
     m_connectionLost = true;
--- a/packages/router/src/internal/ForwardAttempt.h
+++ b/packages/router/src/internal/ForwardAttempt.h
@@ -49,7 +49,7 @@
     // Ends the attempt from outside its fiber: its connection is closed, and a wait for it returns.
     void cancel();
 
-    void end(endpoint::EndpointOutcome outcome) { m_use.end(outcome); }
+    void end(endpoint::EndpointOutcome outcome);
     void firstByte() { m_use.firstByte(); }
 
     const AttemptTarget& target() const { return m_target; }
@@ -72,6 +72,7 @@
     bool failedToConnect() const;
     bool wasLateItself() const; // The connect has timed out while this instance was behind.
     SteadyTime now() const { return m_core.parts.clock.now(); }
+    void noteRelayedEnd() const;
     HeadVerdict judgeHead();
     void takeStatement();
     HeadVerdict fail(HeadVerdict verdict, ErrorKind kind, std::string reason);
@@ -86,6 +87,8 @@
     std::optional<InstanceName> m_relay;
     bool m_lacksPath = false;
     bool m_connectionLost = false;
+    bool m_isAtEnd = false; // The answer's end was read.
+    std::size_t m_bodyBytes = 0;
     EndpointReply m_reply;
     Failure m_failure;
 };
