State the end of a relayed connection in a frame

Cause: the close of the relayed connection was taken for the close of the endpoint's. The system closes the connections of a process that is killed in the same way; the relay can mark a cut only while it lives. Evidence: 6 of 84 relayed answers ended after half of their bytes with no line of the relay, 78 whole ones with one, endpointClosed.

Now a relay passes the endpoint's bytes on in frames (type, length, value as in capsules of RFC 9297) and ends with one that states what has ended the endpoint's connection; without it the asking instance reads a reset. So the proof of an end comes from the one process that sees it, and silence about it is never an end. Both sides agree by the field Relay-Framing: an earlier relay states nothing, so an answer without a length by way of it counts as cut (framed ones as before), and an earlier asker gets the bytes as they are, with the fault as it was. A relayed connection is no longer kept for later calls, as the interface says.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -34,21 +34,6 @@
     // can't keep.
     constexpr std::size_t manyChanges = 1'000;
 
-    std::string_view text(net::RelayedEnd end)
-    {
-        switch (end) {
-        case net::RelayedEnd::serverClosed:
-            return "endpointClosed";
-        case net::RelayedEnd::serverLost:
-            return "endpointLost";
-        case net::RelayedEnd::clientLeft:
-            return "instanceLeft";
-        case net::RelayedEnd::expired:
-            break;
-        }
-        return "expired";
-    }
-
     bool contains(const std::vector<std::string>& list, const std::string& wanted)
     {
         return std::find(list.begin(), list.end(), wanted) != list.end();
--- a/packages/net/include/whinyard/net/ConnectRelay.h
+++ b/packages/net/include/whinyard/net/ConnectRelay.h
@@ -1,6 +1,9 @@
 // Makes connections for other processes to servers that they can't reach themselves, and passes bytes on in both directions: an
 // HTTP proxy that knows the method CONNECT alone (RFC 9110, 9.3.6).
 //
+// A client that asks for it gets the server's bytes in frames, the last of which states what has ended them: without that the end of
+// the relaying process looks like the end of an answer that has no length.
+//
 // An instance that has lost its way to an endpoint connects by way of another instance's relay; see HttpCallOptions::relay.
 #pragma once
 
@@ -8,10 +11,10 @@
 #include "whinyard/net/Address.h"
 #include "whinyard/net/Duty.h"
 #include "whinyard/net/HttpMessage.h"
+#include "whinyard/net/RelayedEnd.h"
 
 #include <chrono>
 #include <cstddef>
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -36,14 +39,6 @@
 // Returns where to connect; nothing declines. Called on the duty's thread.
 using RelayGate = std::function<std::optional<Address>(const RelayedConnect&)>;
 
-// What has ended a relayed connection.
-enum class RelayedEnd : std::uint8_t {
-    serverClosed, // The server, by a proper close.
-    serverLost, // The server's connection, in any other way.
-    clientLeft,
-    expired, // ConnectRelayLimits::lifetime.
-};
-
 struct RelayedResult {
     RelayedEnd end = RelayedEnd::serverLost;
     std::size_t answerBytes = 0; // That the server has sent.
--- a/packages/net/include/whinyard/net/HttpClient.h
+++ b/packages/net/include/whinyard/net/HttpClient.h
@@ -8,6 +8,7 @@
 #include "whinyard/net/Address.h"
 #include "whinyard/net/Duty.h"
 #include "whinyard/net/HttpMessage.h"
+#include "whinyard/net/RelayedEnd.h"
 
 #include <chrono>
 #include <cstddef>
@@ -93,6 +94,10 @@
     // ends amid the answer may bring about as well.
     virtual bool endsWithConnection() const { return false; }
 
+    // Returns what the relay has stated of the end of the server's connection; nothing where it hasn't, or there is no relay. An answer
+    // that ends with its connection has come to its proper end only where that is `serverClosed`.
+    virtual std::optional<RelayedEnd> relayedEnd() const { return std::nullopt; }
+
     // Bounds the wait of each further read() in place of HttpCallOptions::pieceTimeout.
     virtual void usePieceTimeout(std::chrono::milliseconds timeout) { static_cast<void>(timeout); }
 
--- a/packages/net/src/ConnectRelay.cpp
+++ b/packages/net/src/ConnectRelay.cpp
@@ -2,6 +2,7 @@
 
 #include "internal/BeastMessage.h"
 #include "internal/Endpoint.h"
+#include "internal/RelayFraming.h"
 #include "internal/TcpServer.h"
 
 #include <boost/asio.hpp>
@@ -34,16 +35,19 @@
         std::size_t count = 0;
     };
 
-    // Passes on what comes until one of the connections ends.
-    PassedBytes passOn(FiberSocket& from, FiberSocket& to)
+    // Passes on what comes until one of the connections ends, in frames or as it is.
+    PassedBytes passOn(FiberSocket& from, FiberSocket& to, bool isFramed)
     {
         std::array<char, pieceBytes> bytes;
         PassedBytes passed;
         while (!passed.readError && !passed.writeError) {
             const std::size_t size = from.read_some(asio::buffer(bytes), passed.readError);
             passed.count += size;
-            if (size > 0)
-                asio::write(to, asio::buffer(bytes.data(), size), passed.writeError);
+            if (size == 0)
+                continue;
+            const std::string head = isFramed ? internal::dataFrameHead(size) : std::string();
+            const std::array<asio::const_buffer, 2> frame { asio::buffer(head), asio::buffer(bytes.data(), size) };
+            asio::write(to, frame, passed.writeError);
         }
         return passed;
     }
@@ -101,6 +105,7 @@
             if (!server)
                 return http::status::bad_request;
             const std::optional<tcp::endpoint> from = m_client.peer();
+            m_isFramed = request.get()[internal::relayFramingField] == internal::relayFramingValue;
             if (!from)
                 return http::status::service_unavailable;
             m_connect = { internal::toAddress(*from), *server, internal::plainFields(request.get()) };
@@ -121,6 +126,8 @@
             constexpr unsigned version11 = 11;
             const bool isOpen = status == http::status::ok;
             http::response<http::empty_body> head(status, version11);
+            if (isOpen && m_isFramed)
+                head.set(internal::relayFramingField, internal::relayFramingValue);
             if (!isOpen)
                 head.set(http::field::connection, "close");
             error_code error;
@@ -132,7 +139,7 @@
         // A client that closes has given the call up: the server is to know at once.
         void passRequest()
         {
-            passOn(m_client, m_server);
+            passOn(m_client, m_server, false);
             m_server.close();
             m_requestPassed = true;
             m_requestEnd.notify();
@@ -140,17 +147,24 @@
 
         RelayedResult passAnswer()
         {
-            const PassedBytes answer = passOn(m_server, m_client);
+            const PassedBytes answer = passOn(m_server, m_client, m_isFramed);
             const RelayedEnd end = endOf(answer);
-            if (end == RelayedEnd::serverClosed) {
-                m_client.shutdownSend();
-                m_client.expireAfter(lastClose);
-            } else {
+            if (end == RelayedEnd::serverClosed || (m_isFramed && end != RelayedEnd::clientLeft))
+                close(end);
+            else
                 m_client.reset(); // A cut answer must not look like one that has ended.
-            }
             return { end, answer.count };
         }
 
+        void close(RelayedEnd end)
+        {
+            m_client.expireAfter(lastClose);
+            error_code ignored; // Without the last frame the client takes the answer for cut.
+            if (m_isFramed)
+                asio::write(m_client, asio::buffer(internal::endFrame(end)), ignored);
+            m_client.shutdownSend();
+        }
+
         FiberSocket& m_client;
         FiberSocket m_server;
         const ConnectRelayLimits& m_limits;
@@ -158,6 +172,7 @@
         const RelayObserver& m_ended;
         RelayedConnect m_connect;
         Signal m_requestEnd;
+        bool m_isFramed = false;
         bool m_requestPassed = false;
     };
 
--- a/packages/net/src/internal/ConnectionPool.cpp
+++ b/packages/net/src/internal/ConnectionPool.cpp
@@ -42,15 +42,35 @@
         http::request<http::empty_body> request(http::verb::connect, toText(address), version11);
         addFields(request, fields);
         request.set(http::field::host, toText(address));
+        request.set(relayFramingField, relayFramingValue);
         http::write(connection.socket, request, error);
         if (error)
             return ConnectOutcome::relayUnreachable;
         http::response_parser<http::empty_body> answer;
         answer.skip(true);
         http::read_header(connection.socket, connection.buffer, answer, error);
+        if (!error && answer.get()[relayFramingField] == relayFramingValue)
+            connection.frames = std::make_shared<RelayFrameReader>();
         return error ? ConnectOutcome::relayUnreachable : outcomeOf(answer.get().result());
     }
 
+    // Has the end of the server's bytes count as proper only where the relay has stated it.
+    void awaitStatedEnd(ClientConnection& connection)
+    {
+        connection.isRelayed = true;
+        if (!connection.frames) {
+            connection.socket.filterReads(std::make_shared<UnstatedEndReader>());
+            return;
+        }
+        connection.socket.filterReads(connection.frames);
+        // Frames may have arrived with the relay's answer.
+        std::string early = boost::beast::buffers_to_string(connection.buffer.data());
+        connection.buffer.clear();
+        error_code ignored; // Shows again in the next read.
+        early.resize(connection.frames->filter(early.data(), early.size(), ignored));
+        connection.buffer.commit(asio::buffer_copy(connection.buffer.prepare(early.size()), asio::buffer(early)));
+    }
+
 }
 
 std::unique_ptr<ClientConnection> ConnectionPool::takeKept(const Address& address)
@@ -101,6 +121,7 @@
     error_code error;
     outcome = askRelay(*connection, fields, address, error);
     if (outcome == ConnectOutcome::connected) {
+        awaitStatedEnd(*connection);
         connection->socket.resetBytesWritten(); // What the relay was told hasn't reached the server.
         return connection;
     }
@@ -114,7 +135,7 @@
 {
     const SteadyTime now = SystemClock().now();
     dropOld(now);
-    if (connection->requestCut)
+    if (connection->requestCut || connection->isRelayed)
         return;
     Kept& kept = m_kept[address];
     if (kept.size() >= maximumKept)
--- a/packages/net/src/internal/ConnectionPool.h
+++ b/packages/net/src/internal/ConnectionPool.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "internal/FiberSocket.h"
+#include "internal/RelayFraming.h"
 #include "whinyard/base/Error.h"
 #include "whinyard/net/Address.h"
 #include "whinyard/net/Duty.h"
@@ -32,6 +33,8 @@
     boost::beast::flat_buffer buffer { mostReadAhead };
     bool reused = false;
     bool requestCut = false; // The server answered before it took the whole request: the rest can't be sent any more.
+    bool isRelayed = false;
+    std::shared_ptr<RelayFrameReader> frames; // Where a relay passes the server's bytes on in frames.
     SteadyTime idleSince;
 };
 
--- a/packages/net/src/internal/FiberSocket.cpp
+++ b/packages/net/src/internal/FiberSocket.cpp
@@ -141,8 +141,21 @@
     return size;
 }
 
-// The event loop tries the read once more by itself, and without a system call where it knows that nothing is there.
 std::size_t FiberSocket::read(asio::mutable_buffer buffer, error_code& error)
+{
+    if (!m_filter)
+        return readUnfiltered(buffer, error);
+    std::size_t size = 0;
+    error = {};
+    while (size == 0 && !error && !m_filter->isAtEnd(error)) {
+        size = readUnfiltered(buffer, error);
+        size = m_filter->filter(static_cast<char*>(buffer.data()), size, error);
+    }
+    return size;
+}
+
+// The event loop tries the read once more by itself, and without a system call where it knows that nothing is there.
+std::size_t FiberSocket::readUnfiltered(asio::mutable_buffer buffer, error_code& error)
 {
     std::size_t size = 0;
     error = asio::error::would_block;
@@ -161,7 +174,7 @@
 {
     const std::size_t size = m_core->socket.read_some(buffer, error);
     carriedOnThread.received += size;
-    return size;
+    return m_filter ? m_filter->filter(static_cast<char*>(buffer.data()), size, error) : size;
 }
 
 void FiberSocket::countWritten(std::size_t size)
--- a/packages/net/src/internal/FiberSocket.h
+++ b/packages/net/src/internal/FiberSocket.h
@@ -5,6 +5,7 @@
 // work on it.
 #pragma once
 
+#include "internal/ReadFilter.h"
 #include "whinyard/base/Clock.h"
 
 #include <boost/asio/io_context.hpp>
@@ -73,6 +74,9 @@
         return size;
     }
 
+    // Has all that is read from now on pass through `filter`.
+    void filterReads(std::shared_ptr<ReadFilter> filter) { m_filter = std::move(filter); }
+
     // Reads what has arrived; would_block when there is nothing.
     std::size_t readNow(boost::asio::mutable_buffer buffer, boost::system::error_code& error);
 
@@ -142,6 +146,7 @@
     };
 
     std::size_t read(boost::asio::mutable_buffer buffer, boost::system::error_code& error);
+    std::size_t readUnfiltered(boost::asio::mutable_buffer buffer, boost::system::error_code& error);
 
     void countWritten(std::size_t size);
 
@@ -159,6 +164,7 @@
     std::size_t await(boost::system::error_code& error, Start start);
 
     std::shared_ptr<Core> m_core;
+    std::shared_ptr<ReadFilter> m_filter;
     std::size_t m_bytesWritten = 0;
     int m_callsWithoutWait = 0;
     bool m_moreExpected = false; // The last read filled its buffer.
--- a/packages/net/src/internal/HttpStreamImpl.cpp
+++ b/packages/net/src/internal/HttpStreamImpl.cpp
@@ -25,6 +25,7 @@
     : m_pool(std::move(pool))
     , m_address(std::move(address))
     , m_connection(std::move(connection))
+    , m_frames(m_connection->frames)
     , m_parser(std::move(parser))
     , m_pieceTimeout(pieceTimeout)
 {
--- a/packages/net/src/internal/HttpStreamImpl.h
+++ b/packages/net/src/internal/HttpStreamImpl.h
@@ -25,6 +25,7 @@
     const HttpResponse& head() const override { return m_head; }
     std::optional<std::string> read(Failure& failure) override;
     bool endsWithConnection() const override { return m_endsWithConnection; }
+    std::optional<RelayedEnd> relayedEnd() const override { return m_frames ? m_frames->statedEnd() : std::nullopt; }
     void usePieceTimeout(std::chrono::milliseconds timeout) override { m_pieceTimeout = timeout; }
     void cancel() override;
 
@@ -39,6 +40,7 @@
     const std::shared_ptr<ConnectionPool> m_pool;
     const Address m_address;
     std::unique_ptr<ClientConnection> m_connection;
+    const std::shared_ptr<RelayFrameReader> m_frames; // Outlives the connection.
     std::unique_ptr<StreamParser> m_parser;
     std::chrono::milliseconds m_pieceTimeout;
     HttpResponse m_head;
--- a/packages/net/test/ConnectRelayTest.cpp
+++ b/packages/net/test/ConnectRelayTest.cpp
@@ -42,6 +42,37 @@
             });
         }
 
+        // Opens a relay with other limits in place of the first.
+        void openRelay(const ConnectRelayLimits& limits)
+        {
+            runOn(m_duty, [&] {
+                Failure failure;
+                m_relay = ConnectRelay::open(
+                    m_duty, { "127.0.0.1", 0 }, limits, [](const RelayedConnect& connect) { return std::optional(connect.server); },
+                    [this](const RelayedConnect&, const RelayedResult& result) { m_results.push_back(result); }, failure);
+                m_options.relay = m_relay->address();
+            });
+        }
+
+        // Has the server send `bytes`, and then runs `next`. Returns the answer's body; nothing where it counts as cut.
+        std::optional<std::string> answerTo(std::string_view bytes, const std::function<void(RawConnection&)>& next)
+        {
+            call([&] {
+                RawConnection server(m_acceptor);
+                server.readUntil("body");
+                server.write(bytes);
+                next(server);
+            });
+            return m_response ? std::optional(m_response->body) : std::nullopt;
+        }
+
+        // Ends the relay's connections as the system does for a process that is killed.
+        void killRelay()
+        {
+            std::this_thread::sleep_for(milliseconds(50)); // What was sent is on its way to the client.
+            runOn(m_duty, [this] { m_relay->close(); });
+        }
+
         // Makes a call on the duty while `serve` plays the server on this thread.
         void call(const std::function<void()>& serve)
         {
@@ -162,6 +193,114 @@
         EXPECT_FALSE(m_response);
     }
 
+    // Guards against half of an answer without a length that is told as whole, as the death of the relay looks like the server's close.
+    TEST_F(ConnectRelayTest, TakesAnAnswerForCutWhereTheRelayIsKilled)
+    {
+        EXPECT_EQ(answerTo("HTTP/1.1 200 OK\r\n\r\nhalf of it", [this](RawConnection&) { killRelay(); }), std::nullopt);
+        EXPECT_EQ(m_failure.kind, ErrorKind::endpointFailed);
+        EXPECT_EQ(m_failure.runState, RunState::unknown);
+    }
+
+    // Guards against the same where the answer is a failure, or a stream that ends between two of its events.
+    TEST_F(ConnectRelayTest, TakesFailuresAndStreamsForCutWhereTheRelayIsKilled)
+    {
+        for (const char* half : { "HTTP/1.1 503 Full\r\n\r\nhalf of it", "HTTP/1.0 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n" }) {
+            EXPECT_EQ(answerTo(half, [this](RawConnection&) { killRelay(); }), std::nullopt) << half;
+            openRelay({});
+        }
+    }
+
+    // Guards against the same where a relay that stops has no time left for its connections.
+    TEST_F(ConnectRelayTest, TakesAnAnswerForCutWhereTheRelayStops)
+    {
+        const auto stop = [this](RawConnection&) {
+            runOn(m_duty, [this] { m_relay->drain(); });
+            killRelay();
+        };
+        EXPECT_EQ(answerTo("HTTP/1.1 200 OK\r\n\r\nhalf of it", stop), std::nullopt);
+    }
+
+    // Guards against the same where a relayed connection has lasted for as long as it may.
+    TEST_F(ConnectRelayTest, TakesAnAnswerForCutWhereItsConnectionExpires)
+    {
+        openRelay({ .lifetime = milliseconds(100) });
+        EXPECT_EQ(answerTo("HTTP/1.1 200 OK\r\n\r\nhalf of it", [](RawConnection& server) { server.readAll(); }), std::nullopt);
+        ASSERT_EQ(m_results.size(), 1U);
+        EXPECT_EQ(m_results[0].end, RelayedEnd::expired);
+    }
+
+    // Guards against whole answers that count as cut.
+    TEST_F(ConnectRelayTest, TakesAnAnswerForWholeWhereTheServerCloses)
+    {
+        const std::string large(200'000, 'x');
+        for (const std::string& body : { std::string(), std::string("whole"), large })
+            EXPECT_EQ(answerTo("HTTP/1.1 200 OK\r\n\r\n" + body, [](RawConnection&) {}), body);
+        EXPECT_EQ(answerTo("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", [this](RawConnection&) { killRelay(); }), "whole") << "it states its end itself";
+    }
+
+    // Guards against half an answer told as whole while the relay is of a release that states no ends, and against such relays of no use.
+    TEST_F(ConnectRelayTest, TrustsNoCloseOfARelayWithoutFrames)
+    {
+        boost::asio::ip::tcp::acceptor earlier(m_loop, { boost::asio::ip::address_v4::loopback(), 0 });
+        m_options.relay = { "127.0.0.1", earlier.local_endpoint().port() };
+        const auto answer = [&](std::string_view bytes) {
+            m_response.reset();
+            call([&] {
+                RawConnection relay(earlier);
+                relay.readUntil("\r\n\r\n");
+                relay.write("HTTP/1.1 200 OK\r\n\r\n");
+                relay.readUntil("body");
+                relay.write(bytes);
+            });
+            return m_response ? m_response->body : "cut";
+        };
+        EXPECT_EQ(answer("HTTP/1.1 200 OK\r\n\r\nall of it"), "cut");
+        EXPECT_EQ(answer("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall of it"), "all of it");
+        EXPECT_EQ(answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nall\r\n0\r\n\r\n"), "all");
+    }
+
+    // Guards against frames that a client of an earlier release takes for the server's bytes.
+    TEST_F(ConnectRelayTest, UsesNoFramesForAClientThatDoesNotAskForThem)
+    {
+        RawConnection client(*m_options.relay);
+        client.write("CONNECT " + toText(m_server) + " HTTP/1.1\r\nHost: x\r\n\r\n");
+        EXPECT_EQ(client.readUntil("\r\n\r\n"), "HTTP/1.1 200 OK\r\n\r\n");
+        client.write("request");
+        RawConnection server(m_acceptor);
+        server.readUntil("request");
+        server.write("answer");
+        server.close();
+        EXPECT_EQ(client.readAll(), "answer");
+    }
+
+    // Guards against a request that runs with a part of its body, as the relay is killed while it passes that on.
+    TEST_F(ConnectRelayTest, NeverEndsARequestWithItsConnection)
+    {
+        for (const std::string& head : { std::string("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n"), std::string("POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n") }) {
+            openRelay({});
+            RawConnection client(*m_options.relay);
+            client.write("CONNECT " + toText(m_server) + " HTTP/1.1\r\nHost: x\r\n\r\n");
+            client.readUntil("\r\n\r\n");
+            client.write(head + "half");
+            RawConnection server(m_acceptor);
+            EXPECT_EQ(server.readUntil("half"), head + "half");
+            killRelay();
+            EXPECT_EQ(server.readAll(), "") << "the server knows that five bytes are missing";
+        }
+    }
+
+    // Guards against a later call that takes a relayed connection for its own to the server.
+    TEST_F(ConnectRelayTest, KeepsNoRelayedConnection)
+    {
+        call([&] {
+            RawConnection server(m_acceptor);
+            server.readUntil("body");
+            server.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            EXPECT_EQ(server.readAll(), "");
+        });
+        EXPECT_TRUE(m_response);
+    }
+
     // Guards against cut answers of which nobody can tell whether the server or the relay has ended them.
     TEST_F(ConnectRelayTest, TellsWhatHasEndedEachConnection)
     {
--- a/packages/router/src/internal/ForwardAttempt.cpp
+++ b/packages/router/src/internal/ForwardAttempt.cpp
@@ -249,8 +249,10 @@
     const std::string endsWith = endsWithConnection() ? "connection" : "itself";
     const std::string seen = m_connectionLost ? "lost" : m_isAtEnd ? "whole"
                                                                    : "left";
-    log::info("relayed answer ended", { { "request", m_request.id }, { "endpoint", m_target.endpoint.name.value }, { "by", m_relay->value }, { "endsWith", endsWith }, { "seen", seen }, { "bytes", std::to_string(m_bodyBytes) } });
-    m_core.parts.metrics.add("whinyard_relayed_answers_total{endsWith=\"" + endsWith + "\",seen=\"" + seen + "\"}");
+    const std::optional<net::RelayedEnd> end = m_stream->relayedEnd();
+    const std::string stated(end ? text(*end) : "none");
+    log::info("relayed answer ended", { { "request", m_request.id }, { "endpoint", m_target.endpoint.name.value }, { "by", m_relay->value }, { "endsWith", endsWith }, { "stated", stated }, { "seen", seen }, { "bytes", std::to_string(m_bodyBytes) } });
+    m_core.parts.metrics.add("whinyard_relayed_answers_total{endsWith=\"" + endsWith + "\",stated=\"" + stated + "\",seen=\"" + seen + "\"}");
 }
 
 void ForwardAttempt::loseConnection(std::string reason)
