Ask the relay whether an endpoint still listens whose close has ended an answer

What callers would see: half of an answer without a length as a whole one, where the endpoint's process dies amid it behind a sound relay. The dying process closes its connection, the relay truly states that, and the asking instance didn't ask further: on its own path it asks whether anybody listens at the address (hasEndedWithEndpoint), but not for a relayed attempt. Failures (keepFailure), whole answers and streams that end between two events share the check.

Now the relay of the attempt is asked to connect once more. The answer is whole only if it finds somebody listening: the instance has no other word of that endpoint. No answer of the relay counts as a cut, since an idempotent request can be repeated and the other's caller is told the truth (502, may have run).

Cost: a connection more to the endpoint for each relayed answer that has neither length nor chunks, and none for others.

--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -135,13 +135,15 @@
 }
 
 // The close of a connection is the end of an answer that states none, and also what an endpoint leaves behind that ends amid it.
-// Nobody listening there, or a stream without any event, tells the second from the first.
+// Nobody listening there, or a stream without any event, tells the second from the first. Of an endpoint behind a relay nothing else is
+// known, so the relay has to find somebody listening.
 bool ForwardRun::hasEndedWithEndpoint(ForwardAttempt& attempt)
 {
     if (!attempt.endsWithConnection())
         return false;
     const bool isEmptyStream = streams() && m_events == 0 && !m_lastEvent;
-    if (isEmptyStream || (!attempt.isRelayed() && m_guard.listens(attempt.target().endpoint.address) == net::Listening::no))
+    const bool mayListen = attempt.isRelayed() ? inquireByRelay(attempt) == net::Listening::yes : m_guard.listens(attempt.target().endpoint.address) != net::Listening::no;
+    if (isEmptyStream || !mayListen)
         attempt.loseConnection("the endpoint ended amid an answer without a length");
     return attempt.connectionLost();
 }
--- a/packages/router/test/ForwarderRelayTest.cpp
+++ b/packages/router/test/ForwarderRelayTest.cpp
@@ -126,6 +126,55 @@
         EXPECT_EQ(m_bench.client.requests.size(), 1U);
     }
 
+    // Guards against half of an answer told as whole: the relay passes the close on that a dying endpoint leaves behind.
+    TEST_F(ForwarderRelayTest, TakesAnAnswerForCutWhoseEndpointHasEndedBehindTheRelay)
+    {
+        m_bench.useRoute(config::RequestKind::nonIdempotent);
+        losePath();
+        m_bench.listening.answerByRelay = net::Listening::no;
+        m_bench.answer(200, { "half" }).endsWithConnection = true;
+        EXPECT_EQ(m_bench.send().response.status, 502) << "it may have run";
+        m_bench.answer(503, { "half" }).endsWithConnection = true;
+        EXPECT_EQ(m_bench.send().response.status, 502) << "and half of a failure isn't the endpoint's own either";
+        EXPECT_EQ(m_bench.client.requests.size(), 2U);
+        EXPECT_EQ(m_bench.listening.asked, 0) << "the own path says nothing of the endpoint";
+        EXPECT_EQ(m_bench.metrics.counter("whinyard_relayed_answers_total{endsWith=\"connection\",stated=\"none\",seen=\"lost\"}"), 2U);
+    }
+
+    TEST_F(ForwarderRelayTest, RepeatsAnIdempotentRequestWhoseAnswerMayBeCutBehindTheRelay)
+    {
+        losePath();
+        for (const net::Listening found : { net::Listening::no, net::Listening::unknown }) {
+            m_bench.listening.answerByRelay = found;
+            m_bench.answer(200, { "half" }).endsWithConnection = true;
+            m_bench.answer(200, { "whole" });
+            EXPECT_EQ(m_bench.send().response.body, "whole");
+        }
+        EXPECT_EQ(m_bench.client.requests.size(), 4U);
+    }
+
+    TEST_F(ForwarderRelayTest, TellsAnAnswerAsWholeWhoseEndpointTheRelayFindsListening)
+    {
+        losePath();
+        m_bench.listening.answerByRelay = net::Listening::yes;
+        m_bench.answer(200, { "whole" }).endsWithConnection = true;
+        EXPECT_EQ(m_bench.send().response.body, "whole");
+        EXPECT_EQ(m_bench.client.requests.size(), 1U);
+    }
+
+    // Guards against a stream that looks complete, as its endpoint behind the relay has ended between two of its events.
+    TEST_F(ForwarderRelayTest, GoesOnWithAStreamWhoseEndpointHasEndedBehindTheRelay)
+    {
+        losePath();
+        m_bench.useRoute(config::RequestKind::streaming, true);
+        m_bench.listening.answerByRelay = net::Listening::no;
+        m_bench.answer(200, { "id: 1\ndata: x\n\n" }).endsWithConnection = true;
+        m_bench.answer(200, { "id: 2\ndata: x\n\n" });
+        const FakeResponder caller = m_bench.send();
+        EXPECT_EQ(caller.response.body, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+        EXPECT_TRUE(caller.ended);
+    }
+
     // Guards against a stream that hangs for as long as a silent engine may, though its path is known to be lost.
     TEST_F(ForwarderRelayTest, TakesAStreamOffALostPathAtOnce)
     {
