Take no close for the end of a record, of another instance's list or of a dying service's answer

What callers would see: half of a plain service's answer told, kept under its key and billed as whole by the product's own daemon, where the service's process dies amid an answer without a length; half of a record or list taken for all of it where the store or another instance dies. The cause is the same: the client reads up to the close and calls that the end, whoever closed.

Answers of the store, of the platform's interface and of other instances have an end of their own; one without a length or chunks is a lost call now (HttpCallOptions::needsStatedEnd). A plain service may end with its connection, so its address is asked as on the platform's path.

Before (the checks taken out of the same tree): RouterServiceTest.TakesAnAnswerWithoutALengthForCutWhereItsEndpointHasEnded and HttpClientTest.RefusesAnAnswerWithoutAnEndOfItsOwnWhereOneIsNeeded fail; both pass with them, and JsonCallsTest holds that the store's client asks for it.

--- a/apps/whinyardd/entry/PeerExchange.cpp
+++ b/apps/whinyardd/entry/PeerExchange.cpp
@@ -30,6 +30,7 @@
         options.pieceTimeout = pauseTimeout;
         options.freshConnection = true; // A kept one may have gone silent, and reads are rare.
         options.lastRequest = true;
+        options.needsStatedEnd = true;
         options.bodyLimit = largestAnswer;
         return options;
     }
--- a/packages/backing/src/JsonCalls.cpp
+++ b/packages/backing/src/JsonCalls.cpp
@@ -119,6 +119,7 @@
         .freshConnection = m_options.freshConnections,
         .lastRequest = m_options.freshConnections,
         .findsDeadPeer = true,
+        .needsStatedEnd = true,
         .bodyLimit = largestReply,
     };
 }
--- a/packages/backing/test/JsonCallsTest.cpp
+++ b/packages/backing/test/JsonCallsTest.cpp
@@ -101,6 +101,7 @@
         EXPECT_EQ(m_client.options.timeout, 300ms) << "until the head";
         EXPECT_EQ(m_client.options.pieceTimeout, 200ms);
         EXPECT_TRUE(m_client.options.findsDeadPeer) << "a watch waits for long";
+        EXPECT_TRUE(m_client.options.needsStatedEnd) << "a close may be the end of the store";
     }
 
 }
--- a/packages/endpoint/include/whinyard/endpoint/Attempt.h
+++ b/packages/endpoint/include/whinyard/endpoint/Attempt.h
@@ -37,6 +37,7 @@
     bool answerStarted = false;
     bool answeredWhole = false;
     bool refusedAsLeaving = false;
+    bool endsWithConnection = false; // The answer states no end; see net::HttpStream::endsWithConnection().
     std::optional<EndpointStatement> statement {}; // In the head of the answer; nothing without one.
 };
 
--- a/packages/endpoint/src/internal/Account.cpp
+++ b/packages/endpoint/src/internal/Account.cpp
@@ -12,6 +12,7 @@
 {
     account.bytesWritten = progress.bytesWritten;
     account.answerStarted = progress.responseStarted;
+    account.endsWithConnection = progress.endsWithConnection;
 }
 
 void noteStatement(const net::HttpResponse& head, AttemptAccount& account)
--- a/packages/net/include/whinyard/net/HttpClient.h
+++ b/packages/net/include/whinyard/net/HttpClient.h
@@ -51,6 +51,7 @@
     bool freshConnection = false; // Never reuse a connection: for calls that may not be repeated.
     bool lastRequest = false; // Asks the server to close after its answer, and closes.
     bool findsDeadPeer = false; // Ends the call some three seconds after its server or the way to it is gone, also while it waits.
+    bool needsStatedEnd = false; // Fails where the answer has neither a length nor chunks: its close may be the end of a process.
     std::size_t bodyLimit = 16 * 1024 * 1024;
     HttpCancellation* cancellation = nullptr; // Must outlive the call, for a stream until its head.
     // Where set, the relay at this address makes the connection, within `connectTimeout` for the whole way; see ConnectRelay.h.
@@ -75,6 +76,7 @@
     std::chrono::nanoseconds connectTime { 0 }; // Until that outcome.
     std::size_t bytesWritten = 0; // Bytes handed to a connected socket; zero proves that nothing arrived.
     bool responseStarted = false;
+    bool endsWithConnection = false; // The answer has neither a length nor chunks; see HttpStream::endsWithConnection().
 };
 
 // An answer that arrives in pieces. Destruction closes the connection unless the end was read, or has arrived with
@@ -115,7 +117,7 @@
 
     virtual ~HttpClient() = default;
 
-    // Makes a call and reads the whole answer. A failure's kind is peerUnreachable (no connection),
+    // Makes a call and reads the whole answer, up to the close of its connection where it states no end. A failure's kind is peerUnreachable (no connection),
     // deadlineExceeded, endpointFailed (connection lost) or bodyTooLarge.
     virtual std::optional<HttpResponse> call(const Address& address, const HttpRequest& request, const HttpCallOptions& options, HttpCallProgress& progress, Failure& failure) = 0;
 
--- a/packages/net/src/internal/HttpExchange.cpp
+++ b/packages/net/src/internal/HttpExchange.cpp
@@ -91,13 +91,22 @@
         error_code readError;
         if (m_progress.bytesWritten > 0 && readHead(parser, readError)) {
             m_progress.responseStarted = true;
-            return true;
+            return acceptsEnd(parser->need_eof(), failure);
         }
         failure = failureFor(error ? error : readError);
         return false;
     }
 }
 
+bool HttpExchange::acceptsEnd(bool endsWithConnection, Failure& failure)
+{
+    m_progress.endsWithConnection = endsWithConnection;
+    if (!endsWithConnection || !m_options.needsStatedEnd)
+        return true;
+    failure = Failure { ErrorKind::endpointFailed, "the answer of " + toText(m_address) + " has neither a length nor chunks", {}, RunState::unknown };
+    return false;
+}
+
 bool HttpExchange::takeConnection(Failure& failure)
 {
     m_connection = m_mayReuse ? m_pool.takeKept(m_address) : nullptr;
--- a/packages/net/src/internal/HttpExchange.h
+++ b/packages/net/src/internal/HttpExchange.h
@@ -37,6 +37,8 @@
     bool takeConnection(Failure& failure);
     bool isCancelled() const { return m_options.cancellation && m_options.cancellation->cancelled(); }
     bool send(boost::system::error_code& error);
+    // Returns whether the answer, whose head was read, may end as it does.
+    bool acceptsEnd(bool endsWithConnection, Failure& failure);
     template <typename Body>
     bool readHead(std::unique_ptr<boost::beast::http::response_parser<Body>>& parser, boost::system::error_code& error);
 
--- a/packages/net/test/HttpClientTest.cpp
+++ b/packages/net/test/HttpClientTest.cpp
@@ -223,6 +223,31 @@
         EXPECT_EQ(readAll("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nwhole\r\n"), std::nullopt);
     }
 
+    // Guards against half a record of the store, or half a list of another instance, that is read as whole where its process is killed.
+    TEST_F(HttpClientTest, RefusesAnAnswerWithoutAnEndOfItsOwnWhereOneIsNeeded)
+    {
+        const auto answer = [&](std::string_view bytes) {
+            response.reset();
+            std::thread caller([&] {
+                runOn(duty, [&] { response = client->call(address, {}, { .freshConnection = true, .needsStatedEnd = true }, progress, failure); });
+            });
+            {
+                RawConnection server(acceptor);
+                server.readUntil("\r\n\r\n");
+                server.write(bytes);
+            }
+            caller.join();
+            return response.has_value();
+        };
+        EXPECT_FALSE(answer("HTTP/1.1 200 OK\r\n\r\n12"));
+        EXPECT_EQ(failure.kind, ErrorKind::endpointFailed);
+        EXPECT_EQ(failure.runState, RunState::unknown);
+        EXPECT_FALSE(answer("HTTP/1.0 200 OK\r\n\r\n12"));
+        EXPECT_TRUE(answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n12"));
+        EXPECT_TRUE(answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n12\r\n0\r\n\r\n"));
+        EXPECT_TRUE(answer("HTTP/1.1 204 No Content\r\n\r\n"));
+    }
+
     TEST_F(HttpClientTest, CancelEndsAReadThatWaits)
     {
         std::optional<RawConnection> server;
--- a/packages/router/src/internal/ServiceDispatch.cpp
+++ b/packages/router/src/internal/ServiceDispatch.cpp
@@ -92,6 +92,11 @@
     EndpointUse use(m_context.core.parts.directory, m_context.core.parts.clock, chosen->name, {});
     endpoint::AttemptAccount account;
     std::optional<net::HttpResponse> response = m_context.core.parts.services.call(call, account, failure);
+    if (response && account.endsWithConnection && m_context.guard->listens(chosen->address) == net::Listening::no) {
+        response.reset();
+        account.answeredWhole = false;
+        failure = { .kind = ErrorKind::endpointFailed, .reason = "the endpoint ended amid an answer without a length", .runState = RunState::unknown };
+    }
     m_context.accounts.back() = account;
     if (account.statement)
         use.takeStatement(*account.statement);
--- a/packages/router/test/RouterServiceTest.cpp
+++ b/packages/router/test/RouterServiceTest.cpp
@@ -48,6 +48,18 @@
         EXPECT_TRUE(bench.usage.lines.empty()) << "the line stands in the intent's record";
     }
 
+    // Guards against half of an answer told, kept and billed as whole: a dying endpoint closes like one that has sent all of it.
+    TEST(RouterServiceTest, TakesAnAnswerWithoutALengthForCutWhereItsEndpointHasEnded)
+    {
+        for (const net::Listening listening : { net::Listening::no, net::Listening::yes }) {
+            RouterBench bench;
+            bench.listening.answer = listening;
+            bench.services.turns = { answered() };
+            bench.services.turns[0].account.endsWithConnection = true;
+            EXPECT_EQ(bench.callService("match", "k1").response.status == 200, listening == net::Listening::yes);
+        }
+    }
+
     TEST(RouterServiceTest, NeverDispatchesACallThatTheLedgerDidNotGrant)
     {
         struct Case {
