Refuse requests and answers whose end can't be told

Cause: the parser takes such a head for one without a body, and nobody else looked at the field (RFC 9112, 6.1 and 6.3). Evidence: the first request ran with 0 bytes, the second began at the byte after its head.

framingFault() is asked once where a head is complete, for all servers and for the client: only chunks alone are understood. A request is refused with 400, or 501 for something unknown before chunks, and its connection closed before anything of it runs; an answer is a failure of its endpoint. A request to connect by way of a relay has no body. Nothing of such a message is left to be read as another one.

The cost of the check wasn't measured: a look-up in the fields, and nothing more where there is no such field.

--- a/packages/net/src/ConnectRelay.cpp
+++ b/packages/net/src/ConnectRelay.cpp
@@ -100,6 +100,9 @@
                 return http::status::bad_request;
             if (request.get().method() != http::verb::connect)
                 return http::status::method_not_allowed;
+            // What follows the head belongs to the server, and a body to nobody.
+            if (request.get().find(http::field::transfer_encoding) != request.get().end() || request.get().find(http::field::content_length) != request.get().end())
+                return http::status::bad_request;
             Failure failure;
             const std::optional<Address> server = parseAddress(std::string_view(request.get().target()), failure);
             if (!server)
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "internal/BeastMessage.h"
 #include "internal/HttpResponderImpl.h"
+#include "internal/MessageFraming.h"
 #include "internal/TcpServer.h"
 
 #include <boost/beast/core.hpp>
@@ -16,6 +17,7 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 using internal::FiberSocket;
+using internal::FramingFault;
 using internal::HttpResponderImpl;
 using internal::ServerConnection;
 using internal::TcpServer;
@@ -109,6 +111,9 @@
             parser.body_limit(m_limits.bodyBytes);
             m_connection.socket.expireAfter(m_limits.receiveTimeout);
             http::read_header(m_connection.socket, m_buffer, parser, error);
+            m_fault = error ? FramingFault::none : internal::framingFault(parser.get(), parser.get().version());
+            if (m_fault != FramingFault::none)
+                error = http::error::bad_transfer_encoding;
             if (error || parser.is_done())
                 return;
             if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
@@ -168,6 +173,8 @@
             HttpResponse response = errorResponse(*failure);
             if (error == http::error::header_limit)
                 response.status = static_cast<int>(http::status::request_header_fields_too_large);
+            if (m_fault == FramingFault::unknownCoding)
+                response.status = static_cast<int>(http::status::not_implemented);
             HttpResponderImpl responder(m_connection.socket, { .keepAlive = false, .sendTimeout = m_limits.sendTimeout, .mustClose = nullptr });
             if (responder.send(response))
                 linger(lingerTime);
@@ -190,6 +197,7 @@
         const HttpServerLimits& m_limits;
         const HttpHandler& m_handler;
         beast::flat_buffer m_buffer;
+        FramingFault m_fault = FramingFault::none; // Of the request that was read last.
     };
 
     class HttpServerImpl final : public internal::ServerOver<HttpServer> {
--- a/packages/net/src/internal/HttpExchange.cpp
+++ b/packages/net/src/internal/HttpExchange.cpp
@@ -1,6 +1,7 @@
 #include "internal/HttpExchange.h"
 
 #include "internal/BeastMessage.h"
+#include "internal/MessageFraming.h"
 
 #include <boost/beast/http.hpp>
 
@@ -158,6 +159,8 @@
         parser->skip(m_request.method == "HEAD");
         http::read_header(m_connection->socket, m_connection->buffer, *parser, error);
     } while (!error && http::to_status_class(parser->get().result_int()) == http::status_class::informational);
+    if (!error && framingFault(parser->get(), parser->get().version()) != FramingFault::none)
+        error = http::error::bad_transfer_encoding;
     return !error;
 }
 
--- a/packages/net/testing/whinyard/net/RawConnection.h
+++ b/packages/net/testing/whinyard/net/RawConnection.h
@@ -51,6 +51,13 @@
 
     void close() { m_socket.close(); }
 
+    // Closes the own direction; the peer may have gone.
+    void shutdownSend()
+    {
+        boost::system::error_code ignored;
+        m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+
     // Closes with a reset in place of a proper end.
     void reset()
     {
