Keep no connection on which bytes came behind the answer

What callers would see: another answer than their own. Where a server sends more bytes than its answer has, in the same packet, these stayed in the buffer of the kept connection and were read as the answer to the next request. Found by the table of framings for answers; no play shows it, and the path to endpoints uses a connection only once. Calls of the product's own daemon, of the store and of other instances keep theirs.

Cause: a kept connection is checked for bytes in its socket, not for those that were read ahead. It is dropped now where there are any. Before: HttpAnswerFramingTest.KeepsNoConnectionWithBytesBehindTheAnswer reads "stray"; after it "next".

--- a/packages/net/src/internal/ConnectionPool.cpp
+++ b/packages/net/src/internal/ConnectionPool.cpp
@@ -135,7 +135,8 @@
 {
     const SteadyTime now = SystemClock().now();
     dropOld(now);
-    if (connection->requestCut || connection->isRelayed)
+    // What came behind the answer isn't that of the next request.
+    if (connection->requestCut || connection->isRelayed || connection->buffer.size() > 0)
         return;
     Kept& kept = m_kept[address];
     if (kept.size() >= maximumKept)
--- a/packages/net/test/HttpFramingTest.cpp
+++ b/packages/net/test/HttpFramingTest.cpp
@@ -398,5 +398,37 @@
         }
     }
 
+    // Guards against bytes behind an answer that are read as the answer of the connection's next request.
+    TEST_F(HttpAnswerFramingTest, KeepsNoConnectionWithBytesBehindTheAnswer)
+    {
+        std::optional<HttpResponse> first;
+        std::optional<HttpResponse> second;
+        const auto call = [this](std::optional<HttpResponse>& response) {
+            runOn(m_duty, [&] {
+                HttpCallProgress progress;
+                response = m_client->call(m_address, {}, { .timeout = milliseconds(2'000) }, progress, m_failure);
+            });
+        };
+        std::thread caller([&] {
+            call(first);
+            call(second);
+        });
+        RawConnection server(m_acceptor);
+        server.readUntil("\r\n\r\n");
+        server.write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray");
+        std::thread next([&] {
+            RawConnection other(m_acceptor);
+            other.readUntil("\r\n\r\n");
+            other.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext");
+        });
+        caller.join();
+        RawConnection(m_address).write("\r\n\r\n"); // Ends the wait for a connection that was never made.
+        next.join();
+        ASSERT_TRUE(first);
+        EXPECT_EQ(first->body, "abc");
+        ASSERT_TRUE(second) << m_failure.reason;
+        EXPECT_EQ(second->body, "next");
+    }
+
 }
 }
