Tell an endpoint's endless answer as the endpoint's failure

What callers saw: 413 for an answer with a head over 64 KB or a body over 8 MB, as if they had sent too much; no client comes again after it.

Cause: one kind of error, bodyTooLarge, for what callers send and what endpoints answer; its one row is a status for callers. An answer over its limit fails as endpointFailed now: 502, which says that it may have run, sent again within the budget if it may be. It isn't taken for a lost connection, so it counts against the endpoint and its version, also by way of a relay.

Before: ForwarderVerdictTest.NeverRepeatsWhatMayHaveRunAndSaysSo and PromisesNotRunOnlyWhereItIsTrue fail on the code before with two new cases (a body and a failure with a body over the limit: 413, 502 expected). CountsAnAnswerOverItsLimitAgainstItsEndpoint is new with the fix and wasn't run before it. HttpClientTest's expectation of bodyTooLarge for an answer was this fault; it holds endpointFailed, an unknown run state and the flag now.

--- a/packages/endpoint/include/whinyard/endpoint/EventStream.h
+++ b/packages/endpoint/include/whinyard/endpoint/EventStream.h
@@ -27,7 +27,7 @@
 public:
     static constexpr std::size_t eventLimit = 1024 * 1024;
 
-    // Takes the next bytes. Returns false, with bodyTooLarge, when an event is over the limit.
+    // Takes the next bytes. Returns false, with endpointFailed, when an event is over the limit.
     bool feed(std::string_view bytes, Failure& failure);
 
     // Returns the next complete event, or nothing when more bytes are needed.
--- a/packages/endpoint/src/EventStream.cpp
+++ b/packages/endpoint/src/EventStream.cpp
@@ -18,7 +18,7 @@
         }
         m_line.push_back(byte);
         if (m_line.size() + m_event.data.size() > eventLimit) {
-            failure = { .kind = ErrorKind::bodyTooLarge, .reason = "an event of the stream is over its limit" };
+            failure = { .kind = ErrorKind::endpointFailed, .reason = "an event of the stream is over its limit" };
             return false;
         }
     }
--- a/packages/endpoint/testing/whinyard/endpoint/FakeHttpClient.h
+++ b/packages/endpoint/testing/whinyard/endpoint/FakeHttpClient.h
@@ -17,6 +17,7 @@
     bool connectionLost = false; // Without an answer, or after the last piece.
     net::HttpResponse head;
     std::vector<std::string> pieces;
+    bool answerOverLimit = false; // The connection was lost for it.
     bool endsWithConnection = false; // The answer has neither a length nor chunks.
     std::function<void()> onRead {}; // Runs before each piece is read, as if that took time.
     std::chrono::nanoseconds connectTime { 0 };
@@ -112,6 +113,7 @@
         progress.connect = exchange.connect.value_or(exchange.bytesWritten == 0 ? net::ConnectOutcome::refused : net::ConnectOutcome::connected);
         progress.connectTime = exchange.connectTime;
         progress.bytesWritten = exchange.bytesWritten;
+        progress.answerOverLimit = exchange.answerOverLimit;
         progress.responseStarted = !exchange.connectionLost || !exchange.pieces.empty();
         return exchange;
     }
--- a/packages/net/include/whinyard/net/HttpClient.h
+++ b/packages/net/include/whinyard/net/HttpClient.h
@@ -76,6 +76,7 @@
     std::chrono::nanoseconds connectTime { 0 }; // Until that outcome.
     std::size_t bytesWritten = 0; // Bytes handed to a connected socket; zero proves that nothing arrived.
     bool responseStarted = false;
+    bool answerOverLimit = false; // The answer's head or body was, and the call failed for it.
     bool endsWithConnection = false; // The answer has neither a length nor chunks; see HttpStream::endsWithConnection().
 };
 
@@ -118,7 +119,7 @@
     virtual ~HttpClient() = default;
 
     // Makes a call and reads the whole answer, up to the close of its connection where it states no end. A failure's kind is peerUnreachable (no connection),
-    // deadlineExceeded, endpointFailed (connection lost) or bodyTooLarge.
+    // deadlineExceeded or endpointFailed (connection lost, or an answer that can't be taken).
     virtual std::optional<HttpResponse> call(const Address& address, const HttpRequest& request, const HttpCallOptions& options, HttpCallProgress& progress, Failure& failure) = 0;
 
     // Makes a call and returns when the head of the answer is there; null with the reason else.
--- a/packages/net/src/internal/HttpExchange.cpp
+++ b/packages/net/src/internal/HttpExchange.cpp
@@ -164,7 +164,7 @@
     return !error;
 }
 
-Failure HttpExchange::failureFor(const error_code& error) const
+Failure HttpExchange::failureFor(const error_code& error)
 {
     Failure failure = exchangeFailure(error, m_address, m_progress.bytesWritten, ErrorKind::endpointFailed);
     if (isCancelled()) {
@@ -173,7 +173,7 @@
         return failure;
     }
     if (error == http::error::body_limit || error == http::error::header_limit) {
-        failure.kind = ErrorKind::bodyTooLarge;
+        m_progress.answerOverLimit = true;
         failure.reason = "the answer of " + toText(m_address) + " is over its limit";
     }
     return failure;
--- a/packages/net/src/internal/HttpExchange.h
+++ b/packages/net/src/internal/HttpExchange.h
@@ -31,7 +31,7 @@
     std::unique_ptr<ClientConnection> releaseConnection();
 
     // Returns the failure for `error` while this exchange ran.
-    Failure failureFor(const boost::system::error_code& error) const;
+    Failure failureFor(const boost::system::error_code& error);
 
 private:
     bool takeConnection(Failure& failure);
--- a/packages/net/test/HttpClientTest.cpp
+++ b/packages/net/test/HttpClientTest.cpp
@@ -144,7 +144,9 @@
         },
             { .bodyLimit = 10 });
         EXPECT_FALSE(response);
-        EXPECT_EQ(failure.kind, ErrorKind::bodyTooLarge);
+        EXPECT_EQ(failure.kind, ErrorKind::endpointFailed) << "the caller has sent nothing too large";
+        EXPECT_EQ(failure.runState, RunState::unknown);
+        EXPECT_TRUE(progress.answerOverLimit);
     }
 
     TEST_F(HttpClientTest, TakesAnEarlyAnswerAndRefusesBadTargets)
--- a/packages/net/test/HttpEndlessTest.cpp
+++ b/packages/net/test/HttpEndlessTest.cpp
@@ -80,6 +80,7 @@
         EXPECT_FALSE(response);
         EXPECT_LE(sent, bodyLimit + inSockets);
         EXPECT_NE(failure.runState, RunState::notRun);
+        EXPECT_EQ(failure.kind, ErrorKind::endpointFailed) << "no fault of the caller";
         EXPECT_NE(failure.kind, ErrorKind::deadlineExceeded) << "ended by its size, not by its time";
     }
 
--- a/packages/router/src/internal/ForwardAttempt.cpp
+++ b/packages/router/src/internal/ForwardAttempt.cpp
@@ -95,7 +95,7 @@
         callByRelays(head, patience - std::chrono::ceil<std::chrono::milliseconds>(now() - began), directBegan);
     if (m_stream)
         return judgeHead();
-    m_connectionLost = wasSent() && m_failure.kind == ErrorKind::endpointFailed;
+    m_connectionLost = wasSent() && m_failure.kind == ErrorKind::endpointFailed && !m_progress.answerOverLimit;
     return wasSent() ? HeadVerdict::broken : HeadVerdict::notRun;
 }
 
@@ -220,7 +220,7 @@
             return response;
         response.body += *piece;
         if (response.body.size() > largestAnswer) {
-            m_failure = { .kind = ErrorKind::bodyTooLarge, .reason = "the endpoint's answer is over " + std::to_string(largestAnswer) + " bytes", .runState = RunState::unknown };
+            m_failure = { .kind = ErrorKind::endpointFailed, .reason = "the endpoint's answer is over " + std::to_string(largestAnswer) + " bytes", .runState = RunState::unknown };
             return std::nullopt;
         }
     }
--- a/packages/router/test/ForwarderTest.cpp
+++ b/packages/router/test/ForwarderTest.cpp
@@ -53,6 +53,9 @@
             { "answer of another request", [](ForwarderBench& bench) { bench.script(200, { { "id", "other" }, { "signed", "s" } }, { "x" }); }, false, 502 },
             { "encoded answer", [](ForwarderBench& bench) { bench.script(200, { { "id", "q" }, { "signed", "s" }, { "encoded", "1" } }, { "x" }); }, false, 502 },
             { "answer that breaks off", [](ForwarderBench& bench) { bench.answer(200, { "x" }, true); }, false, 502 },
+            { "head over its limit", [](ForwarderBench& bench) { bench.script(0, {}, {}, true).answerOverLimit = true; }, false, 502 },
+            { "body over its limit", [](ForwarderBench& bench) { bench.answer(200, { std::string(9 * 1024 * 1024, 'x') }); }, false, 502 },
+            { "failure with a body over its limit", [](ForwarderBench& bench) { bench.answer(500, { std::string(9 * 1024 * 1024, 'x') }); }, false, 502 },
             { "failure that breaks off", [](ForwarderBench& bench) { bench.answer(500, { "x" }, true); }, false, 502 },
         };
         return cases;
@@ -100,6 +103,30 @@
         }
     }
 
+    // Guards against an endpoint whose answers have no end and that goes on to be asked like the others.
+    TEST(ForwarderVerdictTest, CountsAnAnswerOverItsLimitAgainstItsEndpoint)
+    {
+        ForwarderBench bench;
+        bench.listEndpoints({ "e1", "e2" });
+        int askedFirst = 0;
+        std::function<void()> play = [&] {
+            const bool isFirst = bench.sent(bench.client.requests.size() - 1, "endpoint") == "e1";
+            askedFirst += isFirst ? 1 : 0;
+            if (isFirst)
+                bench.script(0, {}, {}, true).answerOverLimit = true;
+            else
+                bench.answer(200, { "x" });
+            bench.client.onCall = play;
+        };
+        bench.client.onCall = play;
+        constexpr int requests = 40;
+        for (int i = 0; i < requests; ++i)
+            EXPECT_EQ(bench.send().response.status, 200);
+        EXPECT_GT(askedFirst, 0);
+        EXPECT_LT(askedFirst, requests / 4);
+        EXPECT_EQ(bench.listening.asked, 0) << "its connection was closed by us";
+    }
+
     // The last reason alone would say that nothing has run.
     TEST_F(ForwarderTest, PromisesNothingAfterAnAttemptThatMayHaveRun)
     {
