--- a/packages/net/src/internal/ConnectionPool.cpp
+++ b/packages/net/src/internal/ConnectionPool.cpp
@@ -5,6 +5,7 @@
 #include "internal/BeastMessage.h"
 
 #include <boost/asio.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http.hpp>
 
 namespace whinyard::net::internal {
