Reproduce sound parts of prompts that are refused as endpoints end in quick series

Only crashes alone are modelled here; the other scenes that the issue names, and the deadly ones amid them, aren't.

--- a/packages/policy/test/QueryOfDeathFleetTest.cpp
+++ b/packages/policy/test/QueryOfDeathFleetTest.cpp
@@ -96,10 +96,13 @@
         int subjects = 0; // Parts that sound requests share, beside the one of all.
         double waveShare = 0; // Of the engines that end each waveInterval by themselves.
         milliseconds waveInterval { 5'000 };
+        int wavesInSeries = 0; // After so many the next one comes after seriesPause; none: they go on.
+        milliseconds seriesPause { 6'000 };
         int ended = 0; // Engines, by the deadly request.
         int lateSends = 0; // Of it, over three seconds after it had ended the third.
         int innocents = 0;
         int innocentsRefused = 0;
+        int innocentsDenied = 0; // Of them, for good; the others may come again.
 
     private:
         struct Engine {
@@ -138,6 +141,7 @@
         {
             if (m_tables[one.instance].isRefused(one.traits(), m_now) || m_tables[one.instance].isHeld(one.traits(), m_now)) {
                 innocentsRefused += one.isDeadly ? 0 : 1;
+                innocentsDenied += !one.isDeadly && m_tables[one.instance].isRefused(one.traits(), m_now) ? 1 : 0;
                 return false;
             }
             std::vector<std::size_t> up;
@@ -211,7 +215,8 @@
         {
             if (waveShare == 0 || m_now < m_nextWave)
                 return;
-            m_nextWave = m_now + waveInterval;
+            const bool isLast = wavesInSeries > 0 && ++m_waves % wavesInSeries == 0;
+            m_nextWave = m_now + (isLast ? seriesPause : waveInterval);
             for (std::size_t engine = 0; engine < m_engines.size(); ++engine) {
                 if (m_engines[engine].backAt <= m_now && uniform(m_random) < waveShare)
                     m_endNow.push_back(engine);
@@ -263,6 +268,7 @@
         SteadyTime m_nextCall {};
         SteadyTime m_knownAt {};
         SteadyTime m_nextWave { 1h + 3s };
+        int m_waves = 0;
         std::vector<std::size_t> m_endNow; // Engines that end by themselves.
         std::size_t m_deadlySent = 0;
     };
@@ -390,6 +396,28 @@
         EXPECT_LE(refused, innocents / 500) << "of " << innocents;
     }
 
+    // Guards against a sound part of all prompts that is refused for minutes, as engines end in quick series while it is everywhere.
+    TEST_P(QueryOfDeathFleetTest, RefusesNoPartOfAllPromptsWhereEnginesEndInQuickSeries)
+    {
+        const int plays = GetParam().instances < 30 ? 50 : 3; // A play of many instances takes a second.
+        int playsWithinBound = 0;
+        int worst = 0;
+        for (const milliseconds interval : { 200ms, 150ms }) {
+            for (int seed = 1; seed <= plays; ++seed) {
+                Fleet fleet(GetParam().instances, GetParam().engines, static_cast<std::uint64_t>(seed));
+                fleet.subjects = subjects;
+                fleet.waveShare = 0.25;
+                fleet.waveInterval = interval;
+                fleet.wavesInSeries = 5;
+                fleet.run(20s, 1h);
+                worst = std::max(worst, fleet.innocentsDenied);
+                playsWithinBound += fleet.innocentsDenied <= 5 + fleet.innocents / 500 ? 1 : 0;
+            }
+        }
+        RecordProperty("playsWithinBound", playsWithinBound);
+        EXPECT_EQ(playsWithinBound, 2 * plays) << "at worst " << worst << " of a play were denied";
+    }
+
     INSTANTIATE_TEST_SUITE_P(Sizes, QueryOfDeathFleetTest, ::testing::Values(FleetCase { 9, 18 }, FleetCase { 30, 60 }, FleetCase { 100, 60 }), [](const auto& tested) { return std::to_string(tested.param.instances) + "Instances"; });
 
 }
