--- a/bench/NetBench.cpp
+++ b/bench/NetBench.cpp
@@ -1,6 +1,8 @@
 // The cost of the HTTP path of `net` alone, on the server's thread: short requests, and stream events that a
 // relay reads from one server and writes to its caller. `cpu_us` is the processor time of the measured duty for each
 // request or event; its inverse is what one core can do.
+#include "whinyard/net/CarriedBytes.h"
+#include "whinyard/net/ConnectRelay.h"
 #include "whinyard/net/HttpClient.h"
 #include "whinyard/net/HttpServer.h"
 
@@ -156,6 +158,48 @@
     }
     BENCHMARK(relayedEvents)->Args({ 10, 2 })->Args({ 100, 2 })->Args({ 1'000, 2 })->Args({ 100, 0 })->UseRealTime()->Unit(benchmark::kMillisecond)->Iterations(4);
 
+    // Answers that a ConnectRelay passes on. `relay_us` and `client_us` are processor time for each, `sent_bytes` what the relay sends.
+    void connectRelay(benchmark::State& state)
+    {
+        const std::string body(static_cast<std::size_t>(state.range(0)), 'x');
+        Served server("server", [&](const HttpRequest&, HttpResponder& responder) { responder.send({ 200, {}, body }); });
+        Duty relaying("relay");
+        Duty caller("caller");
+        std::unique_ptr<ConnectRelay> relay;
+        HttpCallOptions options;
+        options.freshConnection = true;
+        options.lastRequest = true;
+        runOn(relaying, [&] {
+            Failure failure;
+            relay = ConnectRelay::open(
+                relaying, loopback, {}, [](const RelayedConnect& connect) { return std::optional(connect.server); },
+                [](const RelayedConnect&, const RelayedResult&) {}, failure);
+            options.relay = relay->address();
+        });
+        constexpr std::size_t answersEach = 50;
+        constexpr std::size_t fibers = 4;
+        std::size_t total = 0;
+        const double relayBefore = threadMicroseconds(relaying);
+        const double callerBefore = threadMicroseconds(caller);
+        for (auto _ : state) {
+            runFibers(caller, fibers, [&](HttpClient& client) {
+                for (std::size_t i = 0; i < answersEach; ++i) {
+                    HttpCallProgress progress;
+                    Failure failure;
+                    if (!client.call(server.address, {}, options, progress, failure))
+                        state.SkipWithError(failure.reason.c_str());
+                }
+            });
+            total += fibers * answersEach;
+        }
+        const auto each = [total](double sum) { return sum / static_cast<double>(total); };
+        state.counters["relay_us"] = each(threadMicroseconds(relaying) - relayBefore);
+        state.counters["client_us"] = each(threadMicroseconds(caller) - callerBefore);
+        state.counters["sent_bytes"] = each(static_cast<double>(callOn(relaying, [] { return carriedBytes(); })->sent));
+        runOn(relaying, [&] { relay.reset(); });
+    }
+    BENCHMARK(connectRelay)->Arg(1'000)->Arg(64'000)->Arg(1'024'000)->UseRealTime()->Unit(benchmark::kMillisecond)->Iterations(10);
+
 }
 
 }
