--- /dev/null
+++ b/packages/net/test/HttpAnswerTest.cpp
@@ -0,0 +1,165 @@
+// Answers that are broken in their framing: none of them is told as an answer, whichever way it is read.
+#include "whinyard/net/ConnectRelay.h"
+#include "whinyard/net/HttpClient.h"
+#include "whinyard/net/RawConnection.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <functional>
+#include <thread>
+
+namespace whinyard::net {
+namespace {
+
+    using std::chrono::milliseconds;
+    using testing::RawConnection;
+
+    // A server that the test's own thread plays byte by byte, and the ways in which the product reads its answer.
+    class HttpAnswerTest : public ::testing::Test {
+    protected:
+        enum class Way : std::uint8_t {
+            whole,
+            streamed,
+            relayedWhole,
+            relayedStream,
+        };
+        static constexpr std::array allWays { Way::whole, Way::streamed, Way::relayedWhole, Way::relayedStream };
+
+        HttpAnswerTest()
+            : m_acceptor(m_loop, { boost::asio::ip::address_v4::loopback(), 0 })
+            , m_address { "127.0.0.1", m_acceptor.local_endpoint().port() }
+        {
+            runOn(m_duty, [this] {
+                Failure failure;
+                m_client = HttpClient::create(m_duty);
+                m_relay = ConnectRelay::open(
+                    m_duty, { "127.0.0.1", 0 }, {}, [](const RelayedConnect& connect) { return std::optional(connect.server); },
+                    [](const RelayedConnect&, const RelayedResult&) {}, failure);
+            });
+        }
+
+        ~HttpAnswerTest() override
+        {
+            runOn(m_duty, [this] {
+                m_relay.reset();
+                m_client.reset();
+            });
+        }
+
+        // Makes a call while `serve` plays the server on this thread. Returns the answer; nothing where there is none.
+        std::optional<HttpResponse> call(Way way, const HttpRequest& request, const std::function<void()>& serve)
+        {
+            std::optional<HttpResponse> response;
+            std::thread caller([&] {
+                runOn(m_duty, [&] {
+                    HttpCallOptions options { .timeout = milliseconds(5'000), .pieceTimeout = milliseconds(5'000), .freshConnection = true };
+                    if (way == Way::relayedWhole || way == Way::relayedStream)
+                        options.relay = m_relay->address();
+                    response = way == Way::whole || way == Way::relayedWhole ? m_client->call(m_address, request, options, m_progress, m_failure) : callStreamed(request, options);
+                });
+            });
+            serve();
+            caller.join();
+            return response;
+        }
+
+        // Has the server send `bytes` and close.
+        std::optional<HttpResponse> answer(Way way, std::string_view bytes)
+        {
+            return call(way, {}, [&] {
+                RawConnection server(m_acceptor);
+                server.readUntil("\r\n\r\n");
+                server.write(bytes);
+            });
+        }
+
+        void expectNoAnswer(const std::optional<HttpResponse>& response, std::string_view form)
+        {
+            EXPECT_FALSE(response) << form << ", status " << response->status << ", body " << response->body;
+            EXPECT_EQ(m_failure.kind, ErrorKind::endpointFailed) << form;
+            EXPECT_EQ(m_failure.runState, RunState::unknown) << form;
+        }
+
+        boost::asio::io_context m_loop;
+        boost::asio::ip::tcp::acceptor m_acceptor;
+        Address m_address;
+        Duty m_duty { "client" };
+        std::unique_ptr<HttpClient> m_client;
+        std::unique_ptr<ConnectRelay> m_relay;
+        HttpCallProgress m_progress;
+        Failure m_failure;
+
+    private:
+        std::optional<HttpResponse> callStreamed(const HttpRequest& request, const HttpCallOptions& options)
+        {
+            const auto stream = m_client->open(m_address, request, options, m_progress, m_failure);
+            if (!stream)
+                return std::nullopt;
+            HttpResponse response = stream->head();
+            std::optional<std::string> body = readToEnd(*stream, m_failure);
+            if (!body)
+                return std::nullopt;
+            response.body = std::move(*body);
+            return response;
+        }
+    };
+
+    // Guards against an answer that is told as whole though its end, or its content, can't be told.
+    TEST_F(HttpAnswerTest, RefusesAnswersWhoseEndCanNotBeTold)
+    {
+        const std::vector<std::string> forms {
+            "Content-Length: 3\r\nContent-Length: 4\r\n",
+            "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: identity\r\nContent-Length: 3\r\n",
+            "Transfer-Encoding: identity\r\n",
+            "Transfer-Encoding: gzip, chunked\r\n",
+            "Transfer-Encoding: chunked, identity\r\n",
+            "Transfer-Encoding: chunked, chunked\r\n",
+            "Transfer-Encoding: xchunked\r\n",
+            "Transfer-Encoding:\r\n",
+        };
+        for (const Way way : allWays) {
+            for (const std::string& form : forms)
+                expectNoAnswer(answer(way, "HTTP/1.1 200 OK\r\n" + form + "\r\n3\r\nabc\r\n0\r\n\r\n"), form);
+            expectNoAnswer(answer(way, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"), "chunks of HTTP/1.0");
+            const auto sound = answer(way, "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+            ASSERT_TRUE(sound) << m_failure.reason;
+            EXPECT_EQ(sound->body, "abc");
+        }
+    }
+
+    // Guards against bytes behind an answer that are read as the answer of the connection's next request.
+    TEST_F(HttpAnswerTest, KeepsNoConnectionWithBytesBehindTheAnswer)
+    {
+        std::optional<HttpResponse> first;
+        std::optional<HttpResponse> second;
+        const auto callOnce = [this](std::optional<HttpResponse>& response) {
+            runOn(m_duty, [&] {
+                HttpCallProgress progress;
+                response = m_client->call(m_address, {}, { .timeout = milliseconds(2'000) }, progress, m_failure);
+            });
+        };
+        std::thread caller([&] {
+            callOnce(first);
+            callOnce(second);
+        });
+        RawConnection server(m_acceptor);
+        server.readUntil("\r\n\r\n");
+        server.write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray");
+        std::thread next([&] {
+            RawConnection other(m_acceptor);
+            other.readUntil("\r\n\r\n");
+            other.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext");
+        });
+        caller.join();
+        RawConnection(m_address).write("\r\n\r\n"); // Ends the wait for a connection that was never made.
+        next.join();
+        ASSERT_TRUE(first);
+        EXPECT_EQ(first->body, "abc");
+        ASSERT_TRUE(second) << m_failure.reason;
+        EXPECT_EQ(second->body, "next");
+    }
+
+}
+}
