Take a head whose status is none of HTTP for no answer

Callers got answers with the status 000 (also 001, 099, 600, 999) of an engine in trouble, with its signature. Any head with 101, which nobody asks for, was skipped like 103, and what came behind it told as the answer.

Cause: the parser takes any three digits, and no reader asks whether they are a status (RFC 9110, 15: 100 to 599).

Change: answerFault() is asked for each head that a client of the net package reads, beside the question whether its end can be told; the answer of a relay to CONNECT is asked the same. Endpoints, the store, other services and the command line all read by this client. What fails is the endpoint's failure: 502 to callers, as it may have run. The reason in the log says that what came is no answer, rather than that the connection was lost.

--- a/packages/net/src/internal/ConnectionPool.cpp
+++ b/packages/net/src/internal/ConnectionPool.cpp
@@ -1,8 +1,8 @@
 #include "internal/ConnectionPool.h"
 
-#include "internal/Endpoint.h"
-
+#include "internal/AnswerHead.h"
 #include "internal/BeastMessage.h"
+#include "internal/Endpoint.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
@@ -50,11 +50,18 @@
         http::response_parser<http::empty_body> answer;
         answer.skip(true);
         http::read_header(connection.socket, connection.buffer, answer, error);
+        if (!error)
+            error = answerFault(answer.get());
         if (!error && answer.get()[relayFramingField] == relayFramingValue)
             connection.frames = std::make_shared<RelayFrameReader>();
         return error ? ConnectOutcome::relayUnreachable : outcomeOf(answer.get().result());
     }
 
+    bool isMalformedMessage(const error_code& error)
+    {
+        return error.category() == make_error_code(http::error::bad_status).category() && error != http::error::end_of_stream && error != http::error::partial_message;
+    }
+
     // Has the end of the server's bytes count as proper only where the relay has stated it.
     void awaitStatedEnd(ClientConnection& connection)
     {
@@ -166,7 +173,7 @@
         failure.reason = toText(address) + " gave no answer in time";
     } else {
         failure.kind = bytesWritten == 0 ? ErrorKind::peerUnreachable : lostKind;
-        failure.reason = "the connection to " + toText(address) + " was lost: " + error.message();
+        failure.reason = (isMalformedMessage(error) ? "what came from " + toText(address) + " is no answer: " : "the connection to " + toText(address) + " was lost: ") + error.message();
     }
     return failure;
 }
--- a/packages/net/src/internal/HttpExchange.cpp
+++ b/packages/net/src/internal/HttpExchange.cpp
@@ -1,7 +1,7 @@
 #include "internal/HttpExchange.h"
 
+#include "internal/AnswerHead.h"
 #include "internal/BeastMessage.h"
-#include "internal/MessageFraming.h"
 
 #include <boost/beast/http.hpp>
 
@@ -158,9 +158,9 @@
         parser->body_limit(m_options.bodyLimit);
         parser->skip(m_request.method == "HEAD");
         http::read_header(m_connection->socket, m_connection->buffer, *parser, error);
-    } while (!error && http::to_status_class(parser->get().result_int()) == http::status_class::informational);
-    if (!error && framingFault(parser->get(), parser->get().version()) != FramingFault::none)
-        error = http::error::bad_transfer_encoding;
+        if (!error)
+            error = answerFault(parser->get());
+    } while (!error && isInterim(parser->get()));
     return !error;
 }
 
--- a/packages/net/test/ConnectRelayTest.cpp
+++ b/packages/net/test/ConnectRelayTest.cpp
@@ -259,6 +259,23 @@
         EXPECT_EQ(answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nall\r\n0\r\n\r\n"), "all");
     }
 
+    // Guards against a relay in trouble that counts as one that has declined, so that its client believes what it sends.
+    TEST_F(ConnectRelayTest, TakesNoAnswerOfARelayWhoseStatusIsNone)
+    {
+        boost::asio::ip::tcp::acceptor broken(m_loop, { boost::asio::ip::address_v4::loopback(), 0 });
+        m_options.relay = { "127.0.0.1", broken.local_endpoint().port() };
+        for (const char* status : { "000", "099", "101", "600", "999", "20" }) {
+            call([&] {
+                RawConnection relay(broken);
+                relay.readUntil("\r\n\r\n");
+                relay.write("HTTP/1.1 " + std::string(status) + " OK\r\n\r\n");
+            });
+            EXPECT_FALSE(m_response) << status;
+            EXPECT_EQ(m_progress.connect, ConnectOutcome::relayUnreachable) << status;
+            EXPECT_EQ(m_failure.runState, RunState::notRun) << status;
+        }
+    }
+
     // Guards against frames that a client of an earlier release takes for the server's bytes.
     TEST_F(ConnectRelayTest, UsesNoFramesForAClientThatDoesNotAskForThem)
     {
--- a/packages/net/test/HttpAnswerTest.cpp
+++ b/packages/net/test/HttpAnswerTest.cpp
@@ -1,4 +1,4 @@
-// Answers that are broken in their framing: none of them is told as an answer, whichever way it is read.
+// Answers that are broken in their head, in their framing or by their connection: none of them is told as an answer, whichever way it is read.
 #include "whinyard/net/ConnectRelay.h"
 #include "whinyard/net/HttpClient.h"
 #include "whinyard/net/RawConnection.h"
@@ -105,6 +105,28 @@
         }
     };
 
+    // Guards against the status of no HTTP answer that callers get as one (RFC 9110, 15), and against another protocol that nobody asked for.
+    TEST_F(HttpAnswerTest, RefusesAStatusThatNoFinalAnswerHas)
+    {
+        for (const Way way : allWays) {
+            for (const char* status : { "000", "001", "042", "099", "600", "601", "700", "999", "101", "20", "2000", "2OO", "+20", "-20", "", "0x1" })
+                expectNoAnswer(answer(way, "HTTP/1.1 " + std::string(status) + " OK\r\nContent-Length: 2\r\n\r\nok"), status);
+            expectNoAnswer(answer(way, "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), "an answer behind 101");
+            expectNoAnswer(answer(way, "HTTP/1.1 099 Early\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), "an answer behind 099");
+        }
+    }
+
+    TEST_F(HttpAnswerTest, TakesEveryStatusOfHttp)
+    {
+        for (const Way way : allWays) {
+            for (const int status : { 200, 204, 299, 300, 399, 404, 499, 500, 503, 599 }) {
+                const auto response = answer(way, "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 " + std::to_string(status) + " OK\r\nContent-Length: 0\r\n\r\n");
+                ASSERT_TRUE(response) << status << ": " << m_failure.reason;
+                EXPECT_EQ(response->status, status);
+            }
+        }
+    }
+
     // Guards against an answer that is told as whole though its end, or its content, can't be told.
     TEST_F(HttpAnswerTest, RefusesAnswersWhoseEndCanNotBeTold)
     {
