Take no end of a connection for that of an answer after a write has failed

Callers got part of an answer as a whole one: an engine answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: the system tells of a reset once, to whichever call comes first. Where that is the write of the request, later reads yield what had arrived, and then an end like that of the peer's close, which is the proper end of an answer without a length. HttpExchange reads on after a write that failed, as a server may answer early.

Change: FiberSocket keeps the error of a write that failed, and tells a read that error in place of a proper end. All that reads from connections goes through it: both ways of reading an answer, streams, and the relay, whose other fiber may write to the server when the reset comes. What has arrived is read as before, so an answer that states its end by a length or a last chunk still counts (TakesAnAnswerThatStatesItsEndBeforeTheResetMeetsTheUpload held before and does now).

--- a/packages/net/src/internal/FiberSocket.cpp
+++ b/packages/net/src/internal/FiberSocket.cpp
@@ -167,6 +167,7 @@
         countCall();
     m_moreExpected = size == buffer.size();
     carriedOnThread.received += size;
+    error = readErrorFor(error);
     return size;
 }
 
@@ -174,13 +175,21 @@
 {
     const std::size_t size = m_core->socket.read_some(buffer, error);
     carriedOnThread.received += size;
+    error = readErrorFor(error);
     return m_filter ? m_filter->filter(static_cast<char*>(buffer.data()), size, error) : size;
 }
 
-void FiberSocket::countWritten(std::size_t size)
+void FiberSocket::noteWritten(std::size_t size, const error_code& error)
 {
     m_bytesWritten += size;
     carriedOnThread.sent += size;
+    if (error && error != asio::error::would_block && !m_writeError)
+        m_writeError = error;
+}
+
+error_code FiberSocket::readErrorFor(const error_code& error) const
+{
+    return error == asio::error::eof && m_writeError ? m_writeError : error;
 }
 
 bool FiberSocket::mustWaitToWrite(error_code& error)
--- a/packages/net/src/internal/FiberSocket.h
+++ b/packages/net/src/internal/FiberSocket.h
@@ -48,7 +48,7 @@
 
     void connect(const boost::asio::ip::tcp::endpoint& peer, boost::system::error_code& error);
 
-    // Reads into the first of `buffers`, as read_some() may.
+    // Reads into the first of `buffers`, as read_some() may. After a write that failed, what has arrived is read, but never a proper end.
     template <typename Buffers>
     std::size_t read_some(const Buffers& buffers, boost::system::error_code& error) // NOLINT(readability-identifier-naming)
     {
@@ -85,7 +85,7 @@
     {
         for (;;) {
             const std::size_t size = m_core->socket.write_some(buffers, error);
-            countWritten(size);
+            noteWritten(size, error);
             if (!mustWaitToWrite(error))
                 return size;
         }
@@ -148,7 +148,12 @@
     std::size_t read(boost::asio::mutable_buffer buffer, boost::system::error_code& error);
     std::size_t readUnfiltered(boost::asio::mutable_buffer buffer, boost::system::error_code& error);
 
-    void countWritten(std::size_t size);
+    // Counts what was written and keeps the error of a lost connection. The system tells of that once: a read after it finds what has
+    // arrived, and then an end like that of the peer's close.
+    void noteWritten(std::size_t size, const boost::system::error_code& error);
+
+    // Returns `error`, or the one that a write has met before in place of a proper end.
+    boost::system::error_code readErrorFor(const boost::system::error_code& error) const;
 
     // Returns whether the write must be tried again; it has waited until then.
     bool mustWaitToWrite(boost::system::error_code& error);
@@ -166,6 +171,7 @@
     std::shared_ptr<Core> m_core;
     std::shared_ptr<ReadFilter> m_filter;
     std::size_t m_bytesWritten = 0;
+    boost::system::error_code m_writeError; // Of the first write that failed.
     int m_callsWithoutWait = 0;
     bool m_moreExpected = false; // The last read filled its buffer.
     bool m_heedsAnswer = false;
--- a/packages/net/test/HttpAnswerTest.cpp
+++ b/packages/net/test/HttpAnswerTest.cpp
@@ -6,7 +6,9 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <atomic>
 #include <functional>
+#include <future>
 #include <thread>
 
 namespace whinyard::net {
@@ -74,6 +76,28 @@
             });
         }
 
+        // Has the server send `bytes` and reset while the client waits for room to send more, so that its write meets the reset first.
+        std::optional<HttpResponse> answerAmidUpload(Way way, std::string_view bytes)
+        {
+            constexpr std::size_t moreThanFits = 32 * 1024 * 1024;
+            return call(way, { "POST", "/x", {}, std::string(moreThanFits, 'x') }, [&] {
+                RawConnection server(m_acceptor);
+                server.readUntil("\r\n\r\n");
+                std::this_thread::sleep_for(milliseconds(20)); // Until whatever fits has been sent.
+                std::atomic<bool> isHeld = false;
+                std::promise<void> sent;
+                m_duty.post([&isHeld, done = sent.get_future().share()] {
+                    isHeld = true;
+                    done.wait();
+                });
+                while (!isHeld)
+                    std::this_thread::yield();
+                server.write(bytes);
+                server.reset();
+                sent.set_value();
+            });
+        }
+
         void expectNoAnswer(const std::optional<HttpResponse>& response, std::string_view form)
         {
             EXPECT_FALSE(response) << form << ", status " << response->status << ", body " << response->body;
@@ -127,6 +151,30 @@
         }
     }
 
+    // Guards against a part of an answer that is told as whole: the system tells of the reset that cuts it once, to the write of the request.
+    TEST_F(HttpAnswerTest, TakesAnAnswerForCutWhoseResetMeetsTheUpload)
+    {
+        for (const Way way : allWays) {
+            for (int i = 0; i < 10; ++i)
+                expectNoAnswer(answerAmidUpload(way, "HTTP/1.1 200 OK\r\n\r\npart of it"), "no length");
+            expectNoAnswer(answerAmidUpload(way, "HTTP/1.0 200 OK\r\n\r\n"), "no body yet");
+            expectNoAnswer(answerAmidUpload(way, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\npart of it"), "half of its length");
+            expectNoAnswer(answerAmidUpload(way, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"), "no last chunk");
+        }
+    }
+
+    // Guards against answers that are lost though they state their end.
+    TEST_F(HttpAnswerTest, TakesAnAnswerThatStatesItsEndBeforeTheResetMeetsTheUpload)
+    {
+        for (const Way way : allWays) {
+            for (const char* bytes : { "HTTP/1.1 413 Large\r\nContent-Length: 5\r\n\r\nwhole", "HTTP/1.1 413 Large\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n" }) {
+                const auto response = answerAmidUpload(way, bytes);
+                ASSERT_TRUE(response) << m_failure.reason;
+                EXPECT_EQ(response->body, "whole");
+            }
+        }
+    }
+
     // Guards against an answer that is told as whole though its end, or its content, can't be told.
     TEST_F(HttpAnswerTest, RefusesAnswersWhoseEndCanNotBeTold)
     {
