Take a head with folded lines for no answer

Callers could get a body that wasn't the engine's: where the line of an engine in trouble that states a length or a coding begins with a blank, the parser joins it with the line before, and the body was taken to last until the connection's close, chunk sizes and all. Other such lines reached callers as part of the field before them, the signature too.

Cause: obsolete line folding, which no server may send, looks like a field whose name begins with a blank. RFC 9112, 5.2 lets a gateway join the lines or discard the answer; only the second keeps a broken head from its caller.

Requests of callers are read as before: there a folded line is joined.

--- a/packages/net/src/internal/ConnectionPool.cpp
+++ b/packages/net/src/internal/ConnectionPool.cpp
@@ -49,9 +49,7 @@
             return ConnectOutcome::relayUnreachable;
         http::response_parser<http::empty_body> answer;
         answer.skip(true);
-        http::read_header(connection.socket, connection.buffer, answer, error);
-        if (!error)
-            error = answerFault(answer.get());
+        readAnswerHead(connection.socket, connection.buffer, answer, error);
         if (!error && answer.get()[relayFramingField] == relayFramingValue)
             connection.frames = std::make_shared<RelayFrameReader>();
         return error ? ConnectOutcome::relayUnreachable : outcomeOf(answer.get().result());
--- a/packages/net/src/internal/HttpExchange.cpp
+++ b/packages/net/src/internal/HttpExchange.cpp
@@ -15,7 +15,6 @@
 namespace {
 
     constexpr unsigned version11 = 11;
-    constexpr std::uint32_t responseHeaderLimit = 64 * 1024;
     constexpr int mostInformational = 16; // Heads before that of the answer.
 
     using RequestMessage = http::request<http::span_body<const char>>;
@@ -154,12 +153,9 @@
             return false;
         }
         parser = std::make_unique<http::response_parser<Body>>();
-        parser->header_limit(responseHeaderLimit);
         parser->body_limit(m_options.bodyLimit);
         parser->skip(m_request.method == "HEAD");
-        http::read_header(m_connection->socket, m_connection->buffer, *parser, error);
-        if (!error)
-            error = answerFault(parser->get());
+        readAnswerHead(m_connection->socket, m_connection->buffer, *parser, error);
     } while (!error && isInterim(parser->get()));
     return !error;
 }
--- a/packages/net/test/HttpAnswerTest.cpp
+++ b/packages/net/test/HttpAnswerTest.cpp
@@ -151,6 +151,96 @@
         }
     }
 
+    struct BrokenField {
+        const char* name;
+        std::string line; // Of the head, without its end.
+    };
+
+    // Guards against lines of a broken head that callers get, or that change where the body begins.
+    TEST_F(HttpAnswerTest, RefusesFieldsThatAreNone)
+    {
+        const std::vector<BrokenField> forms {
+            { "a blank within the name", "X Bad: 1" },
+            { "a tab within the name", "X\tBad: 1" },
+            { "a blank behind the name", "X-Bad : 1" },
+            { "a tab behind the name", "X-Bad\t: 1" },
+            { "only a blank", " : 1" },
+            { "no name", ": 1" },
+            { "no colon", "X-Bad" },
+            { "a control byte in the name", "X\x01"
+                                            "Bad: 1" },
+            { "a zero byte in the name", std::string("X\0Bad: 1", 9) },
+            { "a vertical tab before the name", "\x0bX-Bad: 1" },
+            { "a carriage return in the name", "X\rBad: 1" },
+            { "a line feed in the name", "X\nBad: 1" },
+            { "a delete in the name", "X\x7f"
+                                      "Bad: 1" },
+            { "an escape in the name", "\x1b[2JX: 1" },
+            { "a byte over 127 in the name", "X\x80"
+                                             "Bad: 1" },
+            { "a parenthesis in the name", "X(Bad): 1" },
+            { "a zero byte in the value", std::string("X-Bad: a\0b", 10) },
+            { "a carriage return in the value", "X-Bad: a\rb" },
+            { "a line feed in the value", "X-Bad: a\nb" },
+            { "a control byte in the value", "X-Bad: a\x01"
+                                             "b" },
+            { "a delete in the value", "X-Bad: a\x7f"
+                                       "b" },
+            { "a blank in the name of the length", "Content Length: 1" },
+            { "a blank behind the name of the length", "Content-Length : 1" },
+        };
+        for (const Way way : allWays) {
+            for (const BrokenField& form : forms) {
+                expectNoAnswer(answer(way, "HTTP/1.1 200 OK\r\n" + form.line + "\r\nX-Own: 1\r\nContent-Length: 2\r\n\r\nok"), form.name + std::string(", first"));
+                expectNoAnswer(answer(way, "HTTP/1.1 200 OK\r\nX-Own: 1\r\nContent-Length: 2\r\n" + form.line + "\r\n\r\nok"), form.name + std::string(", last"));
+                expectNoAnswer(answer(way, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + form.line + "\r\n\r\n"), form.name + std::string(", behind the last chunk"));
+                expectNoAnswer(answer(way, "HTTP/1.1 103 Early\r\n" + form.line + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), form.name + std::string(", in an interim head"));
+            }
+        }
+    }
+
+    // Guards against lines that begin with a blank and are joined with the one before: a length or a coding that isn't seen there lets
+    // callers get a body that isn't the server's.
+    TEST_F(HttpAnswerTest, RefusesLinesThatBeginWithABlank)
+    {
+        const std::vector<std::string> heads {
+            " X-Bad: 1\r\nContent-Length: 2\r\n",
+            "\tX-Bad: 1\r\nContent-Length: 2\r\n",
+            "X-Own: 1\r\n X-Bad: 1\r\nContent-Length: 2\r\n",
+            "X-Own: 1\r\n\tX-Bad: 1\r\nContent-Length: 2\r\n",
+            "X-Own: 1\r\nContent-Length: 2\r\n X-Bad: 1\r\n",
+            "Content-Length: 2\r\nX-Own: 1\r\n X-Bad: 1\r\n",
+            "X-Own: 1\r\n Content-Length: 1\r\n",
+            "X-Own: 1\r\n Transfer-Encoding: chunked\r\n",
+            "Content-Length: 2\r\nX-Empty:\r\n \r\n",
+        };
+        for (const Way way : allWays) {
+            for (const std::string& head : heads) {
+                expectNoAnswer(answer(way, "HTTP/1.1 200 OK\r\n" + head + "\r\nok"), head);
+                expectNoAnswer(answer(way, "HTTP/1.1 103 Early\r\n" + head + "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), head);
+            }
+        }
+    }
+
+    // Guards against heads that are taken for broken as they arrive in pieces, and against blanks of a body that are taken for those of a head.
+    TEST_F(HttpAnswerTest, ReadsAHeadThatArrivesInPieces)
+    {
+        const std::string bytes = "HTTP/1.1 103 Early\r\nX-Early: 1\r\n\r\nHTTP/1.1 200 OK\r\nX-Own:  a b\t\r\nContent-Length: 6\r\n\r\n\r\n ok\r\n";
+        for (const Way way : { Way::whole, Way::relayedStream }) {
+            for (const std::size_t pieceSize : { std::size_t(1), std::size_t(3), std::size_t(50), bytes.size() }) {
+                const auto response = call(way, {}, [&] {
+                    RawConnection server(m_acceptor);
+                    server.readUntil("\r\n\r\n");
+                    for (std::size_t at = 0; at < bytes.size(); at += pieceSize)
+                        server.write(std::string_view(bytes).substr(at, pieceSize));
+                });
+                ASSERT_TRUE(response) << m_failure.reason;
+                EXPECT_EQ(fieldValue(response->fields, "X-Own"), "a b");
+                EXPECT_EQ(response->body, "\r\n ok\r");
+            }
+        }
+    }
+
     // Guards against a part of an answer that is told as whole: the system tells of the reset that cuts it once, to the write of the request.
     TEST_F(HttpAnswerTest, TakesAnAnswerForCutWhoseResetMeetsTheUpload)
     {
