Refuse what may outlast an instance that ends, and answer what is under way

Callers of an instance that was stopped as planned, in calm, lost requests: those that came while it was still listening were passed on, had run, and were cut without an answer at the end of the grace, among them requests that may not be repeated.

Cause: an instance that ends asks only whether its end has come, not whether the request may last longer; and at its end it closes connections on which requests are under way.

Evidence, on the code before: PlannedStopTest.AnswersOrRefusesEachRequest (a daemon with a grace of 4 s, an engine that takes 6 s, routes that allow 11 s): requests sent a second after the stop began were passed on. ForwarderEndTest.RefusesWhatMayLastLongerThanTheInstance: all three kinds of requests were sent.

Change: a request that has not run and may last longer than the instance is refused at once with 503 (not run, Retry-After), before an attempt and while it waits for a place. How long it may last is the least of its route's timeout and its caller's. Streams that callers can take up elsewhere are taken as before: they may last 20 s, few do, and a cut loses nothing of them. What is under way 0.4 s before the end and of which the caller has seen nothing is answered with 502, as it may have run; nothing is repeated for it. The drain then ends with nobody cut.

--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -78,8 +78,10 @@
         m_failure = { .kind = ErrorKind::endpointFailed, .reason = "the endpoint was silent for " + text(now() - m_silentSince) + " ms", .runState = RunState::unknown };
     if (m_isOverdue)
         m_failure = { .kind = ErrorKind::deadlineExceeded, .reason = "the deadline passed", .runState = RunState::unknown };
+    if (m_endsWithInstance)
+        m_failure = { .kind = ErrorKind::shuttingDown, .reason = "this instance ends before the answer", .runState = RunState::unknown };
     m_runState = std::max(m_runState, RunState::unknown);
-    const bool wasGivenUp = m_callerLeft || m_isOverdue || m_guard.isRefused();
+    const bool wasGivenUp = m_callerLeft || m_isOverdue || m_endsWithInstance || m_guard.isRefused();
     const net::Listening listening = attempt.connectionLost() ? inquire(attempt) : net::Listening::unknown;
     // Where the path may be at fault, nothing is said of the endpoint and its version.
     const bool isPathSuspect = listening != net::Listening::no && (hasLostPath(attempt) || (attempt.isRelayed() && attempt.connectionLost()));
--- a/packages/router/src/internal/ForwardPlaces.cpp
+++ b/packages/router/src/internal/ForwardPlaces.cpp
@@ -32,8 +32,8 @@
             m_failure = { .kind = ErrorKind::deadlineExceeded, .reason = "the deadline passed" };
             return false;
         }
-        if (mustEnd()) {
-            m_failure = { .kind = ErrorKind::shuttingDown, .reason = "this instance ends" };
+        if (mustNotBegin()) {
+            m_failure = { .kind = ErrorKind::shuttingDown, .reason = "this instance may end before the answer" };
             return false;
         }
         if (!passGate())
@@ -113,7 +113,7 @@
     m_comparedVersion = m_admission.table->version();
     bool hasChanged = false;
     const auto isGivenUp = [&] {
-        hasChanged = hasChanged || m_callerLeft || m_guard.isRefused() || mustEnd() || isAdmittedOtherwise();
+        hasChanged = hasChanged || m_callerLeft || m_guard.isRefused() || mustNotBegin() || isAdmittedOtherwise();
         return hasChanged;
     };
     const PlaceAnswer answer = m_core.parts.places->acquire(*wish, isGivenUp);
@@ -133,7 +133,7 @@
 
 bool ForwardRun::passesGateAgain(const PlaceWish& asked)
 {
-    return !m_callerLeft && timeLeft() >= shortestAttempt && !mustEnd() && passGate() && m_service == asked.service && !m_admission.route->isGenerative;
+    return !m_callerLeft && timeLeft() >= shortestAttempt && !mustNotBegin() && passGate() && m_service == asked.service && !m_admission.route->isGenerative;
 }
 
 // Has the permit's endpoint take the next attempt, if the gate still lets the request pass and the endpoint may be used.
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -245,8 +245,21 @@
     return std::max(part(route.objective, firstPatiencePart), expectedFactor * std::max<std::chrono::nanoseconds>(explained, chosen.plan.expectedWait));
 }
 
+// What hasn't run can go to another instance. A caller that can take up a stream elsewhere loses nothing where it is cut, and few streams last as
+// long as they may.
+bool ForwardRun::mustNotBegin() const
+{
+    const bool mayBeCut = m_deadline > m_core.endsAt && !(streams() && repeatable());
+    return mustEnd() || (mayBeCut && m_runState == RunState::notRun);
+}
+
 void ForwardRun::look()
 {
+    if (m_current && mustEnd()) {
+        m_endsWithInstance = true;
+        m_current->cancel();
+        return;
+    }
     // A copy that waits when others have ended their endpoints would end this one too. And the call's own timer doesn't count
     // the time for which the machine was suspended.
     m_isOverdue = now() > m_deadline + timerSlack;
@@ -345,6 +358,8 @@
 {
     if (m_callerLeft)
         return false;
+    if (m_endsWithInstance)
+        return false;
     if (end == AttemptEnd::steppedUp)
         return true;
     if (repeatable() && !m_guard.pass(m_failure))
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -126,7 +126,8 @@
     std::chrono::milliseconds timeLeft() const;
     SteadyTime now() const { return m_core.parts.clock.now(); }
     bool streams() const { return m_admission.route->kind == config::RequestKind::streaming; }
-    bool mustEnd() const { return m_core.isEnding() && !m_streaming; } // The instance ends too soon for another attempt.
+    bool mustEnd() const { return m_core.isEnding() && !m_streaming; } // The instance ends too soon for any attempt.
+    bool mustNotBegin() const; // Another attempt: the instance may end before it does.
     bool repeatable() const { return m_admission.route->repeatable(); }
     std::vector<std::uint64_t> prefixFor(const ModelName& model) const;
 
@@ -167,6 +168,7 @@
     bool m_soundNoted = false; // Of the present attempt.
     bool m_countedSlow = false; // The present attempt, while it waited; see VersionShifts::recordWaiting().
     bool m_isOverdue = false; // The present attempt was ended after the deadline: its own timer had not.
+    bool m_endsWithInstance = false; // The present attempt was ended for that.
     SteadyTime m_silentSince; // The last sign of the present attempt.
     std::optional<SteadyTime> m_firstEventAt; // Of the present attempt.
     std::optional<SteadyTime> m_latestEventAt;
