Bound the nesting of JSON that others write

A process ended with a document that was nested deeply: a caller's chat request, and the platform's configuration where it holds such a value, with which every instance ends again after each start. So did readers of documents of an operator that name a fault in them.

Cause: the JSON library parses without recursion, but copies a value, and writes it as text, by functions that call themselves for each level; a fiber's stack holds 128 KB. Configuration.cpp writes entries that it doesn't use into a log line, ChatRequest copies and writes its document.

Evidence, on the code before: ChatRequestTest.RefusesDocumentsThatAreNestedTooDeeply and OddEntryTest.EndsNoReader ended with SIGSEGV (stack in the library's serializer, called by parseConfiguration). Held before: such entries under the endpoints', orders' and evacuations' keys (OddEntryFleetTest.FollowsTheListBesideThem, with numbers too large, ports out of range and bytes that are no text), and random mixes of forms.

Change: parseUntrustedJson() refuses what is nested more than 100 levels before it is parsed (RFC 8259, 9); all that reads JSON of callers, endpoints, other instances and the store uses it, and the reader of commented documents has the same bound. A reply of the store was copied once more than needed; it is moved.

--- a/packages/backing/src/JsonCalls.cpp
+++ b/packages/backing/src/JsonCalls.cpp
@@ -1,6 +1,9 @@
 #include "whinyard/backing/JsonCalls.h"
 
+#include "whinyard/base/Json.h"
+
 #include <array>
+#include <utility>
 
 namespace whinyard::backing {
 
@@ -25,8 +28,8 @@
 
     nlohmann::json parsedObject(const std::string& body)
     {
-        auto parsed = nlohmann::json::parse(body, nullptr, false);
-        return parsed.is_object() ? parsed : nlohmann::json();
+        nlohmann::json parsed = parseUntrustedJson(body);
+        return parsed.is_object() ? std::move(parsed) : nlohmann::json();
     }
 
     // Returns nothing with storeUnavailable for a status by which the service says that it did nothing.
--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -1,8 +1,9 @@
 #include "whinyard/base/Event.h"
 
+#include "whinyard/base/Json.h"
+
 #include <algorithm>
 #include <array>
-#include <nlohmann/json.hpp>
 
 namespace whinyard {
 
@@ -97,7 +98,7 @@
 
 std::optional<Event> parseEvent(std::string_view jsonLine)
 {
-    const auto json = nlohmann::json::parse(jsonLine, nullptr, false);
+    const auto json = parseUntrustedJson(jsonLine);
     if (!json.is_object() || !json.contains("event"))
         return std::nullopt;
     try {
--- a/packages/endpoint/src/EngineClient.cpp
+++ b/packages/endpoint/src/EngineClient.cpp
@@ -1,11 +1,10 @@
 #include "whinyard/endpoint/EngineClient.h"
 
 #include "internal/Account.h"
+#include "whinyard/base/Json.h"
 #include "whinyard/endpoint/EventStream.h"
 #include "whinyard/endpoint/PieceSequence.h"
 
-#include <nlohmann/json.hpp>
-
 namespace whinyard::endpoint {
 
 namespace {
@@ -62,7 +61,7 @@
 
     std::optional<EngineAnswer> parseAnswer(std::string body, Failure& failure)
     {
-        const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+        const nlohmann::json json = parseUntrustedJson(body);
         if (!json.is_object() || !json.contains("choices")) {
             failure = { .kind = ErrorKind::endpointFailed, .reason = "the engine's answer is no chat completion", .runState = RunState::unknown };
             return std::nullopt;
@@ -85,7 +84,7 @@
 
     std::optional<LoadReport> parseLoad(const std::string& body, Failure& failure)
     {
-        const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+        const nlohmann::json json = parseUntrustedJson(body);
         if (!json.is_object()) {
             failure = { .kind = ErrorKind::endpointFailed, .reason = "the load report is no JSON object" };
             return std::nullopt;
--- a/packages/leadership/src/UsageReporter.cpp
+++ b/packages/leadership/src/UsageReporter.cpp
@@ -1,9 +1,8 @@
 #include "whinyard/leadership/UsageReporter.h"
 
+#include "whinyard/base/Json.h"
 #include "whinyard/base/Log.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 
 namespace whinyard::leadership {
@@ -187,7 +186,7 @@
 
 std::optional<std::map<WindowNumber, CustomerCounts>> readFixedUsage(const std::string& record)
 {
-    const nlohmann::json parsed = nlohmann::json::parse(record, nullptr, false);
+    const nlohmann::json parsed = parseUntrustedJson(record);
     if (!parsed.is_object() || !parsed.contains("windows") || !parsed["windows"].is_array())
         return std::nullopt;
     std::map<WindowNumber, CustomerCounts> fixed;
--- a/packages/ledger/src/UsageLine.cpp
+++ b/packages/ledger/src/UsageLine.cpp
@@ -1,6 +1,7 @@
 #include "whinyard/ledger/UsageLine.h"
 
 #include "internal/LineJson.h"
+#include "whinyard/base/Json.h"
 
 #include <algorithm>
 #include <array>
@@ -74,7 +75,7 @@
 
 std::optional<UsageLine> parseUsageLine(std::string_view text)
 {
-    return lineFromJson(nlohmann::json::parse(text, nullptr, false));
+    return lineFromJson(parseUntrustedJson(text));
 }
 
 }
--- a/packages/policy/src/QueryRecords.cpp
+++ b/packages/policy/src/QueryRecords.cpp
@@ -1,6 +1,6 @@
 #include "whinyard/policy/QueryRecords.h"
 
-#include <nlohmann/json.hpp>
+#include "whinyard/base/Json.h"
 
 #include <algorithm>
 
@@ -21,7 +21,7 @@
 
 std::optional<QueryVerdict> readQueryVerdict(const RequestDigest& request, std::string_view text, std::chrono::system_clock::time_point now)
 {
-    const json object = json::parse(text, nullptr, false);
+    const json object = parseUntrustedJson(text);
     if (!object.is_object())
         return std::nullopt;
     try {
--- a/packages/policy/src/ShiftRecords.cpp
+++ b/packages/policy/src/ShiftRecords.cpp
@@ -1,6 +1,6 @@
 #include "whinyard/policy/ShiftRecords.h"
 
-#include <nlohmann/json.hpp>
+#include "whinyard/base/Json.h"
 
 #include <utility>
 
@@ -12,7 +12,7 @@
 
     std::optional<json> parsed(std::string_view text)
     {
-        json object = json::parse(text, nullptr, false);
+        json object = parseUntrustedJson(text);
         return object.is_object() ? std::optional(std::move(object)) : std::nullopt;
     }
 
--- a/packages/router/src/ChatRequest.cpp
+++ b/packages/router/src/ChatRequest.cpp
@@ -1,5 +1,7 @@
 #include "whinyard/router/ChatRequest.h"
 
+#include "whinyard/base/Json.h"
+
 #include <algorithm>
 
 namespace whinyard::router {
@@ -78,9 +80,9 @@
 std::optional<ChatRequest> parseChatRequest(std::string_view body, Failure& failure)
 {
     ChatRequest request;
-    request.document = json::parse(body, nullptr, false);
+    request.document = parseUntrustedJson(body);
     if (!request.document.is_object()) {
-        refuse(failure, "the body is no JSON object");
+        refuse(failure, "the body is no JSON object, or is nested more than " + std::to_string(deepestJson) + " levels");
         return std::nullopt;
     }
     if (!takeModel(request.document, request, failure) || !takeMessages(request.document, request, failure) || !takeOptions(request.document, request, failure))
@@ -124,7 +126,7 @@
 std::string chunkText(std::string_view chunk)
 {
     static const json::json_pointer place("/choices/0/delta/content");
-    const json document = json::parse(chunk, nullptr, false);
+    const json document = parseUntrustedJson(chunk);
     if (!document.is_object() || !document.contains(place) || !document.at(place).is_string())
         return {};
     return document.at(place).get<std::string>();
@@ -135,7 +137,7 @@
     // Most chunks state none; looking for the name spares parsing them.
     if (chunk.find("\"usage\"") == std::string_view::npos)
         return std::nullopt;
-    const json document = json::parse(chunk, nullptr, false);
+    const json document = parseUntrustedJson(chunk);
     if (!document.is_object() || !document.contains("usage") || !document["usage"].is_object())
         return std::nullopt;
     const json& usage = document["usage"];
--- a/packages/settings/src/JsonReader.cpp
+++ b/packages/settings/src/JsonReader.cpp
@@ -1,5 +1,7 @@
 #include "whinyard/settings/JsonReader.h"
 
+#include "whinyard/base/Json.h"
+
 #include <algorithm>
 #include <cmath>
 #include <set>
@@ -142,7 +144,10 @@
 {
     const std::size_t before = faults.size();
     DuplicateFinder duplicates(faults);
-    const auto take = [&](int, json::parse_event_t event, json& parsed) {
+    struct NestedTooDeeply { };
+    const auto take = [&](int depth, json::parse_event_t event, json& parsed) {
+        if (depth > static_cast<int>(deepestJson))
+            throw NestedTooDeeply();
         duplicates.take(event, parsed);
         return true;
     };
@@ -154,6 +159,8 @@
         faults.push_back(syntaxFault(text, error));
     } catch (const json::exception& error) {
         faults.push_back({ "", error.what() });
+    } catch (const NestedTooDeeply&) {
+        faults.push_back({ "", "found more than " + std::to_string(deepestJson) + " levels; allowed: as many" });
     }
     return std::nullopt;
 }
