Bound what whole answers hold in memory together

Where an endpoint sent bodies without end, or callers took large answers slowly, an instance held all of them: each answer is bounded by 8 MB, all of them together were not. The process is killed above its memory, and the requests of other callers end with it.

Cause: whole answers are read into memory before a caller gets any of them, and nobody counts them.

Change: AnswerMemory counts what answers hold until their callers have them. They may hold a quarter of the process's memory by its settings, 16 MB at least; beyond, the largest that is still being read is given up as its endpoint's failure (502, as it may have run; repeated where that is allowed). Gauges: whinyard_answers_held_bytes, whinyard_answers_given_up.

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -97,8 +97,19 @@
         return settings;
     }
 
-    router::ForwarderSettings forwarderSettings(const settings::ServiceBounds& bounds, const settings::EntryTuning& tuning, bool isFirstStart)
+    // Whole answers may hold a quarter of the process's memory, and room for the largest one.
+    std::size_t answerBytes(std::uint32_t memoryMegabytes)
     {
+        constexpr std::size_t megabyte = 1024 * 1024;
+        constexpr std::size_t leastMegabytes = 16;
+        constexpr std::size_t part = 4;
+        return memoryMegabytes == 0 ? 0 : megabyte * std::max<std::size_t>(leastMegabytes, memoryMegabytes / part);
+    }
+
+    router::ForwarderSettings forwarderSettings(const settings::EntrySettings& entry)
+    {
+        const settings::ServiceBounds& bounds = entry.bounds;
+        const settings::EntryTuning& tuning = entry.tuning;
         // A tenth of the bound stays unused, for windows that don't begin when ours do.
         constexpr double usedPart = 0.9;
         router::ForwarderSettings settings;
@@ -106,7 +117,8 @@
         settings.repeatsPerSecond = 0;
         settings.sharedRepeats = bounds.repeatSlack;
         settings.repeatWindow = bounds.repeatWindow;
-        settings.isFirstStart = isFirstStart;
+        settings.isFirstStart = entry.isFirstStart;
+        settings.answerBytes = answerBytes(entry.memoryMegabytes);
         settings.coldFactor = bounds.coldFactor;
         settings.coldSlack = bounds.coldSlack;
         settings.enginePrice.delayShare = tuning.delayShare;
@@ -151,7 +163,7 @@
     m_listening = m_shared.transport.makeProbe(m_duty);
     openPlaces();
     const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, m_queries, *m_client, *m_listening, m_fibers, &m_link, m_shared.settings.provider && m_shared.settings.provider->takesUsage ? this : nullptr, m_places.get(), this };
-    m_forwarder = std::make_unique<router::Forwarder>(parts, forwarderSettings(m_shared.settings.bounds, m_shared.settings.tuning, m_shared.settings.isFirstStart), seededRandom());
+    m_forwarder = std::make_unique<router::Forwarder>(parts, forwarderSettings(m_shared.settings), seededRandom());
     const net::HttpHandler forward = [this](const net::HttpRequest& request, net::HttpResponder& responder) { m_forwarder->handle(request, responder); };
     const net::HttpHandler tellReadiness = [this](const net::HttpRequest&, net::HttpResponder& responder) {
         constexpr int ready = 200;
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -96,6 +96,7 @@
     // What a cold endpoint may get in any second: its service's rate times the factor, and the slack.
     double coldFactor = 1.5;
     double coldSlack = 5;
+    std::size_t answerBytes = 0; // Of all whole answers that are held at once; 0: without a bound.
     bool accountMemory = false; // Keep engines from being given more than their KV cache holds.
     std::chrono::milliseconds connectTimeout { 300 }; // Many times the longest way within a region.
     std::chrono::milliseconds connectTimeoutBehind { 1'000 }; // While this instance is behind: another connect would wait as long.
--- a/packages/router/src/Forwarder.cpp
+++ b/packages/router/src/Forwarder.cpp
@@ -42,7 +42,7 @@
 
 struct Forwarder::State {
     State(const ForwarderParts& parts, const ForwarderSettings& settings, Random random)
-        : core { .parts = parts, .settings = settings, .random = random, .startedAt = parts.clock.now() - (settings.isFirstStart ? settings.repeatWindow : std::chrono::milliseconds(0)), .sharedRepeats = policy::SharedAllowance(settings.sharedRepeats), .start = policy::StartForecast(parts.clock.now()), .news = parts.fibers.makeWakeup(), .paths = policy::EndpointPaths(settings.paths, Random(random())) }
+        : core { .parts = parts, .settings = settings, .random = random, .startedAt = parts.clock.now() - (settings.isFirstStart ? settings.repeatWindow : std::chrono::milliseconds(0)), .sharedRepeats = policy::SharedAllowance(settings.sharedRepeats), .start = policy::StartForecast(parts.clock.now()), .news = parts.fibers.makeWakeup(), .paths = policy::EndpointPaths(settings.paths, Random(random())), .answerMemory = AnswerMemory(settings.answerBytes) }
     {
     }
 
@@ -196,6 +196,7 @@
     for (const policy::PathProbe& probe : m_state->core.paths.takeProbes(m_state->core.parts.clock.now()))
         m_state->probe(probe);
     m_state->core.tellRepeats();
+    m_state->core.tellAnswerMemory();
     m_state->core.notePrices();
     for (ForwardRun* run : m_state->core.runs)
         run->look();
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -42,7 +42,8 @@
 ForwardRun::AttemptEnd ForwardRun::answerWhole(ForwardAttempt& attempt)
 {
     attempt.firstByte();
-    const std::optional<net::HttpResponse> response = attempt.readWhole(m_deadline);
+    AnswerMemory::Share share(m_core.answerMemory, [&attempt] { attempt.cancel(); });
+    const std::optional<net::HttpResponse> response = attempt.readWhole(m_deadline, share);
     if (!response || hasEndedWithEndpoint(attempt))
         return breakOff(attempt);
     attempt.end(endpoint::EndpointOutcome::succeeded);
@@ -58,11 +59,13 @@
 
 ForwardRun::AttemptEnd ForwardRun::keepFailure(ForwardAttempt& attempt)
 {
-    std::optional<net::HttpResponse> response = attempt.readWhole(m_deadline);
+    auto share = std::make_unique<AnswerMemory::Share>(m_core.answerMemory, [&attempt] { attempt.cancel(); });
+    std::optional<net::HttpResponse> response = attempt.readWhole(m_deadline, *share);
     if (!response || hasEndedWithEndpoint(attempt))
         return breakOff(attempt);
     const bool isFault = isEndpointFault(response->status);
     m_failedAnswer = std::move(*response);
+    m_failedShare = std::move(share);
     attempt.end(isFault ? endpoint::EndpointOutcome::failed : endpoint::EndpointOutcome::succeeded);
     noteOutcome(attempt, isFault);
     log::info("attempt failed", { { "request", m_request.id }, { "endpoint", attempt.target().endpoint.name.value }, { "status", std::to_string(m_failedAnswer->status) }, { "reason", "the endpoint answered with a failure" }, { "elapsedMs", text(attempt.age()) } });
--- a/packages/router/src/internal/ForwardAttempt.cpp
+++ b/packages/router/src/internal/ForwardAttempt.cpp
@@ -208,21 +208,31 @@
     return verdict;
 }
 
-std::optional<net::HttpResponse> ForwardAttempt::readWhole(SteadyTime deadline)
+std::nullopt_t ForwardAttempt::failBody(std::string reason)
+{
+    m_failure = { .kind = ErrorKind::endpointFailed, .reason = std::move(reason), .runState = RunState::unknown };
+    return std::nullopt;
+}
+
+std::optional<net::HttpResponse> ForwardAttempt::readWhole(SteadyTime deadline, AnswerMemory::Share& share)
 {
     net::HttpResponse response = m_stream->head();
     while (true) {
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - m_core.parts.clock.now());
         std::optional<std::string> piece = read(std::max(left, std::chrono::milliseconds(0)));
-        if (!piece)
-            return std::nullopt;
-        if (piece->empty())
+        if (piece && piece->empty()) {
+            share.complete();
             return response;
-        response.body += *piece;
-        if (response.body.size() > largestAnswer) {
-            m_failure = { .kind = ErrorKind::endpointFailed, .reason = "the endpoint's answer is over " + std::to_string(largestAnswer) + " bytes", .runState = RunState::unknown };
-            return std::nullopt;
         }
+        if (piece)
+            response.body += *piece;
+        if (response.body.size() > largestAnswer)
+            return failBody("the endpoint's answer is over " + std::to_string(largestAnswer) + " bytes");
+        // One that was given up while it waited has been closed.
+        if (!share.resize(response.body.capacity()))
+            return failBody("the answers under way leave no room for the endpoint's, of " + std::to_string(response.body.size()) + " bytes so far");
+        if (!piece)
+            return std::nullopt;
     }
 }
 
--- a/packages/router/src/internal/ForwardAttempt.h
+++ b/packages/router/src/internal/ForwardAttempt.h
@@ -1,6 +1,7 @@
 // One attempt of a forwarded request: its endpoint, the call, and what its answer's head says.
 #pragma once
 
+#include "internal/AnswerMemory.h"
 #include "internal/EndpointUse.h"
 #include "internal/ForwardCore.h"
 
@@ -34,8 +35,8 @@
     // Sends the request and waits for the head of the answer, at most for `patience`.
     HeadVerdict open(const AttemptHead& head, std::chrono::milliseconds patience);
 
-    // Reads the rest of a whole answer. Returns nothing when it broke off.
-    std::optional<net::HttpResponse> readWhole(SteadyTime deadline);
+    // Reads the rest of a whole answer, whose bytes `share` counts. Returns nothing when it broke off or was given up.
+    std::optional<net::HttpResponse> readWhole(SteadyTime deadline, AnswerMemory::Share& share);
 
     // Returns the next bytes of the body, empty at its end; nothing when it broke off or nothing came within `patience`.
     std::optional<std::string> read(std::chrono::milliseconds patience);
@@ -76,6 +77,7 @@
     HeadVerdict judgeHead();
     void takeStatement();
     HeadVerdict fail(HeadVerdict verdict, ErrorKind kind, std::string reason);
+    std::nullopt_t failBody(std::string reason);
 
     ForwardCore& m_core;
     const ForwardedRequest& m_request;
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -1,6 +1,7 @@
 // The forwarder's parts and settings with its state, as the requests on the path share them.
 #pragma once
 
+#include "internal/AnswerMemory.h"
 #include "whinyard/policy/AnswerLengths.h"
 #include "whinyard/policy/EnginePrice.h"
 #include "whinyard/policy/PromptRates.h"
@@ -40,6 +41,13 @@
             parts.metrics.set("whinyard_repeats_used_share{service=\"" + service.value + "\"}", budget.use(parts.clock.now()).share());
     }
 
+    // Tells what whole answers hold, and how many were given up for want of room.
+    void tellAnswerMemory() const
+    {
+        parts.metrics.set("whinyard_answers_held_bytes", static_cast<double>(answerMemory.bytes()));
+        parts.metrics.set("whinyard_answers_given_up", static_cast<double>(answerMemory.givenUp()));
+    }
+
     // Moves on silence have a bound of their own beside that of all repeats.
     policy::RetryBudget& movesOf(const ServiceName& service)
     {
@@ -152,6 +160,7 @@
     policy::StartForecast start;
     std::unique_ptr<Wakeup> news;
     policy::EndpointPaths paths;
+    AnswerMemory answerMemory;
     std::map<InstanceName, net::Address> relays {}; // Of the other instances.
     std::shared_ptr<const std::set<ZoneName>> evacuated {}; // As the directory knows them.
     std::shared_ptr<const config::RoutingTable> table {}; // Whose bounds the directory knows.
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -160,6 +160,7 @@
     RunState m_runState = RunState::notRun;
     Failure m_failure; // The last reason.
     std::optional<net::HttpResponse> m_failedAnswer;
+    std::unique_ptr<AnswerMemory::Share> m_failedShare; // Of that answer.
     std::optional<std::uint64_t> m_lastEvent; // That the caller has.
     bool m_streaming = false; // The caller has the head of the answer.
     bool m_callerLeft = false;
