Show that streams and relays without an end are bounded

HttpEndlessTest had whole answers on the direct way only. Its nine forms are now also read as a stream, by way of a relay, and sent by a relay in place of its answer to CONNECT. All of them held: tests only.

--- a/packages/net/test/HttpEndlessTest.cpp
+++ b/packages/net/test/HttpEndlessTest.cpp
@@ -1,5 +1,6 @@
 // Servers that send bytes without end: each call ends within a bound in bytes, its connection is closed, and nothing says that the
 // request has not run.
+#include "whinyard/net/ConnectRelay.h"
 #include "whinyard/net/HttpClient.h"
 #include "whinyard/net/RawConnection.h"
 
@@ -37,12 +38,12 @@
             runOn(m_duty, [&] { m_client.reset(); });
         }
 
-        // Plays the server until the client closes. Returns how many bytes it could send.
-        std::size_t serve()
+        // Plays the server until the client closes; `request` is how what it waits for ends. Returns how many bytes it could send.
+        std::size_t serve(std::string_view request = "body")
         {
             constexpr std::size_t most = 256 * 1024 * 1024;
             RawConnection server(m_acceptor);
-            server.readUntil("body");
+            server.readUntil(request);
             std::size_t sent = 0;
             try {
                 server.write(GetParam().begin);
@@ -84,6 +85,60 @@
         EXPECT_NE(failure.kind, ErrorKind::deadlineExceeded) << "ended by its size, not by its time";
     }
 
+    // Guards against the same where the answer is read in pieces, or comes by way of a relay, which holds none of it.
+    TEST_P(HttpEndlessTest, EndsAStreamWithinABound)
+    {
+        constexpr std::size_t most = 1024 * 1024; // That the reader takes.
+        constexpr std::size_t inSockets = 32 * 1024 * 1024;
+        std::unique_ptr<ConnectRelay> relay;
+        runOn(m_duty, [&] {
+            Failure failure;
+            relay = ConnectRelay::open(
+                m_duty, { "127.0.0.1", 0 }, {}, [](const RelayedConnect& connect) { return std::optional(connect.server); },
+                [](const RelayedConnect&, const RelayedResult&) {}, failure);
+        });
+        for (const bool isRelayed : { false, true }) {
+            std::size_t read = 0;
+            std::thread caller([&] {
+                runOn(m_duty, [&] {
+                    HttpCallProgress progress;
+                    Failure failure;
+                    const HttpCallOptions options { .freshConnection = true, .relay = isRelayed ? std::optional(relay->address()) : std::nullopt };
+                    const auto stream = m_client->open(m_address, { "POST", "/x", {}, "body" }, options, progress, failure);
+                    while (stream && read <= most) {
+                        const auto piece = stream->read(failure);
+                        if (!piece)
+                            break;
+                        EXPECT_FALSE(piece->empty()) << "no end";
+                        read += piece->size();
+                    }
+                });
+            });
+            const std::size_t sent = serve();
+            caller.join();
+            EXPECT_LE(sent, most + inSockets);
+        }
+        runOn(m_duty, [&] { relay.reset(); });
+    }
+
+    // Guards against the same of a relay in trouble.
+    TEST_P(HttpEndlessTest, EndsTheAnswerOfARelayWithinABound)
+    {
+        constexpr std::size_t inSockets = 16 * 1024 * 1024;
+        std::optional<HttpResponse> response;
+        std::thread caller([&] {
+            runOn(m_duty, [&] {
+                HttpCallProgress progress;
+                Failure failure;
+                response = m_client->call({ "127.0.0.1", 1 }, { "POST", "/x", {}, "body" }, { .relay = m_address }, progress, failure);
+            });
+        });
+        const std::size_t sent = serve("\r\n\r\n");
+        caller.join();
+        EXPECT_FALSE(response);
+        EXPECT_LE(sent, inSockets);
+    }
+
     INSTANTIATE_TEST_SUITE_P(Places, HttpEndlessTest,
         ::testing::Values(EndlessAnswer { "statusLine", "HTTP/1.1 200 ", "OK" },
             EndlessAnswer { "head", "HTTP/1.1 200 OK\r\n", "x: y\r\n" },
