Count no bytes that an endpoint sends in vain as what connections cost

For seconds after an endpoint had sent answers that no caller got, such as bodies without end, an instance refused new callers of other services.

Cause: new connections are bounded by what connections of the last four seconds have carried, and what an endpoint sends in vain is in it, though the next connections won't bring it.

Change: the forwarder tells how many bytes of bodies were read in vain, as each attempt ends, and the gate takes them off. What the link carries now is counted as before, and so is whether the instance is behind. The answers that are given up for want of room are counted as whinyard_answers_given_up_total (a gauge before).

--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -304,6 +304,7 @@
 {
     const net::CarriedBytes carried = net::carriedBytes();
     m_gate.noteBytes({ carried.received, carried.sent }, m_shared.clock.now());
+    m_gate.noteWasted(m_forwarder->takeWastedBytes());
 }
 
 void ServeDuty::noteDelay(std::chrono::nanoseconds delay)
--- a/packages/policy/include/whinyard/policy/ConnectionGate.h
+++ b/packages/policy/include/whinyard/policy/ConnectionGate.h
@@ -13,6 +13,7 @@
 #include "whinyard/policy/LinkUse.h"
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 
 namespace whinyard::policy {
@@ -44,6 +45,9 @@
     // Notes what the link has carried. Call it at least every 100 ms.
     void noteBytes(const LinkBytes& bytes, SteadyTime now);
 
+    // Notes that so many of the bytes received were of no use to a caller: an endpoint's failure isn't what connections cost.
+    void noteWasted(std::uint64_t bytes);
+
     // Counts a connection that was taken. Returns for how long no other one is to be taken; zero if the next may come at once.
     std::chrono::nanoseconds pauseAfterConnection(SteadyTime now);
 
--- a/packages/policy/src/ConnectionGate.cpp
+++ b/packages/policy/src/ConnectionGate.cpp
@@ -59,6 +59,11 @@
         noteBehind(now);
 }
 
+void ConnectionGate::noteWasted(std::uint64_t bytes)
+{
+    m_received = std::max(0.0, m_received - static_cast<double>(bytes));
+}
+
 double ConnectionGate::bytesPerConnection() const
 {
     return (std::max(m_received, m_sent) + usualConnections * usualBytes) / (m_connections + usualConnections);
--- a/packages/policy/test/ConnectionGateTest.cpp
+++ b/packages/policy/test/ConnectionGateTest.cpp
@@ -56,6 +56,14 @@
             return taken;
         }
 
+        // Has an endpoint send what no caller gets.
+        void waste(std::uint64_t bytes)
+        {
+            m_bytes.received += bytes;
+            m_gate.noteBytes(m_bytes, m_now);
+            m_gate.noteWasted(bytes);
+        }
+
         SteadyTime::duration longestPause() const { return m_longestPause; }
         double linkUse() const { return m_gate.linkUse(); }
         bool isBehind() const { return m_gate.isBehind(m_now); }
@@ -181,6 +189,16 @@
         EXPECT_GE(taken, 0.4 * bytesPerSecond * 10 / 100'000);
     }
 
+    // Guards against callers who are turned away for seconds for what a faulty endpoint has sent.
+    TEST(ConnectionGateLinkTest, CountsNoWastedBytesAsWhatConnectionsCost)
+    {
+        LinkGate gate(1'250'000, 2'000);
+        gate.offer(20, 5s);
+        gate.waste(8'000'000);
+        EXPECT_EQ(gate.offer(20, 2s), 40U);
+        EXPECT_EQ(gate.longestPause(), 0ms);
+    }
+
     TEST(ConnectionGateLinkTest, IsBehindWhileTheLinkIsFull)
     {
         ConnectionGate gate({ .linkBytesPerSecond = 1'000'000 });
--- a/packages/router/include/whinyard/router/Forwarder.h
+++ b/packages/router/include/whinyard/router/Forwarder.h
@@ -23,6 +23,7 @@
 #include "whinyard/router/PlaceBroker.h"
 #include "whinyard/router/RoutingSource.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -152,6 +153,9 @@
     // Returns how long the shortest connect to an endpoint took since the last call; nothing where none succeeded.
     std::optional<std::chrono::nanoseconds> takeShortestConnect();
 
+    // Returns how many bytes of endpoints' answers were read in vain since the last call.
+    std::uint64_t takeWastedBytes();
+
     // Returns how many requests are running.
     std::size_t active() const;
 
--- a/packages/router/src/Forwarder.cpp
+++ b/packages/router/src/Forwarder.cpp
@@ -220,6 +220,11 @@
     return std::exchange(m_state->core.shortestConnect, std::nullopt);
 }
 
+std::uint64_t Forwarder::takeWastedBytes()
+{
+    return std::exchange(m_state->core.wastedBytes, 0);
+}
+
 std::size_t Forwarder::active() const
 {
     return m_state->core.active;
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -77,6 +77,8 @@
 ForwardRun::AttemptEnd ForwardRun::breakOff(ForwardAttempt& attempt)
 {
     m_failure = attempt.failure();
+    if (!m_streaming)
+        m_core.wastedBytes += attempt.bodyBytes();
     if (m_stalled)
         m_failure = { .kind = ErrorKind::endpointFailed, .reason = "the endpoint was silent for " + text(now() - m_silentSince) + " ms", .runState = RunState::unknown };
     if (m_isOverdue)
--- a/packages/router/src/internal/ForwardAttempt.cpp
+++ b/packages/router/src/internal/ForwardAttempt.cpp
@@ -229,8 +229,10 @@
         if (response.body.size() > largestAnswer)
             return failBody("the endpoint's answer is over " + std::to_string(largestAnswer) + " bytes");
         // One that was given up while it waited has been closed.
-        if (!share.resize(response.body.capacity()))
+        if (!share.resize(response.body.capacity())) {
+            m_core.parts.metrics.add("whinyard_answers_given_up_total");
             return failBody("the answers under way leave no room for the endpoint's, of " + std::to_string(response.body.size()) + " bytes so far");
+        }
         if (!piece)
             return std::nullopt;
     }
--- a/packages/router/src/internal/ForwardAttempt.h
+++ b/packages/router/src/internal/ForwardAttempt.h
@@ -57,6 +57,7 @@
     const EndpointReply& reply() const { return m_reply; }
     const net::HttpResponse& head() const { return m_stream->head(); }
     const Failure& failure() const { return m_failure; }
+    std::size_t bodyBytes() const { return m_bodyBytes; } // That were read.
     bool connectionLost() const { return m_connectionLost; } // Without the end of an answer, and not by us.
     bool hasHead() const { return m_stream != nullptr; }
     bool timedOut() const { return m_failure.kind == ErrorKind::deadlineExceeded; }
--- a/packages/router/src/internal/ForwardCore.h
+++ b/packages/router/src/internal/ForwardCore.h
@@ -41,12 +41,8 @@
             parts.metrics.set("whinyard_repeats_used_share{service=\"" + service.value + "\"}", budget.use(parts.clock.now()).share());
     }
 
-    // Tells what whole answers hold, and how many were given up for want of room.
-    void tellAnswerMemory() const
-    {
-        parts.metrics.set("whinyard_answers_held_bytes", static_cast<double>(answerMemory.bytes()));
-        parts.metrics.set("whinyard_answers_given_up", static_cast<double>(answerMemory.givenUp()));
-    }
+    // Tells what whole answers hold.
+    void tellAnswerMemory() const { parts.metrics.set("whinyard_answers_held_bytes", static_cast<double>(answerMemory.bytes())); }
 
     // Moves on silence have a bound of their own beside that of all repeats.
     policy::RetryBudget& movesOf(const ServiceName& service)
@@ -176,6 +172,7 @@
     std::map<VersionName, Concentrated> concentrations {};
     std::set<ForwardRun*> runs {}; // With an attempt that may be given up.
     std::optional<std::chrono::nanoseconds> shortestConnect {}; // To any endpoint, since it was taken.
+    std::uint64_t wastedBytes = 0; // Of answers that no caller gets, since they were taken.
     std::size_t active = 0;
     bool started = false;
     SteadyTime endsAt = SteadyTime::max(); // From then on nothing is sent to an endpoint.
