Pass on what a server has answered before it takes no more of a request

By way of a relay, callers lost answers that state their end, such as a 413 of more than 8 kB to a long upload, where the server reset the connection behind them: they got 502. On the direct way they got the answer.

Cause: a relay closed its connection to the server as its write failed, also what had arrived there.

Change: the relay closes that connection only where its client has left. After a write that failed, reading ends by itself, and never as a proper end.

--- a/packages/net/src/ConnectRelay.cpp
+++ b/packages/net/src/ConnectRelay.cpp
@@ -142,8 +142,10 @@
         // A client that closes has given the call up: the server is to know at once.
         void passRequest()
         {
-            passOn(m_client, m_server, false);
-            m_server.close();
+            const PassedBytes request = passOn(m_client, m_server, false);
+            // A server that takes no more of the request may have answered it.
+            if (!request.writeError)
+                m_server.close();
             m_requestPassed = true;
             m_requestEnd.notify();
         }
--- a/packages/net/test/HttpAnswerTest.cpp
+++ b/packages/net/test/HttpAnswerTest.cpp
@@ -262,6 +262,11 @@
                 ASSERT_TRUE(response) << m_failure.reason;
                 EXPECT_EQ(response->body, "whole");
             }
+            // More than a relay reads at once.
+            const std::string large(48 * 1024, 'x');
+            const auto response = answerAmidUpload(way, "HTTP/1.1 413 Large\r\nContent-Length: " + std::to_string(large.size()) + "\r\n\r\n" + large);
+            ASSERT_TRUE(response) << m_failure.reason << ", way " << static_cast<int>(way);
+            EXPECT_EQ(response->body, large);
         }
     }
 
