--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,8 +5,8 @@
 cd "$(dirname "$0")/.."
 
 mkdir -p target/review-2
-for source in review/[4-8]/Case.cpp; do
+for source in review/[4-8]/test/Case.cpp; do
     [ -e "$source" ] || continue
-    number=$(basename "$(dirname "$source")")
+    number=$(basename "$(dirname "$(dirname "$source")")")
     g++ -std=c++20 -O1 -pthread -I review/support "$source" -o "target/review-2/case-$number"
 done
--- a/review/support/World.h
+++ b/review/support/World.h
@@ -732,6 +732,7 @@
     }
     const std::string& ip() const { return m_ip; }
     int front() const { return m_ports.front; }
+    pid_t pid() const { return m_pid; }
 
 private:
     const std::string m_ip;
