Tell how many connections the process holds, by what they are for

Change: the gauge whinyard_connections{use} of an entry instance: callers, endpoints in use and kept, readiness, relayed, store, other instances and metrics. Reads from other instances have a client of their own, so that they are counted apart from the store's calls. No decision changes.

--- a/apps/whinyardd/entry/EntryShared.h
+++ b/apps/whinyardd/entry/EntryShared.h
@@ -9,8 +9,11 @@
 #include "whinyard/settings/EntrySettings.h"
 
 #include <atomic>
+#include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
 #include <utility>
 
 namespace whinyard::daemon {
@@ -21,6 +24,12 @@
     std::function<std::unique_ptr<net::ListenProbe>(net::Duty&)> makeProbe = net::ListenProbe::create;
 };
 
+// Tells how many connections the process holds for one use. Each takes a descriptor, a relayed one two.
+inline void tellConnectionCount(Metrics& metrics, std::string_view use, std::size_t count)
+{
+    metrics.set("whinyard_connections{use=\"" + std::string(use) + "\"}", static_cast<double>(count));
+}
+
 struct EntryShared {
     explicit EntryShared(const settings::EntrySettings& entrySettings, EndpointTransport endpointTransport = {})
         : settings(entrySettings)
--- a/apps/whinyardd/entry/PeerExchange.h
+++ b/apps/whinyardd/entry/PeerExchange.h
@@ -41,6 +41,9 @@
     // net::HttpClient does.
     std::optional<std::string> read(const InstanceName& instance, const std::string& target, Failure& failure);
 
+    // Returns how many connections of other instances stand.
+    std::size_t connections() const { return m_server ? m_server->connections() : 0; }
+
     void close() { m_server.reset(); }
 
 private:
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -265,10 +265,22 @@
             m_shared.metrics.set("whinyard_engine_memory_largest_share", shares.largest);
             m_shared.metrics.set("whinyard_engine_memory_mean_share", shares.mean);
         }
+        tellConnections();
         net::sleepFor(refreshInterval);
     }
 }
 
+void ServeDuty::tellConnections() const
+{
+    const auto tell = [this](std::string_view use, std::size_t count) { tellConnectionCount(m_shared.metrics, use, count); };
+    const net::HttpConnections endpoints = m_client->connections();
+    tell("callers", m_server->connections());
+    tell("endpoints", endpoints.inUse);
+    tell("endpointsKept", endpoints.kept);
+    tell("readiness", m_readiness->connections());
+    tell("relayed", m_relay ? m_relay->connections() : 0);
+}
+
 void ServeDuty::tickForwarder()
 {
     while (!m_shared.stopping) {
--- a/apps/whinyardd/entry/ServeDuty.h
+++ b/apps/whinyardd/entry/ServeDuty.h
@@ -121,6 +121,7 @@
     void addRelay(const peer::InstanceNotice& instance, std::map<InstanceName, net::Address>& relays) const;
     void noteNews();
     void refreshDirectory();
+    void tellConnections() const;
     void tickForwarder();
     bool isBehind() const override { return m_gate.isBehind(m_shared.clock.now()); }
     std::chrono::nanoseconds pauseAfterConnection();
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -58,6 +58,7 @@
     constexpr std::chrono::milliseconds settleInterval { 200 };
 
     constexpr std::chrono::milliseconds announcementLook { 1'000 };
+    constexpr std::chrono::milliseconds connectionsLook { 1'000 };
 
     constexpr std::chrono::milliseconds leaseTurn { 900 }; // Four times within the time to live.
     constexpr std::chrono::milliseconds leaderLook { 300 };
@@ -92,7 +93,8 @@
     m_client = net::HttpClient::create(m_duty);
     m_store = std::make_unique<backing::EraStore>(std::make_unique<backing::CountedStore>(platform::makeStore(*m_client, m_shared.settings.store.address), m_shared.metrics));
     m_operators = std::make_unique<OperatorWatch>(m_shared, m_serving);
-    m_exchange = std::make_unique<PeerExchange>(m_shared, *m_client);
+    m_instanceClient = net::HttpClient::create(m_duty);
+    m_exchange = std::make_unique<PeerExchange>(m_shared, *m_instanceClient);
     m_operatorRelay = std::make_unique<OperatorRelay>(m_shared, *m_operators, m_serving, *m_exchange, *m_store);
     m_roster = std::make_unique<RosterWatch>(m_shared, m_serving, *m_operatorRelay, *m_exchange, m_duty);
     m_probe = std::make_unique<StoreProbe>(m_shared, m_duty, *m_store, *m_roster, m_ownRecord);
@@ -121,6 +123,7 @@
         return false;
     if (m_shared.settings.peers)
         m_ownRecord.emplace(*m_store, std::string(InstanceWatch::prefix) + m_shared.settings.instance.value, peer::writeInstanceRecord(ownNotice()), instanceTimeToLive);
+    m_duty.spawn([this] { tellConnections(); });
     m_duty.spawn([this] { followOperators(); });
     m_duty.spawn([this] { followEndpoints(); });
     m_duty.spawn([this] { readFromOthers(); });
@@ -140,6 +143,22 @@
     return true;
 }
 
+void StoreDuty::tellConnections() const
+{
+    const auto tell = [this](std::string_view use, std::size_t count) { tellConnectionCount(m_shared.metrics, use, count); };
+    while (!m_shared.stopping) {
+        const net::HttpConnections store = m_client->connections();
+        const net::HttpConnections instances = m_instanceClient->connections();
+        tell("store", store.inUse);
+        tell("storeKept", store.kept);
+        tell("instancesRead", instances.inUse);
+        tell("instancesReadKept", instances.kept);
+        tell("instancesAnswered", m_exchange->connections());
+        tell("metrics", m_metricsServer ? m_metricsServer->connections() : 0);
+        net::sleepFor(connectionsLook);
+    }
+}
+
 void StoreDuty::postToLeaderWork(std::function<void(LeaderWork&)> use)
 {
     m_duty.post([this, use = std::move(use)] {
--- a/apps/whinyardd/entry/StoreDuty.h
+++ b/apps/whinyardd/entry/StoreDuty.h
@@ -39,6 +39,7 @@
 
 private:
     bool openOnDuty(Failure& failure);
+    void tellConnections() const;
     void followOperators();
     void readFromOthers();
     void awaitInstances();
@@ -73,6 +74,7 @@
     net::Signal m_followsNow;
     net::Signal m_mayKeepRecord; // What stands in the store of an earlier life is known.
     std::unique_ptr<net::HttpClient> m_client;
+    std::unique_ptr<net::HttpClient> m_instanceClient; // For reads from other instances.
     std::unique_ptr<backing::WatchableStore> m_store;
     std::unique_ptr<OperatorWatch> m_operators;
     std::unique_ptr<PeerExchange> m_exchange;
--- a/packages/net/include/whinyard/net/ConnectRelay.h
+++ b/packages/net/include/whinyard/net/ConnectRelay.h
@@ -61,6 +61,9 @@
     // Returns how many connections are being made or stand now.
     virtual std::size_t active() const = 0;
 
+    // Returns how many accepted connections stand now, each of which has another one to its server.
+    virtual std::size_t connections() const = 0;
+
     // Stops accepting. Connections that stand go on.
     virtual void drain() = 0;
 
--- a/packages/net/include/whinyard/net/FrameServer.h
+++ b/packages/net/include/whinyard/net/FrameServer.h
@@ -45,6 +45,9 @@
     // Returns how many requests are being handled now.
     virtual std::size_t active() const = 0;
 
+    // Returns how many accepted connections stand now.
+    virtual std::size_t connections() const = 0;
+
     // Stops accepting, and closes every kept connection after its current answer.
     virtual void drain() = 0;
 
--- a/packages/net/include/whinyard/net/HttpClient.h
+++ b/packages/net/include/whinyard/net/HttpClient.h
@@ -108,6 +108,12 @@
     virtual void cancel() = 0;
 };
 
+// What a client's connections are doing. Each takes a descriptor of the process.
+struct HttpConnections {
+    std::size_t inUse = 0; // By calls and by streams that haven't been destroyed.
+    std::size_t kept = 0; // For calls to come.
+};
+
 // Reads the rest of an answer. Returns nothing, with the reason, when it broke off.
 std::optional<std::string> readToEnd(HttpStream& stream, Failure& failure);
 
@@ -124,6 +130,9 @@
 
     // Makes a call and returns when the head of the answer is there; null with the reason else.
     virtual std::unique_ptr<HttpStream> open(const Address& address, const HttpRequest& request, const HttpCallOptions& options, HttpCallProgress& progress, Failure& failure) = 0;
+
+    // Returns how many connections stand or are being made now.
+    virtual HttpConnections connections() const { return {}; }
 };
 
 }
--- a/packages/net/include/whinyard/net/HttpServer.h
+++ b/packages/net/include/whinyard/net/HttpServer.h
@@ -78,6 +78,9 @@
     // Returns how many requests are being handled now.
     virtual std::size_t active() const = 0;
 
+    // Returns how many accepted connections stand now.
+    virtual std::size_t connections() const = 0;
+
     // Takes other limits. They hold from the next request of each connection on; `connections` stays as it was.
     virtual void useLimits(const HttpServerLimits& limits) = 0;
 
--- a/packages/net/src/HttpClient.cpp
+++ b/packages/net/src/HttpClient.cpp
@@ -50,6 +50,8 @@
             return std::make_unique<internal::HttpStreamImpl>(pool, address, exchange.releaseConnection(), std::move(parser), options.pieceTimeout);
         }
 
+        HttpConnections connections() const override { return m_pool->connections(); }
+
     private:
         static HttpResponse toPlain(http::response<http::string_body>&& message)
         {
--- a/packages/net/src/internal/ConnectionPool.cpp
+++ b/packages/net/src/internal/ConnectionPool.cpp
@@ -104,7 +104,7 @@
     const auto endpoint = toEndpoint<tcp>(address, failure);
     if (!endpoint)
         return nullptr;
-    auto connection = std::make_unique<ClientConnection>(m_duty.loop());
+    auto connection = std::make_unique<ClientConnection>(m_duty.loop(), m_open);
     connection->socket.expireAt(deadline);
     error_code error;
     connection->socket.connect(*endpoint, error);
@@ -152,6 +152,15 @@
     kept.push_back(std::move(connection));
 }
 
+HttpConnections ConnectionPool::connections() const
+{
+    HttpConnections counted;
+    for (const auto& [address, kept] : m_kept)
+        counted.kept += kept.size();
+    counted.inUse = *m_open - counted.kept;
+    return counted;
+}
+
 void ConnectionPool::dropOld(SteadyTime now)
 {
     if (now < m_nextSweep)
--- a/packages/net/src/internal/ConnectionPool.h
+++ b/packages/net/src/internal/ConnectionPool.h
@@ -24,10 +24,15 @@
     // More than the largest head: whatever is larger and ends nowhere, such as the extension of a chunk, breaks the answer off.
     static constexpr std::size_t mostReadAhead = 256 * 1024;
 
-    explicit ClientConnection(boost::asio::io_context& loop)
+    ClientConnection(boost::asio::io_context& loop, std::shared_ptr<std::size_t> openConnections)
         : socket(loop)
+        , open(std::move(openConnections))
     {
+        ++*open;
     }
+    ~ClientConnection() { --*open; }
+    ClientConnection(const ClientConnection&) = delete;
+    ClientConnection& operator=(const ClientConnection&) = delete;
 
     FiberSocket socket;
     boost::beast::flat_buffer buffer { mostReadAhead };
@@ -36,6 +41,7 @@
     bool isRelayed = false;
     std::shared_ptr<RelayFrameReader> frames; // Where a relay passes the server's bytes on in frames.
     SteadyTime idleSince;
+    const std::shared_ptr<std::size_t> open; // Of its pool; a stream may outlive that.
 };
 
 // Owned by a client and by its running calls. Belongs to one duty.
@@ -58,12 +64,15 @@
     // Keeps a connection on which the last answer has ended.
     void keep(const Address& address, std::unique_ptr<ClientConnection> connection);
 
+    HttpConnections connections() const;
+
 private:
     using Kept = std::vector<std::unique_ptr<ClientConnection>>;
 
     void dropOld(SteadyTime now);
 
     Duty& m_duty;
+    const std::shared_ptr<std::size_t> m_open = std::make_shared<std::size_t>(0); // Connections, kept ones among them.
     std::map<Address, Kept> m_kept;
     SteadyTime m_nextSweep;
 };
--- a/packages/net/src/internal/TcpServer.h
+++ b/packages/net/src/internal/TcpServer.h
@@ -44,6 +44,7 @@
     bool isDraining() const { return m_draining || m_closeAnnounced; }
     bool isDrained() const { return m_draining && m_connections.empty(); }
     std::size_t active() const { return m_active; }
+    std::size_t connections() const { return m_connections.size(); }
 
     // Waits for the first bytes of a request, which `buffer` takes. Returns false when the connection is to be
     // closed: the peer closed it, it stayed idle too long, or the server drains.
@@ -108,6 +109,7 @@
 
     Address address() const override { return m_server->address(); }
     std::size_t active() const override { return m_server->active(); }
+    std::size_t connections() const override { return m_server->connections(); }
     void drain() override { m_server->drain(); }
     bool isDrained() const override { return m_server->isDrained(); }
     void close() override { m_server->close(); }
