Close connections of which this side has announced the close

Eight of nine instances are lost; the ninth serves everything for half a minute and then refuses all with 503 ("Too many open files"), takes hardly a connection and answers no question of readiness.

Cause: whether a connection lives on after an answer was decided by the answer's Connection field alone. RFC 9112, 9.6: a client that has sent the close option sends no further request on the connection and closes it after the last answer. So it is a property of the exchange, not of the answer.

Change: ClientConnection knows whether this side has announced the close; ConnectionPool::release() is the one place that decides by both sides. FrameClient kept the connections of calls that ask for their own, and ServiceClient those of calls that may not be repeated; both close them now. Relayed connections were never kept.

--- a/packages/endpoint/src/ServiceClient.cpp
+++ b/packages/endpoint/src/ServiceClient.cpp
@@ -17,7 +17,7 @@
         {
             net::HttpRequest request = call.request;
             request.fields.push_back({ attemptField, toText(call.attempt) });
-            const net::HttpCallOptions options { .timeout = call.timeout, .freshConnection = !call.repeatable };
+            const net::HttpCallOptions options { .timeout = call.timeout, .freshConnection = !call.repeatable, .lastRequest = !call.repeatable };
             net::HttpCallProgress progress;
             std::optional<net::HttpResponse> response = m_client.call(call.service, request, options, progress, failure);
             fillAccount(progress, account);
--- a/packages/endpoint/test/ServiceClientTest.cpp
+++ b/packages/endpoint/test/ServiceClientTest.cpp
@@ -7,6 +7,7 @@
 namespace whinyard::endpoint {
 namespace {
 
+    // Guards also against connections that are kept for each call that may not be repeated, which uses none of them.
     TEST(ServiceClientTest, UsesAFreshConnectionUnlessTheCallIsRepeatable)
     {
         FakeHttpClient http;
@@ -20,6 +21,7 @@
             EXPECT_EQ(response->body, "broken");
             EXPECT_TRUE(account.answeredWhole);
             EXPECT_EQ(http.options.back().freshConnection, !repeatable);
+            EXPECT_EQ(http.options.back().lastRequest, !repeatable);
         }
     }
 
--- a/packages/net/include/whinyard/net/FrameClient.h
+++ b/packages/net/include/whinyard/net/FrameClient.h
@@ -24,7 +24,7 @@
 struct FrameCallOptions {
     std::chrono::milliseconds connectTimeout { 500 };
     std::chrono::milliseconds timeout { 5'000 }; // For the whole call, connecting included.
-    bool freshConnection = false; // Never reuse a connection: for calls that may not be repeated.
+    bool freshConnection = false; // Use a connection of its own, which is closed after the answer: for calls that may not be repeated.
     std::size_t frameBytes = defaultFrameBytes; // Bounds the request and the answer.
 };
 
--- a/packages/net/include/whinyard/net/HttpClient.h
+++ b/packages/net/include/whinyard/net/HttpClient.h
@@ -49,7 +49,7 @@
     std::chrono::milliseconds timeout { 30'000 }; // For the whole call; for a stream, until its head.
     std::chrono::milliseconds pieceTimeout { 30'000 }; // For each further piece of a stream.
     bool freshConnection = false; // Never reuse a connection: for calls that may not be repeated.
-    bool lastRequest = false; // Asks the server to close after its answer, and closes.
+    bool lastRequest = false; // Asks the server to close after its answer, and closes, whatever the server says.
     bool findsDeadPeer = false; // Ends the call some three seconds after its server or the way to it is gone, also while it waits.
     bool needsStatedEnd = false; // Fails where the answer has neither a length nor chunks: its close may be the end of a process.
     std::size_t bodyLimit = 16 * 1024 * 1024;
--- a/packages/net/src/FrameClient.cpp
+++ b/packages/net/src/FrameClient.cpp
@@ -41,7 +41,7 @@
                 failure = failureFor(error, address, progress.bytesWritten);
                 return std::nullopt;
             }
-            pool->keep(address, std::move(connection));
+            pool->release(address, std::move(connection), !options.freshConnection);
             return answer;
         }
 
--- a/packages/net/src/HttpClient.cpp
+++ b/packages/net/src/HttpClient.cpp
@@ -35,8 +35,7 @@
                     return std::nullopt;
                 }
             }
-            if (parser->keep_alive())
-                pool->keep(address, exchange.releaseConnection());
+            pool->release(address, exchange.releaseConnection(), parser->keep_alive());
             return toPlain(parser->release());
         }
 
--- a/packages/net/src/internal/ConnectionPool.cpp
+++ b/packages/net/src/internal/ConnectionPool.cpp
@@ -137,12 +137,13 @@
     return nullptr;
 }
 
-void ConnectionPool::keep(const Address& address, std::unique_ptr<ClientConnection> connection)
+void ConnectionPool::release(const Address& address, std::unique_ptr<ClientConnection> connection, bool serverKeeps)
 {
     const SteadyTime now = SystemClock().now();
     dropOld(now);
+    const bool isEnding = connection->closeAnnounced || !serverKeeps;
     // What came behind the answer isn't that of the next request.
-    if (connection->requestCut || connection->isRelayed || connection->buffer.size() > 0)
+    if (isEnding || connection->requestCut || connection->isRelayed || connection->buffer.size() > 0)
         return;
     Kept& kept = m_kept[address];
     if (kept.size() >= maximumKept)
--- a/packages/net/src/internal/ConnectionPool.h
+++ b/packages/net/src/internal/ConnectionPool.h
@@ -38,6 +38,7 @@
     boost::beast::flat_buffer buffer { mostReadAhead };
     bool reused = false;
     bool requestCut = false; // The server answered before it took the whole request: the rest can't be sent any more.
+    bool closeAnnounced = false; // We have said that no further request comes on it.
     bool isRelayed = false;
     std::shared_ptr<RelayFrameReader> frames; // Where a relay passes the server's bytes on in frames.
     SteadyTime idleSince;
@@ -61,8 +62,9 @@
     // Returns a new connection to the server at `address` that the relay has made.
     std::unique_ptr<ClientConnection> connectThrough(const Address& relay, const std::vector<HttpField>& fields, const Address& address, SteadyTime deadline, ConnectOutcome& outcome, Failure& failure);
 
-    // Keeps a connection on which the last answer has ended.
-    void keep(const Address& address, std::unique_ptr<ClientConnection> connection);
+    // Takes a connection on which an answer has ended, and keeps it for other calls where neither side has announced its close
+    // (RFC 9112, 9.3 and 9.6). All others are closed.
+    void release(const Address& address, std::unique_ptr<ClientConnection> connection, bool serverKeeps);
 
     HttpConnections connections() const;
 
--- a/packages/net/src/internal/HttpExchange.cpp
+++ b/packages/net/src/internal/HttpExchange.cpp
@@ -135,6 +135,7 @@
 bool HttpExchange::send(error_code& error)
 {
     const RequestMessage message = toBeast(m_request, m_address, m_options);
+    m_connection->closeAnnounced = m_options.lastRequest;
     http::request_serializer<http::span_body<const char>> serializer(message);
     m_connection->socket.heedAnswerWhileWriting(true);
     http::write(m_connection->socket, serializer, error);
--- a/packages/net/src/internal/HttpStreamImpl.cpp
+++ b/packages/net/src/internal/HttpStreamImpl.cpp
@@ -105,9 +105,7 @@
 std::string HttpStreamImpl::finish()
 {
     m_finished = true;
-    if (m_parser->keep_alive())
-        m_pool->keep(m_address, std::move(m_connection));
-    m_connection.reset();
+    m_pool->release(m_address, std::move(m_connection), m_parser->keep_alive());
     return {};
 }
 
--- a/packages/net/test/FrameServerTest.cpp
+++ b/packages/net/test/FrameServerTest.cpp
@@ -59,6 +59,21 @@
         Failure failure;
     };
 
+    // Guards against a descriptor that is held for each call which asks for a connection of its own.
+    TEST_F(FrameServerTest, ClosesTheConnectionOfACallThatAskedForItsOwn)
+    {
+        runOn(duty, [&] {
+            for (int i = 0; i < 10; ++i)
+                EXPECT_EQ(call("x", { .freshConnection = true }), "x") << failure.reason;
+            for (int look = 0; look < 200 && server->connections() > 0; ++look)
+                sleepFor(milliseconds(10));
+            EXPECT_EQ(server->connections(), 0U);
+            EXPECT_EQ(call("x"), "x") << failure.reason;
+            EXPECT_EQ(call("x"), "x") << failure.reason;
+            EXPECT_EQ(server->connections(), 1U);
+        });
+    }
+
     TEST_F(FrameServerTest, AnswersFramesUpToTheirLimit)
     {
         runOn(duty, [&] {
