Bound what a client keeps over all addresses, and let go of it by itself

Cause: the pool of kept connections had no bound over all addresses (512 for each, addresses without end) and no clock of its own. Old connections were closed only as another call succeeded, which none does once the descriptors are spent; and one that its server had closed stayed until a call asked for the same address, which for an endpoint that has ended is never.

Evidence: with the watch, the timer and the bound taken out of the same tree, HttpConnectionTest. LetsGoOfAConnectionThatItsServerCloses, LetsGoOfIdleConnectionsWithoutAnotherCall and BoundsWhatItKeepsOverAllAddresses fail.

Change: HttpClientLimits. The pool is one list by idle time: the oldest is closed where the bound over all addresses is passed and, by a timer of the loop, after the keep time; a watch of each kept socket closes it when its server does. None of these needs a descriptor or a call.

--- a/packages/net/include/whinyard/net/HttpClient.h
+++ b/packages/net/include/whinyard/net/HttpClient.h
@@ -117,10 +117,18 @@
 // Reads the rest of an answer. Returns nothing, with the reason, when it broke off.
 std::optional<std::string> readToEnd(HttpStream& stream, Failure& failure);
 
+// Bounds what a client holds, over all addresses.
+struct HttpClientLimits {
+    // Kept for calls to come; beyond it the one that has been idle for longest is closed. One that its server closes is closed at once.
+    std::size_t keptConnections = 512;
+    // Shorter than the idle timeout of usual servers, so that the client closes first, also after a suspension.
+    std::chrono::milliseconds keepTime { 30'000 };
+};
+
 // Makes calls. One client belongs to one duty; a call suspends the calling fiber.
 class HttpClient {
 public:
-    static std::unique_ptr<HttpClient> create(Duty& duty);
+    static std::unique_ptr<HttpClient> create(Duty& duty, const HttpClientLimits& limits = {});
 
     virtual ~HttpClient() = default;
 
--- a/packages/net/src/HttpClient.cpp
+++ b/packages/net/src/HttpClient.cpp
@@ -15,8 +15,8 @@
 
     class HttpClientImpl final : public HttpClient {
     public:
-        explicit HttpClientImpl(Duty& duty)
-            : m_pool(std::make_shared<internal::ConnectionPool>(duty))
+        HttpClientImpl(Duty& duty, const HttpClientLimits& limits)
+            : m_pool(std::make_shared<internal::ConnectionPool>(duty, limits))
         {
         }
 
@@ -77,9 +77,9 @@
     return std::nullopt;
 }
 
-std::unique_ptr<HttpClient> HttpClient::create(Duty& duty)
+std::unique_ptr<HttpClient> HttpClient::create(Duty& duty, const HttpClientLimits& limits)
 {
-    return std::make_unique<HttpClientImpl>(duty);
+    return std::make_unique<HttpClientImpl>(duty, limits);
 }
 
 }
--- a/packages/net/src/internal/ConnectionPool.cpp
+++ b/packages/net/src/internal/ConnectionPool.cpp
@@ -8,6 +8,9 @@
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http.hpp>
 
+#include <iterator>
+#include <utility>
+
 namespace whinyard::net::internal {
 
 namespace asio = boost::asio;
@@ -17,11 +20,6 @@
 
 namespace {
 
-    // Shorter than the idle timeout of usual servers, so that the client closes first, also after a suspension.
-    constexpr std::chrono::seconds keepTime { 30 };
-    constexpr std::chrono::seconds sweepInterval { 10 };
-    constexpr std::size_t maximumKept = 512; // For each address.
-
     ConnectOutcome outcomeOf(http::status answer)
     {
         switch (answer) {
@@ -79,18 +77,32 @@
 
 }
 
+ConnectionPool::ConnectionPool(Duty& duty, const HttpClientLimits& limits)
+    : m_duty(duty)
+    , m_limits(limits)
+    , m_sweep(duty.loop())
+{
+}
+
+ConnectionPool::~ConnectionPool()
+{
+    while (!m_kept.empty())
+        take(m_kept.begin());
+}
+
 std::unique_ptr<ClientConnection> ConnectionPool::takeKept(const Address& address)
 {
-    const auto found = m_kept.find(address);
-    if (found == m_kept.end())
-        return nullptr;
-    Kept& kept = found->second;
-    const SteadyTime oldest = SystemClock().now() - keepTime;
-    while (!kept.empty()) {
-        auto connection = std::move(kept.back());
-        kept.pop_back();
+    const SteadyTime oldest = SystemClock().now() - m_limits.keepTime;
+    for (auto kept = m_kept.end(); kept != m_kept.begin();) {
+        --kept;
+        if (kept->address != address)
+            continue;
+        const bool isOld = kept->idleSince < oldest;
+        const auto next = std::next(kept);
+        auto connection = take(kept);
+        kept = next;
         // Bytes without a request make a connection as useless as a close does.
-        if (connection->idleSince < oldest || connection->socket.isReadable())
+        if (isOld || connection->socket.isReadable())
             continue;
         connection->reused = true;
         connection->socket.resetBytesWritten();
@@ -99,6 +111,14 @@
     return nullptr;
 }
 
+std::unique_ptr<ClientConnection> ConnectionPool::take(std::list<Kept>::iterator kept)
+{
+    kept->watch->observer = nullptr;
+    auto connection = std::move(kept->connection);
+    m_kept.erase(kept);
+    return connection;
+}
+
 std::unique_ptr<ClientConnection> ConnectionPool::connect(const Address& address, SteadyTime deadline, ConnectOutcome& outcome, Failure& failure)
 {
     const auto endpoint = toEndpoint<tcp>(address, failure);
@@ -139,37 +159,44 @@
 
 void ConnectionPool::release(const Address& address, std::unique_ptr<ClientConnection> connection, bool serverKeeps)
 {
-    const SteadyTime now = SystemClock().now();
-    dropOld(now);
     const bool isEnding = connection->closeAnnounced || !serverKeeps;
     // What came behind the answer isn't that of the next request.
     if (isEnding || connection->requestCut || connection->isRelayed || connection->buffer.size() > 0)
         return;
-    Kept& kept = m_kept[address];
-    if (kept.size() >= maximumKept)
-        return;
+    keep(address, std::move(connection));
+}
+
+void ConnectionPool::keep(const Address& address, std::unique_ptr<ClientConnection> connection)
+{
     connection->socket.neverExpire();
-    connection->idleSince = now;
-    kept.push_back(std::move(connection));
+    const auto kept = m_kept.insert(m_kept.end(), { address, std::move(connection), SystemClock().now(), nullptr });
+    // The pool may be gone by the time a close is seen, but then its watches have no observer.
+    kept->watch = kept->connection->socket.watchReadable([this, kept] { take(kept); });
+    while (m_kept.size() > m_limits.keptConnections)
+        take(m_kept.begin());
+    dropOld();
 }
 
 HttpConnections ConnectionPool::connections() const
 {
-    HttpConnections counted;
-    for (const auto& [address, kept] : m_kept)
-        counted.kept += kept.size();
-    counted.inUse = *m_open - counted.kept;
-    return counted;
+    return { .inUse = *m_open - m_kept.size(), .kept = m_kept.size() };
 }
 
-void ConnectionPool::dropOld(SteadyTime now)
+void ConnectionPool::dropOld()
 {
-    if (now < m_nextSweep)
+    const SteadyTime now = SystemClock().now();
+    while (!m_kept.empty() && m_kept.front().idleSince + m_limits.keepTime <= now)
+        take(m_kept.begin());
+    if (m_kept.empty() || std::exchange(m_sweepDue, true))
         return;
-    m_nextSweep = now + sweepInterval;
-    for (auto& [address, kept] : m_kept)
-        std::erase_if(kept, [&](const auto& connection) { return connection->idleSince < now - keepTime; });
-    std::erase_if(m_kept, [](const auto& entry) { return entry.second.empty(); });
+    m_sweep.expires_after(m_kept.front().idleSince + m_limits.keepTime - now);
+    m_sweep.async_wait([pool = weak_from_this()](const error_code& error) {
+        const auto self = pool.lock();
+        if (error || !self)
+            return;
+        self->m_sweepDue = false;
+        self->dropOld();
+    });
 }
 
 Failure exchangeFailure(const error_code& error, const Address& address, std::size_t bytesWritten, ErrorKind lostKind)
--- a/packages/net/src/internal/ConnectionPool.h
+++ b/packages/net/src/internal/ConnectionPool.h
@@ -1,4 +1,4 @@
-// Kept connections of a client, by address.
+// The connections of a client: it makes them, and keeps those that other calls may use again, for a while.
 //
 // HttpClient and FrameClient share it, so that both give the same account of written bytes.
 #pragma once
@@ -10,9 +10,10 @@
 #include "whinyard/net/Duty.h"
 #include "whinyard/net/HttpClient.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
-#include <map>
+#include <list>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -41,17 +42,16 @@
     bool closeAnnounced = false; // We have said that no further request comes on it.
     bool isRelayed = false;
     std::shared_ptr<RelayFrameReader> frames; // Where a relay passes the server's bytes on in frames.
-    SteadyTime idleSince;
     const std::shared_ptr<std::size_t> open; // Of its pool; a stream may outlive that.
 };
 
 // Owned by a client and by its running calls. Belongs to one duty.
-class ConnectionPool {
+class ConnectionPool : public std::enable_shared_from_this<ConnectionPool> {
 public:
-    explicit ConnectionPool(Duty& duty)
-        : m_duty(duty)
-    {
-    }
+    explicit ConnectionPool(Duty& duty, const HttpClientLimits& limits = {});
+    ~ConnectionPool();
+    ConnectionPool(const ConnectionPool&) = delete;
+    ConnectionPool& operator=(const ConnectionPool&) = delete;
 
     // Returns a kept connection that its server hasn't closed, or null.
     std::unique_ptr<ClientConnection> takeKept(const Address& address);
@@ -69,14 +69,24 @@
     HttpConnections connections() const;
 
 private:
-    using Kept = std::vector<std::unique_ptr<ClientConnection>>;
-
-    void dropOld(SteadyTime now);
+    struct Kept {
+        Address address;
+        std::unique_ptr<ClientConnection> connection;
+        SteadyTime idleSince;
+        std::shared_ptr<SocketWatch> watch; // Of the server's close.
+    };
+
+    void keep(const Address& address, std::unique_ptr<ClientConnection> connection);
+    std::unique_ptr<ClientConnection> take(std::list<Kept>::iterator kept);
+    // Closes what has been idle for too long, and does so again by itself while something is kept.
+    void dropOld();
 
     Duty& m_duty;
+    const HttpClientLimits m_limits;
     const std::shared_ptr<std::size_t> m_open = std::make_shared<std::size_t>(0); // Connections, kept ones among them.
-    std::map<Address, Kept> m_kept;
-    SteadyTime m_nextSweep;
+    std::list<Kept> m_kept; // The one that has been idle for longest first.
+    boost::asio::steady_timer m_sweep;
+    bool m_sweepDue = false; // The timer runs.
 };
 
 // Returns the failure for an exchange that broke off after a connection was there.
--- a/packages/net/src/internal/FiberSocket.cpp
+++ b/packages/net/src/internal/FiberSocket.cpp
@@ -235,14 +235,14 @@
     boost::this_fiber::yield();
 }
 
-std::shared_ptr<PeerWatch> FiberSocket::watchPeer(std::function<void()> observer)
+std::shared_ptr<SocketWatch> FiberSocket::watchPeer(std::function<void()> observer)
 {
-    auto watch = std::make_shared<PeerWatch>(PeerWatch { std::move(observer) });
+    auto watch = std::make_shared<SocketWatch>(SocketWatch { std::move(observer) });
     m_core->watchPeer(watch);
     return watch;
 }
 
-void FiberSocket::Core::watchPeer(std::shared_ptr<PeerWatch> watch)
+void FiberSocket::Core::watchPeer(std::shared_ptr<SocketWatch> watch)
 {
     socket.async_wait(asio::socket_base::wait_read, [core = shared_from_this(), watch = std::move(watch)](const error_code& error) mutable {
         if (!error)
@@ -250,7 +250,7 @@
     });
 }
 
-void FiberSocket::Core::lookAtPeer(std::shared_ptr<PeerWatch> watch)
+void FiberSocket::Core::lookAtPeer(std::shared_ptr<SocketWatch> watch)
 {
     if (!watch->observer)
         return;
@@ -262,6 +262,16 @@
     pause->async_wait([core = shared_from_this(), watch = std::move(watch), pause](const error_code&) mutable { core->lookAtPeer(std::move(watch)); });
 }
 
+std::shared_ptr<SocketWatch> FiberSocket::watchReadable(std::function<void()> observer)
+{
+    auto watch = std::make_shared<SocketWatch>(SocketWatch { std::move(observer) });
+    m_core->socket.async_wait(asio::socket_base::wait_read, [watch](const error_code&) {
+        if (watch->observer)
+            std::exchange(watch->observer, nullptr)();
+    });
+    return watch;
+}
+
 void FiberSocket::findDeadPeer()
 {
     // Sites let connections go silent without a reset, and count an instance as in touch again after three seconds.
--- a/packages/net/src/internal/FiberSocket.h
+++ b/packages/net/src/internal/FiberSocket.h
@@ -20,8 +20,8 @@
 
 namespace whinyard::net::internal {
 
-// A running watch of FiberSocket::watchPeer(). Without an observer it ends unheard.
-struct PeerWatch {
+// A running watch of a socket. Without an observer it ends unheard.
+struct SocketWatch {
     std::function<void()> observer;
 };
 
@@ -108,7 +108,11 @@
     // Calls the observer from the event loop once the peer has closed its side; the watch ends when its observer is
     // emptied. Bytes that arrive while the watch runs, such as a pipelined request, make it look again at intervals,
     // as no event tells of a close behind unread bytes.
-    std::shared_ptr<PeerWatch> watchPeer(std::function<void()> observer);
+    std::shared_ptr<SocketWatch> watchPeer(std::function<void()> observer);
+
+    // Calls the observer once, from the event loop, when a read would return something: bytes, the peer's close or an error. The watch ends
+    // when its observer is emptied or the socket is closed.
+    std::shared_ptr<SocketWatch> watchReadable(std::function<void()> observer);
 
     // Returns whether a read would return something now: bytes, the peer's close or an error.
     bool isReadable() const;
@@ -134,8 +138,8 @@
 
         void schedule();
         void expire();
-        void watchPeer(std::shared_ptr<PeerWatch> watch);
-        void lookAtPeer(std::shared_ptr<PeerWatch> watch);
+        void watchPeer(std::shared_ptr<SocketWatch> watch);
+        void lookAtPeer(std::shared_ptr<SocketWatch> watch);
 
         boost::asio::ip::tcp::socket socket;
         boost::asio::steady_timer timer;
--- a/packages/net/src/internal/HttpResponderImpl.h
+++ b/packages/net/src/internal/HttpResponderImpl.h
@@ -52,7 +52,7 @@
     bool finish(const boost::system::error_code& error, State next);
 
     FiberSocket& m_socket;
-    std::shared_ptr<PeerWatch> m_watch;
+    std::shared_ptr<SocketWatch> m_watch;
     const AnswerMode m_mode;
     State m_state = State::fresh;
     bool m_keepAlive = false;
--- a/packages/net/test/HttpConnectionTest.cpp
+++ b/packages/net/test/HttpConnectionTest.cpp
@@ -7,7 +7,9 @@
 
 #include <array>
 #include <functional>
+#include <memory>
 #include <thread>
+#include <vector>
 
 namespace whinyard::net {
 namespace {
@@ -45,7 +47,29 @@
 
         ~HttpConnectionTest() override
         {
-            runOn(m_duty, [this] { m_client.reset(); });
+            runOn(m_duty, [this] {
+                m_client.reset();
+                m_servers.clear();
+            });
+        }
+
+        void useLimits(const HttpClientLimits& limits)
+        {
+            runOn(m_duty, [&] { m_client = HttpClient::create(m_duty, limits); });
+        }
+
+        // Has the client keep a connection to each of so many servers, in this order.
+        void keepOneToEach(std::size_t servers)
+        {
+            runOn(m_duty, [&] {
+                for (std::size_t i = 0; i < servers; ++i) {
+                    HttpCallProgress progress;
+                    Failure failure;
+                    m_servers.push_back(HttpServer::open(
+                        m_duty, { "127.0.0.1", 0 }, {}, [](const HttpRequest&, HttpResponder& responder) { responder.send({}); }, failure));
+                    EXPECT_TRUE(m_client->call(m_servers.back()->address(), {}, {}, progress, failure)) << failure.reason;
+                }
+            });
         }
 
         // Reads the answer `bytes`, which the server sends on `server`, or on a new connection where there is none.
@@ -84,6 +108,7 @@
         Address m_address;
         Duty m_duty { "client" };
         std::unique_ptr<HttpClient> m_client;
+        std::vector<std::unique_ptr<HttpServer>> m_servers;
         std::string m_request; // The head of the last one.
 
     private:
@@ -135,5 +160,52 @@
         }
     }
 
+    // Guards against descriptors of connections that their servers have closed, which stayed until a call asked for the same address: one
+    // that has ended never asks again.
+    TEST_F(HttpConnectionTest, LetsGoOfAConnectionThatItsServerCloses)
+    {
+        std::optional<RawConnection> server;
+        exchange(Way::whole, okay, {}, server);
+        ASSERT_EQ(connections().kept, 1U);
+        server->close();
+        EXPECT_TRUE(eventually([this] { return connections().kept == 0; }));
+        server.reset();
+        exchange(Way::whole, okay, {}, server);
+        server->write("HTTP/1.1 408 Request Timeout\r\n\r\n"); // Belongs to no request.
+        ASSERT_TRUE(eventually([this] { return connections().kept == 0; }));
+        EXPECT_EQ(server->readAll(), "");
+    }
+
+    // Guards against idle connections that are closed only when another call has succeeded: none does once the descriptors are spent.
+    TEST_F(HttpConnectionTest, LetsGoOfIdleConnectionsWithoutAnotherCall)
+    {
+        useLimits({ .keepTime = 100ms });
+        keepOneToEach(5);
+        EXPECT_EQ(connections().kept, 5U);
+        EXPECT_TRUE(eventually([this] { return connections().kept == 0; }));
+        // Also those that are kept later.
+        std::optional<RawConnection> server;
+        exchange(Way::whole, okay, {}, server);
+        EXPECT_EQ(connections().kept, 1U);
+        EXPECT_TRUE(eventually([this] { return connections().kept == 0; }));
+    }
+
+    // Guards against a bound for each address, which is none where addresses come and go.
+    TEST_F(HttpConnectionTest, BoundsWhatItKeepsOverAllAddresses)
+    {
+        useLimits({ .keptConnections = 3 });
+        keepOneToEach(8);
+        EXPECT_EQ(connections().kept, 3U);
+        const auto opened = [&](std::size_t number) { return *callOn(m_duty, [&] { return m_servers[number]->connections(); }); };
+        EXPECT_TRUE(eventually([&] { return opened(4) == 0; })) << "idle for longest";
+        EXPECT_EQ(opened(5) + opened(6) + opened(7), 3U);
+        runOn(m_duty, [&] {
+            HttpCallProgress progress;
+            Failure failure;
+            EXPECT_TRUE(m_client->call(m_servers[5]->address(), {}, {}, progress, failure)) << failure.reason;
+            EXPECT_EQ(progress.connect, ConnectOutcome::notTried) << "a kept one was used";
+        });
+    }
+
 }
 }
