Tell what this instance lacks for a connection apart from a refusal

Once an instance had no descriptor left, its requests were told "no path to the endpoints, not by way of other instances either" for as long as it was looked at.

Cause: every failure of a connect but a time-out counted as the server's refusal. "Too many open files" was taken for a lost path, relays were asked (and failed for the same lack, which counted as theirs), probes of the path failed alike, and endpoints were judged by it. A relay that lacked a descriptor told its client that the endpoint had refused.

Change: ConnectOutcome::lacksResources and Listening::notAsked for EMFILE, ENFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL. Nothing is concluded from them about endpoints, paths and relays. Such a request has not run and is refused at once with 503 and Retry-After, as another endpoint would fare alike; a relay declines. Related path: the product's own engines and services, whose attempts end without a verdict too.

--- a/packages/net/include/whinyard/net/HttpClient.h
+++ b/packages/net/include/whinyard/net/HttpClient.h
@@ -68,6 +68,7 @@
     silent, // No answer in time.
     relayUnreachable, // No answer of the relay.
     relayDeclined, // The relay hasn't tried to connect to the server.
+    lacksResources, // This process has no descriptor, port or memory for a connection, which says nothing about the server.
 };
 
 // What is known of a call. Failure::runState is filled from it: notRun while bytesWritten is zero.
@@ -133,7 +134,7 @@
     virtual ~HttpClient() = default;
 
     // Makes a call and reads the whole answer, up to the close of its connection where it states no end. A failure's kind is peerUnreachable (no connection),
-    // deadlineExceeded or endpointFailed (connection lost, or an answer that can't be taken).
+    // overloaded (this process lacks the resources for one), deadlineExceeded or endpointFailed (connection lost, or an answer that can't be taken).
     virtual std::optional<HttpResponse> call(const Address& address, const HttpRequest& request, const HttpCallOptions& options, HttpCallProgress& progress, Failure& failure) = 0;
 
     // Makes a call and returns when the head of the answer is there; null with the reason else.
--- a/packages/net/include/whinyard/net/ListenProbe.h
+++ b/packages/net/include/whinyard/net/ListenProbe.h
@@ -19,6 +19,7 @@
     yes, // A connection was accepted; it is closed at once.
     no, // The peer's machine answered that nobody listens there.
     unknown, // No answer in time.
+    notAsked, // This process lacks the resources to ask.
 };
 
 class ListenProbe {
--- a/packages/net/src/ConnectRelay.cpp
+++ b/packages/net/src/ConnectRelay.cpp
@@ -120,6 +120,8 @@
             m_server.connect(*endpoint, error);
             if (!error)
                 return http::status::ok;
+            if (internal::isOwnShortage(error))
+                return http::status::service_unavailable; // Declines: another relay may have what this one lacks.
             return error == asio::error::timed_out ? http::status::gateway_timeout : http::status::bad_gateway;
         }
 
--- a/packages/net/src/ListenProbe.cpp
+++ b/packages/net/src/ListenProbe.cpp
@@ -31,6 +31,8 @@
             socket.connect(*endpoint, error);
             if (!error)
                 return Listening::yes;
+            if (internal::isOwnShortage(error))
+                return Listening::notAsked;
             return error == asio::error::connection_refused ? Listening::no : Listening::unknown;
         }
 
@@ -41,6 +43,8 @@
             internal::ConnectionPool pool(m_duty);
             if (pool.connectThrough(relay, fields, address, SystemClock().now() + patience, outcome, ignored))
                 return Listening::yes;
+            if (outcome == ConnectOutcome::lacksResources)
+                return Listening::notAsked;
             return outcome == ConnectOutcome::refused ? Listening::no : Listening::unknown;
         }
 
--- a/packages/net/src/internal/ConnectionPool.cpp
+++ b/packages/net/src/internal/ConnectionPool.cpp
@@ -20,6 +20,15 @@
 
 namespace {
 
+    ConnectOutcome outcomeOf(const error_code& connectError)
+    {
+        if (!connectError)
+            return ConnectOutcome::connected;
+        if (isOwnShortage(connectError))
+            return ConnectOutcome::lacksResources;
+        return connectError == asio::error::timed_out ? ConnectOutcome::silent : ConnectOutcome::refused;
+    }
+
     ConnectOutcome outcomeOf(http::status answer)
     {
         switch (answer) {
@@ -128,12 +137,12 @@
     connection->socket.expireAt(deadline);
     error_code error;
     connection->socket.connect(*endpoint, error);
-    outcome = !error ? ConnectOutcome::connected : error == asio::error::timed_out ? ConnectOutcome::silent
-                                                                                   : ConnectOutcome::refused;
+    outcome = outcomeOf(error);
     if (!error)
         return connection;
     const std::string why = error == asio::error::timed_out ? "no answer in time" : error.message();
-    failure = Failure { ErrorKind::peerUnreachable, "can't connect to " + toText(address) + ": " + why };
+    const ErrorKind kind = outcome == ConnectOutcome::lacksResources ? ErrorKind::overloaded : ErrorKind::peerUnreachable;
+    failure = Failure { kind, "can't connect to " + toText(address) + ": " + why };
     return nullptr;
 }
 
@@ -141,7 +150,8 @@
 {
     auto connection = connect(relay, deadline, outcome, failure);
     if (!connection) {
-        outcome = ConnectOutcome::relayUnreachable;
+        if (outcome != ConnectOutcome::lacksResources)
+            outcome = ConnectOutcome::relayUnreachable;
         return nullptr;
     }
     error_code error;
--- a/packages/net/src/internal/FiberSocket.cpp
+++ b/packages/net/src/internal/FiberSocket.cpp
@@ -39,6 +39,13 @@
 
 }
 
+bool isOwnShortage(const error_code& error)
+{
+    namespace errc = boost::system::errc;
+    return error == errc::too_many_files_open || error == errc::too_many_files_open_in_system || error == errc::no_buffer_space || error == errc::not_enough_memory
+        || error == errc::address_not_available;
+}
+
 FiberSocket::Core::Core(tcp::socket connected)
     : socket(std::move(connected))
     , timer(socket.get_executor())
--- a/packages/net/src/internal/FiberSocket.h
+++ b/packages/net/src/internal/FiberSocket.h
@@ -25,6 +25,9 @@
     std::function<void()> observer;
 };
 
+// Returns whether a connect has failed for what this process or machine lacks, of which neither the peer nor the way to it knows.
+bool isOwnShortage(const boost::system::error_code& error);
+
 // A connected or unconnected socket. It belongs to the duty of its event loop.
 class FiberSocket {
 public:
--- a/packages/router/src/Forwarder.cpp
+++ b/packages/router/src/Forwarder.cpp
@@ -76,6 +76,7 @@
             std::size_t connected = 0;
             std::size_t failed = 0;
             std::size_t timedOut = 0; // Of these.
+            bool lacksResources = false; // Of this instance, for at least one of them.
         };
         const std::vector<backing::ListedEndpoint> endpoints = core.parts.directory.drawLive(wanted.service, wanted.endpoints);
         const auto round = std::make_shared<Round>(Round { core.parts.clock.now(), endpoints.size() });
@@ -87,10 +88,11 @@
                 const bool connected = answer == net::Listening::yes;
                 ++(connected ? round->connected : round->failed);
                 round->timedOut += answer == net::Listening::unknown ? 1 : 0;
+                round->lacksResources = round->lacksResources || answer == net::Listening::notAsked;
                 core.parts.metrics.add(connected ? "whinyard_path_probes_total{outcome=\"connected\"}" : "whinyard_path_probes_total{outcome=\"failed\"}");
                 if (--round->left > 0)
                     return;
-                if (round->connected + round->failed == round->timedOut && core.isBehind())
+                if (round->lacksResources || (round->connected + round->failed == round->timedOut && core.isBehind()))
                     core.paths.dismissProbes(service);
                 else
                     core.paths.recordProbes(service, round->connected, round->failed, round->began);
--- a/packages/router/src/internal/EngineDispatch.cpp
+++ b/packages/router/src/internal/EngineDispatch.cpp
@@ -58,7 +58,9 @@
 {
     if (account.refusedAsLeaving)
         return endpoint::EndpointOutcome::leaving;
-    return failure.kind == ErrorKind::cancelled ? endpoint::EndpointOutcome::cancelled : endpoint::EndpointOutcome::failed;
+    // What this instance lacks for a connection says nothing about the endpoint.
+    const bool lacksResources = failure.kind == ErrorKind::overloaded && account.bytesWritten == 0;
+    return failure.kind == ErrorKind::cancelled || lacksResources ? endpoint::EndpointOutcome::cancelled : endpoint::EndpointOutcome::failed;
 }
 
 EngineDispatch::EngineDispatch(RequestContext& context, const EngineWork& work)
--- a/packages/router/src/internal/ForwardAnswer.cpp
+++ b/packages/router/src/internal/ForwardAnswer.cpp
@@ -18,6 +18,8 @@
             return "yes";
         case net::Listening::no:
             return "no";
+        case net::Listening::notAsked:
+            return "not asked";
         case net::Listening::unknown:
             break;
         }
--- a/packages/router/src/internal/ForwardAttempt.cpp
+++ b/packages/router/src/internal/ForwardAttempt.cpp
@@ -29,6 +29,7 @@
             return policy::RelayOutcome::declined;
         case net::ConnectOutcome::notTried:
         case net::ConnectOutcome::relayUnreachable:
+        case net::ConnectOutcome::lacksResources:
             break;
         }
         return policy::RelayOutcome::unreachable;
@@ -64,6 +65,9 @@
         case net::ConnectOutcome::silent:
             metrics.add("whinyard_endpoint_connects_total{outcome=\"silent\"}");
             break;
+        case net::ConnectOutcome::lacksResources:
+            metrics.add("whinyard_endpoint_connects_total{outcome=\"lacksResources\"}");
+            break;
         case net::ConnectOutcome::notTried:
         case net::ConnectOutcome::relayUnreachable:
         case net::ConnectOutcome::relayDeclined:
@@ -89,7 +93,7 @@
         directBegan = began;
         callDirectly(head, patience);
     }
-    if (directBegan && wasLateItself())
+    if (directBegan && (wasLateItself() || lacksResources()))
         m_lacksPath = true;
     else if (!directBegan || (failedToConnect() && m_core.paths.mayRelayAfter(m_target.service, began)))
         callByRelays(head, patience - std::chrono::ceil<std::chrono::milliseconds>(now() - began), directBegan);
@@ -155,6 +159,10 @@
             return;
         asked.push_back(*relay);
         call(head, left, &*relay);
+        if (lacksResources()) {
+            m_lacksPath = true;
+            return;
+        }
         const policy::RelayOutcome outcome = relayOutcome(m_progress.connect);
         countRelayed(m_core.parts.metrics, outcome);
         const bool otherMayDoBetter = m_core.paths.recordRelay(m_target.service, *relay, outcome, directBegan, now());
--- a/packages/router/src/internal/ForwardAttempt.h
+++ b/packages/router/src/internal/ForwardAttempt.h
@@ -65,6 +65,7 @@
     bool isRelayed() const { return m_relay.has_value(); } // Its connection was made by another instance.
     const std::optional<InstanceName>& relay() const { return m_relay; }
     bool lacksPath() const { return m_lacksPath; } // Nobody has tried to connect to the endpoint, or only this instance while it was behind, so nothing is known of it.
+    bool lacksResources() const { return m_progress.connect == net::ConnectOutcome::lacksResources; } // Of this instance: another endpoint would fare alike.
     std::chrono::nanoseconds age() const { return m_core.parts.clock.now() - m_use.began(); }
 
 private:
--- a/packages/router/src/internal/ForwardRun.cpp
+++ b/packages/router/src/internal/ForwardRun.cpp
@@ -330,7 +330,7 @@
         attempt.end(attempt.wasSent() ? endpoint::EndpointOutcome::turnedAway : attempt.lacksPath() ? endpoint::EndpointOutcome::cancelled
                                                                                                     : endpoint::EndpointOutcome::unreachable);
         m_failure = attempt.failure();
-        end = AttemptEnd::notRun;
+        end = attempt.lacksResources() ? AttemptEnd::lacksResources : AttemptEnd::notRun;
         break;
     case HeadVerdict::failedAnswer:
         ++m_sent;
@@ -360,6 +360,10 @@
         return false;
     if (m_endsWithInstance)
         return false;
+    if (end == AttemptEnd::lacksResources) {
+        m_core.parts.metrics.add("whinyard_requests_without_connection_total");
+        return false;
+    }
     if (end == AttemptEnd::steppedUp)
         return true;
     if (repeatable() && !m_guard.pass(m_failure))
--- a/packages/router/src/internal/ForwardRun.h
+++ b/packages/router/src/internal/ForwardRun.h
@@ -43,6 +43,7 @@
     enum class AttemptEnd : std::uint8_t {
         answered, // The caller has the whole answer, or as much of it as he took.
         notRun,
+        lacksResources, // Not run either, and no other endpoint would get it: this instance can't connect.
         failedAnswer, // The endpoint's own failure, kept to be shown if no attempt does better.
         broken,
         steppedUp, // A larger model is to answer.
--- a/packages/router/test/ForwarderLoadTest.cpp
+++ b/packages/router/test/ForwarderLoadTest.cpp
@@ -22,7 +22,8 @@
         // Sends requests none of whose connects succeeds, and has the probes that follow end alike.
         void failConnects(int requests, net::ConnectOutcome outcome)
         {
-            m_bench.listening.answer = outcome == net::ConnectOutcome::refused ? net::Listening::no : net::Listening::unknown;
+            m_bench.listening.answer = outcome == net::ConnectOutcome::refused ? net::Listening::no : outcome == net::ConnectOutcome::lacksResources ? net::Listening::notAsked
+                                                                                                                                                     : net::Listening::unknown;
             for (int i = 0; i < requests; ++i) {
                 for (int attempt = 0; attempt < 16; ++attempt) {
                     m_bench.lose(0);
@@ -94,5 +95,43 @@
         EXPECT_EQ(m_bench.client.options.back().connectTimeout, 1'000ms);
     }
 
+    // Guards against endpoints, paths and relays that are blamed for the descriptors which this instance lacks: all of its requests were
+    // refused long after it had some again.
+    TEST_F(ForwarderLoadTest, BlamesNobodyForWhatItLacksItself)
+    {
+        failConnects(20, net::ConnectOutcome::lacksResources);
+        EXPECT_TRUE(m_bench.forwarder.reachesDirectly({ "svc" }));
+        EXPECT_EQ(relaysAsked(), 0U);
+        m_bench.answer(200, { "x" });
+        EXPECT_EQ(m_bench.send().response.status, 200) << "all endpoints are still chosen from";
+    }
+
+    // Guards against a request without a connection that waits for its deadline, or is tried at one endpoint after the other.
+    TEST_F(ForwarderLoadTest, RefusesARequestThatItLacksAConnectionFor)
+    {
+        m_bench.lose(0);
+        m_bench.client.exchanges.back().connect = net::ConnectOutcome::lacksResources;
+        const auto answered = m_bench.send();
+        EXPECT_EQ(answered.response.status, 503);
+        EXPECT_NE(net::fieldValue(answered.response.fields, "retry-after"), "0");
+        EXPECT_EQ(m_bench.client.requests.size(), 1U);
+    }
+
+    // Guards against paths that are taken for lost since this instance lacks the descriptors to look at them.
+    TEST_F(ForwarderLoadTest, ConcludesNothingFromProbesThatItCouldNotMake)
+    {
+        m_bench.listening.answer = net::Listening::notAsked;
+        for (int attempt = 0; attempt < 16; ++attempt)
+            m_bench.lose(0); // Refused connects, which leave the path in doubt.
+        m_bench.send();
+        for (int look = 0; look < 10; ++look) {
+            m_bench.clock.advance(300ms);
+            m_bench.forwarder.tick();
+            m_bench.fibers.runStarted();
+        }
+        EXPECT_GT(m_bench.listening.asked, 0);
+        EXPECT_TRUE(m_bench.forwarder.reachesDirectly({ "svc" }));
+    }
+
 }
 }
