Share the descriptors of a process among what it connects for

Once the descriptors were spent none was left for endpoints, the store, metrics or the question for readiness, and the instance didn't come back: each descriptor that a leaving caller freed went to the next that waited to be accepted.

Cause: nobody read max_fds. 20,000 callers were allowed where the process may have 4,100 descriptors, 200 of them for files.

Change: settings::shareDescriptors() divides them by use, from the settings and getrlimit(): callers, endpoints, probes, relayed connections, the store, other instances, readiness, metrics. Servers and clients are bounded by their part. A server that is full closes the connection that has been idle for longest (half a second at least, and no request of it there) for a new one, which is closed at once where none is. A client that is full lets go of kept ones, and fails a further call as one without a descriptor: not run, 503 and Retry-After. Too few for one of each is refused at the start.

--- a/apps/whinyardd/Serving.cpp
+++ b/apps/whinyardd/Serving.cpp
@@ -1,6 +1,9 @@
 #include "Serving.h"
 
 #include "whinyard/backing/HttpPlatform.h"
+#include "whinyard/settings/DescriptorShares.h"
+
+#include <algorithm>
 
 namespace whinyard::daemon {
 
@@ -51,12 +54,12 @@
         net::Signal m_signal;
     };
 
-    net::HttpServerLimits serverLimits(const settings::Limits& settings)
+    net::HttpServerLimits serverLimits(const settings::Limits& settings, const settings::DescriptorShares& shares)
     {
         net::HttpServerLimits limits;
         limits.headerBytes = settings.headerBytes;
         limits.bodyBytes = settings.bodyBytes;
-        limits.connections = settings.connections;
+        limits.connections = std::min(settings.connections, shares.callers);
         limits.receiveTimeout = settings.receiveTimeout;
         return limits;
     }
@@ -101,8 +104,11 @@
 
 bool Serving::openOnDuty(Failure& failure)
 {
-    m_client = net::HttpClient::create(m_duty);
-    m_listening = net::ListenProbe::create(m_duty);
+    const std::optional<settings::DescriptorShares> shares = settings::shareDescriptors(0, 0, failure);
+    if (!shares)
+        return false;
+    m_client = net::HttpClient::create(m_duty, { .connections = shares->endpoints });
+    m_listening = net::ListenProbe::create(m_duty, shares->probes);
     m_engines = endpoint::makeHttpEngineClient(*m_client);
     m_services = endpoint::makeHttpServiceClient(*m_client);
     m_ratings = backing::makeHttpRatingService(*m_client, { .address = m_shared.settings.platform });
@@ -111,7 +117,7 @@
     const router::RouterParts parts { m_shared.clock, m_shared.hybridClock, m_shared.events, m_shared.metrics, m_peering, m_directory, *m_engines, *m_services, m_storing.intents(), m_storing.usage(), *m_ratings, m_sessionPins, m_judge, m_limits, m_queries, *m_listening, m_fibers, &m_peering.service() };
     m_router = std::make_unique<router::Router>(parts, routerSettings(m_shared), seededRandom());
     const net::HttpHandler handler = [this](const net::HttpRequest& request, net::HttpResponder& responder) { m_router->handle(request, responder); };
-    m_server = net::HttpServer::open(m_duty, m_shared.settings.callers, serverLimits(m_shared.settings.limits), handler, failure);
+    m_server = net::HttpServer::open(m_duty, m_shared.settings.callers, serverLimits(m_shared.settings.limits, *shares), handler, failure);
     if (!m_server)
         return false;
     m_duty.spawn([this] { pollLoads(); });
--- a/apps/whinyardd/entry/EntryDaemon.cpp
+++ b/apps/whinyardd/entry/EntryDaemon.cpp
@@ -13,8 +13,8 @@
 }
 
 struct EntryDaemon::State {
-    State(const settings::EntrySettings& settings, EndpointTransport transport)
-        : shared(settings, std::move(transport))
+    State(const settings::EntrySettings& settings, const settings::DescriptorShares& shares, EndpointTransport transport)
+        : shared(settings, shares, std::move(transport))
         , serving(shared)
         , storing(shared, serving)
     {
@@ -37,11 +37,14 @@
 
 std::unique_ptr<EntryDaemon> EntryDaemon::start(const settings::EntrySettings& settings, Failure& failure, EndpointTransport transport)
 {
-    std::unique_ptr<EntryDaemon> daemon(new EntryDaemon(std::make_unique<State>(settings, std::move(transport))));
+    const std::optional<settings::DescriptorShares> shares = settings::shareDescriptors(settings.descriptors, settings.memoryMegabytes, failure);
+    if (!shares)
+        return nullptr;
+    std::unique_ptr<EntryDaemon> daemon(new EntryDaemon(std::make_unique<State>(settings, *shares, std::move(transport))));
     State& state = *daemon->m_state;
     if (!state.serving.open(failure) || !state.storing.open(failure))
         return nullptr;
-    log::info("started", { { "instance", settings.instance.value }, { "zone", settings.zone.value }, { "firstStart", settings.isFirstStart ? "true" : "false" }, { "callers", net::toText(settings.callers) }, { "store", net::toText(settings.store.address) } });
+    log::info("started", { { "instance", settings.instance.value }, { "zone", settings.zone.value }, { "firstStart", settings.isFirstStart ? "true" : "false" }, { "callers", net::toText(settings.callers) }, { "store", net::toText(settings.store.address) }, { "mostCallers", std::to_string(shares->callers) }, { "mostEndpointConnections", std::to_string(shares->endpoints) } });
     return daemon;
 }
 
--- a/apps/whinyardd/entry/EntryShared.h
+++ b/apps/whinyardd/entry/EntryShared.h
@@ -6,6 +6,7 @@
 #include "whinyard/base/Metrics.h"
 #include "whinyard/net/HttpClient.h"
 #include "whinyard/net/ListenProbe.h"
+#include "whinyard/settings/DescriptorShares.h"
 #include "whinyard/settings/EntrySettings.h"
 
 #include <atomic>
@@ -20,8 +21,8 @@
 
 // Makes what connects to endpoints, for the duty that it belongs to. Tests replace it to partition an instance from them.
 struct EndpointTransport {
-    std::function<std::unique_ptr<net::HttpClient>(net::Duty&)> makeClient = net::HttpClient::create;
-    std::function<std::unique_ptr<net::ListenProbe>(net::Duty&)> makeProbe = net::ListenProbe::create;
+    std::function<std::unique_ptr<net::HttpClient>(net::Duty&, const net::HttpClientLimits&)> makeClient = net::HttpClient::create;
+    std::function<std::unique_ptr<net::ListenProbe>(net::Duty&, std::size_t mostAtOnce)> makeProbe = net::ListenProbe::create;
 };
 
 // Tells how many connections the process holds for one use. Each takes a descriptor, a relayed one two.
@@ -31,13 +32,15 @@
 }
 
 struct EntryShared {
-    explicit EntryShared(const settings::EntrySettings& entrySettings, EndpointTransport endpointTransport = {})
+    explicit EntryShared(const settings::EntrySettings& entrySettings, const settings::DescriptorShares& descriptorShares = {}, EndpointTransport endpointTransport = {})
         : settings(entrySettings)
+        , shares(descriptorShares)
         , transport(std::move(endpointTransport))
     {
     }
 
     const settings::EntrySettings settings;
+    const settings::DescriptorShares shares;
     const EndpointTransport transport;
     const SystemClock clock;
     Metrics metrics;
--- a/apps/whinyardd/entry/PeerExchange.cpp
+++ b/apps/whinyardd/entry/PeerExchange.cpp
@@ -50,7 +50,7 @@
     if (!m_shared.settings.peers)
         return true;
     const net::HttpHandler handler = [this](const net::HttpRequest& request, net::HttpResponder& responder) { answer(request, responder); };
-    m_server = net::HttpServer::open(duty, *m_shared.settings.peers, {}, handler, failure);
+    m_server = net::HttpServer::open(duty, *m_shared.settings.peers, { .connections = m_shared.shares.instancesAnswered }, handler, failure);
     return m_server != nullptr;
 }
 
--- a/apps/whinyardd/entry/ServeDuty.cpp
+++ b/apps/whinyardd/entry/ServeDuty.cpp
@@ -159,8 +159,9 @@
 
 bool ServeDuty::openOnDuty(Failure& failure)
 {
-    m_client = m_shared.transport.makeClient(m_duty);
-    m_listening = m_shared.transport.makeProbe(m_duty);
+    const settings::DescriptorShares& shares = m_shared.shares;
+    m_client = m_shared.transport.makeClient(m_duty, { .connections = shares.endpoints });
+    m_listening = m_shared.transport.makeProbe(m_duty, shares.probes);
     openPlaces();
     const router::ForwarderParts parts { m_shared.clock, m_shared.metrics, m_shared.routing, m_codec, m_directory, m_shifts, m_models, m_queries, *m_client, *m_listening, m_fibers, &m_link, m_shared.settings.provider && m_shared.settings.provider->takesUsage ? this : nullptr, m_places.get(), this };
     m_forwarder = std::make_unique<router::Forwarder>(parts, forwarderSettings(m_shared.settings), seededRandom());
@@ -170,10 +171,12 @@
         constexpr int notReady = 503;
         responder.send({ .status = isReady() ? ready : notReady, .fields = {}, .body = {} });
     };
-    m_server = net::HttpServer::open(m_duty, m_shared.settings.callers, serverLimits({}), forward, failure);
+    net::HttpServerLimits callerLimits = serverLimits({});
+    callerLimits.connections = shares.callers;
+    m_server = net::HttpServer::open(m_duty, m_shared.settings.callers, callerLimits, forward, failure);
     if (m_server) {
         m_server->useAdmission([this] { return pauseAfterConnection(); });
-        m_readiness = net::HttpServer::open(m_duty, m_shared.settings.readiness, {}, tellReadiness, failure);
+        m_readiness = net::HttpServer::open(m_duty, m_shared.settings.readiness, { .connections = shares.readiness }, tellReadiness, failure);
     }
     if (!m_readiness || !m_link.open(m_duty, failure) || !openRelay(failure))
         return false;
@@ -201,7 +204,7 @@
     if (!m_shared.settings.relay)
         return true;
     m_relay = net::ConnectRelay::open(
-        m_duty, *m_shared.settings.relay, {}, [this](const net::RelayedConnect& connect) { return relayTarget(connect); },
+        m_duty, *m_shared.settings.relay, { .connections = std::min(m_shared.shares.relayed, net::ConnectRelayLimits().connections) }, [this](const net::RelayedConnect& connect) { return relayTarget(connect); },
         [this](const net::RelayedConnect& connect, const net::RelayedResult& result) { noteRelayed(connect, result); }, failure);
     return m_relay != nullptr;
 }
--- a/apps/whinyardd/entry/StoreDuty.cpp
+++ b/apps/whinyardd/entry/StoreDuty.cpp
@@ -90,10 +90,11 @@
 
 bool StoreDuty::openOnDuty(Failure& failure)
 {
-    m_client = net::HttpClient::create(m_duty);
+    const settings::DescriptorShares& shares = m_shared.shares;
+    m_client = net::HttpClient::create(m_duty, { .connections = shares.store });
     m_store = std::make_unique<backing::EraStore>(std::make_unique<backing::CountedStore>(platform::makeStore(*m_client, m_shared.settings.store.address), m_shared.metrics));
     m_operators = std::make_unique<OperatorWatch>(m_shared, m_serving);
-    m_instanceClient = net::HttpClient::create(m_duty);
+    m_instanceClient = net::HttpClient::create(m_duty, { .connections = shares.instancesRead });
     m_exchange = std::make_unique<PeerExchange>(m_shared, *m_instanceClient);
     m_operatorRelay = std::make_unique<OperatorRelay>(m_shared, *m_operators, m_serving, *m_exchange, *m_store);
     m_roster = std::make_unique<RosterWatch>(m_shared, m_serving, *m_operatorRelay, *m_exchange, m_duty);
@@ -115,7 +116,7 @@
         const net::HttpHandler handler = [this](const net::HttpRequest&, net::HttpResponder& responder) {
             responder.send({ .status = 200, .fields = { { "Content-Type", "text/plain; version=0.0.4" } }, .body = m_shared.metrics.render() });
         };
-        m_metricsServer = net::HttpServer::open(m_duty, *m_shared.settings.metrics, {}, handler, failure);
+        m_metricsServer = net::HttpServer::open(m_duty, *m_shared.settings.metrics, { .connections = shares.metrics }, handler, failure);
         if (!m_metricsServer)
             return false;
     }
--- a/packages/net/include/whinyard/net/HttpClient.h
+++ b/packages/net/include/whinyard/net/HttpClient.h
@@ -120,6 +120,8 @@
 
 // Bounds what a client holds, over all addresses.
 struct HttpClientLimits {
+    // In use and kept. A call beyond it fails as one that lacks a descriptor does; kept ones give way to it.
+    std::size_t connections = 20'000;
     // Kept for calls to come; beyond it the one that has been idle for longest is closed. One that its server closes is closed at once.
     std::size_t keptConnections = 512;
     // Shorter than the idle timeout of usual servers, so that the client closes first, also after a suspension.
--- a/packages/net/include/whinyard/net/HttpServer.h
+++ b/packages/net/include/whinyard/net/HttpServer.h
@@ -23,7 +23,7 @@
     std::chrono::milliseconds receiveTimeout { 10'000 }; // For one whole request, from its first byte.
     std::chrono::milliseconds idleTimeout { 75'000 }; // Between requests of a kept connection.
     std::chrono::milliseconds sendTimeout { 30'000 }; // For one write that the peer doesn't take.
-    std::size_t connections = 20'000;
+    std::size_t connections = 20'000; // Beyond it the one that has been idle for longest gives way to a new one, which is closed at once where none is idle.
 };
 
 // Sends the answer to one request. Every function returns false once the peer is gone; what is
--- a/packages/net/include/whinyard/net/ListenProbe.h
+++ b/packages/net/include/whinyard/net/ListenProbe.h
@@ -9,6 +9,7 @@
 #include "whinyard/net/HttpMessage.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <vector>
@@ -19,13 +20,13 @@
     yes, // A connection was accepted; it is closed at once.
     no, // The peer's machine answered that nobody listens there.
     unknown, // No answer in time.
-    notAsked, // This process lacks the resources to ask.
+    notAsked, // This process lacks the resources to ask, or asks as many as it may.
 };
 
 class ListenProbe {
 public:
-    // Belongs to the duty.
-    static std::unique_ptr<ListenProbe> create(Duty& duty);
+    // Belongs to the duty. Asks at most so many addresses at once.
+    static std::unique_ptr<ListenProbe> create(Duty& duty, std::size_t mostAtOnce = 1'000);
 
     virtual ~ListenProbe() = default;
 
--- a/packages/net/src/ListenProbe.cpp
+++ b/packages/net/src/ListenProbe.cpp
@@ -14,8 +14,9 @@
 
     class ListenProbeImpl final : public ListenProbe {
     public:
-        explicit ListenProbeImpl(Duty& duty)
+        ListenProbeImpl(Duty& duty, std::size_t mostAtOnce)
             : m_duty(duty)
+            , m_mostAtOnce(mostAtOnce)
         {
         }
 
@@ -25,6 +26,9 @@
             const auto endpoint = internal::toEndpoint<asio::ip::tcp>(address, failure);
             if (!endpoint)
                 return Listening::unknown;
+            if (m_asking >= m_mostAtOnce)
+                return Listening::notAsked;
+            const Asking counted(m_asking);
             internal::FiberSocket socket(m_duty.loop());
             socket.expireAfter(patience);
             boost::system::error_code error;
@@ -38,6 +42,9 @@
 
         Listening askByWayOf(const Address& relay, const std::vector<HttpField>& fields, const Address& address, std::chrono::milliseconds patience) override
         {
+            if (m_asking >= m_mostAtOnce)
+                return Listening::notAsked;
+            const Asking counted(m_asking);
             ConnectOutcome outcome = ConnectOutcome::notTried;
             Failure ignored;
             internal::ConnectionPool pool(m_duty);
@@ -49,14 +56,31 @@
         }
 
     private:
+        class Asking {
+        public:
+            explicit Asking(std::size_t& count)
+                : m_count(count)
+            {
+                ++m_count;
+            }
+            ~Asking() { --m_count; }
+            Asking(const Asking&) = delete;
+            Asking& operator=(const Asking&) = delete;
+
+        private:
+            std::size_t& m_count;
+        };
+
         Duty& m_duty;
+        const std::size_t m_mostAtOnce;
+        std::size_t m_asking = 0;
     };
 
 }
 
-std::unique_ptr<ListenProbe> ListenProbe::create(Duty& duty)
+std::unique_ptr<ListenProbe> ListenProbe::create(Duty& duty, std::size_t mostAtOnce)
 {
-    return std::make_unique<ListenProbeImpl>(duty);
+    return std::make_unique<ListenProbeImpl>(duty, mostAtOnce);
 }
 
 }
--- a/packages/net/src/internal/ConnectionPool.cpp
+++ b/packages/net/src/internal/ConnectionPool.cpp
@@ -133,6 +133,13 @@
     const auto endpoint = toEndpoint<tcp>(address, failure);
     if (!endpoint)
         return nullptr;
+    while (*m_open >= m_limits.connections && !m_kept.empty())
+        take(m_kept.begin());
+    if (*m_open >= m_limits.connections) {
+        outcome = ConnectOutcome::lacksResources;
+        failure = Failure { ErrorKind::overloaded, "can't connect to " + toText(address) + ": this client's connections are all in use" };
+        return nullptr;
+    }
     auto connection = std::make_unique<ClientConnection>(m_duty.loop(), m_open);
     connection->socket.expireAt(deadline);
     error_code error;
--- a/packages/net/src/internal/TcpServer.cpp
+++ b/packages/net/src/internal/TcpServer.cpp
@@ -28,6 +28,10 @@
     // sent by then.
     constexpr int backlogAfterPause = 8;
 
+    // A kept connection that has been idle for so long gives way to a new one where there are too many. The next request of others may
+    // be on its way.
+    constexpr std::chrono::milliseconds idleToGiveWay { 500 };
+
     // The pause after the system had no descriptor or memory for another connection.
     constexpr std::chrono::milliseconds acceptPause { 50 };
 
@@ -129,7 +133,7 @@
 
 void TcpServer::start(tcp::socket socket)
 {
-    if (m_connections.size() >= m_maximumConnections)
+    if (m_connections.size() >= m_maximumConnections && !closeLongestIdle())
         return;
     if (m_pauseAfterConnection)
         m_pause = m_pauseAfterConnection();
@@ -142,11 +146,41 @@
     });
 }
 
+bool TcpServer::closeLongestIdle()
+{
+    const SteadyTime latest = std::chrono::steady_clock::now() - idleToGiveWay;
+    for (ServerConnection* connection : m_idle) {
+        if (connection->idleSince > latest)
+            return false;
+        if (connection->socket.isReadable())
+            continue; // Its next request is there.
+        endIdle(*connection);
+        m_connections.erase(connection);
+        connection->socket.close();
+        return true;
+    }
+    return false;
+}
+
+void TcpServer::beginIdle(ServerConnection& connection)
+{
+    connection.idleSince = std::chrono::steady_clock::now();
+    connection.idle = m_idle.insert(m_idle.end(), &connection);
+}
+
+void TcpServer::endIdle(ServerConnection& connection)
+{
+    if (!connection.idle)
+        return;
+    m_idle.erase(*connection.idle);
+    connection.idle.reset();
+}
+
 bool TcpServer::awaitRequest(ServerConnection& connection, boost::beast::flat_buffer& buffer, std::chrono::nanoseconds idleTimeout)
 {
     if (buffer.size() > 0)
         return true;
-    connection.idle = true;
+    beginIdle(connection);
     if (m_draining)
         connection.socket.expireAt(m_drainGraceEnd);
     else
@@ -156,7 +190,7 @@
     // Where the machine was held up, the request for which a new connection was made may be there since it was accepted.
     if (std::exchange(connection.isNew, false) && error == asio::error::timed_out)
         buffer.commit(connection.socket.readNow(buffer.prepare(firstReadBytes), error));
-    connection.idle = false;
+    endIdle(connection);
     return !error;
 }
 
--- a/packages/net/src/internal/TcpServer.h
+++ b/packages/net/src/internal/TcpServer.h
@@ -12,7 +12,9 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <list>
 #include <memory>
+#include <optional>
 #include <unordered_set>
 
 namespace whinyard::net::internal {
@@ -26,7 +28,8 @@
 
     FiberSocket socket;
     bool isNew = true; // No request has been waited for.
-    bool idle = false; // Waits for the first byte of a request.
+    std::optional<std::list<ServerConnection*>::iterator> idle; // Its place among those that wait for the first byte of a request.
+    SteadyTime idleSince;
 };
 
 // Accepts connections and runs a function on a fiber for each. Fibers share its ownership, so it
@@ -82,6 +85,10 @@
     // Closes the listening socket for a while. What waits there is reset by the system.
     void pauseListening(std::chrono::nanoseconds duration);
     void start(boost::asio::ip::tcp::socket socket);
+    // Closes the connection that has been idle for longest. Returns false where none has been for long enough.
+    bool closeLongestIdle();
+    void beginIdle(ServerConnection& connection);
+    void endIdle(ServerConnection& connection);
 
     Duty& m_duty;
     const std::size_t m_maximumConnections;
@@ -91,6 +98,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     Address m_address;
     std::unordered_set<ServerConnection*> m_connections;
+    std::list<ServerConnection*> m_idle; // The one that has been for longest first.
     std::size_t m_active = 0;
     bool m_draining = false; // Or closed: it doesn't listen again.
     bool m_closeAnnounced = false;
--- a/packages/net/test/OwnShortageTest.cpp
+++ b/packages/net/test/OwnShortageTest.cpp
@@ -9,7 +9,6 @@
 
 #include <fcntl.h>
 #include <sys/resource.h>
-#include <unistd.h>
 
 namespace whinyard::net {
 namespace {
@@ -22,10 +21,11 @@
         explicit DescriptorLimit(rlim_t more)
         {
             getrlimit(RLIMIT_NOFILE, &m_before);
-            const int next = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
-            ::close(next);
+            int next = 0;
+            for (rlim_t left = more + 1; left > 0; ++next)
+                left -= ::fcntl(next, F_GETFD) < 0 ? 1 : 0; // A free one.
             rlimit limit = m_before;
-            limit.rlim_cur = static_cast<rlim_t>(next) + more;
+            limit.rlim_cur = static_cast<rlim_t>(next) - 1;
             setrlimit(RLIMIT_NOFILE, &limit);
         }
         ~DescriptorLimit() { setrlimit(RLIMIT_NOFILE, &m_before); }
--- a/packages/settings/include/whinyard/settings/EntrySettings.h
+++ b/packages/settings/include/whinyard/settings/EntrySettings.h
@@ -9,6 +9,7 @@
 #include "whinyard/settings/EntryTuning.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -73,6 +74,7 @@
     bool isFirstStart = false; // Of the whole system: nothing has run before at any instance's place.
     std::uint32_t linkMegabits = 0; // A second, of the instance's own link; 0 if unknown.
     std::uint32_t memoryMegabytes = 0; // The process is killed above it; 0 if unknown.
+    std::size_t descriptors = 0; // For sockets; 0 if unknown.
     EntryTuning tuning;
 
     // Settings that the daemon takes over when it reads them again; the others hold until it restarts.
