Show that no half of a head is told as an answer, whoever reads it

Reports of other operators: an engine that stopped in the middle of its answer's head and closed, of which clients got a 200 with an empty or short body; a status 000 that clients got as an answer; an early 200 without a length, reset amid the upload.

None of the three was found here. RefusesAHeadThatIsCutAnywhere: each byte of four heads (length, chunks, HTTP/1.0 without either, behind a 100), in two pieces, closed and reset, whole and streamed, directly and by way of a relay.

--- a/packages/net/test/ConnectRelayTest.cpp
+++ b/packages/net/test/ConnectRelayTest.cpp
@@ -1,6 +1,7 @@
 // Calls by way of a relay: what their caller learns, and what their server sees of it.
 #include "whinyard/net/ConnectRelay.h"
 
+#include "whinyard/net/BrokenServer.h"
 #include "whinyard/net/HttpClient.h"
 #include "whinyard/net/ListenProbe.h"
 #include "whinyard/net/RawConnection.h"
@@ -276,6 +277,26 @@
         }
     }
 
+    // Guards against half an answer to CONNECT, or one with a folded line, that is taken for a connection to the server.
+    TEST_F(ConnectRelayTest, TakesNoAnswerOfARelayWhoseHeadIsCutOrFolded)
+    {
+        const std::string sound = "HTTP/1.1 200 OK\r\nRelay-Framing: frames\r\n\r\n";
+        std::vector<std::string> heads { "HTTP/1.1 200 OK\r\n X-Bad: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Own: 1\r\n\tX-Bad: 1\r\n\r\n" };
+        for (std::size_t size = 0; size < sound.size(); ++size)
+            heads.push_back(sound.substr(0, size));
+        for (const std::string& head : heads) {
+            for (const bool resets : { false, true }) {
+                testing::BrokenServer broken;
+                m_options.relay = broken.address();
+                broken.useBytes(head, resets);
+                call([] {});
+                EXPECT_FALSE(m_response) << head;
+                EXPECT_EQ(m_progress.connect, ConnectOutcome::relayUnreachable) << head;
+                EXPECT_EQ(m_failure.runState, RunState::notRun) << head;
+            }
+        }
+    }
+
     // Guards against frames that a client of an earlier release takes for the server's bytes.
     TEST_F(ConnectRelayTest, UsesNoFramesForAClientThatDoesNotAskForThem)
     {
--- a/packages/net/test/HttpAnswerTest.cpp
+++ b/packages/net/test/HttpAnswerTest.cpp
@@ -326,5 +326,34 @@
         EXPECT_EQ(second->body, "next");
     }
 
+    // Guards against half a head that a caller gets as an answer with an empty or a short body.
+    TEST_F(HttpAnswerTest, RefusesAHeadThatIsCutAnywhere)
+    {
+        const std::array<std::string, 4> heads {
+            "HTTP/1.1 200 OK\r\nX-Own: 1\r\nContent-Length: 2\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nX-Own: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "HTTP/1.0 200 OK\r\nX-Own: 1\r\n\r\n",
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        };
+        for (const Way way : allWays) {
+            for (const std::string& head : heads) {
+                for (std::size_t size = 0; size < head.size(); ++size) {
+                    const auto cut = [&](bool resets) {
+                        return call(way, {}, [&] {
+                            RawConnection server(m_acceptor);
+                            server.readUntil("\r\n\r\n");
+                            server.write(std::string_view(head).substr(0, size / 2)); // In two pieces.
+                            server.write(std::string_view(head).substr(size / 2, size - size / 2));
+                            if (resets)
+                                server.reset();
+                        });
+                    };
+                    expectNoAnswer(cut(false), head.substr(0, size) + ", closed");
+                    expectNoAnswer(cut(true), head.substr(0, size) + ", reset");
+                }
+            }
+        }
+    }
+
 }
 }
