Check in the soak that daemons give descriptors back

No check of the soak knew of descriptors, its engines said "Connection: close" in every answer, and its settings had no limit.

By /proc, 126 and 91 of one restarted daemon's were the soak's own connections to other daemons' callers' addresses, in CLOSE_WAIT: processes that are started again inherited the sockets of the process that starts them. ChildProcess closes them in the child now; so a caller's close is also seen where a daemon was restarted meanwhile.

--- a/apps/test/ChildProcess.cpp
+++ b/apps/test/ChildProcess.cpp
@@ -37,6 +37,8 @@
     else
         posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(), appending, 0600);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, logFile.c_str(), appending, 0600);
+    // A socket of ours that the child inherits stays open for as long as that lives.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int error = posix_spawn(&m_pid, program.c_str(), &actions, nullptr, pointersTo(words).data(), pointersTo(variables).data());
     posix_spawn_file_actions_destroy(&actions);
     close(ends[1]);
--- a/apps/test/ChildProcess.h
+++ b/apps/test/ChildProcess.h
@@ -28,6 +28,7 @@
     // Returns the next line of its standard output; nothing at its end.
     std::optional<std::string> readLine();
 
+    pid_t pid() const { return m_pid; }
     void signal(int number) const;
 
     // Waits for the end and returns the exit code, or minus the signal that ended it.
--- a/soak/Proxy.cpp
+++ b/soak/Proxy.cpp
@@ -2,8 +2,10 @@
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
 #include <array>
 #include <set>
+#include <string_view>
 #include <thread>
 
 namespace whinyard::soak {
@@ -21,9 +23,20 @@
     struct Link {
         LinkState state = LinkState::open;
         std::chrono::milliseconds delay { 0 };
+        bool hidesClose = false;
         std::set<Pair*> pairs;
     };
 
+    // Puts an option that nobody knows in the place of one that announces the close.
+    void hideClose(std::array<char, chunkBytes>& chunk, std::size_t size)
+    {
+        constexpr std::string_view announcement = "Connection: close\r\n";
+        constexpr std::string_view other = "Connection: other\r\n";
+        const std::size_t found = std::string_view(chunk.data(), size).find(announcement);
+        if (found != std::string_view::npos)
+            std::copy(other.begin(), other.end(), chunk.begin() + static_cast<std::ptrdiff_t>(found));
+    }
+
     // Two connections whose bytes are handed on.
     struct Pair : std::enable_shared_from_this<Pair> {
         Pair(asio::io_context& loop, Link& shared)
@@ -74,6 +87,8 @@
                 return muted ? void() : reset();
             if (muted)
                 return pump(from, to, chunk, muted);
+            if (link.hidesClose && &from == &target)
+                hideClose(chunk, size);
             auto timer = std::make_shared<asio::steady_timer>(from.get_executor(), link.delay);
             timer->async_wait([self = shared_from_this(), timer, size, &from, &to, &chunk, &muted](boost::system::error_code) {
                 asio::async_write(to, asio::buffer(chunk, size), [self, &from, &to, &chunk, &muted](boost::system::error_code failed, std::size_t) {
@@ -169,6 +184,11 @@
     asio::post(m_state->loop, [state = m_state.get(), target] { state->target = endpointOf(target); });
 }
 
+void Proxy::hideCloseAnnouncements()
+{
+    asio::post(m_state->loop, [state = m_state.get()] { state->link.hidesClose = true; });
+}
+
 void Proxy::use(LinkState link, std::chrono::milliseconds delay)
 {
     asio::post(m_state->loop, [state = m_state.get(), link, delay] { state->use(link, delay); });
--- a/soak/Proxy.h
+++ b/soak/Proxy.h
@@ -31,6 +31,9 @@
     // Sets where new connections lead.
     void useTarget(const net::Address& target);
 
+    // Hides from callers that the target announces its close, so that they have to close by themselves.
+    void hideCloseAnnouncements();
+
     void use(LinkState state, std::chrono::milliseconds delay = std::chrono::milliseconds(0));
 
 private:
--- a/soak/Site.cpp
+++ b/soak/Site.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <stdexcept>
 #include <unistd.h>
@@ -78,7 +79,7 @@
         { "ip", m_host },
         { "listen", { { "front", net::toText(callers(daemon)) }, { "ready", net::toText(readiness(daemon)) } } },
         { "port_range", { port + 2, port + 5 } },
-        { "limits", { { "link_mbps", 1'000 }, { "memory_mb", 260 } } },
+        { "limits", { { "link_mbps", 1'000 }, { "memory_mb", 260 }, { "max_fds", mostDescriptors } } },
         { "platform", { { "address", net::toText(m_daemons[daemon].store->address()) }, { "writes_per_s", 400 }, { "reads_per_s", 2'000 } } },
         { "bounds", { { "contact_ms", 3'000 }, { "drain_ms", 2'000 }, { "grace_s", 8 }, { "config_apply_ms", 2'000 }, { "budget_ratio", 0.9 }, { "budget_window_s", 10 }, { "retry_slack", 52 } } },
     };
@@ -97,6 +98,12 @@
         m_daemons[daemon].process->signal(signal);
 }
 
+std::size_t Site::descriptorsOf(std::size_t daemon) const
+{
+    const std::filesystem::directory_iterator held("/proc/" + std::to_string(m_daemons[daemon].process->pid()) + "/fd");
+    return static_cast<std::size_t>(std::distance(begin(held), end(held)));
+}
+
 int Site::awaitDaemon(std::size_t daemon)
 {
     const int status = m_daemons[daemon].process->wait();
@@ -118,8 +125,11 @@
         throw std::runtime_error(place.id + " did not start: " + line);
     if (place.link)
         place.link->useTarget(*address);
-    else
+    else {
         place.link = std::make_unique<Proxy>(*address);
+        if (engine % 2 == 0)
+            place.link->hideCloseAnnouncements();
+    }
     place.reader = std::thread([this, engine] { readRuns(engine); });
 }
 
--- a/soak/Site.h
+++ b/soak/Site.h
@@ -41,6 +41,8 @@
 
     void startDaemon(std::size_t daemon);
     void signalDaemon(std::size_t daemon, int signal);
+    // Returns how many descriptors its process holds.
+    std::size_t descriptorsOf(std::size_t daemon) const;
     // Waits for its end and returns the exit status.
     int awaitDaemon(std::size_t daemon);
 
@@ -72,6 +74,7 @@
     std::set<std::string> brokenOff();
 
     static constexpr const char* customer = "school";
+    static constexpr std::size_t mostDescriptors = 600; // Of a daemon, by its settings.
 
 private:
     struct DaemonPlace {
--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -58,6 +58,7 @@
         m_callers.stop();
         std::this_thread::sleep_for(300ms); // What engines wrote of the last runs.
         judgeAll();
+        checkDescriptors();
         checkEnd();
         return m_broken ? 1 : 0;
     }
@@ -181,6 +182,17 @@
         std::cout << "seed " << m_arguments.seed << ": " << seen.requests.size() << " requests, " << served << " served, " << seen.runs.size() << " runs, " << seen.disturbances.size() << " faults\n";
     }
 
+    // Without requests, none of those that were served holds a descriptor any more.
+    void checkDescriptors()
+    {
+        for (std::size_t daemon = 0; daemon < m_site.daemons(); ++daemon) {
+            const std::size_t held = m_site.descriptorsOf(daemon);
+            m_mostHeld = std::max(m_mostHeld, held);
+            expect("descriptors are given back, " + std::to_string(held) + " held", held <= Site::mostDescriptors / 2);
+        }
+        std::cout << "seed " << m_arguments.seed << ": at most " << m_mostHeld << " descriptors of a daemon at rest\n";
+    }
+
     void checkEnd()
     {
         for (std::size_t daemon = 0; daemon < m_site.daemons(); ++daemon) {
@@ -194,6 +206,7 @@
     Site m_site;
     Callers m_callers;
     Faults m_faults;
+    std::size_t m_mostHeld = 0; // Descriptors, by one daemon.
     bool m_broken = false;
 };
 
